--- /dev/null
+++ b/sardineproxy/__init__.py
@@ -0,0 +1,1 @@
+"""Dispatcher for sub-second tasks between callers and back ends."""
--- /dev/null
+++ b/sardineproxy/__main__.py
@@ -0,0 +1,1 @@
+"""Run a program: ``python -m sardineproxy NAME [flags]``."""
--- /dev/null
+++ b/sardineproxy/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Load driver and measures."""
--- /dev/null
+++ b/sardineproxy/demo/__init__.py
@@ -0,0 +1,1 @@
+"""Demo of the whole system on loopback."""
--- /dev/null
+++ b/sardineproxy/ids.py
@@ -0,0 +1,18 @@
+"""Types of the identifiers that the parts share."""
+
+from typing import NewType
+
+CustomerId = NewType('CustomerId', str)
+EndpointId = NewType('EndpointId', str)
+VmId = NewType('VmId', str)
+ZoneId = NewType('ZoneId', str)
+RegionId = NewType('RegionId', str)
+
+#: Random hexadecimal name of one run of an entry process.
+Incarnation = NewType('Incarnation', str)
+
+#: Idempotency key, or the id that an entry process gives to a keyless request.
+RequestId = NewType('RequestId', str)
+
+#: Number of a configuration version; the first is 1.
+VersionNumber = NewType('VersionNumber', int)
--- /dev/null
+++ b/sardineproxy/json_text.py
@@ -0,0 +1,75 @@
+"""Bounded parser of JSON with comments, for files and requests."""
+
+from typing import Any
+
+import json
+import jsonc
+import result
+
+#: Deepest nesting of arrays and objects that is accepted.
+MAX_DEPTH = 16
+
+Document = dict[str, Any]
+
+
+def parse_object(
+    text: str, *, max_bytes: int, comments: bool = True
+) -> result.Result[Document, str]:
+    """Parse one JSON object, with comments unless ``comments`` is False.
+
+    Refuses duplicate keys, NaN, infinities, deep nesting and texts of more
+    than ``max_bytes``. The error is one sentence that names the place.
+    """
+    size = len(text.encode())
+    if size > max_bytes:
+        return result.Err(f'text has {size} bytes, at most {max_bytes} allowed')
+    depth = _nesting(text)
+    if depth > MAX_DEPTH:
+        return result.Err(f'nesting is deeper than {MAX_DEPTH} levels')
+    load = jsonc.loads if comments else json.loads
+    try:
+        parsed = load(
+            text,
+            object_pairs_hook=_without_duplicates,
+            parse_constant=_refuse_constant,
+        )
+    except (ValueError, RecursionError) as exc:
+        return result.Err(f'not valid JSON: {exc}')
+    if not isinstance(parsed, dict):
+        return result.Err(
+            f'expected a JSON object, found {type(parsed).__name__}'
+        )
+    return result.Ok(parsed)
+
+
+def _nesting(text: str) -> int:
+    """Return an upper bound of the nesting depth, brackets in strings too."""
+    depth = 0
+    deepest = 0
+    in_string = False
+    escaped = False
+    for char in text:
+        if in_string:
+            in_string = escaped or char != '"'
+            escaped = char == '\\' and not escaped
+        elif char == '"':
+            in_string = True
+        elif char in '[{':
+            depth += 1
+            deepest = max(deepest, depth)
+        elif char in ']}':
+            depth -= 1
+    return deepest
+
+
+def _without_duplicates(pairs: list[tuple[str, Any]]) -> Document:
+    document: Document = {}
+    for key, member in pairs:
+        if key in document:
+            raise ValueError(f'key "{key}" occurs twice')
+        document[key] = member
+    return document
+
+
+def _refuse_constant(name: str) -> None:
+    raise ValueError(f'{name} is not a JSON number')
--- /dev/null
+++ b/sardineproxy/operator/__init__.py
@@ -0,0 +1,1 @@
+"""The operator's program, sardineproxyctl."""
--- /dev/null
+++ b/sardineproxy/process/__init__.py
@@ -0,0 +1,1 @@
+"""What lives as long as the process."""
--- /dev/null
+++ b/sardineproxy/request/__init__.py
@@ -0,0 +1,1 @@
+"""What lives for one request."""
--- /dev/null
+++ b/sardineproxy/standin/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for outside systems, for tests, demo and bench."""
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of sardineproxy."""
--- /dev/null
+++ b/tests/test_json_text.py
@@ -0,0 +1,29 @@
+"""Bounds and errors of the JSON parser."""
+
+import testtools
+from testtools import matchers
+
+from sardineproxy import json_text
+
+MAX_BYTES = 1000
+
+
+class ParseObjectTest(testtools.TestCase):
+    """Malformed text is refused with one sentence that names the fault."""
+
+    def test_accepts_comments(self) -> None:
+        parsed = json_text.parse_object(
+            '{"a": 1 // one\n}', max_bytes=MAX_BYTES
+        )
+        self.assertThat(parsed.unwrap(), matchers.Equals({'a': 1}))
+
+    def test_refuses_what_parsers_read_differently(self) -> None:
+        for text, expected in (
+            ('{"a": 1, "a": 2}', 'key "a" occurs twice'),
+            ('{"a": NaN}', 'NaN is not a JSON number'),
+            ('[1]', 'expected a JSON object, found list'),
+            ('{"a": ' + '[' * 40 + ']' * 40 + '}', 'nesting is deeper'),
+            ('{"a": "' + 'x' * MAX_BYTES + '"}', 'at most 1000 allowed'),
+        ):
+            parsed = json_text.parse_object(text, max_bytes=MAX_BYTES)
+            self.assertThat(parsed.unwrap_err(), matchers.Contains(expected))
--- /dev/null
+++ b/tests/version/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the modules of the same name."""
