--- a/sardineproxy/__main__.py
+++ b/sardineproxy/__main__.py
@@ -1,1 +1,72 @@
 """Run a program: ``python -m sardineproxy NAME [flags]``."""
+
+import importlib
+import sys
+import types
+
+from sardineproxy import exit_status
+
+#: Modules whose ``main(argv) -> ExitStatus`` is a program.
+PROGRAMS = types.MappingProxyType(
+    {
+        'entry': 'sardineproxy.process.core',
+        'ctl': 'sardineproxy.operator.core',
+        'standin-platform': 'sardineproxy.standin.platform_core',
+        'standin-endpoint': 'sardineproxy.standin.endpoint_core',
+        'standin-relay': 'sardineproxy.standin.relay_core',
+        'demo': 'sardineproxy.demo.core',
+        'bench': 'sardineproxy.bench.core',
+    }
+)
+
+
+def main(argv: list[str]) -> exit_status.ExitStatus:
+    """Run the program that ``argv[1]`` names with the remaining arguments."""
+    name = argv[1] if len(argv) > 1 else ''
+    if name not in PROGRAMS:
+        accepted = ', '.join(PROGRAMS)
+        sys.stderr.write(
+            f'Unknown program "{name}"; expected one of: {accepted}.\n'
+        )
+        return exit_status.ExitStatus.USAGE
+    module = importlib.import_module(PROGRAMS[name])
+    return module.main([f'sardineproxy-{name}', *argv[2:]])
+
+
+def entry() -> int:
+    """Run ``sardineproxy-entry``."""
+    return main(['', 'entry', *sys.argv[1:]])
+
+
+def ctl() -> int:
+    """Run ``sardineproxyctl``."""
+    return main(['', 'ctl', *sys.argv[1:]])
+
+
+def standin_platform() -> int:
+    """Run ``sardineproxy-standin-platform``."""
+    return main(['', 'standin-platform', *sys.argv[1:]])
+
+
+def standin_endpoint() -> int:
+    """Run ``sardineproxy-standin-endpoint``."""
+    return main(['', 'standin-endpoint', *sys.argv[1:]])
+
+
+def standin_relay() -> int:
+    """Run ``sardineproxy-standin-relay``."""
+    return main(['', 'standin-relay', *sys.argv[1:]])
+
+
+def demo() -> int:
+    """Run ``sardineproxy-demo``."""
+    return main(['', 'demo', *sys.argv[1:]])
+
+
+def bench() -> int:
+    """Run ``sardineproxy-bench``."""
+    return main(['', 'bench', *sys.argv[1:]])
+
+
+if __name__ == '__main__':
+    sys.exit(main(sys.argv))
--- a/sardineproxy/json_text.py
+++ b/sardineproxy/json_text.py
@@ -23,9 +23,6 @@
     size = len(text.encode())
     if size > max_bytes:
         return result.Err(f'text has {size} bytes, at most {max_bytes} allowed')
-    depth = _nesting(text)
-    if depth > MAX_DEPTH:
-        return result.Err(f'nesting is deeper than {MAX_DEPTH} levels')
     load = jsonc.loads if comments else json.loads
     try:
         parsed = load(
@@ -39,27 +36,23 @@
         return result.Err(
             f'expected a JSON object, found {type(parsed).__name__}'
         )
+    if _is_too_deep(parsed):
+        return result.Err(f'nesting is deeper than {MAX_DEPTH} levels')
     return result.Ok(parsed)
 
 
-def _nesting(text: str) -> int:
-    """Return an upper bound of the nesting depth, brackets in strings too."""
-    depth = 0
-    deepest = 0
-    in_string = False
-    escaped = False
-    for char in text:
-        if in_string:
-            in_string = escaped or char != '"'
-            escaped = char == '\\' and not escaped
-        elif char == '"':
-            in_string = True
-        elif char in '[{':
-            depth += 1
-            deepest = max(deepest, depth)
-        elif char in ']}':
-            depth -= 1
-    return deepest
+def _is_too_deep(document: Any) -> bool:
+    """Tell whether arrays and objects nest deeper than ``MAX_DEPTH``."""
+    level = [document]
+    for _ in range(MAX_DEPTH):
+        level = [inner for outer in level for inner in _members(outer)]
+    return any(isinstance(member, (dict, list)) for member in level)
+
+
+def _members(outer: Any) -> list[Any]:
+    if isinstance(outer, dict):
+        return list(outer.values())
+    return outer if isinstance(outer, list) else []
 
 
 def _without_duplicates(pairs: list[tuple[str, Any]]) -> Document:
--- /dev/null
+++ b/sardineproxy/process/directory.py
@@ -0,0 +1,41 @@
+"""The newest list of live and leaving VMs that this process knows."""
+
+import reactivex
+from reactivex import subject
+
+from sardineproxy import ids
+from sardineproxy.process import platform
+
+_EMPTY = platform.VmList(revision=0, vms=())
+
+
+class Directory:
+    """Keeps the newest list; an older revision never replaces it."""
+
+    def __init__(self) -> None:
+        """Start with an empty list of revision 0."""
+        self._listing = subject.BehaviorSubject(_EMPTY)
+
+    @property
+    def listing(self) -> reactivex.Observable[platform.VmList]:
+        """Return the stream of lists, the newest one first."""
+        return self._listing
+
+    @property
+    def newest(self) -> platform.VmList:
+        """Return the newest list."""
+        return self._listing.value
+
+    def offer(self, vm_list: platform.VmList) -> bool:
+        """Take the list if it is newer; tell whether it was."""
+        if vm_list.revision <= self.newest.revision:
+            return False
+        self._listing.on_next(vm_list)
+        return True
+
+    def endpoint(self, endpoint: ids.EndpointId) -> platform.Vm | None:
+        """Return the endpoint's entry in the newest list."""
+        for vm in self.newest.vms:
+            if vm.role is platform.VmRole.ENDPOINT and vm.name == endpoint:
+                return vm
+        return None
--- /dev/null
+++ b/sardineproxy/process/metrics.py
@@ -0,0 +1,81 @@
+"""Counters and latency histograms, readable as Prometheus text."""
+
+from typing import Iterator
+
+from hdrh import histogram
+
+#: Highest duration that a histogram can tell apart, in microseconds.
+MAX_MICROSECONDS = 3_600_000_000
+SIGNIFICANT_DIGITS = 2
+MICROSECONDS_PER_SECOND = 1_000_000
+QUANTILES = (50.0, 90.0, 99.0, 99.9)
+
+Labels = tuple[tuple[str, str], ...]
+
+
+class Metrics:
+    """Metrics of one process."""
+
+    def __init__(self) -> None:
+        """Start with no metrics."""
+        self._counters: dict[tuple[str, Labels], int] = {}
+        self._durations: dict[tuple[str, Labels], histogram.HdrHistogram] = {}
+
+    def count(self, name: str, by: int = 1, **labels: str) -> None:
+        """Add to the counter ``name``; names end in ``_total``."""
+        key = (name, tuple(sorted(labels.items())))
+        self._counters[key] = self._counters.get(key, 0) + by
+
+    def observe(self, name: str, seconds: float, **labels: str) -> None:
+        """Record a duration; names end in ``_seconds``."""
+        key = (name, tuple(sorted(labels.items())))
+        durations = self._durations.get(key)
+        if durations is None:
+            durations = histogram.HdrHistogram(
+                1, MAX_MICROSECONDS, SIGNIFICANT_DIGITS
+            )
+            self._durations[key] = durations
+        durations.record_value(
+            max(1, int(seconds * MICROSECONDS_PER_SECOND)),
+        )
+
+    def counters(self) -> dict[str, int]:
+        """Return all counters, for the state dump."""
+        return {
+            name + _render_labels(labels): count
+            for (name, labels), count in sorted(self._counters.items())
+        }
+
+    def render(self) -> str:
+        """Return all metrics in the text exposition format."""
+        return '\n'.join(self._lines()) + '\n'
+
+    def _lines(self) -> Iterator[str]:
+        for (name, labels), count in sorted(self._counters.items()):
+            yield f'sardineproxy_{name}{_render_labels(labels)} {count}'
+        for (name, labels), durations in sorted(
+            self._durations.items(), key=lambda entry: entry[0]
+        ):
+            yield from _render_summary(name, labels, durations)
+
+
+def _render_summary(
+    name: str, labels: Labels, durations: histogram.HdrHistogram
+) -> Iterator[str]:
+    for percentile in QUANTILES:
+        quantile = (('quantile', f'{percentile / 100:g}'),)
+        micros = durations.get_value_at_percentile(percentile)
+        yield 'sardineproxy_{name}{labels} {seconds:.6f}'.format(
+            name=name,
+            labels=_render_labels(labels + quantile),
+            seconds=micros / MICROSECONDS_PER_SECOND,
+        )
+    count = durations.get_total_count()
+    yield f'sardineproxy_{name}_count{_render_labels(labels)} {count}'
+
+
+def _render_labels(labels: Labels) -> str:
+    if not labels:
+        return ''
+    rendered = ','.join(f'{name}="{label}"' for name, label in labels)
+    return f'{{{rendered}}}'
