--- /dev/null
+++ b/sardineproxy/process/cli.py
@@ -0,0 +1,75 @@
+"""Command line of the entry program, apart from its execution."""
+
+import dataclasses
+import pathlib
+
+import result
+from absl import flags
+
+USAGE = """Run the entry process of one entry VM.
+
+Reads a settings file (JSON with comments, see docs/settings.md), follows the
+platform, and serves callers until SIGTERM. Prints one line with its ports
+on standard output, and its logs on standard error.
+
+Example: sardineproxy-entry --settings entry.jsonc
+"""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Arguments:
+    """Checked arguments of the entry program."""
+
+    settings: pathlib.Path
+
+    #: Only check the settings and end.
+    check: bool
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Help:
+    """The person asked for help."""
+
+    text: str
+
+
+def parse(argv: list[str]) -> result.Result[Arguments | Help, str]:
+    """Parse the command line; the error is one sentence."""
+    values = _define()
+    try:
+        rest = values(argv)
+    except flags.Error as exc:
+        return result.Err(f'{exc}; see --help.')
+    if values.help:
+        return result.Ok(Help(text=USAGE + values.get_help()))
+    if len(rest) > 1:
+        return result.Err(f'unexpected argument "{rest[1]}"; see --help.')
+    if not values.settings:
+        return result.Err('--settings FILE is required; see --help.')
+    return result.Ok(
+        Arguments(
+            settings=pathlib.Path(values.settings),
+            check=values.check,
+        )
+    )
+
+
+def _define() -> flags.FlagValues:
+    values = flags.FlagValues()
+    flags.DEFINE_string(
+        'settings',
+        None,
+        'Settings file, JSON with comments.',
+        flag_values=values,
+        short_name='s',
+    )
+    flags.DEFINE_bool(
+        'check',
+        default=False,
+        help='Check the settings, open no port, and end.',
+        flag_values=values,
+    )
+    flags.DEFINE_bool(
+        'help', default=False, help='Show this help.', flag_values=values
+    )
+    return values
--- a/sardineproxy/process/settings.py
+++ b/sardineproxy/process/settings.py
@@ -2,7 +2,7 @@
 
 import ipaddress
 import pathlib
-from typing import Annotated
+from typing import Annotated, Any, Mapping, Self
 
 import pydantic
 import result
@@ -12,6 +12,9 @@
 #: Largest settings file, in bytes.
 MAX_SETTINGS_BYTES = 65_536
 
+SECONDS_PER_DAY = 86_400
+MAX_PORT = 65_535
+
 
 def _check_ip_number(text: str) -> str:
     try:
@@ -22,24 +25,79 @@
 
 
 IpNumber = Annotated[str, pydantic.AfterValidator(_check_ip_number)]
-Port = Annotated[int, pydantic.Field(ge=0, le=65_535)]
-Seconds = Annotated[float, pydantic.Field(gt=0, le=86_400, allow_inf_nan=False)]
-Name = Annotated[str, pydantic.Field(pattern=r'^[a-z0-9][a-z0-9-]{0,62}$')]
+Port = Annotated[int, pydantic.Field(ge=0, le=MAX_PORT)]
+Seconds = Annotated[
+    float, pydantic.Field(gt=0, le=SECONDS_PER_DAY, allow_inf_nan=False)
+]
+Name = Annotated[str, pydantic.Field(pattern='^[a-z0-9][a-z0-9-]{0,62}$')]
 
 
-class Address(pydantic.BaseModel):
-    """An IP number and a port; port 0 lets the kernel choose."""
+class Section(pydantic.BaseModel):
+    """A part of the settings; unknown keys and other types are refused."""
 
     model_config = pydantic.ConfigDict(extra='forbid', strict=True, frozen=True)
 
+
+class Address(Section):
+    """An IP number and a port; port 0 lets the kernel choose."""
+
     host: IpNumber
     port: Port
 
 
-class Settings(pydantic.BaseModel):
-    """Settings of one entry process."""
+class Shutdown(Section):
+    """Bounds of a graceful shutdown."""
 
-    model_config = pydantic.ConfigDict(extra='forbid', strict=True, frozen=True)
+    #: Seconds between "not ready" and the refusal of new work, so that the
+    #: balancer sees the readiness check turn first.
+    notice_s: Seconds = 5
+
+    #: Seconds after which the process ends even if work is in progress.
+    limit_s: Seconds = 150
+
+    @pydantic.model_validator(mode='after')
+    def check_order(self) -> Self:
+        """Refuse a limit that leaves no time after the notice."""
+        if self.limit_s <= self.notice_s:
+            raise ValueError('limit_s must be greater than notice_s')
+        return self
+
+
+class Peering(Section):
+    """Streams between entry processes."""
+
+    heartbeat_s: Seconds = 4
+    silent_s: Seconds = 10
+    takeover_grace_s: Seconds = 5
+
+    #: Streams that this process opens to each other availability zone.
+    cross_zone_peers: Annotated[int, pydantic.Field(ge=0, le=64)] = 2
+
+    @pydantic.model_validator(mode='after')
+    def check_order(self) -> Self:
+        """Refuse a silence that one late heartbeat would exceed."""
+        if self.silent_s < 2 * self.heartbeat_s:
+            raise ValueError('silent_s must be at least twice heartbeat_s')
+        return self
+
+
+class Retention(Section):
+    """How long keys and records are kept."""
+
+    key_ttl_s: Seconds = 900
+    record_ttl_s: Seconds = 900
+    max_records: Annotated[int, pydantic.Field(ge=1, le=10_000_000)] = 200_000
+
+    @pydantic.model_validator(mode='after')
+    def check_order(self) -> Self:
+        """Refuse records that end before their keys: they could run twice."""
+        if self.record_ttl_s < self.key_ttl_s:
+            raise ValueError('record_ttl_s must be at least key_ttl_s')
+        return self
+
+
+class Settings(Section):
+    """Settings of one entry process."""
 
     vm: Name
     zone: Name
@@ -48,7 +106,7 @@
     #: Callers' HTTP listener.
     callers: Address
 
-    #: Health, metrics and state dump.
+    #: Liveness, readiness, metrics and state dump.
     admin: Address
 
     #: Streams from other entry processes.
@@ -60,6 +118,23 @@
     #: Relative size of this VM among the zone's entry VMs.
     size: Annotated[int, pydantic.Field(ge=1, le=1024)] = 1
 
+    shutdown: Shutdown = Shutdown()
+    peering: Peering = Peering()
+    retention: Retention = Retention()
+
+    @pydantic.model_validator(mode='after')
+    def check_ports(self) -> Self:
+        """Refuse two listeners on one port."""
+        listeners = [self.callers, self.admin, self.peers]
+        fixed = [
+            (address.host, address.port)
+            for address in listeners
+            if address.port
+        ]
+        if len(set(fixed)) < len(fixed):
+            raise ValueError('callers, admin and peers must differ in port')
+        return self
+
 
 def parse(text: str) -> result.Result[Settings, tuple[str, ...]]:
     """Check the text of a settings file; the errors are one sentence each."""
@@ -75,15 +150,25 @@
 def describe_errors(exc: pydantic.ValidationError) -> tuple[str, ...]:
     """Return one sentence for each error: place, what was found, accepted."""
     return tuple(
-        '{place}: {message} (found {found!r})'.format(
-            place='.'.join(str(part) for part in error['loc']),
-            message=error['msg'],
-            found=error['input'],
-        )
+        _describe_error('.'.join(map(str, error['loc'])), error)
         for error in exc.errors()
     )
 
 
+def _describe_error(place: str, error: Mapping[str, Any]) -> str:
+    if error['type'] == 'missing':
+        return f'{place}: this key is required.'
+    message = _plain(error['msg'])
+    found = error['input']
+    return f'{place or "settings"}: {message}, found {found!r}.'
+
+
+def _plain(message: str) -> str:
+    if message == 'Extra inputs are not permitted':
+        return 'unknown key'
+    return message.removeprefix('Value error, ')
+
+
 def load(path: pathlib.Path) -> result.Result[Settings, tuple[str, ...]]:
     """Read and check a settings file."""
     try:
