--- /dev/null
+++ b/sardineproxy/request/documents.py
@@ -0,0 +1,342 @@
+"""Parse what callers submit and render what they are answered."""
+
+import base64
+import binascii
+import dataclasses
+import json
+import math
+import re
+from typing import Annotated, Any, Mapping
+
+import pydantic
+import result
+
+from sardineproxy import ids, json_text, problems, verdicts
+from sardineproxy.request import work
+
+JSON_TYPE = 'application/json'
+
+#: Largest body of a caller's request, in bytes.
+MAX_BODY_BYTES = 8_388_608
+
+#: Most tasks in a job, whatever the contract allows.
+MAX_JOB_TASKS = 1700
+
+#: Most keys that are minted for one request.
+MAX_KEYS = 1000
+
+#: Longest path of a task, in characters.
+MAX_PATH_CHARACTERS = 8192
+
+#: Most headers of a task, and their total size in characters.
+MAX_HEADERS = 64
+MAX_HEADER_CHARACTERS = 16_384
+
+#: Statuses from this one on mean that the endpoint reported an error.
+FIRST_ERROR_STATUS = 400
+
+METHODS = frozenset(
+    ('GET', 'HEAD', 'POST', 'PUT', 'PATCH', 'DELETE', 'OPTIONS')
+)
+
+#: Headers that belong to one connection, or that the dispatcher sets itself.
+REFUSED_HEADERS = frozenset(
+    (
+        'connection',
+        'content-length',
+        'expect',
+        'host',
+        'http2-settings',
+        'keep-alive',
+        'proxy-authenticate',
+        'proxy-authorization',
+        'proxy-connection',
+        'te',
+        'trailer',
+        'transfer-encoding',
+        'upgrade',
+    )
+)
+
+_HEADER_NAME = re.compile(r"[0-9A-Za-z!#$%&'*+.^_`|~-]+", re.ASCII)
+_HEADER_TEXT = re.compile(r'[\t\x20-\x7e]*', re.ASCII)
+# "#" would start a fragment, which clients do not send to servers.
+_PATH = re.compile(r'/[\x21\x22\x24-\x7e]*', re.ASCII)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Reply:
+    """A whole HTTP answer to a caller."""
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+
+
+def _check_method(method: str) -> str:
+    if method not in METHODS:
+        raise ValueError(f'method is not one of {", ".join(sorted(METHODS))}')
+    return method
+
+
+def _check_path(path: str) -> str:
+    if len(path) > MAX_PATH_CHARACTERS:
+        raise ValueError(f'path is longer than {MAX_PATH_CHARACTERS}')
+    if not _PATH.fullmatch(path):
+        raise ValueError(
+            'path must start with "/" and contain only visible ASCII, no "#"'
+        )
+    return path
+
+
+def _check_headers(headers: dict[str, str]) -> dict[str, str]:
+    size = sum(len(name) + len(text) for name, text in headers.items())
+    if len(headers) > MAX_HEADERS or size > MAX_HEADER_CHARACTERS:
+        raise ValueError('too many or too large headers')
+    if len({name.lower() for name in headers}) < len(headers):
+        raise ValueError('a header occurs twice')
+    for name, text in headers.items():
+        _check_header(name, text)
+    return headers
+
+
+def _check_header(name: str, text: str) -> None:
+    if not _HEADER_NAME.fullmatch(name):
+        raise ValueError('a header name is not a token')
+    if name.lower() in REFUSED_HEADERS:
+        raise ValueError(f'header {name} is not allowed in a task')
+    if not _HEADER_TEXT.fullmatch(text):
+        raise ValueError(f'header {name} has characters that are not allowed')
+
+
+def _decode_base64(text: object) -> bytes:
+    if not isinstance(text, str):
+        raise ValueError('expected a string')
+    try:
+        return base64.b64decode(text, validate=True)
+    except (binascii.Error, ValueError) as exc:
+        raise ValueError('not valid base64') from exc
+
+
+def _encode_text(text: object) -> bytes:
+    if not isinstance(text, str):
+        raise ValueError('expected a string')
+    try:
+        return text.encode()
+    except UnicodeEncodeError as exc:
+        raise ValueError('text contains a lone surrogate') from exc
+
+
+DeadlineMs = Annotated[int, pydantic.Field(ge=1, le=600_000)]
+
+
+class _Model(pydantic.BaseModel):
+    model_config = pydantic.ConfigDict(extra='forbid', strict=True, frozen=True)
+
+
+class TaskDocument(_Model):
+    """One task as a caller describes it."""
+
+    method: Annotated[str, pydantic.AfterValidator(_check_method)]
+    path: Annotated[str, pydantic.AfterValidator(_check_path)]
+    headers: Annotated[
+        dict[str, str], pydantic.AfterValidator(_check_headers)
+    ] = pydantic.Field(default_factory=dict)
+    body_base64: Annotated[
+        bytes | None, pydantic.BeforeValidator(_decode_base64)
+    ] = None
+    body_text: Annotated[
+        bytes | None, pydantic.BeforeValidator(_encode_text)
+    ] = None
+    idempotent: bool = False
+    deadline_ms: DeadlineMs | None = None
+
+    def body(self) -> bytes:
+        """Return the body's bytes."""
+        return self.body_base64 or self.body_text or b''
+
+    @pydantic.model_validator(mode='after')
+    def _check_one_body(self) -> 'TaskDocument':
+        if self.body_base64 is not None and self.body_text is not None:
+            raise ValueError('body_base64 and body_text exclude each other')
+        return self
+
+
+class JobDocument(_Model):
+    """A job as a caller describes it."""
+
+    tasks: Annotated[
+        list[TaskDocument],
+        pydantic.Field(min_length=1, max_length=MAX_JOB_TASKS),
+    ]
+
+    #: Deadline of the tasks that give none.
+    deadline_ms: DeadlineMs | None = None
+
+
+class KeysDocument(_Model):
+    """How many keys a caller asks for."""
+
+    count: Annotated[int, pydantic.Field(ge=1, le=MAX_KEYS)] = 1
+
+
+Parsed = result.Result[JobDocument, problems.Problem]
+
+
+def parse_submission(*, kind: work.Kind, body: bytes) -> Parsed:
+    """Parse a job or a single request; the latter as a job of one task."""
+    try:
+        if kind is work.Kind.JOB:
+            return result.Ok(JobDocument.model_validate(_load(body)))
+        task = TaskDocument.model_validate(_load(body))
+    except ValueError as exc:
+        return result.Err(_malformed(exc))
+    return result.Ok(JobDocument.model_construct(tasks=[task]))
+
+
+def parse_key_count(body: bytes) -> result.Result[int, problems.Problem]:
+    """Return how many keys are asked for; an empty body asks for one."""
+    try:
+        document = KeysDocument.model_validate(_load(body or b'{}'))
+    except ValueError as exc:
+        return result.Err(_malformed(exc))
+    return result.Ok(document.count)
+
+
+def _load(body: bytes) -> json_text.Document:
+    parsed = json_text.parse_object(
+        body.decode(), max_bytes=MAX_BODY_BYTES, comments=False
+    )
+    if isinstance(parsed, result.Err):
+        raise ValueError(parsed.err_value)
+    return parsed.ok_value
+
+
+def _malformed(exc: ValueError) -> problems.Problem:
+    detail = str(exc)
+    if isinstance(exc, pydantic.ValidationError):
+        # The input is left out: it may hold what must not be repeated.
+        first = exc.errors(include_url=False, include_input=False)[0]
+        place = '.'.join(str(part) for part in first['loc'])
+        detail = f'{place}: {first["msg"]}' if place else first['msg']
+    elif isinstance(exc, UnicodeDecodeError):
+        detail = 'The body is not valid UTF-8.'
+    return refusal(code='malformed_request', status=400, detail=detail)
+
+
+def refusal(
+    *,
+    code: str,
+    status: int,
+    detail: str,
+    retry_after_s: float | None = None,
+) -> problems.Problem:
+    """Return a problem that says for certain that nothing was run."""
+    return problems.Problem(
+        code=code,
+        verdict=verdicts.Verdict.NOT_RUN,
+        status=status,
+        detail=detail,
+        retry_after_s=retry_after_s,
+    )
+
+
+def doubt(
+    *,
+    code: str,
+    status: int,
+    detail: str,
+    retry_after_s: float | None = None,
+    final: bool = True,
+) -> problems.Problem:
+    """Return a problem that leaves open whether the request ran."""
+    return problems.Problem(
+        code=code,
+        verdict=verdicts.Verdict.MAY_HAVE_RUN,
+        status=status,
+        detail=detail,
+        retry_after_s=retry_after_s,
+        final=final,
+    )
+
+
+def answer_dropped(verdict: verdicts.Verdict | None) -> problems.Problem:
+    """Return what is left of a record that had to make room."""
+    return problems.Problem(
+        code='answer_dropped',
+        verdict=verdict or verdicts.Verdict.MAY_HAVE_RUN,
+        status=410,
+        detail='The request has ended; its answer is no longer held.',
+    )
+
+
+def outcome_verdict(outcome: work.Outcome) -> verdicts.Verdict:
+    """Return what became of one task."""
+    match outcome:
+        case work.Answer(status=status):
+            if status < FIRST_ERROR_STATUS:
+                return verdicts.Verdict.RAN
+            return verdicts.Verdict.RAN_AND_FAILED
+        case work.Refused(problem=problem) | work.Unknown(problem=problem):
+            return problem.verdict
+
+
+def render_json(
+    *,
+    status: int,
+    document: Mapping[str, Any],
+    headers: tuple[tuple[str, str], ...] = (),
+) -> Reply:
+    """Return a JSON answer."""
+    return Reply(
+        status=status,
+        headers=(('Content-Type', JSON_TYPE), *headers),
+        body=json.dumps(document).encode(),
+    )
+
+
+def render_problem(
+    problem: problems.Problem, request_id: ids.RequestId | None = None
+) -> Reply:
+    """Return a problem document, with ``Retry-After`` in whole seconds."""
+    document = problem_document(problem)
+    if request_id is not None:
+        document['id'] = request_id
+    headers = [('Content-Type', problems.CONTENT_TYPE)]
+    if problem.retry_after_s is not None:
+        seconds = max(1, math.ceil(problem.retry_after_s))
+        headers.append(('Retry-After', str(seconds)))
+    return Reply(
+        status=problem.status,
+        headers=tuple(headers),
+        body=json.dumps(document).encode(),
+    )
+
+
+def problem_document(problem: problems.Problem) -> dict[str, Any]:
+    """Return the members of a problem document."""
+    return {
+        'type': f'urn:sardineproxy:problem:{problem.code}',
+        'title': problem.code.replace('_', ' '),
+        'status': problem.status,
+        'detail': problem.detail,
+        'code': problem.code,
+        'verdict': problem.verdict.value,
+        'final': problem.final,
+        'retry_after_s': problem.retry_after_s,
+    }
+
+
+def answer_document(answer: work.Answer) -> dict[str, Any]:
+    """Return an endpoint's answer; a body that is not UTF-8 as base64."""
+    document: dict[str, Any] = {
+        'verdict': outcome_verdict(answer).value,
+        'status': answer.status,
+        'headers': [list(header) for header in answer.headers],
+        'endpoint': answer.endpoint,
+    }
+    try:
+        document['body_text'] = answer.body.decode()
+    except UnicodeDecodeError:
+        document['body_base64'] = base64.b64encode(answer.body).decode()
+    return document
