--- a/sardineproxy/connection/endpoint.py
+++ b/sardineproxy/connection/endpoint.py
@@ -1,29 +1,52 @@
 """One attempt to run a task at an endpoint over HTTP/1.1."""
 
 import asyncio
+import dataclasses
 
 import aiohttp
 
 from sardineproxy import clock, ids, problems, verdicts
-from sardineproxy.process import platform
+from sardineproxy.process import metrics, platform
 from sardineproxy.request import work
 
-#: Longest wait for a connection to an endpoint, in seconds.
-CONNECT_TIMEOUT_S = 1
 
-#: Largest answer of an endpoint, in bytes.
-MAX_ANSWER_BYTES = 8_388_608
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Config:
+    """Bounds of connections and answers."""
+
+    #: Longest wait for a TCP connection to be established, in seconds.
+    connect_timeout_s: float = 1
+
+    #: Largest answer of an endpoint, in bytes.
+    max_answer_bytes: int = 8_388_608
 
 
 class EndpointClient:
     """Sends tasks to endpoints and classifies what came back."""
 
     def __init__(
-        self, *, session: aiohttp.ClientSession, clock: clock.Clock
+        self,
+        *,
+        clock: clock.Clock,
+        metrics: metrics.Metrics,
+        cfg: Config | None = None,
     ) -> None:
-        """Use ``session`` for all connections."""
-        self._session = session
+        """Prepare a client; ``start`` opens its session."""
         self._clock = clock
+        self._metrics = metrics
+        self._cfg = cfg or Config()
+        self._session: aiohttp.ClientSession | None = None
+
+    async def start(self) -> None:
+        """Open the session on the running event loop."""
+        self._session = aiohttp.ClientSession(
+            cookie_jar=aiohttp.DummyCookieJar(), auto_decompress=False
+        )
+
+    async def close(self) -> None:
+        """Close all connections."""
+        if self._session is not None:
+            await self._session.close()
 
     async def attempt(
         self, *, task: work.Task, vm: platform.Vm
@@ -39,6 +62,7 @@
             return _unknown(vm, type(exc).__name__)
 
     async def _exchange(self, task: work.Task, vm: platform.Vm) -> work.Outcome:
+        assert self._session is not None, 'start() was not called'
         url = f'http://{vm.host}:{vm.port}{task.path}'
         async with self._session.request(
             task.method,
--- a/sardineproxy/process/dispatcher.py
+++ b/sardineproxy/process/dispatcher.py
@@ -1,14 +1,28 @@
 """Match waiting tasks with free slots."""
 
 import asyncio
+import dataclasses
 import random
+from typing import Mapping
 
-from sardineproxy import clock, problems, verdicts
+import reactivex
+from reactivex import subject
+
+from sardineproxy import clock, ids, problems, verdicts
 from sardineproxy.connection import endpoint as endpoint_conn
-from sardineproxy.process import directory, slots
+from sardineproxy.process import demand, directory, health, metrics, slots
 from sardineproxy.request import work
 
 
+#: Default of ``Dispatcher.run``: any endpoint will do.
+NOTHING_EXCLUDED: frozenset[ids.EndpointId] = frozenset()
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Config:
+    """Bounds of the dispatcher."""
+
+
 class Dispatcher:
     """Runs tasks on the slots that this process may use."""
 
@@ -17,19 +31,62 @@
         *,
         clock: clock.Clock,
         rng: random.Random,
+        zone: ids.ZoneId,
         directory: directory.Directory,
         slot_table: slots.SlotTable,
         client: endpoint_conn.EndpointClient,
+        health: health.Health,
+        metrics: metrics.Metrics,
+        cfg: Config | None = None,
     ) -> None:
         """Start with no waiting tasks."""
         self._clock = clock
         self._rng = rng
+        self._zone = zone
         self._directory = directory
         self._slots = slot_table
         self._client = client
+        self._health = health
+        self._metrics = metrics
+        self._cfg = cfg or Config()
         self._freed = asyncio.Condition()
+        self._backlog: subject.Subject[demand.Demand] = subject.Subject()
+
+    @property
+    def backlog(self) -> reactivex.Observable[demand.Demand]:
+        """Return the stream of demands while tasks wait for slots."""
+        return self._backlog
+
+    def cancel(self, *, request_id: ids.RequestId) -> None:
+        """End the waiting tasks of a request as not run."""
+
+    def waiting(self, *, customer: ids.CustomerId) -> int:
+        """Return the number of the customer's waiting tasks."""
+        return 0
 
-    async def run(self, *, task: work.Task) -> work.Outcome:
+    def set_weights(self, weights: Mapping[ids.CustomerId, float]) -> None:
+        """Replace the customers' shares."""
+
+    def demand(self) -> demand.Demand:
+        """Return the waiting and running work."""
+        return demand.Demand(customers=())
+
+    def wake(self) -> None:
+        """Look again for free slots, because the slot table changed."""
+
+    def close(self) -> None:
+        """Refuse all waiting tasks."""
+
+    def state(self, *, now: float) -> dict[str, object]:
+        """Return the state dump."""
+        return {}
+
+    async def run(
+        self,
+        *,
+        task: work.Task,
+        exclude: frozenset[ids.EndpointId] = NOTHING_EXCLUDED,
+    ) -> work.Outcome:
         """Run the task once when a slot is free, and return its outcome."""
         ticket = await self._wait_for_slot(task)
         if ticket is None:
