--- /dev/null
+++ b/sardineproxy/connection/peer.py
@@ -0,0 +1,139 @@
+"""One stream to another entry process."""
+
+import asyncio
+import dataclasses
+from typing import Awaitable, Callable
+
+import result
+
+from sardineproxy import clock, logs
+from sardineproxy.connection import frames
+from sardineproxy.process import metrics
+
+#: Unsent bytes at which a stream is given up; its peer reads too slowly.
+MAX_UNSENT_BYTES = 4 * frames.MAX_FRAME_BYTES
+
+#: Longest wait for the other end's Hello, in seconds.
+HELLO_TIMEOUT_S = 2
+
+Connect = Callable[
+    [str, int],
+    Awaitable[tuple[asyncio.StreamReader, asyncio.StreamWriter]],
+]
+
+_log = logs.get_logger('peer')
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Context:
+    """What all streams of a process share."""
+
+    clock: clock.Clock
+    metrics: metrics.Metrics
+
+    #: Returns the Hello of this process as of now.
+    hello: Callable[[], frames.Hello]
+
+    #: Returns how many slots this process could lend.
+    free: Callable[[], int]
+
+
+class Stream:
+    """Sends and receives frames; keeps what the peer last told."""
+
+    def __init__(
+        self,
+        *,
+        ctx: Context,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        dialed: bool,
+    ) -> None:
+        """Use an open connection; ``dialed`` if this process opened it."""
+        self._ctx = ctx
+        self._reader = reader
+        self._writer = writer
+        self.dialed = dialed
+        self.since = ctx.clock.now()
+        self.heard_at = self.since
+        self.sent_at = self.since
+
+        #: Last frame either way that was not a sign of life.
+        self.used_at = self.since
+        self.free = 0
+        self.version = 0
+        self.revision = 0
+        self.hello: frames.Hello
+
+    async def handshake(self) -> result.Result[frames.Hello, str]:
+        """Exchange Hellos and return the peer's."""
+        self.send(self._ctx.hello())
+        try:
+            async with asyncio.timeout(HELLO_TIMEOUT_S):
+                received = await self.receive()
+        except TimeoutError:
+            return result.Err('no Hello in time')
+        if isinstance(received, result.Err):
+            return received
+        frame = received.ok_value
+        if not isinstance(frame, frames.Hello):
+            return result.Err('first frame is not a Hello')
+        self.hello = frame
+        return result.Ok(frame)
+
+    async def receive(self) -> result.Result[frames.Frame, str]:
+        """Wait for a frame and note what rides on it."""
+        received = await frames.read(self._reader)
+        if isinstance(received, result.Err):
+            return received
+        envelope = received.ok_value
+        self.heard_at = self._ctx.clock.now()
+        self.free = envelope.free
+        match envelope.frame:
+            case (
+                frames.Hello(version=version, revision=revision)
+                | frames.Heartbeat(version=version, revision=revision)
+                | frames.ConfigAnnounce(version=version, revision=revision)
+                | frames.ConfigFetch(version=version, revision=revision)
+            ):
+                self.version = max(self.version, version)
+                self.revision = max(self.revision, revision)
+            case _:
+                self.used_at = self.heard_at
+        return result.Ok(envelope.frame)
+
+    def send(self, frame: frames.Frame) -> bool:
+        """Queue a frame; False if it cannot be sent."""
+        if self._writer.is_closing():
+            return False
+        kind = type(frame).__name__
+        encoded = frames.encode(frame, free=self._ctx.free())
+        if isinstance(encoded, result.Err):
+            _log.error('frame not sent: %s', encoded.err_value)
+            return False
+        if self._writer.transport.get_write_buffer_size() > MAX_UNSENT_BYTES:
+            self.abort('peer reads too slowly')
+            return False
+        self._writer.write(encoded.ok_value)
+        self._ctx.metrics.count('peer_frames_total', kind=kind)
+        self.sent_at = self._ctx.clock.now()
+        if not isinstance(frame, frames.Heartbeat):
+            self.used_at = self.sent_at
+        return True
+
+    async def flush(self) -> None:
+        """Wait until most of what was queued is sent."""
+        try:
+            await self._writer.drain()
+        except OSError:
+            return
+
+    def abort(self, why: str) -> None:
+        """Close at once; the reading task ends."""
+        if not self._writer.is_closing():
+            _log.info('stream closed: %s', why)
+        self._writer.transport.abort()
+
+    def close(self) -> None:
+        """Close after what was queued."""
+        self._writer.close()
--- /dev/null
+++ b/sardineproxy/process/exchange.py
@@ -0,0 +1,89 @@
+"""Exchange of configuration changes and listings between peers."""
+
+import random
+from typing import Iterable, Protocol
+
+from sardineproxy.connection import frames, peer
+
+#: Shortest time between two fetches, in seconds.
+FETCH_INTERVAL_S = 0.5
+
+
+class Gossip(Protocol):
+    """What this process knows and takes from its peers."""
+
+    def number(self) -> int:
+        """Return the number of the version in force, 0 if none."""
+
+    def changes_since(self, number: int) -> bytes | None:
+        """Return the changes after version ``number``, None if unknown."""
+
+    def offer(self, payload: bytes) -> None:
+        """Take changes that a peer sent."""
+
+    def listing_revision(self) -> int:
+        """Return the revision of the list of VMs in use."""
+
+    def listing(self) -> bytes:
+        """Return the list of VMs in use."""
+
+    def offer_listing(self, payload: bytes) -> None:
+        """Take a list of VMs that a peer sent."""
+
+
+class Exchange:
+    """Announces what is new here and fetches what is newer elsewhere."""
+
+    def __init__(self, *, gossip: Gossip, rng: random.Random) -> None:
+        """Start with nothing announced."""
+        self._gossip = gossip
+        self._rng = rng
+        self._announced = (0, 0)
+        self._fetch_at = 0.0
+
+    def mine(self) -> tuple[int, int]:
+        """Return the version number and the listing's revision here."""
+        return self._gossip.number(), self._gossip.listing_revision()
+
+    def tick(self, streams: Iterable[peer.Stream], now: float) -> None:
+        """Announce a rise, and fetch if a peer has something newer."""
+        version, revision = self.mine()
+        if self._announced != (version, revision):
+            self._announced = (version, revision)
+            for stream in streams:
+                if stream.version < version or stream.revision < revision:
+                    stream.send(
+                        frames.ConfigAnnounce(
+                            version=version, revision=revision
+                        )
+                    )
+        ahead = [
+            stream
+            for stream in streams
+            if stream.version > version or stream.revision > revision
+        ]
+        if ahead and now >= self._fetch_at:
+            self._fetch_at = now + FETCH_INTERVAL_S
+            self._rng.choice(ahead).send(
+                frames.ConfigFetch(version=version, revision=revision)
+            )
+
+    def answer(self, fetch: frames.ConfigFetch) -> frames.ConfigChanges:
+        """Return what is newer here than the peer has."""
+        version, revision = self.mine()
+        changes = None
+        if version > fetch.version:
+            changes = self._gossip.changes_since(fetch.version)
+        return frames.ConfigChanges(
+            changes=changes,
+            listing=self._gossip.listing()
+            if revision > fetch.revision
+            else None,
+        )
+
+    def take(self, changes: frames.ConfigChanges) -> None:
+        """Offer what a peer sent to the keepers of versions and listings."""
+        if changes.changes is not None:
+            self._gossip.offer(changes.changes)
+        if changes.listing is not None:
+            self._gossip.offer_listing(changes.listing)
--- /dev/null
+++ b/sardineproxy/process/forwards.py
@@ -0,0 +1,106 @@
+"""Forwards that wait for a reply from the VM that minted the key."""
+
+import asyncio
+import dataclasses
+
+from sardineproxy import ids
+from sardineproxy.connection import frames, peer
+from sardineproxy.request import forwarding
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True, eq=False)
+class _Question:
+    """One outstanding forward."""
+
+    number: int
+    vm: ids.VmId
+    incarnation: ids.Incarnation
+    payload: bytes
+    fut: asyncio.Future[forwarding.Reply]
+
+
+class Forwards:
+    """Asks again on each new stream until there is a reply."""
+
+    def __init__(self) -> None:
+        """Start without questions."""
+        self._questions: dict[int, _Question] = {}
+        self._last_number = 0
+
+    def vms(self) -> set[ids.VmId]:
+        """Return the VMs that have not replied yet."""
+        return {question.vm for question in self._questions.values()}
+
+    async def ask(
+        self,
+        *,
+        vm: ids.VmId,
+        incarnation: ids.Incarnation,
+        payload: bytes,
+        wait_s: float,
+        stream: peer.Stream | None,
+    ) -> forwarding.Reply:
+        """Wait at most ``wait_s`` seconds for the reply."""
+        self._last_number += 1
+        question = _Question(
+            number=self._last_number,
+            vm=vm,
+            incarnation=incarnation,
+            payload=payload,
+            fut=asyncio.get_running_loop().create_future(),
+        )
+        self._questions[question.number] = question
+        if stream is not None:
+            _send(stream, question)
+        try:
+            async with asyncio.timeout(max(0, wait_s)):
+                return await question.fut
+        except TimeoutError:
+            return forwarding.Unreachable()
+        finally:
+            self._questions.pop(question.number)
+
+    def opened(self, stream: peer.Stream) -> None:
+        """Ask what is outstanding for the VM on its new stream."""
+        for question in self._of(stream):
+            _send(stream, question)
+
+    def heard(self, stream: peer.Stream) -> None:
+        """Settle questions to an incarnation that this one has replaced.
+
+        A frame that arrives after the question was put proves that its
+        sender is the VM's present incarnation.
+        """
+        for question in self._of(stream):
+            if question.incarnation != stream.hello.incarnation:
+                _settle(question, forwarding.Gone())
+
+    def replied(self, stream: peer.Stream, reply: frames.ForwardReply) -> None:
+        """Settle the question that was answered."""
+        question = self._questions.get(reply.number)
+        if question and question.vm == stream.hello.vm:
+            _settle(question, forwarding.Replied(payload=reply.payload))
+
+    def _of(self, stream: peer.Stream) -> list[_Question]:
+        return [
+            question
+            for question in self._questions.values()
+            if question.vm == stream.hello.vm
+        ]
+
+
+def _send(stream: peer.Stream, question: _Question) -> None:
+    """Put the question, or make a changed incarnation show that it lives."""
+    if stream.hello.incarnation == question.incarnation:
+        stream.send(
+            frames.Forward(number=question.number, payload=question.payload)
+        )
+    else:
+        stream.send(
+            frames.ConfigFetch(version=stream.version, revision=stream.revision)
+        )
+
+
+def _settle(question: _Question, reply: forwarding.Reply) -> None:
+    if not question.fut.done():
+        question.fut.set_result(reply)
--- /dev/null
+++ b/sardineproxy/process/streams.py
@@ -0,0 +1,296 @@
+"""Opens, accepts and closes the streams to other entry processes."""
+
+import asyncio
+import dataclasses
+import random
+from typing import Awaitable, Callable, Iterable, Protocol
+
+import result
+
+from sardineproxy import ids, logs
+from sardineproxy.connection import frames, peer
+from sardineproxy.process import neighbors
+
+Accept = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
+Listen = Callable[[Accept, str, int], Awaitable[asyncio.Server]]
+
+#: Time from the start of a stream in which its peer may open one too.
+CROSSING_S = 1
+
+#: Longest wait for a connection, in seconds.
+CONNECT_TIMEOUT_S = 1
+
+#: Shortest and longest wait before a stream is opened again, in seconds.
+BACK_OFF_MIN_S = 0.1
+BACK_OFF_MAX_S = 2
+
+_log = logs.get_logger('peer')
+
+
+class Events(Protocol):
+    """Hears of streams; nothing is told of a stream that was replaced."""
+
+    def opened(self, stream: peer.Stream) -> None:
+        """Use a new stream."""
+
+    def closed(self, stream: peer.Stream) -> None:
+        """Forget a stream."""
+
+    def received(self, stream: peer.Stream, frame: frames.Frame) -> None:
+        """Act on a frame."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Config:
+    """Times of streams, in seconds."""
+
+    heartbeat_s: float
+    peer_silent_s: float
+
+    #: Wait of the VM that should be called before it calls itself.
+    dial_wait_s: float
+
+    #: Time without use after which a stream that nobody chose is closed.
+    unused_s: float
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class _Retry:
+    """When to open a stream to a VM again."""
+
+    at: float
+    failures: int = 0
+
+
+class Streams:
+    """The one stream to each connected peer."""
+
+    def __init__(
+        self,
+        *,
+        cfg: Config,
+        ctx: peer.Context,
+        rng: random.Random,
+        vm: ids.VmId,
+        connect: peer.Connect,
+        listen: Listen,
+        events: Events,
+    ) -> None:
+        """Start without streams."""
+        self._cfg = cfg
+        self._ctx = ctx
+        self._rng = rng
+        self._vm = vm
+        self._connect = connect
+        self._listen = listen
+        self._events = events
+        self._server: asyncio.Server | None = None
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._dialing: set[ids.VmId] = set()
+        self._retries: dict[ids.VmId, _Retry] = {}
+
+        #: Incarnations that another one of the same VM replaced.
+        self._replaced: dict[ids.VmId, ids.Incarnation] = {}
+        self.neighbors = neighbors.Neighbors(listed={}, chosen={})
+        self.current: dict[ids.VmId, peer.Stream] = {}
+
+    @property
+    def port(self) -> int:
+        """Return the port of the listener."""
+        assert self._server is not None
+        return self._server.sockets[0].getsockname()[1]
+
+    async def start(self, host: str, port: int) -> None:
+        """Open the listener."""
+        self._server = await self._listen(self._accept, host, port)
+
+    async def close(self) -> None:
+        """Close the listener and all streams."""
+        if self._server is not None:
+            self._server.close()
+        tasks = list(self._tasks)
+        for stream in list(self.current.values()):
+            await stream.flush()
+            stream.close()
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def send(self, vm: ids.VmId, frame: frames.Frame) -> None:
+        """Send the frame if there is a stream to the VM."""
+        stream = self.current.get(vm)
+        if stream is not None:
+            stream.send(frame)
+
+    def open_missing(self, asked: Iterable[ids.VmId], now: float) -> None:
+        """Open streams to chosen VMs, and at once to those in ``asked``."""
+        urgent = {vm for vm in asked if vm in self.neighbors.listed}
+        for vm in {*self.neighbors.chosen, *urgent}:
+            if vm in self.current or vm in self._dialing:
+                continue
+            retry = self._retries.get(vm)
+            if retry is None:
+                at_once = vm in urgent or self.neighbors.chosen[vm]
+                wait_s = 0 if at_once else self._cfg.dial_wait_s
+                retry = self._retries[vm] = _Retry(at=now + wait_s)
+            if vm in urgent and not retry.failures:
+                retry.at = min(retry.at, now)
+            if now >= retry.at:
+                self._dialing.add(vm)
+                self._spawn(self._dial(self.neighbors.listed[vm]))
+
+    def watch(self, now: float, heartbeat: frames.Heartbeat) -> None:
+        """Close silent and unused streams; send heartbeats on idle ones."""
+        for vm, stream in list(self.current.items()):
+            if now - stream.heard_at >= self._cfg.peer_silent_s:
+                stream.abort('peer is silent')
+                self._forget(stream)
+            elif self._is_unused(vm, stream, now):
+                stream.abort('unused')
+                self._forget(stream)
+            elif now - stream.sent_at >= self._cfg.heartbeat_s:
+                stream.send(heartbeat)
+
+    def abort_all(self, why: str) -> None:
+        """Close all streams at once."""
+        for stream in list(self.current.values()):
+            stream.abort(why)
+            self._forget(stream)
+
+    def _is_unused(self, vm: ids.VmId, stream: peer.Stream, now: float) -> bool:
+        return (
+            stream.dialed
+            and vm not in self.neighbors.chosen
+            and now - stream.used_at >= self._cfg.unused_s
+        )
+
+    def _spawn(self, work: Awaitable[None]) -> None:
+        task = asyncio.ensure_future(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _accept(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self._spawn(
+            self._run(
+                peer.Stream(
+                    ctx=self._ctx, reader=reader, writer=writer, dialed=False
+                ),
+                expected=None,
+            )
+        )
+
+    async def _dial(self, neighbor: neighbors.Neighbor) -> None:
+        """Open a stream and run it; note when to try again."""
+        adopted = False
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                reader, writer = await self._connect(
+                    neighbor.host, neighbor.port
+                )
+            stream = peer.Stream(
+                ctx=self._ctx, reader=reader, writer=writer, dialed=True
+            )
+            adopted = await self._run(stream, expected=neighbor.vm)
+        except (OSError, TimeoutError) as exc:
+            _log.info('no stream to %s: %s', neighbor.vm, type(exc).__name__)
+        finally:
+            self._dialing.discard(neighbor.vm)
+            if not adopted:
+                self._back_off(neighbor.vm)
+
+    def _back_off(self, vm: ids.VmId) -> None:
+        """Wait longer after each failure, with jitter."""
+        failures = self._retries[vm].failures if vm in self._retries else 0
+        longest = min(BACK_OFF_MIN_S * 2**failures, BACK_OFF_MAX_S)
+        wait_s = longest * self._rng.uniform(0.5, 1)
+        self._retries[vm] = _Retry(
+            at=self._ctx.clock.now() + wait_s, failures=failures + 1
+        )
+
+    async def _run(
+        self, stream: peer.Stream, *, expected: ids.VmId | None
+    ) -> bool:
+        """Run a stream to its end; tell whether it was taken into use."""
+        try:
+            if not await self._open(stream, expected):
+                return False
+            await self._read(stream)
+            return True
+        finally:
+            stream.abort('end of stream')
+            self._forget(stream)
+
+    async def _open(
+        self, stream: peer.Stream, expected: ids.VmId | None
+    ) -> bool:
+        greeting = await stream.handshake()
+        if isinstance(greeting, result.Err):
+            self._reject(stream, greeting.err_value)
+            return False
+        hello = greeting.ok_value
+        if hello.vm == self._vm or expected not in {None, hello.vm}:
+            self._reject(stream, f'unexpected VM {hello.vm}')
+            return False
+        return self._adopt(stream)
+
+    async def _read(self, stream: peer.Stream) -> None:
+        while True:
+            received = await stream.receive()
+            if self.current.get(stream.hello.vm) is not stream:
+                return
+            if isinstance(received, result.Err):
+                if received.err_value != frames.CLOSED:
+                    self._reject(stream, received.err_value)
+                return
+            if isinstance(received.ok_value, frames.Hello):
+                self._reject(stream, 'second Hello')
+                return
+            self._events.received(stream, received.ok_value)
+
+    def _reject(self, stream: peer.Stream, why: str) -> None:
+        self._ctx.metrics.count('peer_streams_rejected_total')
+        _log.warning('stream rejected: %s', why)
+        stream.abort(why)
+
+    def _adopt(self, stream: peer.Stream) -> bool:
+        """Make it the VM's stream unless both ends opened one at once."""
+        hello = stream.hello
+        if self._replaced.get(hello.vm) == hello.incarnation:
+            self._reject(stream, f'{hello.vm} was replaced')
+            return False
+        old = self.current.get(hello.vm)
+        if old is not None:
+            if self._crosses(old, stream):
+                return False
+            if old.hello.incarnation != hello.incarnation:
+                self._replaced[hello.vm] = old.hello.incarnation
+            old.abort('replaced')
+            self._forget(old)
+        self.current[hello.vm] = stream
+        self._retries.pop(hello.vm, None)
+        _log.info('stream to %s open', hello.vm)
+        self._events.opened(stream)
+        return True
+
+    def _crosses(self, old: peer.Stream, new: peer.Stream) -> bool:
+        """Tell whether the VM with the smaller id has just opened ``old``.
+
+        Both ends reach the same answer, so that one stream stays.
+        """
+        smaller_dials = self._vm < new.hello.vm
+        return (
+            old.hello.incarnation == new.hello.incarnation
+            and old.dialed == smaller_dials
+            and new.dialed != smaller_dials
+            and self._ctx.clock.now() - old.since < CROSSING_S
+        )
+
+    def _forget(self, stream: peer.Stream) -> None:
+        hello = getattr(stream, 'hello', None)
+        if hello is None or self.current.get(hello.vm) is not stream:
+            return
+        self.current.pop(hello.vm)
+        self._back_off(hello.vm)
+        self._events.closed(stream)
