--- a/sardineproxy/connection/frames.py
+++ b/sardineproxy/connection/frames.py
@@ -2,7 +2,9 @@
 
 import asyncio
 import dataclasses
+import math
 import struct
+import types
 from typing import Any, Callable
 
 import msgpack
@@ -35,11 +37,15 @@
 
 
 def _count(found: Any) -> bool:
-    return type(found) is int and 0 <= found <= MAX_NUMBER
+    return (
+        isinstance(found, int)
+        and not isinstance(found, bool)
+        and 0 <= found <= MAX_NUMBER
+    )
 
 
 def _weight(found: Any) -> bool:
-    return type(found) is float and 0 < found < float('inf')
+    return isinstance(found, float) and 0 < found < math.inf
 
 
 def _flag(found: Any) -> bool:
@@ -240,23 +246,27 @@
     ConfigChanges,
     Goodbye,
 )
-_NUMBERS = {cls: number for number, cls in enumerate(_TYPES)}
-_FIELDS = {
-    cls: tuple(
-        (field.name, field.metadata['check'])
-        for field in dataclasses.fields(cls)
-    )
-    for cls in _TYPES
-}
+_NUMBERS = types.MappingProxyType(
+    {kind: number for number, kind in enumerate(_TYPES)}
+)
+_FIELDS = types.MappingProxyType(
+    {
+        kind: tuple(
+            (field.name, field.metadata['check'])
+            for field in dataclasses.fields(kind)
+        )
+        for kind in _TYPES
+    }
+)
 
 
 def encode(frame: Frame, *, free: int = 0) -> result.Result[bytes, str]:
     """Return the frame with its length prefix, or why it is too large."""
-    cls = type(frame)
-    fields = [getattr(frame, name) for name, _ in _FIELDS[cls]]
-    body = msgpack.packb([_NUMBERS[cls], free, *fields])
+    kind = type(frame)
+    fields = [getattr(frame, name) for name, _ in _FIELDS[kind]]
+    body = msgpack.packb([_NUMBERS[kind], free, *fields])
     if len(body) > MAX_FRAME_BYTES:
-        return result.Err(f'{cls.__name__} has {len(body)} bytes')
+        return result.Err(f'{kind.__name__} has {len(body)} bytes')
     return result.Ok(_LENGTH.pack(len(body)) + body)
 
 
@@ -284,20 +294,22 @@
 
 
 def _build(
-    cls: type, free: int, fields: tuple[Any, ...]
+    kind: type, free: int, fields: tuple[Any, ...]
 ) -> result.Result[Envelope, str]:
-    names = tuple(name for name, _ in _FIELDS[cls])
-    checks = tuple(check for _, check in _FIELDS[cls])
+    names = tuple(name for name, _ in _FIELDS[kind])
+    checks = tuple(check for _, check in _FIELDS[kind])
     if not _matches(fields, checks):
-        return result.Err(f'malformed fields of {cls.__name__}')
-    return result.Ok(Envelope(frame=cls(**dict(zip(names, fields))), free=free))
+        return result.Err(f'malformed fields of {kind.__name__}')
+    return result.Ok(
+        Envelope(frame=kind(**dict(zip(names, fields))), free=free)
+    )
 
 
 async def read(reader: asyncio.StreamReader) -> result.Result[Envelope, str]:
     """Wait for the next frame; Err if the stream ended or broke the rules."""
     try:
         prefix = await reader.readexactly(_LENGTH.size)
-        (size,) = _LENGTH.unpack(prefix)
+        size = _LENGTH.unpack(prefix)[0]
         if size > MAX_FRAME_BYTES:
             return result.Err(f'frame of {size} bytes is too large')
         return decode(await reader.readexactly(size))
--- a/sardineproxy/connection/peer.py
+++ b/sardineproxy/connection/peer.py
@@ -1,6 +1,7 @@
 """One stream to another entry process."""
 
 import asyncio
+import contextlib
 import dataclasses
 from typing import Awaitable, Callable
 
@@ -16,6 +17,9 @@
 #: Longest wait for the other end's Hello, in seconds.
 HELLO_TIMEOUT_S = 2
 
+#: Longest wait for a peer to read what is queued, in seconds.
+FLUSH_TIMEOUT_S = 1
+
 Connect = Callable[
     [str, int],
     Awaitable[tuple[asyncio.StreamReader, asyncio.StreamWriter]],
@@ -119,14 +123,15 @@
         self.sent_at = self._ctx.clock.now()
         if not isinstance(frame, frames.Heartbeat):
             self.used_at = self.sent_at
+        if isinstance(frame, frames.SlotReturn):
+            self.free += sum(count for _, _, count in frame.lots)
         return True
 
     async def flush(self) -> None:
         """Wait until most of what was queued is sent."""
-        try:
-            await self._writer.drain()
-        except OSError:
-            return
+        with contextlib.suppress(OSError, TimeoutError):
+            async with asyncio.timeout(FLUSH_TIMEOUT_S):
+                await self._writer.drain()
 
     def abort(self, why: str) -> None:
         """Close at once; the reading task ends."""
--- a/sardineproxy/process/borrowing.py
+++ b/sardineproxy/process/borrowing.py
@@ -64,7 +64,7 @@
     def __init__(self) -> None:
         """Start without a report."""
         self._demand = _NO_DEMAND
-        self._until = 0.0
+        self._until: float = 0
 
     def report(self, demand: demand_module.Demand, now: float) -> None:
         """Keep the report while it is fresh."""
@@ -94,7 +94,7 @@
         self._asked: dict[ids.VmId, _Asked] = {}
         self._sent: dict[tuple[ids.VmId, int], float] = {}
         self._last_number = 0
-        self._ask_at = 0.0
+        self._ask_at: float = 0
 
     def ask(self, lenders: Iterable[Lender], now: float) -> Outgoing:
         """Return requests to the peers with the most free slots."""
@@ -116,8 +116,7 @@
                 needs[customer] = (weight, need - count)
             self._asked[lender.vm] = _Asked(sent_at=now, wants=wants)
             rows = tuple(
-                (customer, needs[customer][0], count)
-                for customer, count in wants.items()
+                (name, needs[name][0], wanted) for name, wanted in wants.items()
             )
             requests.append((lender.vm, self._request(lender.vm, rows, now)))
         return requests
@@ -136,7 +135,7 @@
                 asked.wants[customer] = max(0, left)
         if grant.lots:
             self._borrowed.add(lender=vm, lots=grant.lots, now=now)
-            self._table.announce()
+            self._table.changed.on_next(None)
 
     def lost(self, vm: ids.VmId) -> None:
         """Start no more tasks on slots of this lender."""
@@ -145,29 +144,27 @@
 
     def tick(self, now: float) -> Outgoing:
         """Return slots that are idle, and renew loans that are in use."""
-        frames_out: Outgoing = [
-            (vm, frames.SlotReturn(lots=lots))
-            for vm, lots in self.collect(now, self._cfg.idle_return_s).items()
-        ]
-        for key, sent_at in list(self._sent.items()):
-            if now - sent_at >= self._cfg.lease_s:
-                self._sent.pop(key)
+        frames_out = self.give_back(now, self._cfg.idle_return_s)
+        self._sent = {
+            key: sent_at
+            for key, sent_at in self._sent.items()
+            if now - sent_at < self._cfg.lease_s
+        }
         margin = self._cfg.lease_s * RENEWAL_FRACTION
         in_use = self._borrowed.in_use(now - self._cfg.idle_return_s)
         for vm, until in in_use.items():
             newest = max(
-                (at for key, at in self._sent.items() if key[0] == vm),
+                (at for sent, at in self._sent.items() if sent[0] == vm),
                 default=-margin,
             )
             if until - now < margin <= now - newest:
                 frames_out.append((vm, self._request(vm, (), now)))
         return frames_out
 
-    def collect(
-        self, now: float, idle_s: float
-    ) -> dict[ids.VmId, tuple[frames.Lot, ...]]:
-        """Take what was idle for so long from the table, to return it."""
-        return self._borrowed.collect(now, idle_s)
+    def give_back(self, now: float, idle_s: float) -> Outgoing:
+        """Return slots that were idle for so long to their lenders."""
+        due = self._borrowed.collect(now, idle_s)
+        return [(vm, frames.SlotReturn(lots=lots)) for vm, lots in due.items()]
 
     def _request(
         self, vm: ids.VmId, wants: tuple[frames.Want, ...], now: float
@@ -183,8 +180,8 @@
         pending: dict[ids.CustomerId, int] = {}
         for asked in self._asked.values():
             if now - asked.sent_at < self._cfg.lease_s:
-                for customer, count in asked.wants.items():
-                    pending[customer] = pending.get(customer, 0) + count
+                for customer, wanted in asked.wants.items():
+                    pending[customer] = pending.get(customer, 0) + wanted
         return {
             entry.customer: (
                 entry.weight,
--- a/sardineproxy/process/exchange.py
+++ b/sardineproxy/process/exchange.py
@@ -39,7 +39,7 @@
         self._gossip = gossip
         self._rng = rng
         self._announced = (0, 0)
-        self._fetch_at = 0.0
+        self._fetch_at: float = 0
 
     def mine(self) -> tuple[int, int]:
         """Return the version number and the listing's revision here."""
@@ -50,9 +50,9 @@
         version, revision = self.mine()
         if self._announced != (version, revision):
             self._announced = (version, revision)
-            for stream in streams:
-                if stream.version < version or stream.revision < revision:
-                    stream.send(
+            for behind in streams:
+                if behind.version < version or behind.revision < revision:
+                    behind.send(
                         frames.ConfigAnnounce(
                             version=version, revision=revision
                         )
--- a/sardineproxy/process/lending.py
+++ b/sardineproxy/process/lending.py
@@ -60,10 +60,6 @@
         #: Loans of borrowers whose stream is lost, and when they end.
         self._lapsing: list[tuple[float, dict[_Place, int]]] = []
 
-    def free(self, now: float) -> int:
-        """Return how many slots could be lent."""
-        return 0 if self._backlog.waits(now) else self._table.free_slots
-
     def requested(
         self, vm: ids.VmId, request: frames.SlotRequest, now: float
     ) -> frames.SlotGrant | None:
@@ -95,7 +91,7 @@
                 book.recalled.discard(endpoint)
             if back:
                 self._table.take_back(customer, endpoint, back)
-        self._table.announce()
+        self._table.changed.on_next(None)
 
     def lost(self, vm: ids.VmId) -> None:
         """Keep the borrower's slots aside until its tasks must have ended."""
@@ -167,17 +163,17 @@
         by how much it claims at each.
         """
         claims: dict[tuple[str, ids.CustomerId], tuple[float, int]] = {
-            ('', own.customer): (own.weight, own.waiting + own.running)
+            ('', own.customer): (own.weight, self._usable(own))
             for own in self._backlog.customers(now)
         }
         for vm, book in self._books.items():
-            for customer, count in book.claims(now).items():
-                claims[(vm, customer)] = (book.weights[customer], count)
+            for customer, wanted in book.claims(now).items():
+                claims[(vm, customer)] = (book.weights[customer], wanted)
         totals: dict[ids.CustomerId, int] = {}
-        for (_, name), (_, count) in claims.items():
-            totals[name] = totals.get(name, 0) + count
+        for (_, name), (_, claimed) in claims.items():
+            totals[name] = totals.get(name, 0) + claimed
         return borrowing.water_fill(
-            self._table.owned_slots,
+            sum(self._table.owned.values()),
             {
                 key: (weight * count / totals[key[1]], count)
                 for key, (weight, count) in claims.items()
@@ -185,6 +181,12 @@
             },
         )
 
+    def _usable(self, own: demand.CustomerDemand) -> int:
+        """Return how many own slots the customer's tasks here could use."""
+        return int(
+            min(own.waiting + own.running, self._table.part(own.customer))
+        )
+
     def _recall(
         self, vm: ids.VmId, book: _Book, now: float
     ) -> tuple[ids.EndpointId, ...]:
@@ -192,7 +194,7 @@
         wanted = {
             endpoint
             for _, endpoint in book.lots
-            if not self._table.owns(endpoint)
+            if endpoint not in self._table.owned
         }
         if self._backlog.waits(now) and not self._table.free_slots:
             fair = self._fair(now)
@@ -213,7 +215,7 @@
         fell = reserved < self._table.reserved
         self._table.reserved = reserved
         if fell:
-            self._table.announce()
+            self._table.changed.on_next(None)
 
     def _end_lapsed(self, now: float) -> None:
         ended = [lots for end, lots in self._lapsing if now >= end]
@@ -221,9 +223,9 @@
             return
         self._lapsing = [entry for entry in self._lapsing if now < entry[0]]
         for lots in ended:
-            for (customer, endpoint), count in lots.items():
-                self._table.take_back(customer, endpoint, count)
-        self._table.announce()
+            for (customer, endpoint), lent in lots.items():
+                self._table.take_back(customer, endpoint, lent)
+        self._table.changed.on_next(None)
 
 
 class Loans:
@@ -240,10 +242,6 @@
         )
         self._lending = Lending(cfg=cfg, table=table, backlog=self._backlog)
 
-    def free(self, now: float) -> int:
-        """Return how many slots could be lent."""
-        return self._lending.free(now)
-
     def report(self, demand: demand.Demand, now: float) -> None:
         """Keep a report of the waiting work."""
         self._backlog.report(demand, now)
@@ -284,12 +282,9 @@
         self._lending.lost(vm)
         self._borrowing.lost(vm)
 
-    def give_all_back(self) -> dict[ids.VmId, frames.SlotReturn]:
+    def give_all_back(self) -> borrowing.Outgoing:
         """Return what is idle of the borrowed slots to its lenders."""
-        return {
-            vm: frames.SlotReturn(lots=lots)
-            for vm, lots in self._borrowing.collect(0, -math.inf).items()
-        }
+        return self._borrowing.give_back(0, -math.inf)
 
     def state(self) -> dict[str, object]:
         """Return all loans for the state dump."""
--- a/sardineproxy/process/ownership.py
+++ b/sardineproxy/process/ownership.py
@@ -1,8 +1,6 @@
 """Applies the zone's views to the slot table."""
 
-from sardineproxy import ids
-from sardineproxy.connection import frames
-from sardineproxy.process import slots, views
+from sardineproxy.process import borrowing, slots, views
 
 
 class Ownership:
@@ -21,9 +19,9 @@
         self._drain_s = drain_s
         self._divisions: tuple[slots.Division, ...] = ()
         self._settled = False
-        self._drain_until = 0.0
+        self._drain_until: float = 0
 
-    def review(self, now: float) -> list[tuple[ids.VmId, frames.View]]:
+    def review(self, now: float) -> borrowing.Outgoing:
         """Apply what changed and return the views to state, and to whom."""
         if self._views.refresh(now):
             self._settled = False
--- /dev/null
+++ b/sardineproxy/process/peer_events.py
@@ -0,0 +1,110 @@
+"""What a process does when a peer stream opens, closes or brings a frame."""
+
+import asyncio
+from typing import Callable
+
+from sardineproxy import clock, ids, logs
+from sardineproxy.connection import frames, peer
+from sardineproxy.process import (
+    borrowing,
+    exchange,
+    forwards,
+    lending,
+    ownership,
+    views,
+)
+from sardineproxy.request import forwarding
+
+_log = logs.get_logger('peer')
+
+
+class PeerEvents:
+    """Passes frames to the parts that they concern and sends the replies."""
+
+    def __init__(
+        self,
+        *,
+        clock: clock.Clock,
+        zone: ids.ZoneId,
+        views: views.Views,
+        ownership: ownership.Ownership,
+        loans: lending.Loans,
+        forwards: forwards.Forwards,
+        exchange: exchange.Exchange,
+        handler: forwarding.Handler,
+        send_all: Callable[[borrowing.Outgoing], None],
+    ) -> None:
+        """Use the parts of one process; ``send_all`` sends to peers."""
+        self._clock = clock
+        self._zone = zone
+        self._views = views
+        self._ownership = ownership
+        self._loans = loans
+        self._forwards = forwards
+        self._exchange = exchange
+        self._handler = handler
+        self._send_all = send_all
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def opened(self, stream: peer.Stream) -> None:
+        """Use a new stream."""
+        if stream.hello.zone == self._zone:
+            self._views.joined(stream.hello.vm, stream.hello.incarnation)
+        self._forwards.opened(stream)
+        self._forwards.heard(stream)
+        self.review()
+
+    def closed(self, stream: peer.Stream) -> None:
+        """Forget a stream; outstanding forwards wait for the next one."""
+        self._views.lost(stream.hello.vm, self._clock.now())
+        self._loans.lost(stream.hello.vm)
+        self.review()
+
+    def received(self, stream: peer.Stream, frame: frames.Frame) -> None:
+        """Act on a frame."""
+        self._forwards.heard(stream)
+        match frame:
+            case frames.View() | frames.Goodbye():
+                self._views.heard(stream.hello.vm, frame)
+                self.review()
+            case frames.Forward():
+                self._start_answer(stream, frame)
+            case frames.ForwardReply():
+                self._forwards.replied(stream, frame)
+            case frames.ConfigFetch():
+                stream.send(self._exchange.answer(frame))
+            case frames.ConfigChanges():
+                self._exchange.take(frame)
+            case _:
+                now = self._clock.now()
+                vm = stream.hello.vm
+                self._send_all(self._loans.received(vm, frame, now))
+
+    def review(self) -> None:
+        """Apply what changed in the zone's view."""
+        self._send_all(self._ownership.review(self._clock.now()))
+
+    async def close(self) -> None:
+        """Stop answering forwards."""
+        tasks = list(self._tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def _start_answer(
+        self, stream: peer.Stream, forward: frames.Forward
+    ) -> None:
+        task = asyncio.create_task(self._answer(stream, forward))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _answer(
+        self, stream: peer.Stream, forward: frames.Forward
+    ) -> None:
+        """Reply on the same stream; after its end the peer asks again."""
+        reply = await self._handler.handle(forward.payload)
+        sent = stream.send(
+            frames.ForwardReply(number=forward.number, payload=reply)
+        )
+        if not sent:
+            _log.info('reply to %s not sent', stream.hello.vm)
--- a/sardineproxy/process/rendezvous.py
+++ b/sardineproxy/process/rendezvous.py
@@ -25,7 +25,9 @@
 
 def rank(key: str, nodes: Iterable[Node]) -> list[Node]:
     """Return the nodes, best first."""
-    return sorted(nodes, key=lambda node: (score(key, node), node))[::-1]
+    return sorted(
+        nodes, key=lambda node: (score(key, node), node), reverse=True
+    )
 
 
 def winner(key: str, weights: Mapping[Node, float]) -> Node | None:
--- a/sardineproxy/process/slots.py
+++ b/sardineproxy/process/slots.py
@@ -4,7 +4,6 @@
 import math
 from typing import Iterable, Mapping, Protocol
 
-import reactivex
 from reactivex import subject
 
 from sardineproxy import ids
@@ -43,7 +42,9 @@
         self._busy: dict[ids.EndpointId, int] = {}
         self._free: dict[ids.EndpointId, int] = {}
         self._free_names: tuple[ids.EndpointId, ...] | None = ()
-        self._free_slots = 0
+
+        #: How many own slots are free.
+        self.free_slots = 0
 
         #: Own slots that each customer uses or that are lent for it.
         self._held: dict[ids.CustomerId, int] = {}
@@ -53,29 +54,18 @@
         self._tickets: dict[int, borrowed.Loan | None] = {}
         self._last_number = 0
         self._valid_until = math.inf
-        self._changed: subject.Subject[None] = subject.Subject()
+
+        #: Emits when slots may have become free other than by a release.
+        self.changed: subject.Subject[None] = subject.Subject()
 
         #: Own free slots that are kept for borrowers.
         self.reserved = 0
         self.borrowed = borrowed.Borrowed()
 
     @property
-    def changed(self) -> reactivex.Observable[None]:
-        """Return the stream that tells when slots may have become free.
-
-        Releases are not told here.
-        """
-        return self._changed
-
-    @property
-    def free_slots(self) -> int:
-        """Return how many own slots are free."""
-        return self._free_slots
-
-    @property
-    def owned_slots(self) -> int:
-        """Return how many slots are owned."""
-        return sum(self._owned.values())
+    def owned(self) -> Mapping[ids.EndpointId, int]:
+        """Return the owned slots of each endpoint."""
+        return self._owned
 
     def set_owned(self, owned: Mapping[ids.EndpointId, int]) -> None:
         """Replace the owned slots; tickets in use stay valid."""
@@ -83,7 +73,7 @@
         self._owned = dict(owned)
         for endpoint in touched:
             self._refresh(endpoint)
-        self.announce()
+        self.changed.on_next(None)
 
     def set_holds(self, limits: Mapping[ids.CustomerId, int]) -> None:
         """Replace the customers' whole holding limits.
@@ -93,22 +83,18 @@
         """
         self._limits = dict(limits)
         self._parts.clear()
-        self.announce()
+        self.changed.on_next(None)
 
     def set_divisions(self, divisions: Iterable[Division]) -> None:
         """Hold each customer to its smallest part; the limit if none."""
         self._divisions = tuple(divisions)
         self._parts.clear()
-        self.announce()
+        self.changed.on_next(None)
 
     def set_valid_until(self, until: float) -> None:
         """Start nothing from then on, because ownership may have passed."""
         self._valid_until = until
 
-    def announce(self) -> None:
-        """Tell that slots may have become free."""
-        self._changed.on_next(None)
-
     def free_endpoints(
         self, *, customer: ids.CustomerId, now: float
     ) -> tuple[ids.EndpointId, ...]:
@@ -178,7 +164,7 @@
     def take_back(
         self, customer: ids.CustomerId, endpoint: ids.EndpointId, count: int
     ) -> None:
-        """End a loan; the caller tells with ``announce``."""
+        """End a loan; the caller makes ``changed`` emit."""
         self._hold(endpoint, customer, -count)
 
     def part(self, customer: ids.CustomerId) -> float:
@@ -189,10 +175,6 @@
             self._parts[customer] = part
         return part
 
-    def held(self, customer: ids.CustomerId) -> int:
-        """Return the own slots that the customer uses or that are lent."""
-        return self._held.get(customer, 0)
-
     def fits(
         self, owned: Mapping[ids.EndpointId, int], division: Division
     ) -> bool:
@@ -208,10 +190,6 @@
             for customer, held in self._held.items()
         )
 
-    def owns(self, endpoint: ids.EndpointId) -> bool:
-        """Tell whether slots of the endpoint are owned."""
-        return endpoint in self._owned
-
     def state(self, *, now: float) -> dict[str, object]:
         """Return the counts for the state dump."""
         return {
@@ -228,7 +206,7 @@
         }
 
     def _own_allowed(self, customer: ids.CustomerId) -> bool:
-        if self._free_slots <= self.reserved:
+        if self.free_slots <= self.reserved:
             return False
         return self._held.get(customer, 0) < self.part(customer)
 
@@ -258,7 +236,7 @@
         free = self._owned.get(endpoint, 0) - self._busy.get(endpoint, 0)
         known = self._free.get(endpoint, 0)
         free = max(free, 0)
-        self._free_slots += free - known
+        self.free_slots += free - known
         if free:
             self._free[endpoint] = free
         else:
--- a/sardineproxy/process/streams.py
+++ b/sardineproxy/process/streams.py
@@ -3,7 +3,7 @@
 import asyncio
 import dataclasses
 import random
-from typing import Awaitable, Callable, Iterable, Protocol
+from typing import Awaitable, Callable, Coroutine, Iterable, Protocol
 
 import result
 
@@ -20,6 +20,9 @@
 #: Longest wait for a connection, in seconds.
 CONNECT_TIMEOUT_S = 1
 
+#: Longest wait for queued frames to leave at the end, in seconds.
+CLOSE_TIMEOUT_S = 1
+
 #: Shortest and longest wait before a stream is opened again, in seconds.
 BACK_OFF_MIN_S = 0.1
 BACK_OFF_MAX_S = 2
@@ -44,21 +47,25 @@
 class Config:
     """Times of streams, in seconds."""
 
-    heartbeat_s: float
-    peer_silent_s: float
+    #: Time without sending after which a heartbeat is sent.
+    heartbeat_s: float = 4
+
+    #: Silence after which a stream is closed.
+    peer_silent_s: float = 10
 
     #: Wait of the VM that should be called before it calls itself.
-    dial_wait_s: float
+    dial_wait_s: float = 0.5
 
     #: Time without use after which a stream that nobody chose is closed.
-    unused_s: float
+    unused_s: float = 60
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
 class _Retry:
     """When to open a stream to a VM again."""
 
-    at: float
+    since: float
+    back_off_s: float = 0
     failures: int = 0
 
 
@@ -85,7 +92,7 @@
         self._listen = listen
         self._events = events
         self._server: asyncio.Server | None = None
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._tasks: set[asyncio.Task[object]] = set()
         self._dialing: set[ids.VmId] = set()
         self._retries: dict[ids.VmId, _Retry] = {}
 
@@ -110,8 +117,9 @@
             self._server.close()
         tasks = list(self._tasks)
         for stream in list(self.current.values()):
-            await stream.flush()
             stream.close()
+        if tasks:
+            await asyncio.wait(tasks, timeout=CLOSE_TIMEOUT_S)
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
@@ -124,18 +132,14 @@
 
     def open_missing(self, asked: Iterable[ids.VmId], now: float) -> None:
         """Open streams to chosen VMs, and at once to those in ``asked``."""
-        urgent = {vm for vm in asked if vm in self.neighbors.listed}
-        for vm in {*self.neighbors.chosen, *urgent}:
-            if vm in self.current or vm in self._dialing:
-                continue
-            retry = self._retries.get(vm)
-            if retry is None:
-                at_once = vm in urgent or self.neighbors.chosen[vm]
-                wait_s = 0 if at_once else self._cfg.dial_wait_s
-                retry = self._retries[vm] = _Retry(at=now + wait_s)
-            if vm in urgent and not retry.failures:
-                retry.at = min(retry.at, now)
-            if now >= retry.at:
+        urgent = set(asked).intersection(self.neighbors.listed)
+        missing = urgent.union(self.neighbors.chosen)
+        missing -= self._dialing
+        for vm in missing.difference(self.current):
+            at_once = vm in urgent or self.neighbors.chosen[vm]
+            wait_s = 0 if at_once else self._cfg.dial_wait_s
+            retry = self._retries.setdefault(vm, _Retry(since=now))
+            if now >= retry.since + max(wait_s, retry.back_off_s):
                 self._dialing.add(vm)
                 self._spawn(self._dial(self.neighbors.listed[vm]))
 
@@ -164,8 +168,8 @@
             and now - stream.used_at >= self._cfg.unused_s
         )
 
-    def _spawn(self, work: Awaitable[None]) -> None:
-        task = asyncio.ensure_future(work)
+    def _spawn(self, work: Coroutine[None, None, object]) -> None:
+        task = asyncio.create_task(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
@@ -206,7 +210,9 @@
         longest = min(BACK_OFF_MIN_S * 2**failures, BACK_OFF_MAX_S)
         wait_s = longest * self._rng.uniform(0.5, 1)
         self._retries[vm] = _Retry(
-            at=self._ctx.clock.now() + wait_s, failures=failures + 1
+            since=self._ctx.clock.now(),
+            back_off_s=wait_s,
+            failures=failures + 1,
         )
 
     async def _run(
--- a/sardineproxy/process/views.py
+++ b/sardineproxy/process/views.py
@@ -117,16 +117,17 @@
         elif peer:
             self._absent[vm] = now
 
-    def said_goodbye(self, vm: ids.VmId) -> None:
-        """Note that the process gave up its slots."""
-        if vm in self._peers:
-            self._peers[vm].said_goodbye = True
-            self._stale = True
-
-    def heard(self, vm: ids.VmId, view: frames.View) -> None:
-        """Note the view that the process states."""
-        if vm in self._peers:
-            self._peers[vm].stated = view
+    def heard(self, vm: ids.VmId, frame: frames.View | frames.Goodbye) -> None:
+        """Note the view that the process states, or that it ends."""
+        peer = self._peers.get(vm)
+        if peer is None:
+            return
+        match frame:
+            case frames.View():
+                peer.stated = frame
+            case frames.Goodbye():
+                peer.said_goodbye = True
+                self._stale = True
 
     def leave(self) -> None:
         """Give up everything for good."""
@@ -171,9 +172,9 @@
         self.owned = dict(self.candidate.owned)
         return True
 
-    def outgoing(self, *, settled: bool) -> list[tuple[ids.VmId, frames.View]]:
+    def outgoing(self, *, settled: bool) -> list[tuple[ids.VmId, frames.Frame]]:
         """Return the views to state now, and to whom."""
-        statements = []
+        statements: list[tuple[ids.VmId, frames.Frame]] = []
         for vm, peer in self._peers.items():
             heard = peer.heard()
             epoch, sent_heard, sent_settled = peer.sent
