--- /dev/null
+++ b/sardineproxy/process/peers.py
@@ -0,0 +1,259 @@
+"""What entry processes tell each other, and what each does about it."""
+
+import asyncio
+import dataclasses
+import random
+
+import reactivex
+from reactivex import subject
+
+from sardineproxy import clock, ids, logs
+from sardineproxy.connection import frames, peer
+from sardineproxy.process import (  # noqa: WPS235
+    borrowing,
+    demand,
+    directory,
+    exchange,
+    forwards,
+    lending,
+    metrics,
+    neighbors,
+    ownership,
+    peer_events,
+    platform,
+    slots,
+    streams,
+    views,
+)
+from sardineproxy.request import forwarding
+
+Gossip = exchange.Gossip
+
+_log = logs.get_logger('peer')
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Config:
+    """Times and bounds between entry processes, in seconds."""
+
+    #: Wait before the slots of a VM that vanished are taken over.
+    takeover_grace_s: float = 3
+
+    #: Interval of housekeeping.
+    tick_s: float = 0.05
+
+    #: Streams to keep to each other zone.
+    cross_zone_peers: int = 2
+    stream: streams.Config = streams.Config()
+    loan: borrowing.Config = borrowing.Config()
+
+
+class Peers:
+    """Streams to other entry processes, and what they agree on."""
+
+    def __init__(  # noqa: WPS211
+        self,
+        *,
+        clock: clock.Clock,
+        rng: random.Random,
+        vm: ids.VmId,
+        incarnation: ids.Incarnation,
+        zone: ids.ZoneId,
+        size: int,
+        directory: directory.Directory,
+        slot_table: slots.SlotTable,
+        handler: forwarding.Handler,
+        gossip: Gossip,
+        metrics: metrics.Metrics,
+        cfg: Config,
+        connect: peer.Connect = asyncio.open_connection,
+        listen: streams.Listen = asyncio.start_server,
+    ) -> None:
+        """Start without streams; ``start`` opens the listener."""
+        self._clock = clock
+        self._cfg = cfg
+        self._me = frames.Hello(
+            vm=vm, incarnation=incarnation, zone=zone, version=0, revision=0
+        )
+        self._directory = directory
+        self._table = slot_table
+        self._exchange = exchange.Exchange(gossip=gossip, rng=rng)
+        self._forwards = forwards.Forwards()
+        self._views = views.Views(
+            vm=vm,
+            incarnation=incarnation,
+            zone=zone,
+            grace_s=cfg.takeover_grace_s,
+        )
+        self._ownership = ownership.Ownership(
+            views=self._views, table=slot_table, drain_s=cfg.loan.max_task_s
+        )
+        self._loans = lending.Loans(cfg=cfg.loan, table=slot_table)
+        self._events = peer_events.PeerEvents(
+            clock=clock,
+            zone=zone,
+            views=self._views,
+            ownership=self._ownership,
+            loans=self._loans,
+            forwards=self._forwards,
+            exchange=self._exchange,
+            handler=handler,
+            send_all=self._send_all,
+        )
+        self._streams = streams.Streams(
+            cfg=cfg.stream,
+            ctx=peer.Context(
+                clock=clock,
+                metrics=metrics,
+                hello=self._hello,
+                free=lambda: slot_table.free_slots,
+            ),
+            rng=rng,
+            vm=vm,
+            connect=connect,
+            listen=listen,
+            events=self._events,
+        )
+        self._ticker: asyncio.Task[None] | None = None
+        self._ticked_at: float | None = None
+        self._live_vms = subject.BehaviorSubject(1)
+
+    @property
+    def port(self) -> int:
+        """Return the port of the listener."""
+        return self._streams.port
+
+    @property
+    def live_vms(self) -> reactivex.Observable[int]:
+        """Return the stream of the number of live entry VMs, at least 1."""
+        return self._live_vms
+
+    async def start(self, *, host: str, port: int) -> None:
+        """Listen for peers and connect to those of the listing."""
+        await self._streams.start(host, port)
+        self._directory.listing.subscribe(self._use_listing)
+        self._ticker = asyncio.create_task(self._keep_ticking())
+
+    async def goodbye(self) -> None:
+        """Give up all slots and tell the peers; call when no task runs."""
+        self._ownership.leave()
+        self._send_all(self._loans.give_all_back())
+        open_streams = list(self._streams.current.values())
+        for stream in open_streams:
+            stream.send(frames.Goodbye())
+        await asyncio.gather(*(each.flush() for each in open_streams))
+
+    async def close(self) -> None:
+        """Close all streams."""
+        if self._ticker is not None:
+            self._ticker.cancel()
+        await self._events.close()
+        await self._streams.close()
+
+    async def forward(
+        self,
+        *,
+        vm: ids.VmId,
+        incarnation: ids.Incarnation,
+        payload: bytes,
+        deadline: float,
+    ) -> forwarding.Reply:
+        """Send ``payload`` to that incarnation and return what it replied."""
+        stream = self._streams.current.get(vm)
+        if stream is None and vm not in self._streams.neighbors.listed:
+            return forwarding.Unreachable()
+        now = self._clock.now()
+        self._streams.open_missing((vm,), now)
+        return await self._forwards.ask(
+            vm=vm,
+            incarnation=incarnation,
+            payload=payload,
+            wait_s=deadline - now,
+            stream=stream,
+        )
+
+    def on_backlog(self, demand: demand.Demand) -> None:
+        """Borrow slots for waiting work.
+
+        A report counts for a second; report again while work waits, and once
+        when none waits any more.
+        """
+        now = self._clock.now()
+        self._loans.report(demand, now)
+        self._send_all(self._loans.ask(self._lenders(), now))
+
+    def tick(self, now: float) -> None:
+        """Do what is due; a long gap voids ownership and loans."""
+        self._check_gap(now)
+        version, revision = self._exchange.mine()
+        self._streams.watch(
+            now, frames.Heartbeat(version=version, revision=revision)
+        )
+        self._streams.open_missing(self._forwards.vms(), now)
+        self._exchange.tick(list(self._streams.current.values()), now)
+        self._events.review()
+        self._send_all(self._loans.tick(self._lenders(), now))
+        live = self._streams.neighbors.count_live(self._streams.current) + 1
+        if live != self._live_vms.value:
+            self._live_vms.on_next(live)
+
+    def state(self, *, now: float) -> dict[str, object]:
+        """Return streams, view and loans for the state dump."""
+        return {
+            'peers': [
+                {
+                    'vm': vm,
+                    'incarnation': stream.hello.incarnation,
+                    'zone': stream.hello.zone,
+                    'open_s': round(now - stream.since, 3),
+                    'silent_s': round(now - stream.heard_at, 3),
+                    'version': stream.version,
+                    'revision': stream.revision,
+                    'free': stream.free,
+                }
+                for vm, stream in sorted(self._streams.current.items())
+            ],
+            'view': self._views.state(now),
+            'loans': self._loans.state(),
+        }
+
+    def _hello(self) -> frames.Hello:
+        version, revision = self._exchange.mine()
+        return dataclasses.replace(self._me, version=version, revision=revision)
+
+    def _use_listing(self, listing: platform.VmList) -> None:
+        self._views.set_listing(listing)
+        self._streams.neighbors = neighbors.choose(
+            listing=listing,
+            vm=self._me.vm,
+            zone=self._me.zone,
+            each_zone=self._cfg.cross_zone_peers,
+        )
+
+    async def _keep_ticking(self) -> None:
+        while True:
+            self.tick(self._clock.now())
+            await asyncio.sleep(self._cfg.tick_s)
+
+    def _lenders(self) -> list[borrowing.Lender]:
+        return [
+            borrowing.Lender(
+                vm=vm,
+                near=stream.hello.zone == self._me.zone,
+                free=stream.free,
+            )
+            for vm, stream in self._streams.current.items()
+        ]
+
+    def _send_all(self, outgoing: borrowing.Outgoing) -> None:
+        for vm, frame in outgoing:
+            self._streams.send(vm, frame)
+
+    def _check_gap(self, now: float) -> None:
+        last = self._ticked_at
+        self._ticked_at = now
+        if last is not None and now - last >= self._cfg.stream.peer_silent_s:
+            _log.warning('event loop stood still for %.1f s', now - last)
+            self._ownership.drop()
+            self._streams.abort_all('process stood still')
+        self._table.set_valid_until(now + self._cfg.stream.peer_silent_s)
