--- /dev/null
+++ b/sardineproxy/operator/commands.py
@@ -0,0 +1,220 @@
+"""Commands on contracts and versions."""
+
+import contextlib
+import json
+import pathlib
+import types
+from typing import AsyncIterator
+
+import aiohttp
+import result
+
+from sardineproxy import exit_status, ids
+from sardineproxy.operator import applying, environment, options
+from sardineproxy.process import platform, platform_http
+from sardineproxy.version import (
+    codec,
+    contract_files,
+    contracts,
+    fetching,
+    versions,
+)
+
+_APPLY_ID_BITS = 64
+
+_Status = exit_status.ExitStatus
+
+_STATUS_OF_KIND = types.MappingProxyType(
+    {
+        platform.ErrorKind.UNAVAILABLE: _Status.UNAVAILABLE,
+        platform.ErrorKind.UNKNOWN: _Status.UNKNOWN,
+        platform.ErrorKind.CONFLICT: _Status.ERROR,
+        platform.ErrorKind.INVALID: _Status.ERROR,
+    }
+)
+
+_ADVICE = types.MappingProxyType(
+    {
+        platform.ErrorKind.UNAVAILABLE: 'Nothing was changed; try again later.',
+        platform.ErrorKind.UNKNOWN: (
+            'The change may have taken effect; run the same command again to '
+            'find out.'
+        ),
+        platform.ErrorKind.CONFLICT: 'Nothing was changed.',
+        platform.ErrorKind.INVALID: 'Nothing was changed.',
+    }
+)
+
+
+async def check(env: environment.Environment, opts: options.Options) -> _Status:
+    """Check the contracts of a directory."""
+    documents = _load(env, opts.directory)
+    if documents is None:
+        return _Status.INVALID_INPUT
+    env.say(f'{len(documents)} contracts are correct.')
+    return _Status.SUCCESS
+
+
+async def diff(env: environment.Environment, opts: options.Options) -> _Status:
+    """Show how a directory differs from the newest version."""
+    documents = _load(env, opts.directory)
+    if documents is None:
+        return _Status.INVALID_INPUT
+    async with _connected(opts) as client:
+        newest = await applying.read_newest(client)
+    if isinstance(newest, result.Err):
+        return _fail(env, newest.err_value)
+    snapshot = newest.ok_value.snapshot
+    lines = _diff_lines(snapshot.documents, documents)
+    for line in lines:
+        env.say(line)
+    outcome = 'These lines change' if lines else 'No change to'
+    env.say(f'{outcome} version {snapshot.number}.')
+    return _Status.SUCCESS
+
+
+async def apply(env: environment.Environment, opts: options.Options) -> _Status:
+    """Make a new version from a directory."""
+    documents = _load(env, opts.directory)
+    if documents is None:
+        return _Status.INVALID_INPUT
+    assert opts.base is not None and opts.operator is not None
+    wanted = applying.Wanted(
+        documents=documents,
+        base=opts.base,
+        operator=opts.operator,
+        apply_id=f'{env.rng.getrandbits(_APPLY_ID_BITS):016x}',
+    )
+    async with _connected(opts) as client:
+        outcome = await applying.apply(client, wanted)
+    if isinstance(outcome, result.Err):
+        return _fail(env, outcome.err_value)
+    return _tell(env, wanted, outcome.ok_value)
+
+
+async def history(
+    env: environment.Environment, opts: options.Options
+) -> _Status:
+    """Show the latest versions, the newest last."""
+    async with _connected(opts) as client:
+        read = await fetching.read_head(client, strict=True)
+        if isinstance(read, result.Err):
+            return _fail(env, read.err_value)
+        head = read.ok_value.head
+        if head is None:
+            env.say('No version was made yet; the first apply uses --base 0.')
+            return _Status.SUCCESS
+        after = max(0, head.number - opts.limit)
+        rows = await fetching.read_changes(client, after=after, strict=True)
+    if isinstance(rows, result.Err):
+        return _fail(env, rows.err_value)
+    for row in rows.ok_value:
+        env.say(_history_line(row))
+    return _Status.SUCCESS
+
+
+def _load(
+    env: environment.Environment, directory: pathlib.Path | None
+) -> dict[ids.CustomerId, str] | None:
+    assert directory is not None
+    loaded = contract_files.load_directory(directory)
+    if isinstance(loaded, result.Err):
+        for sentence in loaded.err_value:
+            env.complain(sentence)
+        return None
+    return versions.documents_of(loaded.ok_value)
+
+
+@contextlib.asynccontextmanager
+async def _connected(
+    opts: options.Options,
+) -> AsyncIterator[platform_http.HttpPlatform]:
+    assert opts.platform is not None
+    async with aiohttp.ClientSession() as session:
+        yield platform_http.HttpPlatform(
+            session=session,
+            host=opts.platform.host,
+            port=opts.platform.port,
+            timeout_s=opts.timeout_s,
+        )
+
+
+def _fail(
+    env: environment.Environment, error: platform.PlatformError
+) -> _Status:
+    env.complain(f'Platform: {error.detail}. {_ADVICE[error.kind]}')
+    return _STATUS_OF_KIND[error.kind]
+
+
+def _tell(
+    env: environment.Environment,
+    wanted: applying.Wanted,
+    outcome: applying.Outcome,
+) -> _Status:
+    match outcome:
+        case applying.Applied(head=head):
+            env.say(f'Made version {head.number}.')
+        case applying.Unchanged(number=number):
+            env.say(f'Version {number} has exactly these contracts already.')
+        case applying.AlreadyApplied(head=head):
+            env.say(
+                f'Version {head.number}, made from {wanted.base} by '
+                f'{head.operator}, has exactly these contracts already.'
+            )
+        case applying.NoSuchBase(newest=newest):
+            env.complain(
+                f'There is no version {wanted.base}; the newest is {newest}.'
+            )
+            return _Status.INVALID_INPUT
+        case applying.Lost():
+            env.complain(_lost_line(wanted, outcome))
+            return _Status.CONFLICT
+    return _Status.SUCCESS
+
+
+def _lost_line(wanted: applying.Wanted, lost: applying.Lost) -> str:
+    newest = f'{lost.newest.operator} made version {lost.newest.number}'
+    if lost.was_wanted:
+        return (
+            f'Version {wanted.base + 1} had exactly these contracts, but '
+            f'{newest} since then. Nothing was changed now.'
+        )
+    first = ''
+    if lost.winner is not None and lost.winner.number != lost.newest.number:
+        first = f'{lost.winner.operator} made version {lost.winner.number} and '
+    return (
+        f'Another change came first: {first}{newest}. Nothing was changed; '
+        'look at history and diff, then apply with '
+        f'--base {lost.newest.number}.'
+    )
+
+
+def _diff_lines(old: versions.Documents, new: versions.Documents) -> list[str]:
+    changed, removed = versions.difference(old, new)
+    lines = [f'- {customer}' for customer in removed]
+    for customer in sorted(changed):
+        if customer not in old:
+            lines.append(f'+ {customer}')
+            continue
+        before = json.loads(old[customer])
+        after = json.loads(new[customer])
+        lines.extend(
+            f'~ {customer}: {key}: {before.get(key)} -> {after.get(key)}'
+            for key in sorted({*before, *after})
+            if before.get(key) != after.get(key)
+        )
+    return lines
+
+
+def _history_line(row: platform.Row) -> str:
+    decoded = codec.decode_change(row.body)
+    if isinstance(decoded, result.Err):
+        return f'{row.key}: cannot be parsed: {decoded.err_value}'
+    change = decoded.ok_value
+    head = change.head
+    names = ', '.join(sorted((*change.documents, *change.removed)))
+    digest = head.digest[: contracts.SHOWN_DIGITS]
+    return (
+        f'{head.number}  {digest}  {head.operator}  apply {head.apply_id}  '
+        f'set {len(change.documents)}, removed {len(change.removed)}: {names}'
+    )
--- /dev/null
+++ b/sardineproxy/operator/core.py
@@ -0,0 +1,69 @@
+"""Program: the operator's commands, ``sardineproxyctl``."""
+
+import asyncio
+import types
+from typing import Awaitable, Callable, Mapping
+
+from absl import flags
+
+from sardineproxy import exit_status
+from sardineproxy.operator import (
+    commands,
+    credential,
+    environment,
+    fleet,
+    options,
+)
+
+_Command = Callable[
+    [environment.Environment, options.Options],
+    Awaitable[exit_status.ExitStatus],
+]
+
+_COMMANDS: Mapping[str, _Command] = types.MappingProxyType(
+    {
+        'check': commands.check,
+        'diff': commands.diff,
+        'apply': commands.apply,
+        'history': commands.history,
+        'versions': fleet.versions,
+        'state': fleet.state,
+        'hash-credential': credential.hash_credential,
+    }
+)
+
+
+def main(
+    argv: list[str], env: environment.Environment | None = None
+) -> exit_status.ExitStatus:
+    """Run the command that ``argv`` names."""
+    env = env or environment.of_process()
+    values = options.make_flags()
+    try:
+        rest = values(argv)[1:]
+    except flags.Error as exc:
+        return _refuse(env, str(exc))
+    if values.help:
+        env.stdout.write(options.help_text(values))
+        return exit_status.ExitStatus.SUCCESS
+    name = rest[0] if rest else ''
+    if name not in _COMMANDS:
+        accepted = ', '.join(_COMMANDS)
+        return _refuse(env, f'Expected one of the commands {accepted}')
+    parsed = options.parse(name, rest[1:], values)
+    if parsed.is_err():
+        return _refuse(env, parsed.unwrap_err())
+    return asyncio.run(_run(_COMMANDS[name], env, parsed.unwrap()))
+
+
+async def _run(
+    command: _Command, env: environment.Environment, opts: options.Options
+) -> exit_status.ExitStatus:
+    return await command(env, opts)
+
+
+def _refuse(
+    env: environment.Environment, reason: str
+) -> exit_status.ExitStatus:
+    env.complain(f'{reason}; see --help.')
+    return exit_status.ExitStatus.USAGE
--- a/sardineproxy/process/directory.py
+++ b/sardineproxy/process/directory.py
@@ -1,5 +1,7 @@
 """The newest list of live and leaving VMs that this process knows."""
 
+from typing import Mapping
+
 import reactivex
 from reactivex import subject
 
@@ -15,6 +17,8 @@
     def __init__(self) -> None:
         """Start with an empty list of revision 0."""
         self._listing = subject.BehaviorSubject(_EMPTY)
+        self._entry_vms: tuple[platform.Vm, ...] = ()
+        self._endpoints: Mapping[ids.EndpointId, platform.Vm] = {}
 
     @property
     def listing(self) -> reactivex.Observable[platform.VmList]:
@@ -30,12 +34,25 @@
         """Take the list if it is newer; tell whether it was."""
         if vm_list.revision <= self.newest.revision:
             return False
+        self._entry_vms = tuple(
+            vm for vm in vm_list.vms if vm.role is platform.VmRole.ENTRY
+        )
+        self._endpoints = {
+            ids.EndpointId(vm.name): vm
+            for vm in vm_list.vms
+            if vm.role is platform.VmRole.ENDPOINT
+        }
         self._listing.on_next(vm_list)
         return True
 
     def endpoint(self, endpoint: ids.EndpointId) -> platform.Vm | None:
         """Return the endpoint's entry in the newest list."""
-        for vm in self.newest.vms:
-            if vm.role is platform.VmRole.ENDPOINT and vm.name == endpoint:
-                return vm
-        return None
+        return self._endpoints.get(endpoint)
+
+    def endpoints(self) -> tuple[platform.Vm, ...]:
+        """Return all live and leaving endpoints."""
+        return tuple(self._endpoints.values())
+
+    def entry_vms(self) -> tuple[platform.Vm, ...]:
+        """Return all live and leaving entry VMs."""
+        return self._entry_vms
--- /dev/null
+++ b/sardineproxy/process/listing.py
@@ -0,0 +1,214 @@
+"""Follow the platform's list of VMs, and exchange it with peers."""
+
+import asyncio
+import dataclasses
+import json
+import random
+import zlib
+from typing import Annotated, Any
+
+import pydantic
+import result
+
+from sardineproxy import clock, ids, json_text, logs
+from sardineproxy.process import directory, platform, settings
+
+#: Most VMs of one list.
+MAX_VMS = 32_768
+
+#: Largest list in bytes of JSON. 9,700 VMs take about 1.8 MB.
+MAX_LIST_BYTES = 8_388_608
+
+#: Largest compressed list from a peer, in bytes. Half a peer frame.
+MAX_PAYLOAD_BYTES = 4_194_304
+
+#: Compresses a list to about a tenth; higher levels gain little.
+_COMPRESSION_LEVEL = 6
+
+_LOG = logs.get_logger('listing')
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Config:
+    """How often the list is read."""
+
+    poll_s: float = 2
+
+    #: Each wait is drawn from this fraction below to above ``poll_s``.
+    jitter: float = 0.25
+
+    #: Longest wait while the platform fails. Kept small because an endpoint
+    #: that leaves must get no work after a few seconds.
+    max_backoff_s: float = 4
+
+
+class _Vm(pydantic.BaseModel):
+    model_config = pydantic.ConfigDict(extra='ignore', frozen=True)
+
+    name: settings.Name
+    role: platform.VmRole
+    state: platform.VmState
+    zone: settings.Name
+    region: settings.Name
+    host: settings.IpNumber
+    port: Annotated[int, pydantic.Field(strict=True, ge=1, le=65_535)]
+    slots: Annotated[int, pydantic.Field(strict=True, ge=0, le=65_536)]
+    connections: Annotated[
+        int, pydantic.Field(strict=True, ge=0, le=65_536)
+    ] = 0
+
+
+class _VmList(pydantic.BaseModel):
+    model_config = pydantic.ConfigDict(extra='ignore', frozen=True)
+
+    revision: Annotated[int, pydantic.Field(strict=True, ge=0, lt=2**63)]
+    vms: Annotated[list[_Vm], pydantic.Field(max_length=MAX_VMS)]
+
+
+def to_document(vm_list: platform.VmList) -> dict[str, Any]:
+    """Return the list as a JSON object."""
+    return {
+        'revision': vm_list.revision,
+        'vms': [_vm_fields(vm) for vm in vm_list.vms],
+    }
+
+
+def from_document(document: Any) -> result.Result[platform.VmList, str]:
+    """Check a parsed JSON object; the error is one sentence."""
+    try:
+        model = _VmList.model_validate(document)
+    except pydantic.ValidationError as exc:
+        return result.Err(settings.describe_errors(exc)[0])
+    vms = tuple(_to_vm(member) for member in model.vms)
+    if len({(vm.role, vm.name) for vm in vms}) < len(vms):
+        return result.Err('two VMs of one role have the same name')
+    return result.Ok(platform.VmList(revision=model.revision, vms=vms))
+
+
+def encode(vm_list: platform.VmList) -> bytes:
+    """Return the list as compressed JSON."""
+    text = json.dumps(to_document(vm_list), separators=(',', ':'))
+    return zlib.compress(text.encode(), _COMPRESSION_LEVEL)
+
+
+def decode(payload: bytes) -> result.Result[platform.VmList, str]:
+    """Parse what ``encode`` returned, within the bounds."""
+    if len(payload) > MAX_PAYLOAD_BYTES:
+        return result.Err(f'payload has {len(payload)} bytes')
+    inflater = zlib.decompressobj()
+    try:
+        text = inflater.decompress(payload, MAX_LIST_BYTES).decode()
+    except (zlib.error, UnicodeDecodeError) as exc:
+        return result.Err(f'payload is not compressed text: {exc}')
+    if not inflater.eof:
+        return result.Err('payload is cut or inflates over its bound')
+    return json_text.parse_object(
+        text, max_bytes=MAX_LIST_BYTES, comments=False
+    ).and_then(from_document)
+
+
+class ListFollower:
+    """Polls the platform's list and takes newer lists from peers."""
+
+    def __init__(
+        self,
+        *,
+        platform: platform.Platform,
+        directory: directory.Directory,
+        clock: clock.Clock,
+        rng: random.Random,
+        cfg: Config,
+    ) -> None:
+        """Start with what ``directory`` has."""
+        self._platform = platform
+        self._directory = directory
+        self._clock = clock
+        self._rng = rng
+        self._cfg = cfg
+        self._failures = 0
+        self._last_read: float | None = None
+        self._last_error: str | None = None
+        self._encoded: tuple[int, bytes] | None = None
+
+    async def run(self) -> None:
+        """Poll until cancelled."""
+        while True:
+            await self.poll_once()
+            await asyncio.sleep(self._next_wait_s())
+
+    async def poll_once(self) -> None:
+        """Read the platform's list once and offer it to the directory."""
+        listed = await self._platform.list_vms()
+        if isinstance(listed, result.Err):
+            self._failures += 1
+            self._last_error = listed.err_value.detail
+            if self._failures == 1:
+                _LOG.warning('cannot read VM list: %s', self._last_error)
+            return
+        self._failures = 0
+        self._last_error = None
+        self._last_read = self._clock.now()
+        self._directory.offer(listed.ok_value)
+
+    def revision(self) -> int:
+        """Return the revision of the newest list."""
+        return self._directory.newest.revision
+
+    def encode(self) -> bytes:
+        """Return the newest list for a peer."""
+        newest = self._directory.newest
+        if self._encoded is None or self._encoded[0] != newest.revision:
+            self._encoded = (newest.revision, encode(newest))
+        return self._encoded[1]
+
+    def offer(self, payload: bytes) -> None:
+        """Take a peer's list if it is well formed and newer."""
+        decoded = decode(payload)
+        if isinstance(decoded, result.Err):
+            _LOG.warning('peer sent a bad VM list: %s', decoded.err_value)
+            return
+        self._directory.offer(decoded.ok_value)
+
+    def state(self, *, now: float) -> dict[str, Any]:
+        """Return the state for the state dump."""
+        return {
+            'revision': self.revision(),
+            'vms': len(self._directory.newest.vms),
+            'age_s': None if self._last_read is None else now - self._last_read,
+            'platform_error': self._last_error,
+        }
+
+    def _next_wait_s(self) -> float:
+        cfg = self._cfg
+        base = min(cfg.poll_s * 2 ** min(self._failures, 8), cfg.max_backoff_s)
+        if not self._failures:
+            base = cfg.poll_s
+        return base * self._rng.uniform(1 - cfg.jitter, 1 + cfg.jitter)
+
+
+def _vm_fields(vm: platform.Vm) -> dict[str, Any]:
+    return {
+        'name': vm.name,
+        'role': vm.role.value,
+        'state': vm.state.value,
+        'zone': vm.zone,
+        'region': vm.region,
+        'host': vm.host,
+        'port': vm.port,
+        'slots': vm.slots,
+        'connections': vm.connections,
+    }
+
+
+def _to_vm(member: _Vm) -> platform.Vm:
+    return platform.Vm(
+        name=member.name,
+        role=member.role,
+        state=member.state,
+        zone=ids.ZoneId(member.zone),
+        region=ids.RegionId(member.region),
+        host=member.host,
+        port=member.port,
+        slots=member.slots,
+        connections=member.connections,
+    )
--- /dev/null
+++ b/sardineproxy/process/platform_http.py
@@ -0,0 +1,347 @@
+"""Client of the platform's services over HTTP."""
+
+import base64
+import binascii
+import dataclasses
+import json
+from typing import Any, Mapping
+
+import aiohttp
+import result
+import yarl
+
+from sardineproxy import json_text
+from sardineproxy.process import listing, platform
+
+#: Longest wait for a connection, in seconds.
+CONNECT_TIMEOUT_S = 2
+
+#: Largest page of rows, in bytes of JSON.
+MAX_PAGE_BYTES = 4_194_304
+
+#: Most bytes of rows that one read returns, over all pages.
+MAX_ROWS_BYTES = 33_554_432
+
+#: Largest object, in bytes.
+MAX_OBJECT_BYTES = 16_777_216
+
+#: Part of an error's answer that goes into its detail, in bytes.
+MAX_DETAIL_BYTES = 300
+
+_CHUNK_BYTES = 65_536
+
+_Error = platform.PlatformError
+_Kind = platform.ErrorKind
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class _Request:
+    method: str
+    path: str
+    max_bytes: int
+    query: Mapping[str, str] = dataclasses.field(default_factory=dict)
+    headers: Mapping[str, str] = dataclasses.field(default_factory=dict)
+    body: bytes | None = None
+
+    @property
+    def is_write(self) -> bool:
+        return self.method != 'GET'
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class _Reply:
+    status: int
+    body: bytes
+
+
+class HttpPlatform:
+    """Implements ``platform.Platform``."""
+
+    def __init__(
+        self,
+        *,
+        session: aiohttp.ClientSession,
+        host: str,
+        port: int,
+        timeout_s: float = 5,
+    ) -> None:
+        """Use ``session``, which ``close`` closes, for all connections."""
+        self._session = session
+        self._base = yarl.URL.build(scheme='http', host=host, port=port)
+        self._timeout = aiohttp.ClientTimeout(
+            total=timeout_s, connect=min(timeout_s, CONNECT_TIMEOUT_S)
+        )
+        self._vm_list: platform.VmList | None = None
+
+    async def read_rows(
+        self, prefix: str, *, after: str = '', strict: bool = False
+    ) -> result.Result[tuple[platform.Row, ...], _Error]:
+        """Return rows whose key starts with ``prefix``, sorted by key.
+
+        The platform answers in pages; a write between two pages of a read
+        shows only in the later ones.
+        """
+        rows: list[platform.Row] = []
+        size = 0
+        while True:
+            page = await self._read_page(prefix, after, strict)
+            if isinstance(page, result.Err):
+                return page
+            members, more = page.ok_value
+            rows.extend(members)
+            size += sum(len(row.body) for row in members)
+            if not more:
+                return result.Ok(tuple(rows))
+            if not members or size > MAX_ROWS_BYTES:
+                return _invalid(f'rows under {prefix} exceed their bound')
+            after = members[-1].key
+
+    async def transact(
+        self,
+        *,
+        conditions: tuple[platform.Condition, ...],
+        writes: tuple[platform.Write, ...],
+    ) -> result.Result[None, _Error]:
+        """Write all rows if all conditions hold, else none."""
+        body = json.dumps(
+            {
+                'conditions': [
+                    {'key': condition.key, 'revision': condition.revision}
+                    for condition in conditions
+                ],
+                'writes': [
+                    {'key': write.key, 'body_base64': _to_base64(write.body)}
+                    for write in writes
+                ],
+            }
+        )
+        reply = await self._exchange(
+            _Request(
+                method='POST',
+                path='/v1/transactions',
+                max_bytes=MAX_PAGE_BYTES,
+                headers={'Content-Type': 'application/json'},
+                body=body.encode(),
+            )
+        )
+        return reply.and_then(_check_write)
+
+    async def get_object(
+        self, name: str
+    ) -> result.Result[bytes | None, _Error]:
+        """Return the object, or None if there is no such object."""
+        reply = await self._exchange(
+            _Request(
+                method='GET',
+                path=f'/v1/objects/{name}',
+                max_bytes=MAX_OBJECT_BYTES,
+            )
+        )
+        if isinstance(reply, result.Ok) and reply.ok_value.status == 404:
+            return result.Ok(None)
+        return reply.and_then(_check_read).map(lambda found: found.body)
+
+    async def put_object(
+        self, name: str, body: bytes
+    ) -> result.Result[None, _Error]:
+        """Store the object."""
+        reply = await self._exchange(
+            _Request(
+                method='PUT',
+                path=f'/v1/objects/{name}',
+                max_bytes=MAX_PAGE_BYTES,
+                body=body,
+            )
+        )
+        return reply.and_then(_check_write)
+
+    async def list_vms(self) -> result.Result[platform.VmList, _Error]:
+        """Return the list of VMs, which may lag.
+
+        The platform sends the list only if its revision is another than that
+        of the last answer.
+        """
+        known = self._vm_list
+        tag = {} if known is None else {'If-None-Match': f'"{known.revision}"'}
+        reply = await self._exchange(
+            _Request(
+                method='GET',
+                path='/v1/vms',
+                max_bytes=listing.MAX_LIST_BYTES,
+                headers=tag,
+            )
+        )
+        if isinstance(reply, result.Ok) and reply.ok_value.status == 304:
+            if known is not None:
+                return result.Ok(known)
+        listed = (
+            reply.and_then(_check_read)
+            .and_then(lambda found: _parse(found, listing.MAX_LIST_BYTES))
+            .and_then(_to_vm_list)
+        )
+        if isinstance(listed, result.Ok):
+            self._vm_list = listed.ok_value
+        return listed
+
+    async def close(self) -> None:
+        """Close the session."""
+        await self._session.close()
+
+    async def _read_page(
+        self, prefix: str, after: str, strict: bool
+    ) -> result.Result[tuple[tuple[platform.Row, ...], bool], _Error]:
+        reply = await self._exchange(
+            _Request(
+                method='GET',
+                path='/v1/rows',
+                max_bytes=MAX_PAGE_BYTES,
+                query={
+                    'prefix': prefix,
+                    'after': after,
+                    'strict': str(int(strict)),
+                },
+            )
+        )
+        return (
+            reply.and_then(_check_read)
+            .and_then(lambda found: _parse(found, MAX_PAGE_BYTES))
+            .and_then(lambda document: _to_page(document, prefix, after))
+        )
+
+    async def _exchange(self, req: _Request) -> result.Result[_Reply, _Error]:
+        try:
+            return await self._send(req)
+        except (
+            aiohttp.ClientConnectorError,
+            aiohttp.ConnectionTimeoutError,
+        ) as exc:
+            return _failed(_Kind.UNAVAILABLE, req, exc)
+        except (aiohttp.ClientError, TimeoutError, OSError) as exc:
+            kind = _Kind.UNKNOWN if req.is_write else _kind_of_read(exc)
+            return _failed(kind, req, exc)
+
+    async def _send(self, req: _Request) -> result.Result[_Reply, _Error]:
+        url = self._base.with_path(req.path).with_query(req.query)
+        async with self._session.request(
+            req.method,
+            url,
+            headers=req.headers,
+            data=req.body,
+            timeout=self._timeout,
+            allow_redirects=False,
+        ) as reply:
+            body = bytearray()
+            async for chunk in reply.content.iter_chunked(_CHUNK_BYTES):
+                body += chunk
+                if len(body) > req.max_bytes and not req.is_write:
+                    return _invalid(f'answer to {req.path} exceeds its bound')
+                if req.is_write:
+                    # Only the start of a write's answer is used.
+                    body = body[:MAX_DETAIL_BYTES]
+            return result.Ok(_Reply(status=reply.status, body=bytes(body)))
+
+
+def _failed(
+    kind: platform.ErrorKind, req: _Request, exc: BaseException
+) -> result.Err[_Error]:
+    cause = str(exc) or type(exc).__name__
+    return result.Err(
+        _Error(kind=kind, detail=f'{req.method} {req.path} failed: {cause}')
+    )
+
+
+def _kind_of_read(exc: BaseException) -> platform.ErrorKind:
+    if isinstance(
+        exc, (aiohttp.ClientPayloadError, aiohttp.ClientResponseError)
+    ):
+        return _Kind.INVALID
+    return _Kind.UNAVAILABLE
+
+
+def _invalid(detail: str) -> result.Err[_Error]:
+    return result.Err(_Error(kind=_Kind.INVALID, detail=detail))
+
+
+def _describe(reply: _Reply) -> str:
+    text = reply.body[:MAX_DETAIL_BYTES].decode(errors='replace')
+    return f'the platform answered {reply.status}: {text}'
+
+
+def _check_read(reply: _Reply) -> result.Result[_Reply, _Error]:
+    if reply.status == 200:
+        return result.Ok(reply)
+    is_busy = reply.status == 429 or reply.status >= 500
+    kind = _Kind.UNAVAILABLE if is_busy else _Kind.INVALID
+    return result.Err(_Error(kind=kind, detail=_describe(reply)))
+
+
+def _check_write(reply: _Reply) -> result.Result[None, _Error]:
+    """Map a write's status; only a refusal by status rules out an effect."""
+    if reply.status in {200, 204}:
+        return result.Ok(None)
+    kinds = {
+        400: _Kind.INVALID,
+        409: _Kind.CONFLICT,
+        413: _Kind.INVALID,
+        429: _Kind.UNAVAILABLE,
+        507: _Kind.UNAVAILABLE,
+    }
+    kind = kinds.get(reply.status, _Kind.UNKNOWN)
+    return result.Err(_Error(kind=kind, detail=_describe(reply)))
+
+
+def _parse(reply: _Reply, max_bytes: int) -> result.Result[Any, _Error]:
+    try:
+        text = reply.body.decode()
+    except UnicodeDecodeError:
+        return _invalid('the platform answered with invalid UTF-8')
+    return json_text.parse_object(
+        text, max_bytes=max_bytes, comments=False
+    ).map_err(_to_invalid)
+
+
+def _to_invalid(detail: str) -> _Error:
+    return _Error(kind=_Kind.INVALID, detail=f'the platform answered: {detail}')
+
+
+def _to_vm_list(document: Any) -> result.Result[platform.VmList, _Error]:
+    return listing.from_document(document).map_err(_to_invalid)
+
+
+def _to_page(
+    document: Any, prefix: str, after: str
+) -> result.Result[tuple[tuple[platform.Row, ...], bool], _Error]:
+    try:
+        rows = tuple(_to_row(member) for member in document['rows'])
+        more = document['more']
+    except (KeyError, TypeError, ValueError):
+        return _invalid('the platform answered with a malformed page of rows')
+    keys = [after, *(row.key for row in rows)]
+    is_sorted = all(low < high for low, high in zip(keys, keys[1:]))
+    has_prefix = all(row.key.startswith(prefix) for row in rows)
+    if not is_sorted or not has_prefix or not isinstance(more, bool):
+        return _invalid('the platform answered with rows not asked for')
+    return result.Ok((rows, more))
+
+
+def _to_row(member: Mapping[str, Any]) -> platform.Row:
+    key, revision = member['key'], member['revision']
+    is_number = isinstance(revision, int) and not isinstance(revision, bool)
+    if not isinstance(key, str) or not is_number or revision < 1:
+        raise ValueError('row with a bad key or revision')
+    return platform.Row(
+        key=key,
+        revision=revision,
+        body=_from_base64(member['body_base64']),
+    )
+
+
+def _to_base64(body: bytes) -> str:
+    return base64.b64encode(body).decode()
+
+
+def _from_base64(text: str) -> bytes:
+    try:
+        return base64.b64decode(text, validate=True)
+    except binascii.Error as exc:
+        raise ValueError('row with a bad body') from exc
--- /dev/null
+++ b/sardineproxy/standin/platform_control.py
@@ -0,0 +1,131 @@
+"""Control interface of the stand-in platform, under ``/control``."""
+
+import functools
+from typing import Annotated, Any, Awaitable, Callable
+
+import pydantic
+from aiohttp import web
+
+from sardineproxy.process import listing
+from sardineproxy.standin import platform_faults, platform_server
+
+#: Longest lag of the VM list, in seconds.
+MAX_LAG_S = 3600
+
+
+class _Model(pydantic.BaseModel):
+    model_config = pydantic.ConfigDict(extra='forbid', strict=True, frozen=True)
+
+
+class _Down(_Model):
+    down: bool
+
+
+class _Slow(_Model):
+    ms: Annotated[float, pydantic.Field(ge=0, le=platform_faults.MAX_SLOW_MS)]
+
+
+class _StaleReads(_Model):
+    stale: bool
+
+
+class _ListLag(_Model):
+    seconds: Annotated[float, pydantic.Field(ge=0, le=MAX_LAG_S)]
+
+
+class _LoseAnswers(_Model):
+    writes: Annotated[
+        int, pydantic.Field(ge=0, le=platform_faults.MAX_LOST_ANSWERS)
+    ]
+
+
+class _Vms(_Model):
+    vms: list[dict[str, Any]]
+
+
+_Act = Callable[[Any], dict[str, Any]]
+
+
+class Control:
+    """Sets the faults and the VM list of a server."""
+
+    def __init__(self, *, server: platform_server.PlatformServer) -> None:
+        """Control ``server``."""
+        self._server = server
+
+    def add_routes(self, app: web.Application) -> None:
+        """Add the control routes to ``app``."""
+        app.add_routes(
+            [
+                web.post('/control/down', self._checked(self._down)),
+                web.post('/control/slow', self._checked(self._slow)),
+                web.post('/control/stale-reads', self._checked(self._stale)),
+                web.post('/control/list-lag', self._checked(self._lag)),
+                web.post('/control/lose-answers', self._checked(self._lose)),
+                web.post('/control/vms', self._checked(self._vms)),
+                web.get('/control/state', self._state),
+            ]
+        )
+
+    def _checked(
+        self, act: _Act
+    ) -> Callable[[web.Request], Awaitable[web.Response]]:
+        return functools.partial(_handle, act)
+
+    def _down(self, document: Any) -> dict[str, Any]:
+        self._server.faults.down = _Down.model_validate(document).down
+        return {}
+
+    def _slow(self, document: Any) -> dict[str, Any]:
+        self._server.faults.slow_ms = _Slow.model_validate(document).ms
+        return {}
+
+    def _stale(self, document: Any) -> dict[str, Any]:
+        is_stale = _StaleReads.model_validate(document).stale
+        table = self._server.store.table
+        self._server.faults.stale_table = table.copy() if is_stale else None
+        return {}
+
+    def _lag(self, document: Any) -> dict[str, Any]:
+        lag = _ListLag.model_validate(document)
+        self._server.faults.list_lag_s = lag.seconds
+        return {}
+
+    def _lose(self, document: Any) -> dict[str, Any]:
+        lose = _LoseAnswers.model_validate(document)
+        self._server.faults.lose_answers = lose.writes
+        return {}
+
+    def _vms(self, document: Any) -> dict[str, Any]:
+        members = _Vms.model_validate(document).vms
+        vm_list = listing.from_document({'revision': 0, 'vms': members})
+        if vm_list.is_err():
+            raise ValueError(vm_list.unwrap_err())
+        revision = self._server.store.set_vms(
+            vm_list.unwrap().vms, now=self._server.now()
+        )
+        return {'revision': revision}
+
+    async def _state(self, req: web.Request) -> web.Response:
+        faults = self._server.faults
+        return web.json_response(
+            {
+                'counts': dict(self._server.counts),
+                'down': faults.down,
+                'slow_ms': faults.slow_ms,
+                'stale_reads': faults.stale_table is not None,
+                'list_lag_s': faults.list_lag_s,
+                'lose_answers': faults.lose_answers,
+                'list_revision': self._server.store.newest_list().revision,
+                'rows': len(self._server.store.table),
+                'objects': len(self._server.store.objects),
+            }
+        )
+
+
+async def _handle(act: _Act, req: web.Request) -> web.Response:
+    try:
+        answer = act(await platform_server.read_json(req))
+    except ValueError as exc:
+        return web.Response(status=400, text=str(exc))
+    return web.json_response(answer)
--- /dev/null
+++ b/sardineproxy/standin/platform_thread.py
@@ -0,0 +1,82 @@
+"""Run the stand-in platform in a thread, for synchronous callers."""
+
+import asyncio
+import contextlib
+import http.client
+import json
+import threading
+from concurrent import futures
+from typing import Any, Iterator
+
+from sardineproxy import clock
+from sardineproxy.standin import platform_control, platform_server
+
+HOST = '127.0.0.1'
+
+#: Longest wait for the thread or an answer, in seconds.
+TIMEOUT_S = 60
+
+
+class RunningPlatform:
+    """Address and control of a platform that runs in a thread."""
+
+    def __init__(self, *, port: int) -> None:
+        """Control the platform at ``port``."""
+        self.host = HOST
+        self.port = port
+
+    def control(self, name: str, document: dict[str, Any]) -> dict[str, Any]:
+        """POST to ``/control/NAME`` and return the answer."""
+        return self._ask('POST', f'/control/{name}', json.dumps(document))
+
+    def state(self) -> dict[str, Any]:
+        """Return the answer of ``/control/state``."""
+        return self._ask('GET', '/control/state', None)
+
+    def _ask(self, method: str, path: str, body: str | None) -> dict[str, Any]:
+        conn = http.client.HTTPConnection(
+            self.host, self.port, timeout=TIMEOUT_S
+        )
+        with contextlib.closing(conn):
+            conn.request(method, path, body=body)
+            reply = conn.getresponse()
+            text = reply.read().decode()
+        if reply.status != 200:
+            raise ValueError(f'{path} answered {reply.status}: {text}')
+        return json.loads(text)
+
+
+@contextlib.contextmanager
+def running(
+    *, limits: platform_server.Limits | None = None
+) -> Iterator[RunningPlatform]:
+    """Run a platform inside the context."""
+    opened: futures.Future[int] = futures.Future()
+    stopped = asyncio.Event()
+    loop = asyncio.new_event_loop()
+    serving = _serve(limits or platform_server.Limits(), opened, stopped)
+    thread = threading.Thread(
+        target=loop.run_until_complete, args=(serving,), daemon=True
+    )
+    thread.start()
+    try:
+        yield RunningPlatform(port=opened.result(TIMEOUT_S))
+    finally:
+        loop.call_soon_threadsafe(stopped.set)
+        thread.join(TIMEOUT_S)
+        loop.close()
+
+
+async def _serve(
+    limits: platform_server.Limits,
+    opened: 'futures.Future[int]',
+    stopped: asyncio.Event,
+) -> None:
+    server = platform_server.PlatformServer(
+        clock=clock.SystemClock(), limits=limits
+    )
+    app = server.application()
+    platform_control.Control(server=server).add_routes(app)
+    async with platform_server.serving(app, host=HOST, port=0) as port:
+        opened.set_result(port)
+        await stopped.wait()
--- a/sardineproxy/version/contracts.py
+++ b/sardineproxy/version/contracts.py
@@ -1,9 +1,15 @@
 """Contracts: what each customer may submit and hold, and its share."""
 
-from typing import Annotated
+from typing import Annotated, Any, Mapping
 
 import pydantic
 
+#: Most contracts of one version.
+MAX_CONTRACTS = 1024
+
+#: Digits by which messages tell hashes apart.
+SHOWN_DIGITS = 8
+
 Hash = Annotated[str, pydantic.Field(pattern='^[0-9a-f]{64}$')]
 CustomerName = Annotated[
     str, pydantic.Field(pattern=r'^[a-z0-9][a-z0-9-]{0,62}$')
@@ -51,3 +57,50 @@
 
     #: Longest deadline that a request may ask for, in milliseconds.
     max_deadline_ms: Annotated[int, pydantic.Field(ge=1, le=600_000)] = 120_000
+
+
+def find_unmeetable(contract: Contract) -> tuple[str, ...]:
+    """Return one sentence for each limit that can never be met."""
+    largest_job = contract.max_job_tasks
+    sentences = [
+        f'{name}: found {found}; accepted is at least max_job_tasks, '
+        f'{largest_job}, or no job of that size is ever admitted.'
+        for name, found in (
+            ('submit_burst', contract.submit_burst),
+            ('queue', contract.queue),
+        )
+        if found < largest_job
+    ]
+    if contract.default_deadline_ms > contract.max_deadline_ms:
+        sentences.append(
+            f'default_deadline_ms: found {contract.default_deadline_ms}; '
+            f'accepted is at most max_deadline_ms, {contract.max_deadline_ms}.'
+        )
+    return tuple(sentences)
+
+
+def find_clashes(by_origin: Mapping[Any, Contract]) -> tuple[str, ...]:
+    """Return one sentence for each name or credential that is used twice.
+
+    The keys of ``by_origin`` say where a contract comes from, such as its
+    file.
+    """
+    sentences: list[str] = []
+    names: dict[str, Any] = {}
+    owners: dict[str, Any] = {}
+    for origin, contract in by_origin.items():
+        other = names.setdefault(contract.customer, origin)
+        if other != origin:
+            sentences.append(
+                f'{origin}: customer: found "{contract.customer}", which '
+                f'{other} has too; accepted is one contract for a customer.'
+            )
+        for place, credential in enumerate(contract.credential_sha256):
+            owner = owners.setdefault(credential, (origin, place))
+            if owner != (origin, place):
+                sentences.append(
+                    f'{origin}: credential_sha256.{place}: found '
+                    f'{credential[:SHOWN_DIGITS]}..., which {owner[0]} has '
+                    'too; accepted is each credential once.'
+                )
+    return tuple(sentences)
--- /dev/null
+++ b/sardineproxy/version/fetching.py
@@ -0,0 +1,198 @@
+"""Read versions from the platform's tables and objects."""
+
+import dataclasses
+
+import result
+
+from sardineproxy.process import platform
+from sardineproxy.version import codec, versions
+
+HEAD_KEY = 'config/head'
+CHANGE_PREFIX = 'config/change/'
+
+#: A snapshot object is written for each version that this divides.
+SNAPSHOT_EVERY = 64
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class HeadRow:
+    """The head and the revision of its row; both absent before version 1."""
+
+    head: versions.Head | None
+    revision: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Fetched:
+    """The newest version that was reached, and the changes to it."""
+
+    snapshot: versions.Snapshot
+    changes: tuple[versions.Change, ...]
+
+    #: Why the changes after ``snapshot`` could not be applied, else None.
+    fault: str | None = None
+
+
+def change_key(number: int) -> str:
+    """Return the key of a change's row; keys sort by number."""
+    return f'{CHANGE_PREFIX}{number:012d}'
+
+
+def snapshot_name(number: int, digest: str) -> str:
+    """Return the name of a snapshot object.
+
+    The digest is part of the name because the object is written before the
+    version is decided: the loser of a race must not replace the winner's.
+    """
+    return f'config/snapshot/{number:012d}-{digest}'
+
+
+async def read_head(
+    client: platform.Platform, *, strict: bool
+) -> result.Result[HeadRow, platform.PlatformError]:
+    """Return the head of the configuration."""
+    read = await client.read_rows(HEAD_KEY, strict=strict)
+    if isinstance(read, result.Err):
+        return read
+    for row in read.ok_value:
+        if row.key == HEAD_KEY:
+            return _decode_head(row)
+    return result.Ok(HeadRow(head=None, revision=0))
+
+
+async def read_changes(
+    client: platform.Platform, *, after: int, strict: bool
+) -> result.Result[tuple[platform.Row, ...], platform.PlatformError]:
+    """Return the rows of changes with a number greater than ``after``."""
+    return await client.read_rows(
+        CHANGE_PREFIX, after=change_key(after), strict=strict
+    )
+
+
+async def read_change(
+    client: platform.Platform, number: int, *, strict: bool = True
+) -> result.Result[versions.Change | None, platform.PlatformError]:
+    """Return one change, or None if it is absent or malformed."""
+    key = change_key(number)
+    read = await client.read_rows(key, strict=strict)
+    if isinstance(read, result.Err):
+        return read
+    for row in read.ok_value:
+        decoded = codec.decode_change(row.body)
+        if row.key == key and isinstance(decoded, result.Ok):
+            return decoded
+    return result.Ok(None)
+
+
+async def catch_up(
+    client: platform.Platform,
+    *,
+    known: versions.Snapshot,
+    head: versions.Head,
+    strict: bool,
+) -> result.Result[Fetched, platform.PlatformError]:
+    """Return the newest version that can be reached from ``known``.
+
+    Uses the changes after ``known``; when these are many or do not apply,
+    the latest snapshot object and the changes after it.
+    """
+    fetched = Fetched(snapshot=known, changes=())
+    if head.number - known.number <= SNAPSHOT_EVERY:
+        direct = await _follow(client, known, strict)
+        if isinstance(direct, result.Err):
+            return direct
+        fetched = direct.ok_value
+        if fetched.snapshot.number >= head.number:
+            return direct
+    start = await _read_snapshot(client, head, strict)
+    if isinstance(start, result.Err):
+        return start
+    if start.ok_value is None:
+        if head.number - known.number <= SNAPSHOT_EVERY:
+            return result.Ok(fetched)
+        return await _follow(client, known, strict)
+    if start.ok_value.number <= fetched.snapshot.number:
+        return result.Ok(fetched)
+    return await _follow(client, start.ok_value, strict)
+
+
+def apply_rows(
+    known: versions.Snapshot, rows: tuple[platform.Row, ...]
+) -> Fetched:
+    """Apply the changes in the rows in order, up to the first fault."""
+    snapshot = known
+    changes: list[versions.Change] = []
+    for row in rows:
+        step = _apply_row(snapshot, row)
+        if isinstance(step, result.Err):
+            fault = f'row {row.key}: {step.err_value}'
+            return Fetched(
+                snapshot=snapshot, changes=tuple(changes), fault=fault
+            )
+        change, snapshot = step.ok_value
+        changes.append(change)
+    return Fetched(snapshot=snapshot, changes=tuple(changes))
+
+
+def _apply_row(
+    known: versions.Snapshot, row: platform.Row
+) -> result.Result[tuple[versions.Change, versions.Snapshot], str]:
+    decoded = codec.decode_change(row.body)
+    if isinstance(decoded, result.Err):
+        return decoded
+    change = decoded.ok_value
+    return versions.apply(known, change).map(lambda reached: (change, reached))
+
+
+async def _follow(
+    client: platform.Platform, known: versions.Snapshot, strict: bool
+) -> result.Result[Fetched, platform.PlatformError]:
+    read = await read_changes(client, after=known.number, strict=strict)
+    return read.map(lambda rows: apply_rows(known, rows))
+
+
+async def _read_snapshot(
+    client: platform.Platform, head: versions.Head, strict: bool
+) -> result.Result[versions.Snapshot | None, platform.PlatformError]:
+    """Return the latest snapshot up to the head, or None if none is usable."""
+    number = head.number - head.number % SNAPSHOT_EVERY
+    if number == 0:
+        return result.Ok(None)
+    change = await read_change(client, number, strict=strict)
+    if isinstance(change, result.Err):
+        return change
+    if change.ok_value is None:
+        return result.Ok(None)
+    digest = change.ok_value.head.digest
+    body = await client.get_object(snapshot_name(number, digest))
+    if isinstance(body, result.Err):
+        return body
+    if body.ok_value is None:
+        return result.Ok(None)
+    decoded = codec.decode_snapshot(body.ok_value)
+    return result.Ok(_check_identity(decoded, number, digest))
+
+
+def _check_identity(
+    decoded: result.Result[versions.Snapshot, str], number: int, digest: str
+) -> versions.Snapshot | None:
+    if isinstance(decoded, result.Err):
+        return None
+    snapshot = decoded.ok_value
+    if (snapshot.number, snapshot.digest) != (number, digest):
+        return None
+    return snapshot
+
+
+def _decode_head(
+    row: platform.Row,
+) -> result.Result[HeadRow, platform.PlatformError]:
+    decoded = codec.decode_head(row.body)
+    if isinstance(decoded, result.Err):
+        return result.Err(
+            platform.PlatformError(
+                kind=platform.ErrorKind.INVALID,
+                detail=f'row {row.key}: {decoded.err_value}',
+            )
+        )
+    return result.Ok(HeadRow(head=decoded.ok_value, revision=row.revision))
--- /dev/null
+++ b/sardineproxy/version/follower.py
@@ -0,0 +1,250 @@
+"""Follow the newest configuration version from the platform and peers."""
+
+import asyncio
+import collections
+import dataclasses
+import random
+from typing import Any
+
+import result
+from reactivex import subject
+
+from sardineproxy import clock, ids, logs
+from sardineproxy.process import metrics, platform
+from sardineproxy.version import codec, fetching, versions
+
+#: Changes kept for peers that are a few versions behind.
+KEPT_CHANGES = 128
+
+#: Bytes of contracts in the kept changes. Peers that need older ones get a
+#: snapshot.
+KEPT_BYTES = 1_048_576
+
+#: Largest exponent of the back-off; keeps the power small.
+_MAX_EXPONENT = 8
+
+_LOG = logs.get_logger('config')
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Config:
+    """How often the head is read."""
+
+    poll_s: float = 2
+
+    #: Each wait is drawn from this fraction below to above its length.
+    jitter: float = 0.25
+
+    #: Longest wait while the platform fails. A version is to be in force
+    #: everywhere within 8 s, also right after an outage.
+    max_backoff_s: float = 4
+
+
+class Follower:
+    """Keeps the newest version that this process can take.
+
+    ``in_force`` never goes back to a lower number. Versions whose contracts
+    cannot be parsed are followed as texts, so that a later version that can
+    be parsed comes into force.
+    """
+
+    def __init__(
+        self,
+        *,
+        platform: platform.Platform,
+        clock: clock.Clock,
+        rng: random.Random,
+        metrics: metrics.Metrics,
+        cfg: Config,
+    ) -> None:
+        """Start without a version."""
+        self.in_force: subject.BehaviorSubject[versions.Version | None] = (
+            subject.BehaviorSubject(None)
+        )
+        self._platform = platform
+        self._clock = clock
+        self._rng = rng
+        self._metrics = metrics
+        self._cfg = cfg
+        self._newest = versions.EMPTY
+        self._changes: collections.deque[versions.Change] = collections.deque()
+        self._kept_bytes = 0
+        self._failures = 0
+        self._last_read: float | None = None
+        self._faults: dict[str, str] = {}
+
+    async def run(self) -> None:
+        """Poll until cancelled."""
+        while True:
+            await self.poll_once()
+            await asyncio.sleep(self._next_wait_s())
+
+    async def poll_once(self) -> None:
+        """Read the head and catch up with it if it is newer."""
+        strict = self.in_force.value is None
+        read = await fetching.read_head(self._platform, strict=strict)
+        if isinstance(read, result.Err):
+            self._platform_failed(read.err_value)
+            return
+        head = read.ok_value.head
+        if head is not None and self._is_newer(head):
+            fetched = await fetching.catch_up(
+                self._platform, known=self._newest, head=head, strict=strict
+            )
+            if isinstance(fetched, result.Err):
+                self._platform_failed(fetched.err_value)
+                return
+            self._take_fetched(fetched.ok_value)
+        self._failures = 0
+        self._last_read = self._clock.now()
+        self._clear_fault('platform')
+
+    def number(self) -> ids.VersionNumber:
+        """Return the number of the version in force, 0 if there is none."""
+        version = self.in_force.value
+        return ids.VersionNumber(0) if version is None else version.number
+
+    def changes_since(self, number: int) -> bytes | None:
+        """Return what brings a peer at ``number`` to the newest version.
+
+        None if this process has nothing newer.
+        """
+        if number >= self._newest.number:
+            return None
+        changes = tuple(
+            change for change in self._changes if change.head.number > number
+        )
+        is_chain = bool(changes) and changes[0].head.number == number + 1
+        payload = codec.Payload(snapshot=None, changes=changes)
+        if not is_chain or len(changes) > codec.MAX_CHANGES_IN_PAYLOAD:
+            payload = codec.Payload(snapshot=self._newest, changes=())
+        return codec.encode_payload(payload)
+
+    def offer(self, payload: bytes) -> None:
+        """Take what a peer's ``changes_since`` returned, if it is newer."""
+        decoded = codec.decode_payload(payload)
+        if isinstance(decoded, result.Err):
+            self._metrics.count('config_bad_offers_total')
+            _LOG.warning('peer sent a bad payload: %s', decoded.err_value)
+            return
+        offered = decoded.ok_value
+        if offered.snapshot is not None:
+            self._take_snapshot(offered.snapshot)
+        for change in offered.changes:
+            if not self._is_newer(change.head):
+                continue
+            applied = versions.apply(self._newest, change)
+            if isinstance(applied, result.Err):
+                _LOG.warning('peer sent a bad change: %s', applied.err_value)
+                break
+            self._keep(change)
+            self._newest = applied.ok_value
+        self._put_in_force()
+
+    def state(self, *, now: float) -> dict[str, Any]:
+        """Return the state for the state dump."""
+        version = self.in_force.value
+        return {
+            'number': self.number(),
+            'digest': None if version is None else version.digest,
+            'newest_known': self._newest.number,
+            'platform_read_age_s': (
+                None if self._last_read is None else now - self._last_read
+            ),
+            'faults': dict(self._faults),
+        }
+
+    def _is_newer(self, head: versions.Head) -> bool:
+        """Compare a head with the newest version; log a conflict."""
+        newest = self._newest
+        if head.number == newest.number and head.digest != newest.digest:
+            self._metrics.count('config_conflicts_total')
+            self._report(
+                'conflict',
+                f'version {head.number} has digest {newest.digest} here '
+                f'and {head.digest} elsewhere; the one here stays',
+            )
+        return head.number > newest.number
+
+    def _take_fetched(self, fetched: fetching.Fetched) -> None:
+        if fetched.fault is None:
+            self._clear_fault('change')
+        else:
+            self._report('change', fetched.fault)
+        if fetched.snapshot.number <= self._newest.number:
+            return
+        first = fetched.changes[0].head.number if fetched.changes else 0
+        if first != self._newest.number + 1:
+            self._forget_changes()
+        for change in fetched.changes:
+            self._keep(change)
+        self._newest = fetched.snapshot
+        self._put_in_force()
+
+    def _take_snapshot(self, snapshot: versions.Snapshot) -> None:
+        if snapshot.number <= self._newest.number:
+            return
+        self._forget_changes()
+        self._newest = snapshot
+
+    def _put_in_force(self) -> None:
+        newest = self._newest
+        if newest.number <= self.number():
+            return
+        parsed = versions.parse(newest)
+        if isinstance(parsed, result.Err):
+            self._metrics.count('config_unparsable_total')
+            self._report(
+                'unparsable',
+                f'version {newest.number} cannot be parsed, '
+                f'{self.number()} stays in force: {parsed.err_value}',
+            )
+            return
+        self._clear_fault('unparsable')
+        self._metrics.count('config_versions_total')
+        _LOG.info('version %d is in force', newest.number)
+        self.in_force.on_next(parsed.ok_value)
+
+    def _keep(self, change: versions.Change) -> None:
+        self._changes.append(change)
+        self._kept_bytes += _size_of(change)
+        while self._changes and self._is_over_bound():
+            self._kept_bytes -= _size_of(self._changes.popleft())
+
+    def _is_over_bound(self) -> bool:
+        return (
+            len(self._changes) > KEPT_CHANGES or self._kept_bytes > KEPT_BYTES
+        )
+
+    def _forget_changes(self) -> None:
+        self._changes.clear()
+        self._kept_bytes = 0
+
+    def _platform_failed(self, error: platform.PlatformError) -> None:
+        self._failures += 1
+        self._metrics.count('config_platform_failures_total')
+        self._report('platform', f'{error.kind.value}: {error.detail}')
+
+    def _report(self, kind: str, fault: str) -> None:
+        """Log a fault once, until it changes or is cleared."""
+        if self._faults.get(kind) == fault:
+            return
+        level = _LOG.warning if kind == 'platform' else _LOG.error
+        if kind != 'platform' or kind not in self._faults:
+            level('%s', fault)
+        self._faults[kind] = fault
+
+    def _clear_fault(self, kind: str) -> None:
+        self._faults.pop(kind, None)
+
+    def _next_wait_s(self) -> float:
+        cfg = self._cfg
+        wait_s = cfg.poll_s
+        if self._failures:
+            longer_s = cfg.poll_s * 2 ** min(self._failures, _MAX_EXPONENT)
+            wait_s = min(longer_s, max(cfg.max_backoff_s, cfg.poll_s))
+        return wait_s * self._rng.uniform(1 - cfg.jitter, 1 + cfg.jitter)
+
+
+def _size_of(change: versions.Change) -> int:
+    return sum(len(document) for document in change.documents.values())
