--- a/sardineproxy/operator/applying.py
+++ b/sardineproxy/operator/applying.py
@@ -190,10 +190,16 @@
     snapshot = versions.Snapshot(
         number=head.number, digest=head.digest, documents=documents
     )
-    return await client.put_object(
+    stored = await client.put_object(
         fetching.snapshot_name(head.number, head.digest),
         codec.encode_snapshot(snapshot),
     )
+    # No version refers to the object yet, so its fate changes nothing.
+    return stored.map_err(
+        lambda error: platform.PlatformError(
+            kind=platform.ErrorKind.UNAVAILABLE, detail=error.detail
+        )
+    )
 
 
 async def _judge(
--- a/sardineproxy/operator/commands.py
+++ b/sardineproxy/operator/commands.py
@@ -68,8 +68,7 @@
     lines = _diff_lines(snapshot.documents, documents)
     for line in lines:
         env.say(line)
-    outcome = 'These lines change' if lines else 'No change to'
-    env.say(f'{outcome} version {snapshot.number}.')
+    env.say(f'{len(lines)} differences from version {snapshot.number}.')
     return _Status.SUCCESS
 
 
@@ -153,7 +152,7 @@
 ) -> _Status:
     match outcome:
         case applying.Applied(head=head):
-            env.say(f'Made version {head.number}.')
+            env.say(f'Made version {head.number}, digest {head.digest}.')
         case applying.Unchanged(number=number):
             env.say(f'Version {number} has exactly these contracts already.')
         case applying.AlreadyApplied(head=head):
--- a/sardineproxy/operator/core.py
+++ b/sardineproxy/operator/core.py
@@ -53,7 +53,13 @@
     parsed = options.parse(name, rest[1:], values)
     if parsed.is_err():
         return _refuse(env, parsed.unwrap_err())
-    return asyncio.run(_run(_COMMANDS[name], env, parsed.unwrap()))
+    try:
+        return asyncio.run(_run(_COMMANDS[name], env, parsed.unwrap()))
+    except KeyboardInterrupt:
+        env.complain(
+            'Interrupted; an apply may have taken effect, run it again.'
+        )
+        return exit_status.ExitStatus.UNKNOWN
 
 
 async def _run(
--- a/sardineproxy/operator/options.py
+++ b/sardineproxy/operator/options.py
@@ -128,7 +128,7 @@
 
 def help_text(values: flags.FlagValues) -> str:
     """Return the text of ``--help``."""
-    return f'{_INTRODUCTION}\nFlags:\n{values.get_help()}'
+    return f'{_INTRODUCTION}\nFlags:\n{values.get_help(include_special_flags=False)}'
 
 
 def parse(
--- a/sardineproxy/process/listing.py
+++ b/sardineproxy/process/listing.py
@@ -4,6 +4,7 @@
 import dataclasses
 import json
 import random
+import socket
 import zlib
 from typing import Annotated, Any
 
@@ -25,6 +26,8 @@
 #: Compresses a list to about a tenth; higher levels gain little.
 _COMPRESSION_LEVEL = 6
 
+_MAX_HOST_CHARS = 45
+
 _LOG = logs.get_logger('listing')
 
 
@@ -42,6 +45,23 @@
     max_backoff_s: float = 4
 
 
+def _check_host(text: str) -> str:
+    """Check an IP number; ``ipaddress`` takes ten times as long."""
+    family = socket.AF_INET6 if ':' in text else socket.AF_INET
+    try:
+        socket.inet_pton(family, text)
+    except OSError as exc:
+        raise ValueError('expected an IP number, not a host name') from exc
+    return text
+
+
+_Host = Annotated[
+    str,
+    pydantic.Field(max_length=_MAX_HOST_CHARS),
+    pydantic.AfterValidator(_check_host),
+]
+
+
 class _Vm(pydantic.BaseModel):
     model_config = pydantic.ConfigDict(extra='ignore', frozen=True)
 
@@ -50,7 +70,7 @@
     state: platform.VmState
     zone: settings.Name
     region: settings.Name
-    host: settings.IpNumber
+    host: _Host
     port: Annotated[int, pydantic.Field(strict=True, ge=1, le=65_535)]
     slots: Annotated[int, pydantic.Field(strict=True, ge=0, le=65_536)]
     connections: Annotated[
--- a/sardineproxy/process/platform_http.py
+++ b/sardineproxy/process/platform_http.py
@@ -1,5 +1,6 @@
 """Client of the platform's services over HTTP."""
 
+import asyncio
 import base64
 import binascii
 import dataclasses
@@ -174,11 +175,8 @@
         if isinstance(reply, result.Ok) and reply.ok_value.status == 304:
             if known is not None:
                 return result.Ok(known)
-        listed = (
-            reply.and_then(_check_read)
-            .and_then(lambda found: _parse(found, listing.MAX_LIST_BYTES))
-            .and_then(_to_vm_list)
-        )
+        # Decoding 9,700 VMs took 0.13 s, too long for the event loop.
+        listed = await asyncio.to_thread(_parse_vm_list, reply)
         if isinstance(listed, result.Ok):
             self._vm_list = listed.ok_value
         return listed
@@ -304,6 +302,16 @@
     return _Error(kind=_Kind.INVALID, detail=f'the platform answered: {detail}')
 
 
+def _parse_vm_list(
+    reply: result.Result[_Reply, _Error],
+) -> result.Result[platform.VmList, _Error]:
+    return (
+        reply.and_then(_check_read)
+        .and_then(lambda found: _parse(found, listing.MAX_LIST_BYTES))
+        .and_then(_to_vm_list)
+    )
+
+
 def _to_vm_list(document: Any) -> result.Result[platform.VmList, _Error]:
     return listing.from_document(document).map_err(_to_invalid)
 
--- a/sardineproxy/standin/platform_core.py
+++ b/sardineproxy/standin/platform_core.py
@@ -71,7 +71,9 @@
     except flags.Error as exc:
         return _refuse(str(exc))
     if values.help:
-        sys.stdout.write(_INTRODUCTION + values.get_help())
+        sys.stdout.write(
+            _INTRODUCTION + values.get_help(include_special_flags=False)
+        )
         return exit_status.ExitStatus.SUCCESS
     if rest:
         return _refuse(f'unexpected argument "{rest[0]}"')
--- a/sardineproxy/standin/platform_thread.py
+++ b/sardineproxy/standin/platform_thread.py
@@ -2,11 +2,11 @@
 
 import asyncio
 import contextlib
-import http.client
 import json
 import threading
 from concurrent import futures
-from typing import Any, Iterator
+from http import client
+from typing import Any, Coroutine, Iterator
 
 from sardineproxy import clock
 from sardineproxy.standin import platform_control, platform_server
@@ -34,9 +34,7 @@
         return self._ask('GET', '/control/state', None)
 
     def _ask(self, method: str, path: str, body: str | None) -> dict[str, Any]:
-        conn = http.client.HTTPConnection(
-            self.host, self.port, timeout=TIMEOUT_S
-        )
+        conn = client.HTTPConnection(self.host, self.port, timeout=TIMEOUT_S)
         with contextlib.closing(conn):
             conn.request(method, path, body=body)
             reply = conn.getresponse()
@@ -56,7 +54,7 @@
     loop = asyncio.new_event_loop()
     serving = _serve(limits or platform_server.Limits(), opened, stopped)
     thread = threading.Thread(
-        target=loop.run_until_complete, args=(serving,), daemon=True
+        target=_run_loop, args=(loop, serving), daemon=True
     )
     thread.start()
     try:
@@ -64,7 +62,13 @@
     finally:
         loop.call_soon_threadsafe(stopped.set)
         thread.join(TIMEOUT_S)
-        loop.close()
+
+
+def _run_loop(
+    loop: asyncio.AbstractEventLoop, serving: Coroutine[Any, Any, None]
+) -> None:
+    with contextlib.closing(loop):
+        loop.run_until_complete(serving)
 
 
 async def _serve(
--- a/sardineproxy/version/contract_files.py
+++ b/sardineproxy/version/contract_files.py
@@ -3,6 +3,7 @@
 import difflib
 import json
 import pathlib
+import re
 from typing import Any, Mapping
 
 import jsonc
@@ -28,6 +29,10 @@
     'hash-credential prints them'
 )
 
+_STRING = r'("(?:\\.|[^"\\])*")'
+_COMMENT = re.compile(rf'{_STRING}|//[^\r\n]*|/\*.*?\*/', re.DOTALL)
+_TRAILING_COMMA = re.compile(rf'{_STRING}|,(?=\s*[\]}}])', re.DOTALL)
+
 Faults = tuple[str, ...]
 Contracts = Mapping[str, contracts.Contract]
 
@@ -65,7 +70,8 @@
     repeated: list[str] = []
     try:
         document = jsonc.loads(
-            text, object_pairs_hook=lambda pairs: _collect(pairs, repeated)
+            _blank_comments(text),
+            object_pairs_hook=lambda pairs: _collect(pairs, repeated),
         )
     except json.JSONDecodeError as exc:
         place = f'line {exc.lineno} column {exc.colno}'
@@ -130,6 +136,20 @@
     return parse_text(path.name, text)
 
 
+def _blank_comments(text: str) -> str:
+    """Replace comments by spaces.
+
+    ``jsonc`` removes them with their line ends, so its errors would name
+    another line than the one in the file.
+    """
+    without = _COMMENT.sub(_blank, text)
+    return _TRAILING_COMMA.sub(_blank, without)
+
+
+def _blank(match: re.Match[str]) -> str:
+    return match.group(1) or re.sub(r'[^\r\n]', ' ', match.group())
+
+
 def _collect(
     pairs: list[tuple[str, Any]], repeated: list[str]
 ) -> dict[str, Any]:
@@ -160,15 +180,21 @@
 
 
 def _show(key: str, found: Any) -> str:
-    if key == _HASH_PLACE and isinstance(found, str):
+    if key == _HASH_PLACE:
         # It may be the credential itself, which is never shown.
-        return f'a text of {len(found)} characters'
+        return _show_size(found)
     shown = json.dumps(found)
     if len(shown) > _MAX_FOUND_CHARS:
         return f'{shown[:_MAX_FOUND_CHARS]}...'
     return shown
 
 
+def _show_size(found: Any) -> str:
+    if isinstance(found, (str, list)):
+        return f'a {type(found).__name__} of length {len(found)}'
+    return f'a {type(found).__name__}'
+
+
 def _accepted(key: str) -> str:
     if key == 'customer':
         return _ACCEPTED_NAME
--- a/sardineproxy/version/fetching.py
+++ b/sardineproxy/version/fetching.py
@@ -13,6 +13,9 @@
 #: A snapshot object is written for each version that this divides.
 SNAPSHOT_EVERY = 64
 
+#: Snapshots tried, from the latest backwards, before all changes are read.
+MAX_SNAPSHOTS_TRIED = 4
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class HeadRow:
@@ -94,26 +97,25 @@
     """Return the newest version that can be reached from ``known``.
 
     Uses the changes after ``known``; when these are many or do not apply,
-    the latest snapshot object and the changes after it.
+    the latest usable snapshot object and the changes after it.
     """
-    fetched = Fetched(snapshot=known, changes=())
-    if head.number - known.number <= SNAPSHOT_EVERY:
+    is_near = head.number - known.number <= SNAPSHOT_EVERY
+    reached = Fetched(snapshot=known, changes=())
+    if is_near:
         direct = await _follow(client, known, strict)
         if isinstance(direct, result.Err):
             return direct
-        fetched = direct.ok_value
-        if fetched.snapshot.number >= head.number:
-            return direct
-    start = await _read_snapshot(client, head, strict)
+        reached = direct.ok_value
+    if reached.snapshot.number >= head.number:
+        return result.Ok(reached)
+    start = await _find_snapshot(client, reached.snapshot, head, strict)
     if isinstance(start, result.Err):
         return start
-    if start.ok_value is None:
-        if head.number - known.number <= SNAPSHOT_EVERY:
-            return result.Ok(fetched)
-        return await _follow(client, known, strict)
-    if start.ok_value.number <= fetched.snapshot.number:
-        return result.Ok(fetched)
-    return await _follow(client, start.ok_value, strict)
+    if start.ok_value is not None:
+        return await _follow(client, start.ok_value, strict)
+    if is_near:
+        return result.Ok(reached)
+    return await _follow(client, known, strict)
 
 
 def apply_rows(
@@ -151,13 +153,27 @@
     return read.map(lambda rows: apply_rows(known, rows))
 
 
-async def _read_snapshot(
-    client: platform.Platform, head: versions.Head, strict: bool
+async def _find_snapshot(
+    client: platform.Platform,
+    known: versions.Snapshot,
+    head: versions.Head,
+    strict: bool,
 ) -> result.Result[versions.Snapshot | None, platform.PlatformError]:
-    """Return the latest snapshot up to the head, or None if none is usable."""
+    """Return the latest usable snapshot newer than ``known``, else None."""
     number = head.number - head.number % SNAPSHOT_EVERY
-    if number == 0:
-        return result.Ok(None)
+    oldest = max(known.number, number - SNAPSHOT_EVERY * MAX_SNAPSHOTS_TRIED)
+    while number > oldest:
+        snapshot = await _read_snapshot(client, number, strict)
+        if isinstance(snapshot, result.Err) or snapshot.ok_value is not None:
+            return snapshot
+        number -= SNAPSHOT_EVERY
+    return result.Ok(None)
+
+
+async def _read_snapshot(
+    client: platform.Platform, number: int, strict: bool
+) -> result.Result[versions.Snapshot | None, platform.PlatformError]:
+    """Return one snapshot, or None if it is absent or malformed."""
     change = await read_change(client, number, strict=strict)
     if isinstance(change, result.Err):
         return change
--- a/sardineproxy/version/follower.py
+++ b/sardineproxy/version/follower.py
@@ -67,6 +67,7 @@
         self._metrics = metrics
         self._cfg = cfg
         self._newest = versions.EMPTY
+        self._tried = 0
         self._changes: collections.deque[versions.Change] = collections.deque()
         self._kept_bytes = 0
         self._failures = 0
@@ -95,9 +96,7 @@
                 self._platform_failed(fetched.err_value)
                 return
             self._take_fetched(fetched.ok_value)
-        self._failures = 0
-        self._last_read = self._clock.now()
-        self._clear_fault('platform')
+        self._platform_answered()
 
     def number(self) -> ids.VersionNumber:
         """Return the number of the version in force, 0 if there is none."""
@@ -127,18 +126,13 @@
             self._metrics.count('config_bad_offers_total')
             _LOG.warning('peer sent a bad payload: %s', decoded.err_value)
             return
-        offered = decoded.ok_value
-        if offered.snapshot is not None:
-            self._take_snapshot(offered.snapshot)
-        for change in offered.changes:
-            if not self._is_newer(change.head):
-                continue
-            applied = versions.apply(self._newest, change)
-            if isinstance(applied, result.Err):
-                _LOG.warning('peer sent a bad change: %s', applied.err_value)
+        snapshot = decoded.ok_value.snapshot
+        if snapshot is not None and self._is_newer(snapshot):
+            self._forget_changes()
+            self._newest = snapshot
+        for change in decoded.ok_value.changes:
+            if self._is_newer(change.head) and not self._take_change(change):
                 break
-            self._keep(change)
-            self._newest = applied.ok_value
         self._put_in_force()
 
     def state(self, *, now: float) -> dict[str, Any]:
@@ -154,24 +148,34 @@
             'faults': dict(self._faults),
         }
 
-    def _is_newer(self, head: versions.Head) -> bool:
-        """Compare a head with the newest version; log a conflict."""
+    def _is_newer(self, other: versions.Head | versions.Snapshot) -> bool:
+        """Compare with the newest version; report a conflict."""
         newest = self._newest
-        if head.number == newest.number and head.digest != newest.digest:
+        if other.number == newest.number and other.digest != newest.digest:
             self._metrics.count('config_conflicts_total')
             self._report(
                 'conflict',
-                f'version {head.number} has digest {newest.digest} here '
-                f'and {head.digest} elsewhere; the one here stays',
+                f'version {other.number} has digest {newest.digest} here '
+                f'and {other.digest} elsewhere; the one here stays',
             )
-        return head.number > newest.number
+        return other.number > newest.number
+
+    def _take_change(self, change: versions.Change) -> bool:
+        applied = versions.apply(self._newest, change)
+        if isinstance(applied, result.Err):
+            self._metrics.count('config_bad_offers_total')
+            _LOG.warning('peer sent a bad change: %s', applied.err_value)
+            return False
+        self._keep(change)
+        self._newest = applied.ok_value
+        return True
 
     def _take_fetched(self, fetched: fetching.Fetched) -> None:
         if fetched.fault is None:
-            self._clear_fault('change')
+            self._faults.pop('change', None)
         else:
             self._report('change', fetched.fault)
-        if fetched.snapshot.number <= self._newest.number:
+        if not self._is_newer(fetched.snapshot):
             return
         first = fetched.changes[0].head.number if fetched.changes else 0
         if first != self._newest.number + 1:
@@ -181,16 +185,12 @@
         self._newest = fetched.snapshot
         self._put_in_force()
 
-    def _take_snapshot(self, snapshot: versions.Snapshot) -> None:
-        if snapshot.number <= self._newest.number:
-            return
-        self._forget_changes()
-        self._newest = snapshot
-
     def _put_in_force(self) -> None:
+        """Put the newest version in force unless that was tried before."""
         newest = self._newest
-        if newest.number <= self.number():
+        if newest.number <= self._tried:
             return
+        self._tried = newest.number
         parsed = versions.parse(newest)
         if isinstance(parsed, result.Err):
             self._metrics.count('config_unparsable_total')
@@ -200,7 +200,8 @@
                 f'{self.number()} stays in force: {parsed.err_value}',
             )
             return
-        self._clear_fault('unparsable')
+        self._faults.pop('unparsable', None)
+        self._faults.pop('conflict', None)
         self._metrics.count('config_versions_total')
         _LOG.info('version %d is in force', newest.number)
         self.in_force.on_next(parsed.ok_value)
@@ -221,22 +222,26 @@
         self._kept_bytes = 0
 
     def _platform_failed(self, error: platform.PlatformError) -> None:
+        fault = f'{error.kind.value}: {error.detail}'
+        if not self._failures:
+            _LOG.warning('platform fails: %s', fault)
         self._failures += 1
         self._metrics.count('config_platform_failures_total')
-        self._report('platform', f'{error.kind.value}: {error.detail}')
+        self._faults['platform'] = fault
+
+    def _platform_answered(self) -> None:
+        if self._failures:
+            _LOG.info('platform answers after %d failures', self._failures)
+        self._failures = 0
+        self._last_read = self._clock.now()
+        self._faults.pop('platform', None)
 
     def _report(self, kind: str, fault: str) -> None:
-        """Log a fault once, until it changes or is cleared."""
-        if self._faults.get(kind) == fault:
-            return
-        level = _LOG.warning if kind == 'platform' else _LOG.error
-        if kind != 'platform' or kind not in self._faults:
-            level('%s', fault)
+        """Log an error once, until it changes."""
+        if self._faults.get(kind) != fault:
+            _LOG.error('%s', fault)
         self._faults[kind] = fault
 
-    def _clear_fault(self, kind: str) -> None:
-        self._faults.pop(kind, None)
-
     def _next_wait_s(self) -> float:
         cfg = self._cfg
         wait_s = cfg.poll_s
--- /dev/null
+++ b/tests/version/samples.py
@@ -0,0 +1,86 @@
+"""Contracts, versions and followers for tests."""
+
+import asyncio
+import hashlib
+
+import random
+
+import aiohttp
+
+from sardineproxy import clock
+from sardineproxy.operator import applying
+from sardineproxy.process import metrics, platform_http
+from sardineproxy.version import contracts, follower, versions
+
+
+def contract_fields(customer='acme', **changes):
+    credential = hashlib.sha256(customer.encode()).hexdigest()
+    return {
+        'customer': customer,
+        'credential_sha256': [credential],
+        'weight': 1,
+        'submit_per_s': 100,
+        'submit_burst': 2000,
+        'hold': 10,
+        'queue': 2000,
+        **changes,
+    }
+
+
+def documents(**weights):
+    """Return the canonical texts of contracts with these weights."""
+    return versions.documents_of(
+        contracts.Contract(**contract_fields(name, weight=weight))
+        for name, weight in weights.items()
+    )
+
+
+def chain(*contents):
+    """Return the snapshots and the changes that lead through ``contents``."""
+    snapshots, changes = [versions.EMPTY], []
+    for number, wanted in enumerate(contents, start=1):
+        head = versions.Head(
+            number=number,
+            digest=versions.digest_of(wanted),
+            operator='ann',
+            apply_id='0f',
+        )
+        changed, removed = versions.difference(snapshots[-1].documents, wanted)
+        change = versions.Change(head=head, documents=changed, removed=removed)
+        changes.append(change)
+        snapshots.append(versions.apply(snapshots[-1], change).unwrap())
+    return snapshots, changes
+
+
+def make_follower(client=None, poll_s=2):
+    return follower.Follower(
+        platform=client,
+        clock=clock.ManualClock(),
+        rng=random.Random(7),
+        metrics=metrics.Metrics(),
+        cfg=follower.Config(poll_s=poll_s),
+    )
+
+
+def with_client(address, act):
+    """Run ``await act(client)`` with a client of the platform."""
+
+    async def run():
+        async with aiohttp.ClientSession() as session:
+            client = platform_http.HttpPlatform(
+                session=session, host=address.host, port=address.port
+            )
+            return await act(client)
+
+    return asyncio.run(run())
+
+
+async def apply(client, base, operator='ann', **weights):
+    """Make version ``base + 1`` with these weights."""
+    wanted = applying.Wanted(
+        documents=documents(**weights),
+        base=base,
+        operator=operator,
+        apply_id='0f',
+    )
+    return (await applying.apply(client, wanted)).unwrap()
