--- /dev/null
+++ b/sardineproxy/demo/child.py
@@ -0,0 +1,158 @@
+"""One child process of a deployment, ended by its process id."""
+
+import asyncio
+import contextlib
+import ctypes
+import json
+import os
+import pathlib
+import signal
+import sys
+from typing import Sequence
+
+import sardineproxy
+
+#: Longest wait for the ready line, in seconds; generous for busy machines.
+READY_LIMIT_S = 60
+
+#: Longest wait for an orderly end before the process is killed, in seconds.
+STOP_LIMIT_S = 20
+
+#: Longest line that is read from a child, in bytes.
+MAX_LINE_BYTES = 1_048_576
+
+#: Bytes of the standard error that an error message quotes.
+QUOTED_BYTES = 2000
+SET_PARENT_DEATH_SIGNAL = 1
+
+_libc = ctypes.CDLL(None)
+
+
+class ChildError(Exception):
+    """The process did not start, or ended with an error."""
+
+
+class Child:
+    """A process that runs one of this package's programs."""
+
+    def __init__(
+        self, name: str, args: Sequence[str], directory: pathlib.Path
+    ) -> None:
+        """Prepare to run ``python -m sardineproxy NAME ARGS``."""
+        self.name = name
+        self.ports: dict[str, int] = {}
+        self._args = (sys.executable, '-m', 'sardineproxy', name, *args)
+        self._stderr = directory / f'{name}-{id(self)}.stderr'
+        self._process: asyncio.subprocess.Process | None = None
+        self._drain: asyncio.Task[None] | None = None
+
+    @property
+    def pid(self) -> int:
+        """Return the process id."""
+        assert self._process is not None
+        return self._process.pid
+
+    @property
+    def returncode(self) -> int | None:
+        """Return the exit status, or None while the process runs."""
+        return self._process.returncode if self._process else None
+
+    async def start(self) -> None:
+        """Start the process and read its ready line."""
+        await self._spawn()
+        try:
+            async with asyncio.timeout(READY_LIMIT_S):
+                self.ports = await self._read_ready()
+        except (TimeoutError, ValueError, ChildError) as exc:
+            await self.stop()
+            raise ChildError(f'{self.describe_end()} ({exc!r})') from exc
+        self._drain = asyncio.create_task(self._discard_output())
+
+    async def run(self, text: str, *, limit_s: float) -> str:
+        """Run to the end with ``text`` as input and return the output."""
+        process = await self._spawn()
+        try:
+            async with asyncio.timeout(limit_s):
+                output, _ = await process.communicate(text.encode())
+        except TimeoutError as exc:
+            await self.stop()
+            raise ChildError(f'{self.name}: no end after {limit_s} s') from exc
+        if process.returncode:
+            raise ChildError(self.describe_end())
+        return output.decode()
+
+    def signal(self, signum: signal.Signals) -> None:
+        """Send a signal to the process if it still runs."""
+        if self._process is not None and self._process.returncode is None:
+            with contextlib.suppress(ProcessLookupError):
+                self._process.send_signal(signum)
+
+    async def stop(self) -> None:
+        """End the process: SIGTERM, and SIGKILL when that takes long."""
+        if self._process is None:
+            return
+        self.signal(signal.SIGCONT)
+        self.signal(signal.SIGTERM)
+        try:
+            await asyncio.wait_for(self._process.wait(), STOP_LIMIT_S)
+        except TimeoutError:
+            await self.kill()
+        finally:
+            self.signal(signal.SIGKILL)
+        if self._drain is not None:
+            await self._drain
+            self._drain = None
+
+    async def kill(self) -> None:
+        """End the process at once and wait for its end."""
+        self.signal(signal.SIGKILL)
+        assert self._process is not None
+        await self._process.wait()
+
+    def describe_end(self) -> str:
+        """Return one message with the exit status and the last log lines."""
+        try:
+            log = self._stderr.read_bytes()[-QUOTED_BYTES:].decode(
+                errors='replace'
+            )
+        except OSError:
+            log = ''
+        return f'{self.name} ended with {self.returncode}: {log.strip()}'
+
+    async def _spawn(self) -> asyncio.subprocess.Process:
+        root = pathlib.Path(sardineproxy.__file__).parent.parent
+        with self._stderr.open('wb') as stderr:
+            self._process = await asyncio.create_subprocess_exec(
+                *self._args,
+                stdin=asyncio.subprocess.PIPE,
+                stdout=asyncio.subprocess.PIPE,
+                stderr=stderr,
+                limit=MAX_LINE_BYTES,
+                env={**os.environ, 'PYTHONPATH': str(root)},
+                preexec_fn=_end_with_parent,
+            )
+        return self._process
+
+    async def _read_ready(self) -> dict[str, int]:
+        assert self._process is not None
+        assert self._process.stdout is not None
+        line = await self._process.stdout.readline()
+        if not line:
+            await self._process.wait()
+            raise ChildError('no ready line')
+        document = json.loads(line)
+        if 'ready' not in document:
+            raise ChildError(f'not a ready line: {document}')
+        return dict(document['ready'])
+
+    async def _discard_output(self) -> None:
+        assert self._process is not None
+        assert self._process.stdout is not None
+        stdout = self._process.stdout
+        while not stdout.at_eof():
+            await stdout.read(MAX_LINE_BYTES)
+
+
+def _end_with_parent() -> None:
+    # The kernel ends the child even if its parent is killed.
+    _libc.prctl(SET_PARENT_DEATH_SIGNAL, signal.SIGKILL)
--- /dev/null
+++ b/sardineproxy/demo/controls.py
@@ -0,0 +1,26 @@
+"""Control requests to stand-ins and admin requests to entry processes."""
+
+from typing import Any, Mapping
+
+import aiohttp
+
+
+class ControlError(Exception):
+    """The request failed or was refused."""
+
+
+async def request(
+    session: aiohttp.ClientSession,
+    method: str,
+    url: str,
+    body: Mapping[str, Any] | None = None,
+) -> str:
+    """Send a request with a JSON body and return the answer's text."""
+    try:
+        async with session.request(method, url, json=body) as reply:
+            status, text = reply.status, await reply.text()
+    except (aiohttp.ClientError, TimeoutError) as exc:
+        raise ControlError(f'{method} {url}: {exc!r}') from exc
+    if status >= 400:
+        raise ControlError(f'{method} {url}: {status} {text}')
+    return text
--- /dev/null
+++ b/sardineproxy/demo/deployment.py
@@ -0,0 +1,191 @@
+"""Start and end a whole deployment of real processes on loopback."""
+
+import asyncio
+import json
+from typing import Any, Mapping, Sequence
+
+from sardineproxy.demo import child, controls, parts, processes
+
+HOST = parts.HOST
+OPERATOR = 'deployment'
+
+#: Longest wait for an entry process to be ready, in seconds.
+READY_LIMIT_S = 60
+
+POLL_S = 0.05
+
+
+class Deployment(processes.Processes):
+    """A stand-in platform, stand-in endpoints and entry processes."""
+
+    def __init__(self, *, region: str = 'alpha') -> None:
+        """Start with no process."""
+        super().__init__()
+        self._region = region
+        self._platform: child.Child | None = None
+        self._states: dict[str, str] = {}
+        self.endpoints: dict[str, parts.Endpoint] = {}
+        self.entries: dict[str, parts.Entry] = {}
+
+    async def start_platform(self) -> child.Child:
+        """Start the stand-in platform."""
+        self._platform = await self.start_program(
+            'standin-platform', '--host', HOST, '--port', '0'
+        )
+        return self._platform
+
+    async def start_endpoints(
+        self,
+        specs: Sequence[parts.EndpointSpec],
+        *,
+        slots: int = 8,
+        connections: int = 64,
+    ) -> child.Child:
+        """Serve all of ``specs`` from one process."""
+        process = await self.start_program(
+            'standin-endpoint',
+            f'--host={HOST}',
+            '--name=endpoint',
+            f'--count={len(specs)}',
+            f'--slots={slots}',
+            f'--connections={connections}',
+            '--speeds={0}'.format(','.join(str(spec.speed) for spec in specs)),
+        )
+        control = f'http://{HOST}:{process.ports["control"]}/control'
+        names = [name for name in process.ports if name != 'control']
+        for spec, name in zip(specs, names, strict=True):
+            self.endpoints[spec.name] = parts.Endpoint(
+                name=spec.name,
+                zone=spec.zone,
+                speed=spec.speed,
+                slots=slots,
+                connections=connections,
+                port=process.ports[name],
+                control=f'{control}/{name}',
+            )
+        return process
+
+    async def start_entry(self, spec: parts.EntrySpec) -> parts.Entry:
+        """Start an entry process; it is ready once it has a contract."""
+        path = self.directory / f'{spec.name}.json'
+        settings = parts.render_settings(
+            spec, region=self._region, platform_port=self._platform_port()
+        )
+        path.write_text(json.dumps(settings), encoding='utf-8')
+        process = await self.start_program('entry', '--settings', str(path))
+        entry = parts.Entry(
+            name=spec.name, zone=spec.zone, size=spec.size, process=process
+        )
+        self.entries[spec.name] = entry
+        return entry
+
+    async def register(self) -> None:
+        """Put all entry VMs and endpoints into the platform's list."""
+        await self.request(
+            'PUT', self._platform_url('vms'), {'vms': self._list_vms()}
+        )
+
+    async def set_state(self, name: str, state: str) -> None:
+        """List an entry VM or endpoint as ``live`` or ``leaving``."""
+        self._states[name] = state
+        await self.register()
+
+    async def set_faults(self, **faults: Any) -> None:
+        """Tell the platform to be down, slow, stale or lagging."""
+        await self.request('POST', self._platform_url('faults'), faults)
+
+    async def set_mode(self, endpoint: str, mode: str, **more: Any) -> None:
+        """Make an endpoint show a fault; ``normal`` ends it."""
+        await self.request(
+            'POST',
+            f'{self.endpoints[endpoint].control}/mode',
+            {'mode': mode, **more},
+        )
+
+    async def read_record(
+        self, endpoint: str, *, clear: bool = False
+    ) -> tuple[dict[str, int], list[dict[str, Any]]]:
+        """Return the summary and the starts of an endpoint's record."""
+        url = f'{self.endpoints[endpoint].control}/record'
+        lines = (await self.request('GET', url)).splitlines()
+        if clear:
+            await self.request('DELETE', url)
+        first, *starts = (json.loads(line) for line in lines)
+        return first['summary'], starts
+
+    async def hash_credential(self, credential: str) -> str:
+        """Return the hash of a credential that a contract holds."""
+        return (await self.ctl('hash-credential', text=credential)).strip()
+
+    async def apply(
+        self, contracts: Sequence[Mapping[str, Any]], *, base: int = 0
+    ) -> None:
+        """Apply contracts with the operator's program."""
+        directory = self.directory / f'contracts-{base}'
+        directory.mkdir()
+        for contract in contracts:
+            path = directory / f'{contract["customer"]}.json'
+            path.write_text(json.dumps(contract), encoding='utf-8')
+        await self.ctl(
+            'apply',
+            str(directory),
+            '--base',
+            str(base),
+            '--operator',
+            OPERATOR,
+            '--platform',
+            f'{HOST}:{self._platform_port()}',
+        )
+
+    async def wait_ready(self) -> None:
+        """Wait until every entry process answers that it is ready."""
+        try:
+            async with asyncio.timeout(READY_LIMIT_S):
+                await asyncio.gather(
+                    *(
+                        self._wait_ready(entry)
+                        for entry in self.entries.values()
+                    )
+                )
+        except TimeoutError as exc:
+            raise processes.DeploymentError(
+                f'entry processes are not ready after {READY_LIMIT_S} s'
+            ) from exc
+
+    async def _wait_ready(self, entry: parts.Entry) -> None:
+        while not await self._is_ready(entry):
+            await asyncio.sleep(POLL_S)
+
+    async def _is_ready(self, entry: parts.Entry) -> bool:
+        if entry.process.returncode is not None:
+            raise processes.DeploymentError(entry.process.describe_end())
+        try:
+            await controls.request(
+                self.session, 'GET', entry.admin_url('/readyz')
+            )
+        except controls.ControlError:
+            return False
+        return True
+
+    def _platform_port(self) -> int:
+        if self._platform is None:
+            raise processes.DeploymentError('the platform is not started')
+        return self._platform.ports['http']
+
+    def _platform_url(self, name: str) -> str:
+        return f'http://{HOST}:{self._platform_port()}/control/{name}'
+
+    def _list_vms(self) -> list[parts.Document]:
+        everything: tuple[parts.Endpoint | parts.Entry, ...] = (
+            *self.entries.values(),
+            *self.endpoints.values(),
+        )
+        return [
+            {
+                **part.render_vm(),
+                'state': self._states.get(part.name, 'live'),
+                'region': self._region,
+                'host': HOST,
+            }
+            for part in everything
+        ]
--- /dev/null
+++ b/sardineproxy/demo/processes.py
@@ -0,0 +1,91 @@
+"""Processes, a temporary directory and an HTTP session, ended together."""
+
+import asyncio
+import contextlib
+import pathlib
+import tempfile
+from types import TracebackType
+from typing import Any, Mapping, Self
+
+import aiohttp
+
+from sardineproxy.demo import child, controls
+
+#: Longest wait for one run of the operator's program, in seconds.
+COMMAND_LIMIT_S = 60
+
+#: Longest wait for a control request to a stand-in, in seconds.
+CONTROL_LIMIT_S = 30
+
+
+class DeploymentError(Exception):
+    """A part of the deployment could not be started or set up."""
+
+
+class Processes:
+    """Asynchronous context that owns processes and a temporary directory.
+
+    Leaving the context, for whatever reason, ends every process.
+    """
+
+    def __init__(self) -> None:
+        """Start with no process."""
+        self._stack = contextlib.AsyncExitStack()
+        self._children: list[child.Child] = []
+
+    async def __aenter__(self) -> Self:
+        """Make the temporary directory and the HTTP session."""
+        directory = self._stack.enter_context(
+            tempfile.TemporaryDirectory(prefix='sardineproxy-')
+        )
+        self.directory = pathlib.Path(directory)
+        self._stack.push_async_callback(self._stop_all)
+        self.session = await self._stack.enter_async_context(
+            aiohttp.ClientSession(
+                connector=aiohttp.TCPConnector(limit=0),
+                timeout=aiohttp.ClientTimeout(total=CONTROL_LIMIT_S),
+            )
+        )
+        return self
+
+    async def __aexit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        """End all processes and remove the directory."""
+        await self._stack.aclose()
+
+    async def start_program(self, name: str, *args: str) -> child.Child:
+        """Start any program that prints a ready line."""
+        process = child.Child(name, args, self.directory)
+        self._children.append(process)
+        try:
+            await process.start()
+        except child.ChildError as exc:
+            raise DeploymentError(str(exc)) from exc
+        return process
+
+    async def ctl(self, *args: str, text: str = '') -> str:
+        """Run the operator's program and return what it prints."""
+        command = child.Child('ctl', args, self.directory)
+        self._children.append(command)
+        try:
+            return await command.run(text, limit_s=COMMAND_LIMIT_S)
+        except child.ChildError as exc:
+            raise DeploymentError(str(exc)) from exc
+
+    async def request(
+        self, method: str, url: str, body: Mapping[str, Any] | None = None
+    ) -> str:
+        """Send a request with a JSON body and return the answer's text."""
+        try:
+            return await controls.request(self.session, method, url, body)
+        except controls.ControlError as exc:
+            raise DeploymentError(str(exc)) from exc
+
+    async def _stop_all(self) -> None:
+        await asyncio.gather(
+            *(process.stop() for process in reversed(self._children))
+        )
--- /dev/null
+++ b/sardineproxy/standin/endpoint_flags.py
@@ -0,0 +1,32 @@
+"""Command lines of the stand-ins, the demo and the load driver."""
+
+import sys
+
+from absl import flags
+
+from sardineproxy import exit_status
+
+
+def new_flags() -> flags.FlagValues:
+    """Return an empty set of flags that knows only ``--help``."""
+    values = flags.FlagValues()
+    flags.DEFINE_bool('help', False, 'Show this help.', flag_values=values)
+    return values
+
+
+def parse(
+    values: flags.FlagValues, argv: list[str], about: str
+) -> exit_status.ExitStatus | None:
+    """Parse ``argv``; return a status if the program must end at once."""
+    try:
+        rest = values(argv)
+    except flags.Error as exc:
+        sys.stderr.write(f'{exc}\n')
+        return exit_status.ExitStatus.USAGE
+    if values.help:
+        sys.stdout.write(f'{about}\n\n{values.get_help()}\n')
+        return exit_status.ExitStatus.SUCCESS
+    if len(rest) > 1:
+        sys.stderr.write(f'Unexpected argument "{rest[1]}".\n')
+        return exit_status.ExitStatus.USAGE
+    return None
--- /dev/null
+++ b/tests/standin/test_endpoint.py
@@ -0,0 +1,113 @@
+"""Stand-in endpoints, started as real processes."""
+
+import asyncio
+import hashlib
+from typing import Any
+
+import aiohttp
+import testtools
+from testtools import matchers
+
+from sardineproxy.demo import deployment, parts
+
+URN = parts.EndpointSpec(name='urn', zone='sondrio')
+FAULTS = (
+    ('fail', 500, 1),
+    ('refuse', 503, 0),
+    ('cut', None, 1),
+    ('short', None, 1),
+    ('close', 200, 1),
+    ('close_idle', 200, 1),
+)
+
+
+async def _post(
+    dep: deployment.Deployment, task: str, run_ms: float = 0
+) -> tuple[int | None, dict[str, Any]]:
+    url = f'http://{parts.HOST}:{dep.endpoints["urn"].port}/x'
+    headers = {'X-Task': task, 'X-Run-Ms': str(run_ms)}
+    try:
+        async with dep.session.post(url, headers=headers, data=b'b') as reply:
+            return reply.status, await reply.json()
+    except aiohttp.ClientError:
+        return None, {}
+
+
+class EndpointTest(testtools.TestCase):
+    """The record and the faults are what the other tests rely on."""
+
+    def test_queue_is_first_come_and_bounded_by_slots(self) -> None:
+        """Guards against records that hide an over-filled endpoint."""
+        summary, starts, replies = asyncio.run(_run_five_on_one_slot())
+        self.assertThat(summary['most_running'], matchers.Equals(1))
+        self.assertThat(len(starts), matchers.Equals(5))
+        arrivals = [start['arrival'] for start in starts]
+        self.assertThat(arrivals, matchers.Equals(sorted(arrivals)))
+        for before, after in zip(starts, starts[1:]):
+            self.assertTrue(before['end'] <= after['start'])
+        digest = hashlib.sha256(b'b').hexdigest()
+        for number, (status, answer) in enumerate(replies):
+            expected = {'task': f't{number}', 'body_sha256': digest}
+            self.assertThat(status, matchers.Equals(200))
+            self.assertThat(answer, matchers.ContainsDict(_equal(expected)))
+
+    def test_faults(self) -> None:
+        """Guards against a fault mode that starts or answers wrongly."""
+        seen = asyncio.run(_try_faults())
+        self.assertThat(seen, matchers.Equals(list(FAULTS)))
+
+    def test_silent_until_mode_changes(self) -> None:
+        """Guards against a silent endpoint that answers or hides its start."""
+        was_done, status = asyncio.run(_hold_one_request())
+        self.assertFalse(was_done)
+        self.assertIsNone(status)
+
+    def test_connections_are_bounded(self) -> None:
+        """Guards against an endpoint that takes more than its connections."""
+        summary = asyncio.run(_overflow_connections())
+        self.assertThat(summary['refused_connections'], matchers.GreaterThan(0))
+        self.assertThat(summary['most_running'], matchers.LessThan(3))
+
+
+def _equal(expected: dict[str, Any]) -> dict[str, Any]:
+    return {key: matchers.Equals(found) for key, found in expected.items()}
+
+
+async def _run_five_on_one_slot() -> Any:
+    async with deployment.Deployment() as dep:
+        await dep.start_endpoints([URN], slots=1)
+        replies = await asyncio.gather(
+            *(_post(dep, f't{number}', run_ms=20) for number in range(5))
+        )
+        return *await dep.read_record('urn'), replies
+
+
+async def _try_faults() -> list[tuple[str, int | None, int]]:
+    seen = []
+    async with deployment.Deployment() as dep:
+        await dep.start_endpoints([URN])
+        for mode, _, _ in FAULTS:
+            await dep.set_mode('urn', mode)
+            status, _ = await _post(dep, 'x')
+            summary, _ = await dep.read_record('urn', clear=True)
+            seen.append((mode, status, summary['started']))
+    return seen
+
+
+async def _hold_one_request() -> tuple[bool, int | None]:
+    async with deployment.Deployment() as dep:
+        await dep.start_endpoints([URN])
+        await dep.set_mode('urn', 'silent')
+        held = asyncio.create_task(_post(dep, 'x'))
+        while not (await dep.read_record('urn'))[1]:
+            await asyncio.sleep(0.01)
+        was_done = held.done()
+        await dep.set_mode('urn', 'normal')
+        return was_done, (await held)[0]
+
+
+async def _overflow_connections() -> dict[str, int]:
+    async with deployment.Deployment() as dep:
+        await dep.start_endpoints([URN], connections=2)
+        await asyncio.gather(*(_post(dep, 'x', run_ms=300) for _ in range(6)))
+        return (await dep.read_record('urn'))[0]
