--- a/sardineproxy/standin/endpoint_server.py
+++ b/sardineproxy/standin/endpoint_server.py
@@ -141,12 +141,16 @@
         self._endpoint = endpoint
         self._bound = connections
 
-    def __call__(self) -> web_protocol.RequestHandler:
-        """Return the protocol of a new connection."""
-        if self._open_connections() < self._bound:
-            return super().__call__()
-        self._endpoint.record.count('refused_connections')
-        return _Refusal()  # type: ignore[return-value]
+    def connection_made(
+        self,
+        handler: web_protocol.RequestHandler,
+        transport: asyncio.Transport,
+    ) -> None:
+        """Add a connection, or reset it."""
+        super().connection_made(handler, transport)
+        if self._open_connections() > self._bound:
+            self._endpoint.record.count('refused_connections')
+            transport.abort()
 
     def _open_connections(self) -> int:
         # A lost connection stays in the mapping while its task runs.
@@ -156,15 +160,6 @@
         )
 
 
-class _Refusal(asyncio.Protocol):
-    """Resets a connection as soon as it is made."""
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Reset the connection."""
-        assert isinstance(transport, asyncio.Transport)
-        transport.abort()
-
-
 async def control(
     endpoint: Endpoint, req: web.BaseRequest
 ) -> web.StreamResponse:
