Forward, query and cancel submissions by key

Questions about a key go to the process that minted it; only that process says of a minted key that its work did not run. Records and notes are kept per customer, so that one customer cannot push out another's.

--- a/sardineproxy/request/admission.py
+++ b/sardineproxy/request/admission.py
@@ -1,15 +1,19 @@
 """Submission rate, queue bound and deadlines of each customer's contract."""
 
 import dataclasses
+import hashlib
+import hmac
+
+import result
 
 from sardineproxy import ids, problems
-from sardineproxy.request import documents
-from sardineproxy.version import contracts
+from sardineproxy.request import documents, work
+from sardineproxy.version import contracts, versions
 
 MS_PER_SECOND = 1000
 
-#: Shortest Retry-After of a full queue, in seconds.
-QUEUE_RETRY_S = 1
+#: Retry-After of refusals that end at a time nobody knows, in seconds.
+RETRY_S = 1
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
@@ -20,24 +24,151 @@
     filled_at: float
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Offer:
+    """A submission that a caller asks this VM to run."""
+
+    customer: ids.CustomerId
+    kind: work.Kind
+
+    #: True if it carries an idempotency key.
+    keyed: bool
+    body: bytes
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Admitted:
+    """A submission that has been taken."""
+
+    offer: Offer
+    contract: contracts.Contract
+    document: documents.JobDocument
+
+    def tasks(
+        self, *, request_id: ids.RequestId, now: float
+    ) -> list[work.Task]:
+        """Return the tasks, with deadlines counted from ``now``."""
+        return [
+            work.Task(
+                request_id=request_id,
+                index=index,
+                customer=self.offer.customer,
+                kind=self.offer.kind,
+                idempotent=task.idempotent,
+                method=task.method,
+                path=task.path,
+                headers=tuple(task.headers.items()),
+                body=task.body(),
+                deadline=deadline(
+                    contract=self.contract,
+                    deadline_ms=task.deadline_ms or self.document.deadline_ms,
+                    now=now,
+                ),
+            )
+            for index, task in enumerate(self.document.tasks)
+        ]
+
+
 class Admission:
     """Decides whether this VM takes a submission."""
 
     def __init__(self) -> None:
-        """Start with full buckets, as the only live VM."""
+        """Start without contracts and with full buckets."""
         self._buckets: dict[ids.CustomerId, _Bucket] = {}
+        self._contracts: dict[ids.CustomerId, contracts.Contract] = {}
+        self._credentials: dict[str, ids.CustomerId] = {}
         self._live_vms = 1
+        self._ready = False
+        self._draining = False
+
+    def set_version(self, version: versions.Version | None) -> None:
+        """Apply the version's contracts to what is submitted from now on."""
+        self._ready = version is not None
+        self._contracts = dict(version.contracts) if version else {}
+        self._credentials = {
+            digest: customer
+            for customer, contract in self._contracts.items()
+            for digest in contract.credential_sha256
+        }
+        for customer in self._buckets.keys() - self._contracts.keys():
+            self._buckets.pop(customer)
 
     def set_live_vms(self, count: int) -> None:
         """Set among how many VMs the customers' rates are divided."""
         self._live_vms = max(1, count)
 
-    def forget_except(self, customers: frozenset[ids.CustomerId]) -> None:
-        """Drop the buckets of customers that have no contract any more."""
-        for customer in self._buckets.keys() - customers:
-            self._buckets.pop(customer)
+    def drain(self) -> None:
+        """Refuse everything from now on."""
+        self._draining = True
+
+    def authenticate(
+        self, *, credential: str
+    ) -> result.Result[ids.CustomerId, problems.Problem]:
+        """Return the customer whose contract has the credential's hash."""
+        digest = hashlib.sha256(
+            credential.encode(errors='surrogateescape')
+        ).hexdigest()
+        customer = self._credentials.get(digest)
+        if customer is not None:
+            known = self._contracts[customer].credential_sha256
+            if any([hmac.compare_digest(digest, one) for one in known]):
+                return result.Ok(customer)
+        if not self._ready:
+            return result.Err(_not_ready())
+        return result.Err(unauthorized())
+
+    def longest_deadline_s(self, *, customer: ids.CustomerId) -> float:
+        """Return how long a submission of the customer may take."""
+        contract = self._contracts.get(customer)
+        if contract is None:
+            return 0
+        return contract.max_deadline_ms / MS_PER_SECOND
+
+    def refusal_of_all(self) -> problems.Problem | None:
+        """Return why nothing is taken at present, if so."""
+        if self._draining:
+            return _shutting_down()
+        return None if self._ready else _not_ready()
 
     def admit(
+        self, *, offer: Offer, waiting: int, now: float
+    ) -> result.Result[Admitted, problems.Problem]:
+        """Parse and take a submission, or return why it is refused."""
+        refused = self.refusal_of_all()
+        if refused is not None:
+            return result.Err(refused)
+        contract = self._contracts.get(offer.customer)
+        if contract is None:
+            return result.Err(_no_contract())
+        if not offer.keyed and offer.kind is work.Kind.JOB:
+            return result.Err(_key_required())
+        parsed = documents.parse_submission(kind=offer.kind, body=offer.body)
+        if isinstance(parsed, result.Err):
+            return parsed
+        admitted = Admitted(
+            offer=offer, contract=contract, document=parsed.ok_value
+        )
+        refused = check_bounds(admitted=admitted) or self._charge(
+            contract=contract,
+            tasks=len(admitted.document.tasks),
+            waiting=waiting,
+            now=now,
+        )
+        return result.Err(refused) if refused else result.Ok(admitted)
+
+    def state(self) -> dict[str, object]:
+        """Return the buckets and what they are derived from, for the dump."""
+        return {
+            'draining': self._draining,
+            'live_vms': self._live_vms,
+            'contracts': len(self._contracts),
+            'tokens': {
+                customer: round(bucket.tokens, 3)
+                for customer, bucket in sorted(self._buckets.items())
+            },
+        }
+
+    def _charge(
         self,
         *,
         contract: contracts.Contract,
@@ -56,7 +187,7 @@
                 code='queue_full',
                 status=429,
                 detail=f'{waiting} tasks of the customer wait at this VM.',
-                retry_after_s=QUEUE_RETRY_S,
+                retry_after_s=RETRY_S,
             )
         wait_s = self._take(contract, tasks, now)
         if wait_s > 0:
@@ -88,10 +219,11 @@
         return 0
 
 
-def check_bounds(
-    *, contract: contracts.Contract, document: documents.JobDocument
-) -> problems.Problem | None:
+def check_bounds(*, admitted: Admitted) -> problems.Problem | None:
     """Return why the contract never allows the submission, if so."""
+    contract, document = admitted.contract, admitted.document
+    if not admitted.offer.keyed and not document.tasks[0].idempotent:
+        return _key_required()
     tasks = len(document.tasks)
     if tasks > contract.max_job_tasks:
         return documents.refusal(
@@ -128,3 +260,46 @@
     """Return the monotonic seconds after which a task must not start."""
     default_ms = min(contract.default_deadline_ms, contract.max_deadline_ms)
     return now + (deadline_ms or default_ms) / MS_PER_SECOND
+
+
+def unauthorized() -> problems.Problem:
+    """Return the refusal of a credential that no contract has."""
+    return documents.refusal(
+        code='unauthorized',
+        status=401,
+        detail='The Authorization header holds no known credential.',
+    )
+
+
+def _shutting_down() -> problems.Problem:
+    return documents.refusal(
+        code='shutting_down',
+        status=503,
+        detail='This VM is shutting down and takes no new work.',
+        retry_after_s=RETRY_S,
+    )
+
+
+def _not_ready() -> problems.Problem:
+    return documents.refusal(
+        code='not_ready',
+        status=503,
+        detail='This VM has no configuration version yet.',
+        retry_after_s=RETRY_S,
+    )
+
+
+def _no_contract() -> problems.Problem:
+    return documents.refusal(
+        code='no_contract',
+        status=403,
+        detail='The customer has no contract in the version in force.',
+    )
+
+
+def _key_required() -> problems.Problem:
+    return documents.refusal(
+        code='key_required',
+        status=400,
+        detail='Only an idempotent single request may omit its key.',
+    )
--- a/sardineproxy/request/documents.py
+++ b/sardineproxy/request/documents.py
@@ -32,9 +32,6 @@
 MAX_HEADERS = 64
 MAX_HEADER_CHARACTERS = 16_384
 
-#: Statuses from this one on mean that the endpoint reported an error.
-FIRST_ERROR_STATUS = 400
-
 METHODS = frozenset(
     ('GET', 'HEAD', 'POST', 'PUT', 'PATCH', 'DELETE', 'OPTIONS')
 )
@@ -72,6 +69,9 @@
     headers: tuple[tuple[str, str], ...]
     body: bytes
 
+    #: What it says of the request; None if it says nothing final.
+    verdict: verdicts.Verdict | None = None
+
 
 def _check_method(method: str) -> str:
     if method not in METHODS:
@@ -270,28 +270,28 @@
     )
 
 
-def outcome_verdict(outcome: work.Outcome) -> verdicts.Verdict:
-    """Return what became of one task."""
-    match outcome:
-        case work.Answer(status=status):
-            if status < FIRST_ERROR_STATUS:
-                return verdicts.Verdict.RAN
-            return verdicts.Verdict.RAN_AND_FAILED
-        case work.Refused(problem=problem) | work.Unknown(problem=problem):
-            return problem.verdict
+def answer_too_large(verdict: verdicts.Verdict | None) -> problems.Problem:
+    """Return what is left of an answer that fits into no peer message."""
+    return problems.Problem(
+        code='answer_too_large_to_forward',
+        verdict=verdict or verdicts.Verdict.MAY_HAVE_RUN,
+        status=502,
+        detail='Ask the VM that minted the key for the answer.',
+    )
 
 
 def render_json(
     *,
     status: int,
     document: Mapping[str, Any],
-    headers: tuple[tuple[str, str], ...] = (),
+    verdict: verdicts.Verdict | None = None,
 ) -> Reply:
     """Return a JSON answer."""
     return Reply(
         status=status,
-        headers=(('Content-Type', JSON_TYPE), *headers),
+        headers=(('Content-Type', JSON_TYPE),),
         body=json.dumps(document).encode(),
+        verdict=verdict,
     )
 
 
@@ -310,6 +310,7 @@
         status=problem.status,
         headers=tuple(headers),
         body=json.dumps(document).encode(),
+        verdict=problem.verdict,
     )
 
 
@@ -325,18 +326,3 @@
         'final': problem.final,
         'retry_after_s': problem.retry_after_s,
     }
-
-
-def answer_document(answer: work.Answer) -> dict[str, Any]:
-    """Return an endpoint's answer; a body that is not UTF-8 as base64."""
-    document: dict[str, Any] = {
-        'verdict': outcome_verdict(answer).value,
-        'status': answer.status,
-        'headers': [list(header) for header in answer.headers],
-        'endpoint': answer.endpoint,
-    }
-    try:
-        document['body_text'] = answer.body.decode()
-    except UnicodeDecodeError:
-        document['body_base64'] = base64.b64encode(answer.body).decode()
-    return document
--- a/sardineproxy/request/job.py
+++ b/sardineproxy/request/job.py
@@ -1,11 +1,25 @@
-"""Run one submission to completion and render its answer."""
+"""Run submissions to completion and render their answers."""
 
 import asyncio
-from typing import Any, Protocol, Sequence
+import base64
+import collections
+import itertools
+from typing import Any, Awaitable, Coroutine, Protocol, Sequence, TypeVar
 
-from sardineproxy import ids, logs, verdicts
-from sardineproxy.request import documents, records, work
+from sardineproxy import clock, ids, logs, problems, verdicts
+from sardineproxy.process import metrics
+from sardineproxy.request import admission, documents, records, work
 
+#: Most bytes of endpoints' answers that one job may collect.
+MAX_JOB_ANSWER_BYTES = 67_108_864
+
+#: Most running submissions that the state dump lists.
+MAX_LISTED = 100
+
+#: Statuses from this one on mean that the endpoint reported an error.
+FIRST_ERROR_STATUS = 400
+
+_Kept = TypeVar('_Kept')
 _log = logs.get_logger('request')
 
 
@@ -34,42 +48,38 @@
         record: records.Record,
         tasks: Sequence[work.Task],
         runner: Runner,
+        unstarted: collections.Counter[ids.CustomerId],
     ) -> None:
-        """Start nothing yet."""
+        """Start nothing yet; ``unstarted`` counts tasks not yet handed over."""
         self._record = record
+        self._unstarted = unstarted
         self._tasks = tasks
         self._runner = runner
-
-        #: Tasks that have been admitted and not yet handed to the runner.
-        self.unstarted = len(tasks)
+        self._answer_bytes = 0
 
     async def run(self) -> documents.Reply:
         """Run all tasks and return the answer to the caller."""
         if self._record.kind is work.Kind.SINGLE:
             outcome = await self._run_task(self._tasks[0])
-            self._record.verdict = documents.outcome_verdict(outcome)
             return _single_reply(self._record, outcome)
         outcomes = await asyncio.gather(
             *(self._run_task(task) for task in self._tasks)
         )
-        self._record.verdict = job_verdict(outcomes)
         return _job_reply(self._record, outcomes)
 
     async def _run_task(self, task: work.Task) -> work.Outcome:
-        self.unstarted -= 1
+        self._unstarted[task.customer] -= 1
         outcome = await self._outcome(task)
         self._record.ended_tasks += 1
+        if isinstance(outcome, work.Answer):
+            self._answer_bytes += len(outcome.body)
+            if self._answer_bytes > MAX_JOB_ANSWER_BYTES:
+                return _without_answer(outcome)
         return outcome
 
     async def _outcome(self, task: work.Task) -> work.Outcome:
         if self._record.cancelled:
-            return work.Refused(
-                problem=documents.refusal(
-                    code='cancelled',
-                    status=409,
-                    detail='The request was cancelled before it started.',
-                )
-            )
+            return work.Refused(problem=cancelled())
         run = self._runner.run_single
         if task.kind is work.Kind.JOB:
             run = self._runner.run_job_task
@@ -87,9 +97,141 @@
             )
 
 
+class Executions:
+    """Everything that this process has in progress for callers."""
+
+    def __init__(
+        self,
+        *,
+        clock: clock.Clock,
+        runner: Runner,
+        table: records.Table,
+        metrics: metrics.Metrics,
+    ) -> None:
+        """Start with nothing in progress."""
+        self._clock = clock
+        self._runner = runner
+        self._table = table
+        self._metrics = metrics
+        self._records: dict[ids.RequestId, records.Record] = {}
+        self._in_progress: set[asyncio.Task[Any]] = set()
+        self._unstarted: collections.Counter[ids.CustomerId] = (
+            collections.Counter()
+        )
+
+    def start(
+        self,
+        *,
+        admitted: admission.Admitted,
+        request_id: ids.RequestId,
+        sequence: int | None = None,
+        fingerprint: bytes = b'',
+    ) -> records.Record:
+        """Run a submission; its tasks count as waiting from now on."""
+        now = self._clock.now()
+        record = records.Record(
+            request_id=request_id,
+            customer=admitted.offer.customer,
+            kind=admitted.offer.kind,
+            fingerprint=fingerprint,
+            tasks=len(admitted.document.tasks),
+            started_at=now,
+            answered=asyncio.get_running_loop().create_future(),
+            sequence=sequence,
+        )
+        if sequence is not None:
+            self._table.open(record=record)
+        self._records[request_id] = record
+        self._unstarted[record.customer] += record.tasks
+        execution = Execution(
+            record=record,
+            tasks=admitted.tasks(request_id=request_id, now=now),
+            runner=self._runner,
+            unstarted=self._unstarted,
+        )
+        self.keep(self._run(record, execution))
+        return record
+
+    def keep(self, coroutine: Coroutine[Any, Any, _Kept]) -> Awaitable[_Kept]:
+        """Run to the end even if whoever waits for the result goes away."""
+        task = asyncio.get_running_loop().create_task(coroutine)
+        self._in_progress.add(task)
+        task.add_done_callback(self._in_progress.discard)
+        return asyncio.shield(task)
+
+    async def idle(self) -> None:
+        """Wait until nothing is in progress."""
+        while self._in_progress:
+            await asyncio.wait(self._in_progress)
+
+    def waiting(self, *, customer: ids.CustomerId) -> int:
+        """Return how many admitted tasks of the customer have not started."""
+        waiting = self._runner.waiting(customer=customer)
+        return waiting + self._unstarted[customer]
+
+    def state(self, *, now: float) -> dict[str, object]:
+        """Return counts and the oldest submissions, for the state dump."""
+        oldest = itertools.islice(self._records.values(), MAX_LISTED)
+        return {
+            'in_progress': len(self._in_progress),
+            'running': len(self._records),
+            'oldest': [_record_state(record, now) for record in oldest],
+        }
+
+    def cancel(self, *, record: records.Record) -> None:
+        """Keep tasks of the record that have not started from starting."""
+        if not record.cancelled:
+            record.cancelled = True
+            self._runner.cancel(request_id=record.request_id)
+
+    async def _run(self, record: records.Record, execution: Execution) -> None:
+        reply = await execution.run()
+        record.ended_at = self._clock.now()
+        record.answered.set_result(reply)
+        self._records.pop(record.request_id)
+        self._table.end(record=record)
+        self._metrics.observe(
+            'submission_seconds',
+            record.ended_at - record.started_at,
+            kind=record.kind.value,
+        )
+
+
+def _record_state(record: records.Record, now: float) -> dict[str, object]:
+    return {
+        'id': record.request_id,
+        'customer': record.customer,
+        'kind': record.kind.value,
+        'tasks': record.tasks,
+        'ended_tasks': record.ended_tasks,
+        'cancelled': record.cancelled,
+        'age_s': round(now - record.started_at, 3),
+    }
+
+
+def cancelled() -> problems.Problem:
+    """Return the refusal of a task that was cancelled before it started."""
+    return documents.refusal(
+        code='cancelled',
+        status=409,
+        detail='The request was cancelled before it started.',
+    )
+
+
+def outcome_verdict(outcome: work.Outcome) -> verdicts.Verdict:
+    """Return what became of one task."""
+    match outcome:
+        case work.Answer(status=status):
+            if status < FIRST_ERROR_STATUS:
+                return verdicts.Verdict.RAN
+            return verdicts.Verdict.RAN_AND_FAILED
+        case work.Refused(problem=problem) | work.Unknown(problem=problem):
+            return problem.verdict
+
+
 def job_verdict(outcomes: Sequence[work.Outcome]) -> verdicts.Verdict:
     """Return what became of the whole job."""
-    found = {documents.outcome_verdict(outcome) for outcome in outcomes}
+    found = {outcome_verdict(outcome) for outcome in outcomes}
     if verdicts.Verdict.MAY_HAVE_RUN in found:
         return verdicts.Verdict.MAY_HAVE_RUN
     if len(found) == 1:
@@ -97,16 +239,29 @@
     return verdicts.Verdict.RAN_AND_FAILED
 
 
+def answer_document(answer: work.Answer) -> dict[str, Any]:
+    """Return an endpoint's answer; a body that is not UTF-8 as base64."""
+    document: dict[str, Any] = {
+        'verdict': outcome_verdict(answer).value,
+        'status': answer.status,
+        'headers': [list(header) for header in answer.headers],
+        'endpoint': answer.endpoint,
+    }
+    try:
+        document['body_text'] = answer.body.decode()
+    except UnicodeDecodeError:
+        document['body_base64'] = base64.b64encode(answer.body).decode()
+    return document
+
+
 def _single_reply(
     record: records.Record, outcome: work.Outcome
 ) -> documents.Reply:
     if isinstance(outcome, work.Answer):
         return documents.render_json(
             status=200,
-            document={
-                'id': record.request_id,
-                **documents.answer_document(outcome),
-            },
+            document={'id': record.request_id, **answer_document(outcome)},
+            verdict=outcome_verdict(outcome),
         )
     return documents.render_problem(outcome.problem, record.request_id)
 
@@ -114,24 +269,42 @@
 def _job_reply(
     record: records.Record, outcomes: Sequence[work.Outcome]
 ) -> documents.Reply:
-    assert record.verdict is not None
-    complete = record.verdict is verdicts.Verdict.RAN and not record.cancelled
+    verdict = job_verdict(outcomes)
+    whole = all(isinstance(outcome, work.Answer) for outcome in outcomes)
+    complete = (
+        whole and verdict is verdicts.Verdict.RAN and not record.cancelled
+    )
     return documents.render_json(
         status=200,
         document={
             'id': record.request_id,
             'state': 'complete' if complete else 'failed',
-            'verdict': record.verdict.value,
+            'verdict': verdict.value,
             'cancelled': record.cancelled,
             'tasks': [_task_document(outcome) for outcome in outcomes],
         },
+        verdict=verdict,
     )
 
 
 def _task_document(outcome: work.Outcome) -> dict[str, Any]:
     if isinstance(outcome, work.Answer):
-        return documents.answer_document(outcome)
+        return answer_document(outcome)
     return {
         'verdict': outcome.problem.verdict.value,
         'problem': documents.problem_document(outcome.problem),
     }
+
+
+def _without_answer(answer: work.Answer) -> work.Outcome:
+    return work.Unknown(
+        problem=problems.Problem(
+            code='answers_too_large',
+            verdict=outcome_verdict(answer),
+            status=502,
+            detail=(
+                "The job's answers exceed "
+                f'{MAX_JOB_ANSWER_BYTES} bytes together.'
+            ),
+        )
+    )
--- a/sardineproxy/request/keys.py
+++ b/sardineproxy/request/keys.py
@@ -12,7 +12,8 @@
 import itertools
 import re
 
-from sardineproxy import ids
+from sardineproxy import ids, problems, verdicts
+from sardineproxy.request import documents
 
 #: Characters of the hexadecimal MAC: 128 bits of HMAC-SHA256.
 MAC_CHARACTERS = 32
@@ -20,6 +21,9 @@
 #: Longest key that is looked at, in characters.
 MAX_KEY_CHARACTERS = 256
 
+#: Seconds after which to ask again for a minter that was not reached.
+RETRY_S = 1
+
 MS_PER_SECOND = 1000
 
 _PATTERN = re.compile(
@@ -108,3 +112,113 @@
         covered = f'{signed}\n{customer}'.encode()
         digest = hmac.new(self._secret, covered, hashlib.sha256).hexdigest()
         return digest[:MAC_CHARACTERS]
+
+
+def malformed() -> problems.Problem:
+    """Return the refusal of a text that no process can have minted."""
+    return documents.refusal(
+        code='malformed_key',
+        status=400,
+        detail='Idempotency keys are minted by POST /v1/keys.',
+    )
+
+
+def unknown() -> problems.Problem:
+    """Return the refusal of a key that was not minted for the customer."""
+    return documents.refusal(
+        code='unknown_key',
+        status=404,
+        detail='This VM minted no such key for the customer.',
+    )
+
+
+def expired() -> problems.Problem:
+    """Return the answer to a key whose record may have been dropped."""
+    return documents.doubt(
+        code='key_expired',
+        status=410,
+        detail='The key has expired and never starts work again.',
+    )
+
+
+def reused() -> problems.Problem:
+    """Return the refusal of a second submission under one key.
+
+    The verdict is the key's: a caller that rendered the same work in other
+    bytes must not take it for work that did not run.
+    """
+    return documents.doubt(
+        code='key_reused',
+        status=422,
+        detail=(
+            'The key was used for a submission with another body. This one '
+            'is not run; the earlier one may have run.'
+        ),
+    )
+
+
+def not_submitted() -> problems.Problem:
+    """Return the status of a key with which nothing has arrived so far."""
+    return documents.doubt(
+        code='not_submitted',
+        status=404,
+        detail=(
+            'Nothing has arrived under this key so far; a submission may be '
+            'on its way. DELETE keeps it from starting.'
+        ),
+        final=False,
+    )
+
+
+def minter_gone() -> problems.Problem:
+    """Return the answer to a key whose incarnation has ended."""
+    return documents.doubt(
+        code='minter_gone',
+        status=410,
+        detail='The process that minted the key has ended.',
+    )
+
+
+def minter_unreachable() -> problems.Problem:
+    """Return the answer to a key whose minter could not be asked."""
+    return documents.doubt(
+        code='minter_unreachable',
+        status=503,
+        detail='The process that minted the key cannot be reached now.',
+        retry_after_s=RETRY_S,
+        final=False,
+    )
+
+
+def too_large_to_forward() -> problems.Problem:
+    """Return the refusal of a submission that fits into no peer message."""
+    return documents.doubt(
+        code='too_large_to_forward',
+        status=413,
+        detail='Submit this body at the VM that minted the key.',
+        final=False,
+    )
+
+
+def malformed_forward() -> problems.Problem:
+    """Return the answer to a forward that could not be read."""
+    return documents.doubt(
+        code='malformed_forward',
+        status=502,
+        detail='The process that minted the key could not read the forward.',
+        final=False,
+    )
+
+
+def without_minter(
+    problem: problems.Problem, key_text: str | None
+) -> problems.Problem:
+    """Return the problem as a process may state it that did not ask the minter.
+
+    Only the minter may say of a well-formed key that its work did not run.
+    """
+    if key_text is None or parse(key_text) is None:
+        return problem
+    return dataclasses.replace(
+        problem, verdict=verdicts.Verdict.MAY_HAVE_RUN, final=False
+    )
--- a/sardineproxy/request/records.py
+++ b/sardineproxy/request/records.py
@@ -3,16 +3,22 @@
 A key's work starts at most once as long as its record, or the note that
 replaced it, outlives the key. Records that have to make room early are
 replaced by notes without the answer; notes that have to make room early
-void all older keys that have no record.
+void all older keys of the same customer that have no record. The customer
+that holds the most makes room first, so that no customer can push out what
+is kept for another.
 """
 
 import asyncio
 import collections
 import dataclasses
+import enum
 
-from sardineproxy import ids, problems, verdicts
+from sardineproxy import ids, problems
 from sardineproxy.request import documents, keys, work
 
+#: Seconds between two searches for records and notes past their time.
+SWEEP_S = 1
+
 
 @dataclasses.dataclass(kw_only=True, slots=True)
 class Record:
@@ -31,16 +37,15 @@
 
     #: Monotonic seconds.
     started_at: float
-    ended_at: float | None = None
+    ended_at: float = 0
 
     cancelled: bool = False
-    done: asyncio.Future[documents.Reply]
 
-    #: Position of the key; keyless requests have none.
-    sequence: int | None = None
+    #: Done once all tasks have ended.
+    answered: asyncio.Future[documents.Reply]
 
-    #: What became of the whole submission, once it has ended.
-    verdict: verdicts.Verdict | None = None
+    #: Sequence number of the key; keyless requests have none.
+    sequence: int | None = None
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -56,125 +61,226 @@
     noted_at: float
 
 
+@dataclasses.dataclass(kw_only=True, slots=True)
+class _Totals:
+    """Sums over all shelves, so that bounds are checked without a walk."""
+
+    ended: int = 0
+    notes: int = 0
+    answer_bytes: int = 0
+
+
+class Absence(enum.Enum):
+    """Why nothing is known of a key."""
+
+    #: It was not minted by this process for the customer.
+    UNKNOWN = 'unknown'
+
+    #: It may have been used; its record may have been dropped.
+    VOID = 'void'
+
+    #: It was never used and may start work.
+    NEW = 'new'
+
+
+class _Shelf:
+    """What is kept for one customer, oldest first."""
+
+    def __init__(self, totals: _Totals) -> None:
+        self.ended: collections.OrderedDict[int, Record] = (
+            collections.OrderedDict()
+        )
+        self.notes: collections.OrderedDict[int, Note] = (
+            collections.OrderedDict()
+        )
+        self.answer_bytes = 0
+        self.void_up_to = 0
+        self._totals = totals
+
+    def put(self, sequence: int, record: Record) -> None:
+        self.ended[sequence] = record
+        self._totals.ended += 1
+        self._add_bytes(len(record.answered.result().body))
+
+    def pop(self) -> tuple[int, Record]:
+        sequence, record = self.ended.popitem(last=False)
+        self._totals.ended -= 1
+        self._add_bytes(-len(record.answered.result().body))
+        return sequence, record
+
+    def put_note(self, sequence: int, note: Note) -> None:
+        self.notes[sequence] = note
+        self._totals.notes += 1
+
+    def pop_note(self) -> int:
+        sequence, _ = self.notes.popitem(last=False)
+        self._totals.notes -= 1
+        return sequence
+
+    def sweep(self, *, records_until: float, notes_until: float) -> None:
+        while self.ended:
+            if next(iter(self.ended.values())).ended_at > records_until:
+                break
+            self.pop()
+        while self.notes:
+            if next(iter(self.notes.values())).noted_at > notes_until:
+                break
+            self.pop_note()
+
+    def _add_bytes(self, count: int) -> None:
+        self.answer_bytes += count
+        self._totals.answer_bytes += count
+
+
 class Table:
     """All records and notes, bounded in number, size and time."""
 
     def __init__(
         self,
         *,
+        ring: keys.KeyRing,
         key_ttl_s: float,
         record_ttl_s: float,
         max_records: int,
         max_answer_bytes: int,
     ) -> None:
         """Start empty; times in seconds."""
+        self._ring = ring
         self._key_ttl_s = key_ttl_s
         self._record_ttl_s = record_ttl_s
         self._max_records = max_records
         self._max_answer_bytes = max_answer_bytes
         self._running: dict[int, Record] = {}
-        self._ended: collections.OrderedDict[int, Record] = (
-            collections.OrderedDict()
-        )
-        self._notes: collections.OrderedDict[int, Note] = (
-            collections.OrderedDict()
-        )
-        self._answer_bytes = 0
-        self._void_up_to = 0
-
-    def find(self, *, key: keys.Key, now: float) -> Record | Note | None:
-        """Return what is known of a genuine key."""
-        self._drop_old(now)
-        sequence = key.sequence
-        return (
-            self._running.get(sequence)
-            or self._ended.get(sequence)
-            or self._notes.get(sequence)
-        )
+        self._shelves: dict[ids.CustomerId, _Shelf] = {}
+        self._totals = _Totals()
+        self._sweep_at = float('-inf')
 
-    def is_void(self, *, key: keys.Key, now: float) -> bool:
-        """Tell whether the record of a used key could be gone by now."""
-        return now >= key.expires_at or key.sequence <= self._void_up_to
+    def find(
+        self, *, key: keys.Key, customer: ids.CustomerId, now: float
+    ) -> Record | Note | Absence:
+        """Return what is known of a key that ``customer`` presents."""
+        if not self._ring.is_genuine(key=key, customer=customer):
+            return Absence.UNKNOWN
+        self._sweep(now)
+        shelf = self._shelf(customer)
+        held = (
+            self._running.get(key.sequence)
+            or shelf.ended.get(key.sequence)
+            or shelf.notes.get(key.sequence)
+        )
+        if held is not None:
+            return held
+        if now >= key.expires_at or key.sequence <= shelf.void_up_to:
+            return Absence.VOID
+        return Absence.NEW
 
     def is_full(self) -> bool:
         """Tell whether no record can make room for another one."""
         return len(self._running) >= self._max_records
 
-    def open(self, *, record: Record, now: float) -> None:
+    def open(self, *, record: Record) -> None:
         """Add the record of a key that is about to start work."""
         assert record.sequence is not None
         assert not self.is_full()
         self._running[record.sequence] = record
-        while len(self._running) + len(self._ended) > self._max_records:
-            self._replace_oldest(now)
+        self._make_room(record.started_at)
 
-    def end(self, *, record: Record, reply: documents.Reply) -> None:
-        """Keep the answer of a record whose ``ended_at`` has been set."""
+    def end(self, *, record: Record) -> None:
+        """Keep a record that has been answered."""
         if record.sequence is None:
             return
         self._running.pop(record.sequence)
-        self._ended[record.sequence] = record
-        self._answer_bytes += len(reply.body)
-        assert record.ended_at is not None
-        while self._answer_bytes > self._max_answer_bytes:
-            self._replace_oldest(record.ended_at)
+        self._shelf(record.customer).put(record.sequence, record)
+        self._make_room(record.ended_at)
 
     def note(
         self,
         *,
         key: keys.Key,
+        customer: ids.CustomerId,
         fingerprint: bytes | None,
         problem: problems.Problem,
         now: float,
-    ) -> None:
+    ) -> Note:
         """Remember that a key without a record will never start work."""
-        self._add_note(
-            key.sequence,
-            Note(problem=problem, fingerprint=fingerprint, noted_at=now),
-        )
+        note = Note(problem=problem, fingerprint=fingerprint, noted_at=now)
+        self._shelf(customer).put_note(key.sequence, note)
+        self._make_room(now)
+        return note
 
-    def sizes(self) -> dict[str, int]:
-        """Return counts for the state dump."""
+    def sizes(self) -> dict[str, dict[str, int]]:
+        """Return what is held for each customer, for the state dump."""
         return {
-            'running': len(self._running),
-            'ended': len(self._ended),
-            'notes': len(self._notes),
-            'answer_bytes': self._answer_bytes,
-            'void_up_to': self._void_up_to,
+            customer: {
+                'ended': len(shelf.ended),
+                'notes': len(shelf.notes),
+                'answer_bytes': shelf.answer_bytes,
+                'void_up_to': shelf.void_up_to,
+            }
+            for customer, shelf in sorted(self._shelves.items())
         }
 
-    def _drop_old(self, now: float) -> None:
-        while self._ended:
-            record = next(iter(self._ended.values()))
-            if now < (record.ended_at or 0) + self._record_ttl_s:
-                break
-            self._pop_oldest()
-        while self._notes:
-            if (
-                now
-                < next(iter(self._notes.values())).noted_at + self._key_ttl_s
-            ):
-                break
-            self._notes.popitem(last=False)
+    def _shelf(self, customer: ids.CustomerId) -> _Shelf:
+        shelf = self._shelves.get(customer)
+        if shelf is None:
+            shelf = _Shelf(self._totals)
+            self._shelves[customer] = shelf
+        return shelf
 
-    def _pop_oldest(self) -> tuple[int, Record]:
-        sequence, record = self._ended.popitem(last=False)
-        self._answer_bytes -= len(record.done.result().body)
-        return sequence, record
+    def _make_room(self, now: float) -> None:
+        totals = self._totals
+        shelves = self._shelves.values()
+        while totals.ended and self._exceeds_count():
+            _replace_oldest(max(shelves, key=_count_of_ended), now)
+        while totals.answer_bytes > self._max_answer_bytes:
+            _replace_oldest(max(shelves, key=_answer_bytes), now)
+        while totals.notes > self._max_records:
+            shelf = max(shelves, key=_count_of_notes)
+            shelf.void_up_to = max(shelf.void_up_to, shelf.pop_note())
+
+    def _exceeds_count(self) -> bool:
+        return len(self._running) + self._totals.ended > self._max_records
+
+    def _sweep(self, now: float) -> None:
+        if now < self._sweep_at:
+            return
+        self._sweep_at = now + SWEEP_S
+        for shelf in self._shelves.values():
+            shelf.sweep(
+                records_until=now - self._record_ttl_s,
+                notes_until=now - self._key_ttl_s,
+            )
+
+
+def _replace_oldest(shelf: _Shelf, now: float) -> None:
+    sequence, record = shelf.pop()
+    shelf.put_note(
+        sequence,
+        Note(
+            problem=documents.answer_dropped(record.answered.result().verdict),
+            fingerprint=record.fingerprint,
+            noted_at=now,
+        ),
+    )
+
+
+def _count_of_ended(shelf: _Shelf) -> int:
+    return len(shelf.ended)
+
+
+def _count_of_notes(shelf: _Shelf) -> int:
+    return len(shelf.notes)
+
+
+def _answer_bytes(shelf: _Shelf) -> int:
+    return shelf.answer_bytes
 
-    def _replace_oldest(self, now: float) -> None:
-        sequence, record = self._pop_oldest()
-        self._add_note(
-            sequence,
-            Note(
-                problem=documents.answer_dropped(record.verdict),
-                fingerprint=record.fingerprint,
-                noted_at=now,
-            ),
-        )
 
-    def _add_note(self, sequence: int, note: Note) -> None:
-        self._notes[sequence] = note
-        if len(self._notes) > self._max_records:
-            dropped, _ = self._notes.popitem(last=False)
-            self._void_up_to = max(self._void_up_to, dropped)
+def table_full() -> problems.Problem:
+    """Return the refusal of a key for whose record there is no room."""
+    return documents.refusal(
+        code='table_full',
+        status=503,
+        detail='Too many submissions are running at this VM.',
+        retry_after_s=SWEEP_S,
+    )
--- a/sardineproxy/request/submissions.py
+++ b/sardineproxy/request/submissions.py
@@ -3,9 +3,7 @@
 import asyncio
 import dataclasses
 import hashlib
-import hmac
 import random
-from typing import Any, Coroutine, TypeVar
 
 import result
 
@@ -17,16 +15,21 @@
     forwarding,
     job,
     keys,
+    questions,
     records,
     work,
 )
-from sardineproxy.version import contracts, versions
+from sardineproxy.version import versions
 
 #: Bits of the random part of a keyless request's id.
 KEYLESS_ID_BITS = 64
 
+#: Seconds for a forward beyond the longest deadline of its submission.
+FORWARD_SLACK_S = 5
+
 Runner = job.Runner
-_Kept = TypeVar('_Kept')
+_Held = records.Record | records.Note | records.Absence
+_Operation = questions.Operation
 _log = logs.get_logger('request')
 
 
@@ -73,8 +76,6 @@
         self._rng = rng
         self._vm = vm
         self._incarnation = incarnation
-        self._runner = runner
-        self._forwarder = forwarder
         self._metrics = metrics
         self._keys = keys.KeyRing(
             vm=vm,
@@ -83,27 +84,23 @@
             ttl_s=cfg.key_ttl_s,
         )
         self._table = records.Table(
+            ring=self._keys,
             key_ttl_s=cfg.key_ttl_s,
             record_ttl_s=cfg.record_ttl_s,
             max_records=cfg.max_records,
             max_answer_bytes=cfg.max_answer_bytes,
         )
         self._admission = admission.Admission()
-        self._contracts: dict[ids.CustomerId, contracts.Contract] = {}
-        self._credentials: dict[str, ids.CustomerId] = {}
-        self._executions: dict[ids.RequestId, job.Execution] = {}
-        self._in_progress: set[asyncio.Task[Any]] = set()
-        self._draining = False
+        self._executions = job.Executions(
+            clock=clock, runner=runner, table=self._table, metrics=metrics
+        )
+        self._minters = questions.Minters(
+            clock=clock, forwarder=forwarder, metrics=metrics
+        )
 
     def set_version(self, version: versions.Version | None) -> None:
-        """Put the version's contracts in force for new submissions."""
-        self._contracts = dict(version.contracts) if version else {}
-        self._credentials = {
-            digest: customer
-            for customer, contract in self._contracts.items()
-            for digest in contract.credential_sha256
-        }
-        self._admission.forget_except(frozenset(self._contracts))
+        """Apply the version's contracts to new submissions."""
+        self._admission.set_version(version)
 
     def set_live_vms(self, count: int) -> None:
         """Set among how many VMs the submission rates are divided."""
@@ -111,27 +108,23 @@
 
     def drain(self) -> None:
         """Refuse new work as not run from now on."""
-        self._draining = True
+        self._admission.drain()
 
     async def idle(self) -> None:
         """Wait until no submission and no forward is in progress."""
-        while self._in_progress:
-            await asyncio.wait(self._in_progress)
-
-    def authenticate(self, *, credential: str) -> ids.CustomerId | None:
-        """Return the customer whose contract has the credential's hash."""
-        digest = hashlib.sha256(credential.encode()).hexdigest()
-        customer = self._credentials.get(digest)
-        if customer is None:
-            return None
-        known = self._contracts[customer].credential_sha256
-        matches = [hmac.compare_digest(digest, one) for one in known]
-        return customer if any(matches) else None
+        await self._executions.idle()
+
+    def authenticate(
+        self, *, credential: str
+    ) -> result.Result[ids.CustomerId, problems.Problem]:
+        """Return the customer that the credential belongs to."""
+        return self._admission.authenticate(credential=credential)
 
     def mint(self, *, customer: ids.CustomerId, body: bytes) -> documents.Reply:
         """Answer with new keys of the customer."""
-        if self._draining:
-            return documents.render_problem(_shutting_down())
+        refused = self._admission.refusal_of_all()
+        if refused is not None:
+            return documents.render_problem(refused)
         count = documents.parse_key_count(body)
         if isinstance(count, result.Err):
             return documents.render_problem(count.err_value)
@@ -140,6 +133,7 @@
             self._keys.mint(customer=customer, now=now)
             for _ in range(count.ok_value)
         ]
+        self._metrics.count('keys_minted_total', by=len(minted))
         return documents.render_json(status=200, document={'keys': minted})
 
     async def submit(
@@ -153,257 +147,243 @@
     ) -> documents.Reply:
         """Answer a submission: run it, join it or forward it."""
         if key_text is None:
-            return await self._submit_keyless(customer, kind, body, wait)
-        key = keys.parse(key_text)
+            reply = await self._submit_keyless(
+                customer=customer, kind=kind, body=body
+            )
+        else:
+            question = questions.Question(
+                operation=_Operation.SUBMIT,
+                customer=customer,
+                key=key_text,
+                kind=kind,
+                body=body,
+                wait=wait,
+            )
+            reply = await self.ask(question)
+        self._metrics.count(
+            'submissions_total',
+            kind=kind.value,
+            verdict=reply.verdict.value if reply.verdict else 'none',
+        )
+        return reply
+
+    async def status(
+        self, *, customer: ids.CustomerId, key_text: str
+    ) -> documents.Reply:
+        """Answer with the state of a request, or its answer if it has ended."""
+        return await self.ask(
+            questions.Question(
+                operation=_Operation.STATUS, customer=customer, key=key_text
+            )
+        )
+
+    async def cancel(
+        self, *, customer: ids.CustomerId, key_text: str
+    ) -> documents.Reply:
+        """Keep what has not started from starting, and answer the status."""
+        return await self.ask(
+            questions.Question(
+                operation=_Operation.CANCEL, customer=customer, key=key_text
+            )
+        )
+
+    async def ask(self, question: questions.Question) -> documents.Reply:
+        """Answer a question about a key, here or at the key's minter."""
+        key = keys.parse(question.key)
         if key is None:
-            return documents.render_problem(_malformed_key())
-        if not self._keys.is_own(key=key):
-            raise NotImplementedError('forwarding')
-        return await self._submit_own(key, customer, kind, body, wait)
+            return documents.render_problem(keys.malformed())
+        if self._keys.is_own(key=key):
+            return await self._answer(question, key)
+        if key.vm == self._vm:
+            return _not_minter(key, self._vm)
+        wait_s = float(FORWARD_SLACK_S)
+        if question.wait:
+            wait_s += self._admission.longest_deadline_s(
+                customer=question.customer
+            )
+        return await self._executions.keep(
+            self._minters.ask(question=question, key=key, wait_s=wait_s)
+        )
 
-    async def _submit_keyless(
+    async def handle(self, payload: bytes) -> bytes:
+        """Return the reply to a payload that another process forwarded."""
+        question = questions.unpack_question(payload)
+        key = keys.parse(question.key) if question else None
+        if question is None or key is None:
+            _log.warning('malformed forward')
+            reply = documents.render_problem(keys.malformed_forward())
+        elif self._keys.is_own(key=key):
+            reply = await self._answer(question, key)
+        else:
+            reply = _not_minter(key, self._vm)
+        packed = questions.pack_reply(reply)
+        if len(packed) > questions.MAX_PAYLOAD_BYTES:
+            problem = documents.answer_too_large(reply.verdict)
+            return questions.pack_reply(documents.render_problem(problem))
+        return packed
+
+    def refuse(
         self,
+        *,
         customer: ids.CustomerId,
-        kind: work.Kind,
-        body: bytes,
-        wait: bool,
+        key_text: str | None,
+        problem: problems.Problem,
+    ) -> documents.Reply:
+        """Refuse a submission whose body was not read."""
+        key = keys.parse(key_text) if key_text else None
+        if key is not None:
+            now = self._clock.now()
+            held = self._table.find(key=key, customer=customer, now=now)
+            if held is records.Absence.NEW:
+                self._table.note(
+                    key=key,
+                    customer=customer,
+                    fingerprint=None,
+                    problem=problem,
+                    now=now,
+                )
+            else:
+                problem = keys.without_minter(problem, key_text)
+        return documents.render_problem(problem)
+
+    def state(self, *, now: float) -> dict[str, object]:
+        """Return what is held, for whom and since when, for the dump."""
+        return {
+            'vm': self._vm,
+            'incarnation': self._incarnation,
+            'submissions': self._executions.state(now=now),
+            'held': self._table.sizes(),
+            'admission': self._admission.state(),
+        }
+
+    async def _submit_keyless(
+        self, *, customer: ids.CustomerId, kind: work.Kind, body: bytes
     ) -> documents.Reply:
-        if kind is work.Kind.JOB or not wait:
-            return documents.render_problem(_key_required())
-        parsed = self._admit(customer, kind, body, keyed=False)
-        if isinstance(parsed, result.Err):
-            return documents.render_problem(parsed.err_value)
-        document = parsed.ok_value
+        admitted = self._admit(
+            admission.Offer(
+                customer=customer, kind=kind, keyed=False, body=body
+            )
+        )
+        if isinstance(admitted, result.Err):
+            return documents.render_problem(admitted.err_value)
         request_id = f'r-{self._rng.getrandbits(KEYLESS_ID_BITS):016x}'
-        record = self._new_record(
-            ids.RequestId(request_id), customer, kind, body, document
+        record = self._executions.start(
+            admitted=admitted.ok_value, request_id=ids.RequestId(request_id)
         )
-        self._start(record, document)
-        return await asyncio.shield(record.done)
+        return await asyncio.shield(record.answered)
 
-    async def _submit_own(
-        self,
-        key: keys.Key,
-        customer: ids.CustomerId,
-        kind: work.Kind,
-        body: bytes,
-        wait: bool,
+    async def _answer(
+        self, question: questions.Question, key: keys.Key
     ) -> documents.Reply:
+        """Answer a question about a key of this incarnation."""
         now = self._clock.now()
-        if not self._keys.is_genuine(key=key, customer=customer):
-            return documents.render_problem(_unknown_key())
-        fingerprint = _fingerprint(kind, body)
-        held = self._table.find(key=key, now=now)
-        if held is not None:
-            return await self._join(held, fingerprint, wait)
-        if self._table.is_void(key=key, now=now):
-            return documents.render_problem(_key_expired())
-        parsed = self._admit(customer, kind, body, keyed=True)
-        if isinstance(parsed, result.Err):
-            self._table.note(
+        held = self._table.find(key=key, customer=question.customer, now=now)
+        match held:
+            case records.Absence.UNKNOWN:
+                return documents.render_problem(keys.unknown())
+            case records.Absence.VOID:
+                return documents.render_problem(keys.expired())
+        if question.operation is _Operation.SUBMIT:
+            return await self._answer_submit(question, key, held)
+        if question.operation is _Operation.CANCEL:
+            held = self._cancel(question, key, held)
+        return _status_reply(held)
+
+    def _cancel(
+        self, question: questions.Question, key: keys.Key, held: _Held
+    ) -> _Held:
+        if isinstance(held, records.Record):
+            self._executions.cancel(record=held)
+        if held is records.Absence.NEW:
+            return self._table.note(
                 key=key,
-                fingerprint=fingerprint,
-                problem=parsed.err_value,
-                now=now,
+                customer=question.customer,
+                fingerprint=None,
+                problem=job.cancelled(),
+                now=self._clock.now(),
             )
-            return documents.render_problem(parsed.err_value)
-        record = self._new_record(
-            key.text, customer, kind, body, parsed.ok_value
-        )
-        record.sequence = key.sequence
-        self._table.open(record=record, now=now)
-        self._start(record, parsed.ok_value)
-        return await self._join(record, fingerprint, wait)
+        return held
 
-    async def _join(
+    async def _answer_submit(
         self,
-        held: records.Record | records.Note,
-        fingerprint: bytes,
-        wait: bool,
+        question: questions.Question,
+        key: keys.Key,
+        held: _Held,
     ) -> documents.Reply:
+        fingerprint = _fingerprint(question)
+        if isinstance(held, records.Absence):
+            held = self._open(question, key, fingerprint)
         if held.fingerprint not in {None, fingerprint}:
-            return documents.render_problem(_key_reused())
-        if isinstance(held, records.Note):
-            return documents.render_problem(held.problem)
-        if wait or held.done.done():
-            return await asyncio.shield(held.done)
+            return documents.render_problem(keys.reused())
+        if question.wait and isinstance(held, records.Record):
+            return await asyncio.shield(held.answered)
         return _status_reply(held)
 
-    def _admit(
-        self,
-        customer: ids.CustomerId,
-        kind: work.Kind,
-        body: bytes,
-        keyed: bool,
-    ) -> documents.Parsed:
-        if self._draining:
-            return result.Err(_shutting_down())
-        contract = self._contracts.get(customer)
-        if contract is None:
-            return result.Err(_no_contract())
-        parsed = documents.parse_submission(kind=kind, body=body)
-        if isinstance(parsed, result.Err):
-            return parsed
-        document = parsed.ok_value
-        refused = admission.check_bounds(contract=contract, document=document)
-        if refused is None and not keyed and not document.tasks[0].idempotent:
-            refused = _key_required()
-        if refused is None:
-            refused = self._admission.admit(
-                contract=contract,
-                tasks=len(document.tasks),
-                waiting=self._waiting(customer),
+    def _open(
+        self, question: questions.Question, key: keys.Key, fingerprint: bytes
+    ) -> records.Record | records.Note:
+        """Start a new key's work, or note that it never starts."""
+        admitted = self._admit(
+            admission.Offer(
+                customer=question.customer,
+                kind=question.kind,
+                keyed=True,
+                body=question.body,
+            )
+        )
+        if isinstance(admitted, result.Err):
+            return self._table.note(
+                key=key,
+                customer=question.customer,
+                fingerprint=fingerprint,
+                problem=admitted.err_value,
                 now=self._clock.now(),
             )
-        return result.Err(refused) if refused else parsed
-
-    def _waiting(self, customer: ids.CustomerId) -> int:
-        return self._runner.waiting(customer=customer)
-
-    def _new_record(
-        self,
-        request_id: ids.RequestId,
-        customer: ids.CustomerId,
-        kind: work.Kind,
-        body: bytes,
-        document: documents.JobDocument,
-    ) -> records.Record:
-        return records.Record(
-            request_id=request_id,
-            customer=customer,
-            kind=kind,
-            fingerprint=_fingerprint(kind, body),
-            tasks=len(document.tasks),
-            started_at=self._clock.now(),
-            done=asyncio.get_running_loop().create_future(),
+        return self._executions.start(
+            admitted=admitted.ok_value,
+            request_id=key.text,
+            sequence=key.sequence,
+            fingerprint=fingerprint,
         )
 
-    def _start(
-        self, record: records.Record, document: documents.JobDocument
-    ) -> None:
-        execution = job.Execution(
-            record=record,
-            tasks=self._tasks(record, document),
-            runner=self._runner,
+    def _admit(
+        self, offer: admission.Offer
+    ) -> result.Result[admission.Admitted, problems.Problem]:
+        if offer.keyed and self._table.is_full():
+            return result.Err(records.table_full())
+        return self._admission.admit(
+            offer=offer,
+            waiting=self._executions.waiting(customer=offer.customer),
+            now=self._clock.now(),
         )
-        self._executions[record.request_id] = execution
-        self._keep(self._run(record, execution))
-
-    def _tasks(
-        self, record: records.Record, document: documents.JobDocument
-    ) -> list[work.Task]:
-        contract = self._contracts[record.customer]
-        return [
-            work.Task(
-                request_id=record.request_id,
-                index=index,
-                customer=record.customer,
-                kind=record.kind,
-                idempotent=task.idempotent,
-                method=task.method,
-                path=task.path,
-                headers=tuple(task.headers.items()),
-                body=task.body(),
-                deadline=admission.deadline(
-                    contract=contract,
-                    deadline_ms=task.deadline_ms or document.deadline_ms,
-                    now=record.started_at,
-                ),
-            )
-            for index, task in enumerate(document.tasks)
-        ]
 
-    async def _run(
-        self, record: records.Record, execution: job.Execution
-    ) -> None:
-        reply = await execution.run()
-        record.ended_at = self._clock.now()
-        self._executions.pop(record.request_id)
-        record.done.set_result(reply)
-        self._table.end(record=record, reply=reply)
 
-    def _keep(
-        self, coroutine: Coroutine[Any, Any, _Kept]
-    ) -> asyncio.Task[_Kept]:
-        """Run apart from the caller, who may disconnect, but count it."""
-        task = asyncio.get_running_loop().create_task(coroutine)
-        self._in_progress.add(task)
-        task.add_done_callback(self._in_progress.discard)
-        return task
+def _not_minter(key: keys.Key, vm: ids.VmId) -> documents.Reply:
+    """Answer for another incarnation: gone if it was one of this VM."""
+    if key.vm == vm:
+        return documents.render_problem(keys.minter_gone())
+    return documents.render_problem(keys.minter_unreachable())
 
 
-def _fingerprint(kind: work.Kind, body: bytes) -> bytes:
-    return hashlib.sha256(kind.value.encode() + b'\n' + body).digest()
+def _fingerprint(question: questions.Question) -> bytes:
+    kind = question.kind.value.encode()
+    return hashlib.sha256(kind + b'\n' + question.body).digest()
 
 
-def _status_reply(record: records.Record) -> documents.Reply:
+def _status_reply(held: _Held) -> documents.Reply:
+    if isinstance(held, records.Absence):
+        return documents.render_problem(keys.not_submitted())
+    if isinstance(held, records.Note):
+        return documents.render_problem(held.problem)
+    if held.answered.done():
+        return held.answered.result()
     return documents.render_json(
         status=202,
         document={
-            'id': record.request_id,
+            'id': held.request_id,
             'state': 'running',
-            'cancelled': record.cancelled,
-            'tasks': record.tasks,
-            'ended_tasks': record.ended_tasks,
+            'cancelled': held.cancelled,
+            'tasks': held.tasks,
+            'ended_tasks': held.ended_tasks,
         },
     )
-
-
-def _shutting_down() -> problems.Problem:
-    return documents.refusal(
-        code='shutting_down',
-        status=503,
-        detail='This VM is shutting down and takes no new work.',
-        retry_after_s=1,
-    )
-
-
-def _no_contract() -> problems.Problem:
-    return documents.refusal(
-        code='no_contract',
-        status=403,
-        detail='The customer has no contract in the version in force.',
-    )
-
-
-def _malformed_key() -> problems.Problem:
-    return documents.refusal(
-        code='malformed_key',
-        status=400,
-        detail='Idempotency keys are minted by POST /v1/keys.',
-    )
-
-
-def _key_required() -> problems.Problem:
-    return documents.refusal(
-        code='key_required',
-        status=400,
-        detail='Only an idempotent single request may omit its key.',
-    )
-
-
-def _unknown_key() -> problems.Problem:
-    return documents.refusal(
-        code='unknown_key',
-        status=404,
-        detail='This VM minted no such key for the customer.',
-    )
-
-
-def _key_expired() -> problems.Problem:
-    return documents.doubt(
-        code='key_expired',
-        status=410,
-        detail='The key expired; its work does not start any more.',
-    )
-
-
-def _key_reused() -> problems.Problem:
-    return documents.doubt(
-        code='key_reused',
-        status=422,
-        detail=(
-            'Another submission was sent under this key; this one was not '
-            'run, the other one may have been.'
-        ),
-    )
