Limit what callers' connections may send

aiohttp bounds neither the whole head nor the time that a request takes to arrive, accepts other transfer codings before "chunked", and logs header lines that it cannot parse, which may hold credentials.

--- a/sardineproxy/connection/caller.py
+++ b/sardineproxy/connection/caller.py
@@ -1,74 +1,114 @@
 """HTTP handlers for callers."""
 
-import dataclasses
+import asyncio
 import types
+from typing import Awaitable, Callable
 
+import result
 from aiohttp import web
 
 from sardineproxy import clock, ids, problems
-from sardineproxy.request import documents, submissions, work
+from sardineproxy.connection import edge
+from sardineproxy.request import admission, documents, keys, submissions, work
 
-KIND_OF_COLLECTION = types.MappingProxyType(
+KINDS = types.MappingProxyType(
     {'requests': work.Kind.SINGLE, 'jobs': work.Kind.JOB}
 )
+WAITS = types.MappingProxyType({'true': True, 'false': False})
 BEARER = 'bearer '
+BACKLOG = 1024
 
-
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class EdgeLimits:
-    """What a caller may send and how long it may take."""
-
-    #: Request line and headers together, in bytes.
-    header_bytes: int = 16_384
-    body_bytes: int = documents.MAX_BODY_BYTES
-
-    #: Seconds from the first byte of a request to its last.
-    read_timeout_s: float = 10
+EdgeLimits = edge.EdgeLimits
 
 
 class Handlers:
     """Answers callers' HTTP requests."""
 
     def __init__(
-        self,
-        *,
-        submissions: submissions.Submissions,
-        limits: EdgeLimits,
-        clock: clock.Clock,
+        self, *, submissions: submissions.Submissions, limits: EdgeLimits
     ) -> None:
-        """Pass everything on to ``submissions``."""
+        """Pass on to ``submissions`` what is within the limits."""
         self._submissions = submissions
         self._limits = limits
-        self._clock = clock
 
     async def mint(self, req: web.Request) -> web.Response:
         """Answer ``POST /v1/keys``."""
-        customer = self._customer(req)
-        if customer is None:
-            return _response(documents.render_problem(_unauthorized()))
-        return _response(
-            self._submissions.mint(customer=customer, body=await req.read())
+        customer, body = await self._enter(req)
+        if isinstance(customer, result.Err):
+            return _refusal(customer.err_value, None)
+        if isinstance(body, result.Err):
+            return _refusal(body.err_value, None)
+        return edge.render(
+            self._submissions.mint(
+                customer=customer.ok_value, body=body.ok_value
+            )
         )
 
     async def submit(self, req: web.Request) -> web.Response:
         """Answer ``POST /v1/requests`` and ``POST /v1/jobs``."""
-        customer = self._customer(req)
-        if customer is None:
-            return _response(documents.render_problem(_unauthorized()))
-        return _response(
-            await self._submissions.submit(
-                customer=customer,
-                kind=KIND_OF_COLLECTION[req.match_info['collection']],
-                key_text=req.headers.get('Idempotency-Key'),
-                body=await req.read(),
-                wait=req.query.get('wait') != 'false',
+        key_text = req.headers.get(edge.KEY_HEADER)
+        customer, body = await self._enter(req)
+        if isinstance(customer, result.Err):
+            return _refusal(customer.err_value, key_text)
+        wait = WAITS.get(req.query.get('wait', 'true'))
+        if wait is None and isinstance(body, result.Ok):
+            body = result.Err(_malformed_wait())
+        if isinstance(body, result.Err):
+            reply = self._submissions.refuse(
+                customer=customer.ok_value,
+                key_text=key_text,
+                problem=body.err_value,
             )
+            return edge.render(reply)
+        reply = await self._submissions.submit(
+            customer=customer.ok_value,
+            kind=KINDS[req.match_info['collection']],
+            key_text=key_text,
+            body=body.ok_value,
+            wait=wait is not False,
+        )
+        return edge.render(reply)
+
+    async def status(self, req: web.Request) -> web.Response:
+        """Answer ``GET`` on a request or job."""
+        return await self._ask(req, self._submissions.status)
+
+    async def cancel(self, req: web.Request) -> web.Response:
+        """Answer ``DELETE`` on a request or job."""
+        return await self._ask(req, self._submissions.cancel)
+
+    async def _ask(
+        self, req: web.Request, ask: Callable[..., Awaitable[documents.Reply]]
+    ) -> web.Response:
+        key_text = req.match_info['key']
+        customer, body = await self._enter(req)
+        if isinstance(customer, result.Err):
+            return _refusal(customer.err_value, key_text)
+        if isinstance(body, result.Err):
+            return _refusal(body.err_value, key_text)
+        return edge.render(
+            await ask(customer=customer.ok_value, key_text=key_text)
         )
 
-    def _customer(self, req: web.Request) -> ids.CustomerId | None:
+    async def _enter(
+        self, req: web.Request
+    ) -> tuple[result.Result[ids.CustomerId, problems.Problem], edge.Body]:
+        """Authenticate the caller, and only then read the body."""
+        customer = self._authenticate(req)
+        problem = edge.check_head(req, self._limits)
+        if problem is not None:
+            return customer, result.Err(problem)
+        if isinstance(customer, result.Err):
+            return customer, customer
+        assert isinstance(req.protocol, edge.Connection)
+        return customer, await req.protocol.read_body(req)
+
+    def _authenticate(
+        self, req: web.Request
+    ) -> result.Result[ids.CustomerId, problems.Problem]:
         header = req.headers.get('Authorization', '')
         if not header.lower().startswith(BEARER):
-            return None
+            return result.Err(admission.unauthorized())
         return self._submissions.authenticate(
             credential=header[len(BEARER) :].strip()
         )
@@ -77,13 +117,17 @@
 class Listener:
     """An open port for callers."""
 
-    def __init__(self, *, runner: web.AppRunner, port: int) -> None:
-        """Own ``runner`` from now on."""
+    def __init__(
+        self, *, runner: web.AppRunner, server: asyncio.Server
+    ) -> None:
+        """Own ``runner`` and ``server`` from now on."""
         self._runner = runner
-        self.port = port
+        self._server = server
+        self.port: int = server.sockets[0].getsockname()[1]
 
     async def close(self) -> None:
-        """Stop listening and close all connections."""
+        """Stop listening, let answers leave and close all connections."""
+        self._server.close()
         await self._runner.cleanup()
 
 
@@ -94,11 +138,16 @@
     clock: clock.Clock,
 ) -> web.Application:
     """Return the application that serves callers."""
-    handlers = Handlers(submissions=submissions, limits=limits, clock=clock)
-    app = web.Application(client_max_size=limits.body_bytes)
+    handlers = Handlers(submissions=submissions, limits=limits)
+    app = web.Application(
+        client_max_size=limits.body_bytes, middlewares=[_render_refusals]
+    )
     collection = '/v1/{collection:requests|jobs}'
+    item = f'{collection}/{{key}}'
     app.router.add_post('/v1/keys', handlers.mint)
     app.router.add_post(collection, handlers.submit)
+    app.router.add_get(item, handlers.status, allow_head=False)
+    app.router.add_delete(item, handlers.cancel)
     return app
 
 
@@ -106,22 +155,46 @@
     *, app: web.Application, limits: EdgeLimits, host: str, port: int
 ) -> Listener:
     """Serve ``app``; port 0 lets the kernel choose."""
-    runner = web.AppRunner(app, access_log=None)
+    runner = web.AppRunner(app, shutdown_timeout=limits.close_timeout_s)
     await runner.setup()
-    site = web.TCPSite(runner, host, port)
-    await site.start()
-    return Listener(runner=runner, port=runner.addresses[0][1])
+    web_server = runner.server
+    assert web_server is not None
+    loop = asyncio.get_running_loop()
+    server = await loop.create_server(
+        lambda: edge.Connection(web_server, limits=limits, loop=loop),
+        host,
+        port,
+        backlog=BACKLOG,
+    )
+    return Listener(runner=runner, server=server)
+
+
+@web.middleware
+async def _render_refusals(
+    request: web.Request,
+    handler: Callable[[web.Request], Awaitable[web.StreamResponse]],
+) -> web.StreamResponse:
+    """Turn the router's refusals into problem documents."""
+    try:
+        return await handler(request)
+    except web.HTTPException as exc:
+        problem = documents.refusal(
+            code='no_such_resource',
+            status=exc.status,
+            detail='There is no such resource or method.',
+        )
+        return _refusal(problem, request.headers.get(edge.KEY_HEADER))
 
 
-def _response(reply: documents.Reply) -> web.Response:
-    return web.Response(
-        status=reply.status, headers=reply.headers, body=reply.body
+def _refusal(problem: problems.Problem, key_text: str | None) -> web.Response:
+    return edge.render(
+        documents.render_problem(keys.without_minter(problem, key_text))
     )
 
 
-def _unauthorized() -> problems.Problem:
+def _malformed_wait() -> problems.Problem:
     return documents.refusal(
-        code='unauthorized',
-        status=401,
-        detail='The Authorization header holds no known credential.',
+        code='malformed_request',
+        status=400,
+        detail='wait must be "true" or "false".',
     )
