Assemble the entry process: one request served from end to end

Cause: the parts were written apart; the process that joins them was missing. Change: process/core, entry, parts and gossip; the deployment harness uses the stand-in platform's control paths and the .jsonc ending that ctl accepts. Conclusion: the thin whole path runs as separate processes.

--- a/sardineproxy/demo/deployment.py
+++ b/sardineproxy/demo/deployment.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import types
 from typing import Any, Mapping, Sequence
 
 from sardineproxy.demo import child, controls, parts, processes
@@ -14,6 +15,17 @@
 
 POLL_S = 0.05
 
+#: Control path and key of each fault of the stand-in platform.
+PLATFORM_FAULTS = types.MappingProxyType(
+    {
+        'down': ('down', 'down'),
+        'slow_ms': ('slow', 'ms'),
+        'stale': ('stale-reads', 'stale'),
+        'list_lag_s': ('list-lag', 'seconds'),
+        'lose_answers': ('lose-answers', 'writes'),
+    }
+)
+
 
 class Deployment(processes.Processes):
     """A stand-in platform, stand-in endpoints and entry processes."""
@@ -82,7 +94,7 @@
     async def register(self) -> None:
         """Put all entry VMs and endpoints into the platform's list."""
         await self.request(
-            'PUT', self._platform_url('vms'), {'vms': self._list_vms()}
+            'POST', self._platform_url('vms'), {'vms': self._list_vms()}
         )
 
     async def set_state(self, name: str, state: str) -> None:
@@ -92,7 +104,9 @@
 
     async def set_faults(self, **faults: Any) -> None:
         """Tell the platform to be down, slow, stale or lagging."""
-        await self.request('POST', self._platform_url('faults'), faults)
+        for name, setting in faults.items():
+            path, key = PLATFORM_FAULTS[name]
+            await self.request('POST', self._platform_url(path), {key: setting})
 
     async def set_mode(self, endpoint: str, mode: str, **more: Any) -> None:
         """Make an endpoint show a fault; ``normal`` ends it."""
@@ -124,7 +138,7 @@
         directory = self.directory / f'contracts-{base}'
         directory.mkdir()
         for contract in contracts:
-            path = directory / f'{contract["customer"]}.json'
+            path = directory / f'{contract["customer"]}.jsonc'
             path.write_text(json.dumps(contract), encoding='utf-8')
         await self.ctl(
             'apply',
--- /dev/null
+++ b/sardineproxy/process/entry.py
@@ -0,0 +1,169 @@
+"""Life of an entry process: start, readiness, state dump, shutdown."""
+
+import asyncio
+import resource
+from typing import Mapping
+
+import aiohttp
+import result
+from aiohttp import web
+
+from sardineproxy import clock, exit_status, logs
+from sardineproxy.connection import admin, caller
+from sardineproxy.process import parts, settings
+
+_LOG = logs.get_logger('entry')
+
+#: Listeners that are open, by name.
+Ports = Mapping[str, int]
+
+
+class EntryProcess:
+    """One entry process on an entry VM."""
+
+    def __init__(
+        self, *, cfg: settings.Settings, outside: parts.Outside | None = None
+    ) -> None:
+        """Prepare the process; without ``outside`` it uses real ones."""
+        self._cfg = cfg
+        self._outside = outside
+        self._session: aiohttp.ClientSession | None = None
+        self._parts: parts.Parts | None = None
+        self._callers: caller.Listener | None = None
+        self._admin: web.AppRunner | None = None
+        self._tasks: list[asyncio.Task[None]] = []
+        self._draining = False
+        self._clock = outside.clock if outside else clock.SystemClock()
+        self._started = self._clock.now()
+
+    async def start(self) -> result.Result[Ports, str]:
+        """Open all listeners; the error is one sentence."""
+        self._parts = parts.build(cfg=self._cfg, outside=self._connect())
+        await self._parts.client.start()
+        try:
+            ports = await self._listen(self._parts)
+        except OSError as exc:
+            return result.Err(f'cannot open a listener: {exc}.')
+        self._tasks = [
+            asyncio.create_task(self._parts.versions.run()),
+            asyncio.create_task(self._parts.vm_list.run()),
+        ]
+        _LOG.info('Started.', extra={'vm': self._cfg.vm, 'ports': ports})
+        return result.Ok(ports)
+
+    def is_ready(self) -> bool:
+        """Tell whether the balancer may send new callers."""
+        if self._draining or self._parts is None:
+            return False
+        return self._parts.versions.number() > 0
+
+    def state(self) -> dict[str, object]:
+        """Return the state dump of all parts."""
+        now = self._clock.now()
+        own: dict[str, object] = {
+            'vm': self._cfg.vm,
+            'zone': self._cfg.zone,
+            'region': self._cfg.region,
+            'uptime_s': now - self._started,
+            'ready': self.is_ready(),
+            'draining': self._draining,
+            **_resource_usage(),
+        }
+        if self._parts is None:
+            return own
+        return {
+            **own,
+            'incarnation': self._parts.incarnation,
+            'config': self._parts.versions.state(now=now),
+            'list_revision': self._parts.vm_list.revision(),
+            'submissions': self._parts.submissions.state(now=now),
+            'dispatcher': self._parts.dispatcher.state(now=now),
+            'slots': self._parts.slots.state(now=now),
+            'peers': self._parts.peers.state(now=now),
+        }
+
+    async def shut_down(self) -> exit_status.ExitStatus:
+        """Refuse new work, let work in progress end, and close.
+
+        Readiness turns first, so that the balancer stops sending callers
+        before any is refused.
+        """
+        self._draining = True
+        _LOG.info('Shutting down: not ready any more.')
+        await asyncio.sleep(self._cfg.shutdown.notice_s)
+        assert self._parts is not None
+        self._parts.submissions.drain()
+        left_s = self._cfg.shutdown.limit_s - self._cfg.shutdown.notice_s
+        try:
+            async with asyncio.timeout(left_s):
+                await self._parts.submissions.idle()
+        except TimeoutError:
+            _LOG.error('Shutdown limit reached with work in progress.')
+            await self._close(self._parts)
+            return exit_status.ExitStatus.ERROR
+        await self._parts.peers.goodbye()
+        await self._close(self._parts)
+        _LOG.info('Ended.')
+        return exit_status.ExitStatus.SUCCESS
+
+    def _connect(self) -> parts.Outside:
+        if self._outside is not None:
+            return self._outside
+        self._session = aiohttp.ClientSession(trust_env=False)
+        return parts.Outside(
+            clock=self._clock,
+            rng=clock.new_random(),
+            platform=parts.connect_platform(
+                cfg=self._cfg, session=self._session
+            ),
+        )
+
+    async def _listen(self, own: parts.Parts) -> Ports:
+        limits = caller.EdgeLimits()
+        self._callers = await caller.start(
+            app=caller.build_app(
+                submissions=own.submissions, limits=limits, clock=self._clock
+            ),
+            limits=limits,
+            host=self._cfg.callers.host,
+            port=self._cfg.callers.port,
+        )
+        self._admin = web.AppRunner(
+            admin.build_app(process=self, metrics=own.metrics),
+            access_log=None,
+        )
+        await self._admin.setup()
+        admin_site = web.TCPSite(
+            self._admin, self._cfg.admin.host, self._cfg.admin.port
+        )
+        await admin_site.start()
+        await own.peers.start(
+            host=self._cfg.peers.host, port=self._cfg.peers.port
+        )
+        return {
+            'callers': self._callers.port,
+            'admin': self._admin.addresses[0][1],
+            'peers': own.peers.port,
+        }
+
+    async def _close(self, own: parts.Parts) -> None:
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        if self._callers is not None:
+            await self._callers.close()
+        await own.peers.close()
+        own.dispatcher.close()
+        await own.client.close()
+        if self._admin is not None:
+            await self._admin.cleanup()
+        if self._session is not None:
+            await self._session.close()
+
+
+def _resource_usage() -> dict[str, object]:
+    usage = resource.getrusage(resource.RUSAGE_SELF)
+    return {
+        'cpu_s': usage.ru_utime + usage.ru_stime,
+        'max_rss_kib': usage.ru_maxrss,
+    }
--- /dev/null
+++ b/sardineproxy/process/gossip.py
@@ -0,0 +1,42 @@
+"""What entry processes tell each other about configuration and VMs."""
+
+from sardineproxy.process import listing
+from sardineproxy.version import follower
+
+
+class Gossip:
+    """Joins the version follower and the VM list for the peer streams."""
+
+    def __init__(
+        self,
+        *,
+        versions: follower.Follower,
+        vm_list: listing.ListFollower,
+    ) -> None:
+        """Pass on what both followers have learned."""
+        self._versions = versions
+        self._vm_list = vm_list
+
+    def number(self) -> int:
+        """Return the number of the version in force, 0 if there is none."""
+        return self._versions.number()
+
+    def changes_since(self, number: int) -> bytes | None:
+        """Return the changes after version ``number``, None if too old."""
+        return self._versions.changes_since(number)
+
+    def offer(self, payload: bytes) -> None:
+        """Take changes that another entry process sent."""
+        self._versions.offer(payload)
+
+    def listing_revision(self) -> int:
+        """Return the revision of the newest VM list."""
+        return self._vm_list.revision()
+
+    def listing(self) -> bytes:
+        """Return the newest VM list."""
+        return self._vm_list.encode()
+
+    def offer_listing(self, payload: bytes) -> None:
+        """Take a VM list that another entry process sent."""
+        self._vm_list.offer(payload)
--- /dev/null
+++ b/sardineproxy/process/parts.py
@@ -0,0 +1,220 @@
+"""Builds the parts of an entry process and connects them."""
+
+import dataclasses
+import random
+import secrets
+
+import aiohttp
+
+from sardineproxy import clock, ids
+from sardineproxy.connection import endpoint
+from sardineproxy.process import (
+    directory,
+    dispatcher,
+    gossip,
+    health,
+    listing,
+    metrics,
+    peers,
+    platform,
+    platform_http,
+    settings,
+    slots,
+    streams,
+)
+from sardineproxy.request import forwarding, retries, runner, submissions
+from sardineproxy.version import follower, versions
+
+#: Bytes of the secret that signs this process's idempotency keys.
+SECRET_BYTES = 32
+
+#: Bytes of an incarnation; 64 bits make a repeat across restarts unlikely.
+INCARNATION_BYTES = 8
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Outside:
+    """What the outside world provides, replaced by tests."""
+
+    clock: clock.Clock
+    rng: random.Random
+    platform: platform.Platform
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Parts:
+    """All parts of one entry process."""
+
+    incarnation: ids.Incarnation
+    metrics: metrics.Metrics
+    directory: directory.Directory
+    vm_list: listing.ListFollower
+    versions: follower.Follower
+    slots: slots.SlotTable
+    client: endpoint.EndpointClient
+    dispatcher: dispatcher.Dispatcher
+    submissions: submissions.Submissions
+    peers: peers.Peers
+
+
+class _LateForwarder:
+    """Forwarder that is set after its users are built.
+
+    Submissions forward through the peers, and the peers hand forwarded
+    payloads to the submissions.
+    """
+
+    def __init__(self) -> None:
+        self.target: forwarding.Forwarder | None = None
+
+    async def forward(
+        self,
+        *,
+        vm: ids.VmId,
+        incarnation: ids.Incarnation,
+        payload: bytes,
+        deadline: float,
+    ) -> forwarding.Reply:
+        """Forward through the peers."""
+        assert self.target is not None
+        return await self.target.forward(
+            vm=vm, incarnation=incarnation, payload=payload, deadline=deadline
+        )
+
+
+def connect_platform(
+    *, cfg: settings.Settings, session: aiohttp.ClientSession
+) -> platform.Platform:
+    """Return the client of the platform that the settings name."""
+    return platform_http.HttpPlatform(
+        session=session, host=cfg.platform.host, port=cfg.platform.port
+    )
+
+
+def build(*, cfg: settings.Settings, outside: Outside) -> Parts:
+    """Build all parts; nothing runs and no port is open yet."""
+    incarnation = ids.Incarnation(secrets.token_hex(INCARNATION_BYTES))
+    registry = metrics.Metrics()
+    vm_directory = directory.Directory()
+    vm_list = listing.ListFollower(
+        platform=outside.platform,
+        directory=vm_directory,
+        clock=outside.clock,
+        rng=outside.rng,
+        cfg=listing.Config(),
+    )
+    version_follower = follower.Follower(
+        platform=outside.platform,
+        clock=outside.clock,
+        rng=outside.rng,
+        metrics=registry,
+        cfg=follower.Config(),
+    )
+    slot_table = slots.SlotTable()
+    client = endpoint.EndpointClient(
+        clock=outside.clock, metrics=registry, cfg=endpoint.Config()
+    )
+    task_dispatcher = dispatcher.Dispatcher(
+        clock=outside.clock,
+        rng=outside.rng,
+        zone=ids.ZoneId(cfg.zone),
+        directory=vm_directory,
+        slot_table=slot_table,
+        client=client,
+        health=health.Health(rng=outside.rng),
+        metrics=registry,
+        cfg=dispatcher.Config(),
+    )
+    forwarder = _LateForwarder()
+    accepted = submissions.Submissions(
+        clock=outside.clock,
+        rng=outside.rng,
+        vm=ids.VmId(cfg.vm),
+        incarnation=incarnation,
+        secret=secrets.token_bytes(SECRET_BYTES),
+        cfg=_submissions_config(cfg.retention),
+        runner=runner.Runner(
+            dispatcher=task_dispatcher,
+            budget=retries.RetryBudget(),
+            clock=outside.clock,
+            rng=outside.rng,
+            metrics=registry,
+        ),
+        forwarder=forwarder,
+        metrics=registry,
+    )
+    peer_streams = peers.Peers(
+        clock=outside.clock,
+        rng=outside.rng,
+        vm=ids.VmId(cfg.vm),
+        incarnation=incarnation,
+        zone=ids.ZoneId(cfg.zone),
+        size=cfg.size,
+        directory=vm_directory,
+        slot_table=slot_table,
+        handler=accepted,
+        gossip=gossip.Gossip(versions=version_follower, vm_list=vm_list),
+        metrics=registry,
+        cfg=_peers_config(cfg.peering),
+    )
+    forwarder.target = peer_streams
+    parts = Parts(
+        incarnation=incarnation,
+        metrics=registry,
+        directory=vm_directory,
+        vm_list=vm_list,
+        versions=version_follower,
+        slots=slot_table,
+        client=client,
+        dispatcher=task_dispatcher,
+        submissions=accepted,
+        peers=peer_streams,
+    )
+    _connect(parts)
+    return parts
+
+
+def _submissions_config(retention: settings.Retention) -> submissions.Config:
+    return submissions.Config(
+        key_ttl_s=retention.key_ttl_s,
+        record_ttl_s=retention.record_ttl_s,
+        max_records=retention.max_records,
+    )
+
+
+def _peers_config(peering: settings.Peering) -> peers.Config:
+    return peers.Config(
+        takeover_grace_s=peering.takeover_grace_s,
+        cross_zone_peers=peering.cross_zone_peers,
+        stream=streams.Config(
+            heartbeat_s=peering.heartbeat_s, peer_silent_s=peering.silent_s
+        ),
+    )
+
+
+def _connect(parts: Parts) -> None:
+    """Subscribe each part to what it follows."""
+    parts.versions.in_force.subscribe(
+        lambda version: _put_in_force(parts, version)
+    )
+    parts.peers.live_vms.subscribe(parts.submissions.set_live_vms)
+    parts.dispatcher.backlog.subscribe(parts.peers.on_backlog)
+    parts.slots.changed.subscribe(lambda _: parts.dispatcher.wake())
+
+
+def _put_in_force(parts: Parts, version: versions.Version | None) -> None:
+    parts.submissions.set_version(version)
+    if version is None:
+        return
+    parts.dispatcher.set_weights(
+        {
+            customer: contract.weight
+            for customer, contract in version.contracts.items()
+        }
+    )
+    parts.slots.set_holds(
+        {
+            customer: contract.hold
+            for customer, contract in version.contracts.items()
+        }
+    )
