--- a/sardineproxy/connection/caller.py
+++ b/sardineproxy/connection/caller.py
@@ -160,8 +160,11 @@
     web_server = runner.server
     assert web_server is not None
     loop = asyncio.get_running_loop()
+    load = edge.Load(limits=limits)
     server = await loop.create_server(
-        lambda: edge.Connection(web_server, limits=limits, loop=loop),
+        lambda: edge.Connection(
+            web_server, limits=limits, load=load, loop=loop
+        ),
         host,
         port,
         backlog=BACKLOG,
--- a/sardineproxy/connection/edge.py
+++ b/sardineproxy/connection/edge.py
@@ -13,7 +13,7 @@
 from aiohttp import HttpVersion11, http_exceptions, web
 
 from sardineproxy import logs, problems, verdicts
-from sardineproxy.request import documents
+from sardineproxy.request import admission, documents
 
 KEY_HEADER = 'Idempotency-Key'
 
@@ -47,6 +47,10 @@
     header_bytes: int = 16_384
     body_bytes: int = documents.MAX_BODY_BYTES
 
+    #: Bodies that all connections together may be sending, in bytes.
+    reading_bytes: int = 268_435_456
+    connections: int = 10_000
+
     #: Seconds from the first byte of a request to its last.
     read_timeout_s: float = 10
 
@@ -57,6 +61,25 @@
     close_timeout_s: float = 10
 
 
+class Load:
+    """What all connections of one listener use together."""
+
+    def __init__(self, *, limits: EdgeLimits) -> None:
+        """Start with no connections."""
+        self._limits = limits
+        self.connections = 0
+        self.reading_bytes = 0
+
+    def has_room(self, *, reading_bytes: int) -> bool:
+        """Tell whether so many more bytes may be read now."""
+        wanted = self.reading_bytes + reading_bytes
+        return wanted <= self._limits.reading_bytes
+
+    def has_too_many_connections(self) -> bool:
+        """Tell whether the newest connection has to be closed."""
+        return self.connections > self._limits.connections
+
+
 class _Phase(enum.Enum):
     """How much of a request has arrived."""
 
@@ -65,6 +88,9 @@
     BODY = 'body'
     WHOLE = 'whole'
 
+    #: Refused; what still arrives is dropped.
+    REFUSED = 'refused'
+
 
 class Connection(web.RequestHandler):
     """One caller's connection."""
@@ -74,9 +100,10 @@
         server: web.Server,
         *,
         limits: EdgeLimits,
+        load: Load,
         loop: asyncio.AbstractEventLoop,
     ) -> None:
-        """Wait for the first request."""
+        """Wait for the first request; ``load`` is shared."""
         super().__init__(
             server,
             loop=loop,
@@ -89,6 +116,7 @@
             max_line_size=limits.header_bytes,
         )
         self._limits = limits
+        self._load = load
         self._phase = _Phase.NOTHING
         self._timer: asyncio.TimerHandle | None = None
         self._head_bytes = 0
@@ -100,8 +128,17 @@
         #: True once bytes of a next request may have come with another one.
         self._pipelined = False
 
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Refuse one connection too many."""
+        super().connection_made(transport)
+        self._load.connections += 1
+        if self._load.has_too_many_connections():
+            self._refuse(admission.overloaded())
+
     def data_received(self, data: bytes) -> None:
         """Count and time the bytes, and pass them to the parser."""
+        if self._phase is _Phase.REFUSED:
+            return
         if self._phase is _Phase.NOTHING:
             self._begin()
         if self._phase is _Phase.HEAD:
@@ -116,26 +153,27 @@
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Stop the timer; work in progress goes on."""
+        self._load.connections -= 1
         self._stop_timer()
         super().connection_lost(exc)
 
     async def read_body(self, req: web.BaseRequest) -> Body:
         """Read the rest of the request within its time."""
-        deadline = self._timer.when() if self._timer else None
-        self._stop_timer()
+        size = req.content_length
+        if size is None:
+            size = self._limits.body_bytes if req.can_read_body else 0
+        if not self._load.has_room(reading_bytes=size):
+            return result.Err(admission.overloaded())
+        self._load.reading_bytes += size
         try:
-            async with asyncio.timeout_at(deadline):
-                body = await req.read()
-        except TimeoutError:
-            return result.Err(_read_timeout())
-        except web.HTTPRequestEntityTooLarge:
-            return result.Err(_body_too_large())
-        except web.RequestPayloadError:
-            return result.Err(_malformed_http())
-        self._phase = _Phase.WHOLE
-        if self._body_bytes != (req.content_length or 0):
-            self._pipelined = True
-        return result.Ok(body)
+            body = await self._read_in_time(req)
+        finally:
+            self._load.reading_bytes -= size
+        if isinstance(body, result.Ok):
+            self._phase = _Phase.WHOLE
+            if self._body_bytes != (req.content_length or 0):
+                self._pipelined = True
+        return body
 
     async def finish_response(
         self,
@@ -144,6 +182,8 @@
         start_time: float | None,
     ) -> tuple[web.StreamResponse, bool]:
         """Send the answer within its time and expect the next request."""
+        if self._phase is _Phase.REFUSED:
+            return resp, True
         self._stop_timer()
         if self._phase is not _Phase.WHOLE:
             # What is left of the body must not be taken for a request.
@@ -184,6 +224,19 @@
         resp.force_close()
         return resp
 
+    async def _read_in_time(self, req: web.BaseRequest) -> Body:
+        deadline = self._timer.when() if self._timer else None
+        self._stop_timer()
+        try:
+            async with asyncio.timeout_at(deadline):
+                return result.Ok(await req.read())
+        except TimeoutError:
+            return result.Err(_read_timeout())
+        except web.HTTPRequestEntityTooLarge:
+            return result.Err(_body_too_large())
+        except web.RequestPayloadError:
+            return result.Err(_malformed_http())
+
     def _begin(self) -> None:
         self._phase = _Phase.HEAD
         self._head_bytes = 0
@@ -222,10 +275,18 @@
             f'Content-Length: {len(reply.body)}',
             'Connection: close',
         ]
-        if self.transport is not None:
-            head = '\r\n'.join(lines).encode()
-            self.transport.write(head + HEAD_END + reply.body)
-        self.force_close()
+        self._stop_timer()
+        self._phase = _Phase.REFUSED
+        if self.transport is None:
+            return
+        head = '\r\n'.join(lines).encode()
+        self.transport.write(head + HEAD_END + reply.body)
+        # Closing at once would reset a connection that is still sending, and
+        # the caller could lose the answer.
+        self.transport.write_eof()
+        self._timer = asyncio.get_running_loop().call_later(
+            LINGER_S, self.force_close
+        )
 
 
 def check_head(req: web.Request, limits: EdgeLimits) -> problems.Problem | None:
--- a/sardineproxy/request/admission.py
+++ b/sardineproxy/request/admission.py
@@ -141,7 +141,7 @@
         if contract is None:
             return result.Err(_no_contract())
         if not offer.keyed and offer.kind is work.Kind.JOB:
-            return result.Err(_key_required())
+            return result.Err(key_required())
         parsed = documents.parse_submission(kind=offer.kind, body=offer.body)
         if isinstance(parsed, result.Err):
             return parsed
@@ -186,7 +186,10 @@
             return documents.refusal(
                 code='queue_full',
                 status=429,
-                detail=f'{waiting} tasks of the customer wait at this VM.',
+                detail=(
+                    f'{waiting} tasks of the customer wait at this VM. '
+                    'Submit again later, with a new key.'
+                ),
                 retry_after_s=RETRY_S,
             )
         wait_s = self._take(contract, tasks, now)
@@ -194,7 +197,10 @@
             return documents.refusal(
                 code='rate_limited',
                 status=429,
-                detail='The contract allows no more submissions now.',
+                detail=(
+                    'The contract allows no more submissions now. '
+                    'Submit again later, with a new key.'
+                ),
                 retry_after_s=wait_s,
             )
         return None
@@ -223,7 +229,7 @@
     """Return why the contract never allows the submission, if so."""
     contract, document = admitted.contract, admitted.document
     if not admitted.offer.keyed and not document.tasks[0].idempotent:
-        return _key_required()
+        return key_required()
     tasks = len(document.tasks)
     if tasks > contract.max_job_tasks:
         return documents.refusal(
@@ -271,6 +277,19 @@
     )
 
 
+def overloaded() -> problems.Problem:
+    """Return the refusal of what there is no room for."""
+    return documents.refusal(
+        code='overloaded',
+        status=503,
+        detail=(
+            'This VM has too much in progress. '
+            'Submit again later, with a new key.'
+        ),
+        retry_after_s=RETRY_S,
+    )
+
+
 def _shutting_down() -> problems.Problem:
     return documents.refusal(
         code='shutting_down',
@@ -297,7 +316,8 @@
     )
 
 
-def _key_required() -> problems.Problem:
+def key_required() -> problems.Problem:
+    """Return the refusal of what needs a key and has none."""
     return documents.refusal(
         code='key_required',
         status=400,
--- a/sardineproxy/request/job.py
+++ b/sardineproxy/request/job.py
@@ -88,13 +88,7 @@
         except Exception:
             # A fault in the dispatcher may come after the first byte.
             _log.exception('task failed', extra={'id': task.request_id})
-            return work.Unknown(
-                problem=documents.doubt(
-                    code='internal_error',
-                    status=500,
-                    detail='The dispatcher failed while it ran the task.',
-                )
-            )
+            return work.Unknown(problem=_internal_error())
 
 
 class Executions:
@@ -114,6 +108,9 @@
         self._table = table
         self._metrics = metrics
         self._records: dict[ids.RequestId, records.Record] = {}
+
+        #: Bytes of the submissions in progress.
+        self.running_bytes = 0
         self._in_progress: set[asyncio.Task[Any]] = set()
         self._unstarted: collections.Counter[ids.CustomerId] = (
             collections.Counter()
@@ -134,6 +131,7 @@
             customer=admitted.offer.customer,
             kind=admitted.offer.kind,
             fingerprint=fingerprint,
+            size=len(admitted.offer.body),
             tasks=len(admitted.document.tasks),
             started_at=now,
             answered=asyncio.get_running_loop().create_future(),
@@ -142,6 +140,7 @@
         if sequence is not None:
             self._table.open(record=record)
         self._records[request_id] = record
+        self.running_bytes += record.size
         self._unstarted[record.customer] += record.tasks
         execution = Execution(
             record=record,
@@ -175,6 +174,7 @@
         return {
             'in_progress': len(self._in_progress),
             'running': len(self._records),
+            'running_bytes': self.running_bytes,
             'oldest': [_record_state(record, now) for record in oldest],
         }
 
@@ -185,10 +185,16 @@
             self._runner.cancel(request_id=record.request_id)
 
     async def _run(self, record: records.Record, execution: Execution) -> None:
-        reply = await execution.run()
+        try:
+            reply = await execution.run()
+        except Exception:
+            # Whoever waits for the record must get an answer.
+            _log.exception('answer failed', extra={'id': record.request_id})
+            reply = documents.render_problem(_internal_error())
         record.ended_at = self._clock.now()
         record.answered.set_result(reply)
         self._records.pop(record.request_id)
+        self.running_bytes -= record.size
         self._table.end(record=record)
         self._metrics.observe(
             'submission_seconds',
@@ -218,6 +224,14 @@
     )
 
 
+def _internal_error() -> problems.Problem:
+    return documents.doubt(
+        code='internal_error',
+        status=500,
+        detail='The dispatcher failed while it ran the request.',
+    )
+
+
 def outcome_verdict(outcome: work.Outcome) -> verdicts.Verdict:
     """Return what became of one task."""
     match outcome:
--- a/sardineproxy/request/records.py
+++ b/sardineproxy/request/records.py
@@ -31,6 +31,9 @@
     #: Hash of the submission, to recognize it when it is sent again.
     fingerprint: bytes
 
+    #: Bytes of the submission.
+    size: int
+
     #: Number of tasks, and how many of them have ended.
     tasks: int
     ended_tasks: int = 0
@@ -274,13 +277,3 @@
 
 def _answer_bytes(shelf: _Shelf) -> int:
     return shelf.answer_bytes
-
-
-def table_full() -> problems.Problem:
-    """Return the refusal of a key for whose record there is no room."""
-    return documents.refusal(
-        code='table_full',
-        status=503,
-        detail='Too many submissions are running at this VM.',
-        retry_after_s=SWEEP_S,
-    )
--- a/sardineproxy/request/submissions.py
+++ b/sardineproxy/request/submissions.py
@@ -49,6 +49,9 @@
     #: Most bytes of answers that are held after the requests have ended.
     max_answer_bytes: int = 268_435_456
 
+    #: Most bytes of submissions that are in progress.
+    max_running_bytes: int = 268_435_456
+
     def __post_init__(self) -> None:
         """Refuse lifetimes that would let a key's work start twice."""
         if self.record_ttl_s < self.key_ttl_s:
@@ -74,6 +77,7 @@
         """Start without a version; nothing is admitted until there is one."""
         self._clock = clock
         self._rng = rng
+        self._max_running_bytes = cfg.max_running_bytes
         self._vm = vm
         self._incarnation = incarnation
         self._metrics = metrics
@@ -146,7 +150,9 @@
         wait: bool = True,
     ) -> documents.Reply:
         """Answer a submission: run it, join it or forward it."""
-        if key_text is None:
+        if key_text is None and not wait:
+            reply = documents.render_problem(admission.key_required())
+        elif key_text is None:
             reply = await self._submit_keyless(
                 customer=customer, kind=kind, body=body
             )
@@ -349,8 +355,9 @@
     def _admit(
         self, offer: admission.Offer
     ) -> result.Result[admission.Admitted, problems.Problem]:
-        if offer.keyed and self._table.is_full():
-            return result.Err(records.table_full())
+        size = self._executions.running_bytes + len(offer.body)
+        if self._table.is_full() or size > self._max_running_bytes:
+            return result.Err(admission.overloaded())
         return self._admission.admit(
             offer=offer,
             waiting=self._executions.waiting(customer=offer.customer),
--- a/tests/connection/test_caller.py
+++ b/tests/connection/test_caller.py
@@ -1,46 +1,220 @@
-"""The callers' HTTP listener."""
+"""The callers' HTTP listener, and what it refuses to read."""
 
 import asyncio
+import io
+import json
+import re
+from typing import Any
 
 import aiohttp
-import testtools
 from testtools import matchers
 
-from sardineproxy import clock
+from sardineproxy import logs
 from sardineproxy.connection import caller
 from tests.request import test_submissions as fakes
 
-HEADERS = {'Authorization': 'Bearer warm-credential'}
-LIMITS = caller.EdgeLimits()
-
-
-async def start(runner: fakes.Runner) -> caller.Listener:
-    app = caller.build_app(
-        submissions=fakes.make_submissions(runner, fakes.Mesh()),
-        limits=LIMITS,
-        clock=clock.ManualClock(),
-    )
-    return await caller.start(app=app, limits=LIMITS, host='127.0.0.1', port=0)
-
-
-class PathTest(testtools.TestCase):
-    """Keys, single requests and jobs over HTTP."""
-
-    def test_job_is_complete(self) -> None:
-        async def scenario() -> None:
-            listener = await start(fakes.Runner())
-            url = f'http://127.0.0.1:{listener.port}/v1/'
-            async with aiohttp.ClientSession(headers=HEADERS) as session:
-                async with session.post(f'{url}keys') as resp:
-                    key = (await resp.json())['keys'][0]
-                async with session.post(
-                    f'{url}jobs',
-                    json={'tasks': [fakes.TASK for _ in range(3)]},
-                    headers={'Idempotency-Key': key},
-                ) as resp:
-                    job = await resp.json()
-            await listener.close()
-            self.assertThat(job['state'], matchers.Equals('complete'))
-            self.assertThat(job['tasks'], matchers.HasLength(3))
-
-        asyncio.run(scenario())
+AUTHORIZATION = 'Bearer warm-credential'
+HEAD = (
+    f'POST /v1/keys HTTP/1.1\r\nHost: x\r\nAuthorization: {AUTHORIZATION}\r\n'
+)
+EMPTY = 'Content-Length: 0\r\n\r\n'
+CHUNKED = 'Transfer-Encoding: chunked\r\n'
+LAST_CHUNK = '\r\n0\r\n\r\n'
+
+#: A generous bound on waits that end with an event.
+PATIENCE_S = 30
+
+
+class CallerCase(fakes.SubmissionsCase):
+    """A listener in front of the first process."""
+
+    async def start(self, **limits: Any) -> None:
+        limits = caller.EdgeLimits(**limits)
+        app = caller.build_app(
+            submissions=self.process, limits=limits, clock=self.time
+        )
+        self.listener = await caller.start(
+            app=app, limits=limits, host='127.0.0.1', port=0
+        )
+
+    async def call(
+        self, verb: str, path: str, key: str | None = None, **extra: Any
+    ) -> tuple[int, Any]:
+        headers = {'Authorization': extra.pop('authorization', AUTHORIZATION)}
+        if key:
+            headers['Idempotency-Key'] = key
+        url = f'http://127.0.0.1:{self.listener.port}/v1/{path}'
+        async with aiohttp.request(verb, url, headers=headers, **extra) as resp:
+            return resp.status, await resp.json(content_type=None)
+
+    async def connect(self) -> tuple[Any, Any]:
+        return await asyncio.open_connection('127.0.0.1', self.listener.port)
+
+    async def post(self, key: str, **changes: Any) -> Any:
+        """Submit a single request and return the connection's writer."""
+        body = json.dumps({**fakes.TASK, **changes})
+        _, writer = await self.connect()
+        writer.write(
+            f'{HEAD.replace("keys", "requests")}Idempotency-Key: {key}\r\n'
+            f'Content-Length: {len(body)}\r\n\r\n{body}'.encode()
+        )
+        while (await self.ask('status'))[0] == 404:
+            await asyncio.sleep(0)
+        return writer
+
+    async def send(self, *parts: str) -> bytes:
+        """Send raw bytes, and return all that comes until the end."""
+        reader, writer = await self.connect()
+        for part in parts:
+            writer.write(part.encode('latin1'))
+            await writer.drain()
+        async with asyncio.timeout(PATIENCE_S):
+            received = await reader.read()
+        writer.close()
+        return received
+
+
+class PathTest(CallerCase):
+    """Every operation over HTTP."""
+
+    async def test_job_from_key_to_cancel(self) -> None:
+        await self.start()
+        _, minted = await self.call('POST', 'keys', json={'count': 2})
+        key = minted['keys'][1]
+        job = {'tasks': [fakes.TASK, fakes.TASK]}
+        self.runner.gate.clear()
+        status, running = await self.call(
+            'POST', 'jobs?wait=false', key, json=job
+        )
+        self.assertEqual((202, 'running'), (status, running['state']))
+        self.runner.gate.set()
+        complete = await self.call('POST', 'jobs', key, json=job)
+        self.assertEqual('complete', complete[1]['state'])
+        for verb in ('GET', 'DELETE'):
+            again = await self.call(verb, f'jobs/{key}')
+            self.assertEqual(complete, again)
+
+    async def test_refusals_are_problem_documents(self) -> None:
+        await self.start(body_bytes=100)
+        for verb, path, key, body, code in (
+            ('POST', 'requests', self.key, 'x' * 101, 'body_too_large'),
+            ('POST', 'requests?wait=no', self.spare, '', 'malformed_request'),
+            ('PUT', 'requests', None, '', 'no_such_resource'),
+            ('GET', 'other', None, '', 'no_such_resource'),
+            ('GET', 'jobs/none', None, '', 'malformed_key'),
+        ):
+            answer = await self.call(verb, path, key, data=body)
+            self.assert_problem(answer, code, 'not_run', True)
+        answer = await self.submit()
+        self.assert_problem(answer, 'body_too_large', 'not_run', True)
+
+    async def test_wrong_credential(self) -> None:
+        """Without a customer, nobody knows whether the key's work ran."""
+        await self.start()
+        for key, verdict in ((None, 'not_run'), (self.key, 'may_have_run')):
+            answer = await self.call(
+                'POST', 'requests', key, authorization='Bearer none'
+            )
+            self.assert_problem(answer, 'unauthorized', verdict, not key)
+
+    async def test_disconnect_does_not_cancel(self) -> None:
+        await self.start(close_timeout_s=0.1)
+        self.runner.gate.clear()
+        writer = await self.post(self.key)
+        writer.transport.abort()
+        await self.listener.close()
+        self.runner.gate.set()
+        await self.process.idle()
+        self.assertEqual(200, (await self.ask('status'))[0])
+
+
+class FramingTest(CallerCase):
+    """Guards against requests of which two parsers see different ends."""
+
+    async def test_refused_and_closed(self) -> None:
+        await self.start()
+        for rest, status in (
+            (f'Content-Length: 2\r\n{CHUNKED}{LAST_CHUNK}', 400),
+            (f'{CHUNKED}Content-Length: 2\r\n{LAST_CHUNK}', 400),
+            ('Content-Length: 2\r\nContent-Length: 2\r\n\r\n{}', 400),
+            ('Content-Length: 2, 2\r\n\r\n{}', 400),
+            ('Content-Length: +2\r\n\r\n{}', 400),
+            ('Content-Length : 0\r\n\r\n', 400),
+            (f'X: 1\r\n 2\r\n{EMPTY}', 400),
+            (f'X: 1\r\n\t2\r\n{EMPTY}', 400),
+            (f'X: 1\n{EMPTY}', 400),
+            (f'X: a\0b\r\n{EMPTY}', 400),
+            (f'Host: y\r\n{EMPTY}', 400),
+            (f'Transfer-Encoding: gzip, chunked\r\n{LAST_CHUNK}', 400),
+            ('Transfer-Encoding: identity\r\n\r\n', 400),
+            (f'{CHUNKED}{CHUNKED}{LAST_CHUNK}', 400),
+            (f'{CHUNKED}\r\nzz\r\n{{}}{LAST_CHUNK}', 400),
+            (f'Authorization: Bearer x\r\n{EMPTY}', 400),
+            (f'Content-Encoding: gzip\r\n{EMPTY}', 415),
+            (f'X: {"a" * 17_000}\r\n{EMPTY}', 431),
+            (''.join(f'X{n}: {"a" * 400}\r\n' for n in range(50)), 431),
+        ):
+            received = await self.send(HEAD + rest)
+            self.assertEqual(
+                [str(status).encode()], re.findall(rb'HTTP/1.. (\d+)', received)
+            )
+            self.assertThat(received, matchers.Contains(b'"verdict"'))
+        old = HEAD.replace('HTTP/1.1', 'HTTP/1.0') + CHUNKED + LAST_CHUNK
+        self.assertThat(await self.send(old), matchers.Contains(b' 400 '))
+
+    async def test_pipelined_requests_are_answered_in_order(self) -> None:
+        await self.start()
+        large = ''.join(f'X{n}: {"a" * 400}\r\n' for n in range(50))
+        received = await self.send(
+            HEAD + EMPTY + HEAD + EMPTY + HEAD + large + EMPTY
+        )
+        self.assertEqual(
+            [b'200', b'200', b'431'], re.findall(rb'HTTP/1.1 (\d+)', received)
+        )
+
+    async def test_bad_lines_are_not_logged(self) -> None:
+        """Guards against credentials in the parser's error messages."""
+        stream = io.StringIO()
+        logs.configure(stream=stream)
+        await self.start()
+        await self.send(f'{HEAD}Authorization  : {AUTHORIZATION}\r\n{EMPTY}')
+        await self.listener.close()
+        self.assertThat(stream.getvalue(), matchers.Contains('malformed_http'))
+        self.assertThat(
+            stream.getvalue(), matchers.Not(matchers.Contains('credential'))
+        )
+
+
+class SlowTest(CallerCase):
+    """Guards against connections that are held open by slow callers."""
+
+    async def test_slow_requests_end(self) -> None:
+        await self.start(read_timeout_s=0.2)
+        for parts in (
+            ('P',),
+            (HEAD, 'X: '),
+            ('\r\n\r\n', HEAD),
+            (HEAD, 'Content-Length: 2\r\n\r\n{'),
+            (HEAD + EMPTY + HEAD,),
+        ):
+            received = await self.send(*parts)
+            self.assertThat(received, matchers.Contains(b'HTTP/1.1 408'))
+
+    async def test_trickle_does_not_extend_the_time(self) -> None:
+        await self.start(read_timeout_s=0.2)
+        reader, writer = await self.connect()
+        answer = asyncio.create_task(reader.read())
+        writer.write(f'{HEAD}X: '.encode())
+        while not answer.done():
+            writer.write(b'x')
+            await asyncio.wait({answer}, timeout=0.02)
+        self.assertThat(answer.result(), matchers.Contains(b' 408 '))
+        writer.close()
+
+    async def test_unread_answer_is_given_up(self) -> None:
+        await self.start(write_timeout_s=0.2, close_timeout_s=PATIENCE_S)
+        self.runner.outcomes[0] = fakes.make_answer(body=bytes(8_388_608))
+        writer = await self.post(self.key)
+        async with asyncio.timeout(PATIENCE_S):
+            await self.listener.close()
+        writer.transport.abort()
--- /dev/null
+++ b/tests/request/test_admission.py
@@ -0,0 +1,105 @@
+"""Admission: the contract's rate, queue, sizes and deadlines."""
+
+import json
+from typing import Any
+
+import testtools
+
+from sardineproxy import ids
+from sardineproxy.request import admission, work
+from tests.request import test_submissions as fakes
+
+
+class AdmissionCase(testtools.TestCase):
+    """Helpers around one customer's contract."""
+
+    def make(self, **terms: Any) -> None:
+        self.admission = admission.Admission()
+        self.admission.set_version(fakes.make_version(**terms))
+
+    def admit(
+        self, tasks: int = 1, now: float = 0, waiting: int = 0, **job: Any
+    ) -> Any:
+        job['tasks'] = [fakes.TASK for _ in range(tasks)]
+        offer = admission.Offer(
+            customer=fakes.WARM,
+            kind=work.Kind.JOB,
+            keyed=True,
+            body=json.dumps(job).encode(),
+        )
+        return self.admission.admit(offer=offer, waiting=waiting, now=now)
+
+    def code(self, **arguments: Any) -> str | None:
+        admitted = self.admit(**arguments)
+        return admitted.err_value.code if admitted.is_err() else None
+
+
+class RateTest(AdmissionCase):
+    """The token bucket, divided among the live VMs."""
+
+    def test_burst_then_rate(self) -> None:
+        self.make(submit_per_s=10.0, submit_burst=20)
+        self.admission.set_live_vms(2)
+        codes = [self.code() for _ in range(11)]
+        self.assertEqual([None, 'rate_limited'], codes[9:])
+        refused = self.admit().err_value
+        self.assertEqual(0.2, refused.retry_after_s)
+        self.assertIs(self.code(now=0.2), None)
+        self.assertEqual('rate_limited', self.code(now=0.2))
+
+    def test_largest_job_is_admissible_and_paid_for(self) -> None:
+        """Guards against jobs larger than the burst that never fit."""
+        self.make(submit_per_s=100.0, submit_burst=10)
+        self.assertIs(self.code(tasks=1700), None)
+        self.assertEqual('rate_limited', self.code(now=16))
+        self.assertIs(self.code(tasks=1700, now=17), None)
+
+    def test_new_version_keeps_the_debt(self) -> None:
+        """Guards against a full burst after each change of contracts."""
+        self.make(submit_per_s=1.0, submit_burst=1)
+        self.code()
+        self.admission.set_version(fakes.make_version(submit_burst=50))
+        self.assertEqual('rate_limited', self.code())
+
+
+class BoundsTest(AdmissionCase):
+    """Queue, job size and deadlines."""
+
+    def test_queue(self) -> None:
+        self.make(queue=5)
+        self.assertIs(self.code(tasks=2, waiting=3), None)
+        self.assertEqual('queue_full', self.code(tasks=3, waiting=3))
+        self.assertIs(self.code(tasks=9, waiting=0), None)
+
+    def test_contract_limits(self) -> None:
+        self.make(max_job_tasks=2, default_deadline_ms=700)
+        self.assertEqual('job_too_large', self.code(tasks=3))
+        tasks = self.admit().ok_value.tasks(
+            request_id=ids.RequestId('r'), now=10
+        )
+        self.assertEqual(10.7, tasks[0].deadline)
+        self.make(max_deadline_ms=10)
+        self.assertEqual('deadline_too_long', self.code(deadline_ms=11))
+
+    def test_nothing_without_version_contract_or_while_draining(self) -> None:
+        self.make()
+        self.admission.drain()
+        self.assertEqual('shutting_down', self.code())
+        self.make()
+        self.admission.set_version(None)
+        self.assertEqual('not_ready', self.code())
+
+
+class CredentialTest(AdmissionCase):
+    """A credential opens exactly the contract that has its hash."""
+
+    def test_finds_the_customer(self) -> None:
+        self.make()
+        for credential, expected in (
+            ('warm-credential', fakes.WARM),
+            ('rival-credential', fakes.RIVAL),
+            ('', None),
+            ('\udcff', None),
+        ):
+            found = self.admission.authenticate(credential=credential).ok()
+            self.assertEqual(expected, found)
--- /dev/null
+++ b/tests/request/test_documents.py
@@ -0,0 +1,92 @@
+"""Documents: what cannot be read is refused whole, and answers are exact."""
+
+import base64
+import json
+from typing import Any
+
+import hypothesis
+import testtools
+from hypothesis import strategies
+from testtools import matchers
+
+from sardineproxy.request import documents, work
+from tests.request import test_submissions as fakes
+
+
+def parse(kind: work.Kind = work.Kind.SINGLE, **members: Any) -> Any:
+    body = json.dumps(members).encode()
+    return documents.parse_submission(kind=kind, body=body)
+
+
+class ParseTest(testtools.TestCase):
+    """Guards against requests that an endpoint could read as another one."""
+
+    def test_refuses_tasks(self) -> None:
+        for change, expected in (
+            ({'path': 'stamp'}, 'path must start with "/"'),
+            ({'path': '/a b'}, 'path must start with "/"'),
+            ({'path': '/a\r\nX: y'}, 'path must start with "/"'),
+            ({'path': '/a\n'}, 'path must start with "/"'),
+            ({'path': '/' + 'a' * 9000}, 'longer than'),
+            ({'method': 'CONNECT'}, 'method is not one of'),
+            ({'method': 'get'}, 'method is not one of'),
+            ({'headers': {'Connection': 'close'}}, 'not allowed in a task'),
+            ({'headers': {'transfer-ENCODING': 'x'}}, 'not allowed in a task'),
+            ({'headers': {'Content-Length': '1'}}, 'not allowed in a task'),
+            ({'headers': {'X': 'a\r\nY: b'}}, 'characters that are not'),
+            ({'headers': {'X Y': 'a'}}, 'not a token'),
+            ({'headers': {'X': 'a', 'x': 'b'}}, 'occurs twice'),
+            ({'headers': {'X': 'a' * 17_000}}, 'too large headers'),
+            ({'body_base64': 'a'}, 'not valid base64'),
+            ({'body_base64': 'YQ=='}, 'exclude each other'),
+            ({'body_text': '\ud800'}, 'lone surrogate'),
+            ({'body_text': 5}, 'expected a string'),
+            ({'idempotent': 1}, 'valid boolean'),
+            ({'deadline_ms': 0}, 'greater than or equal to 1'),
+            ({'secret': 'x'}, 'Extra inputs'),
+        ):
+            problem = parse(**{**fakes.TASK, **change}).unwrap_err()
+            self.assertThat(problem.detail, matchers.Contains(expected))
+            self.assertEqual(400, problem.status)
+
+    def test_refuses_jobs(self) -> None:
+        for count in (0, 1701):
+            tasks = [fakes.TASK for _ in range(count)]
+            self.assertTrue(parse(work.Kind.JOB, tasks=tasks).is_err())
+
+    @hypothesis.given(strategies.binary(max_size=200))
+    def test_any_bytes_are_refused_without_exception(self, body: bytes) -> None:
+        for kind in work.Kind:
+            parsed = documents.parse_submission(kind=kind, body=body)
+            self.assertTrue(parsed.is_err())
+
+    @hypothesis.given(strategies.binary(), strategies.text())
+    def test_bodies_arrive_unchanged(self, raw: bytes, text: str) -> None:
+        task = {'method': 'PUT', 'path': '/'}
+        encoded = base64.b64encode(raw).decode()
+        for members, expected in (
+            ({'body_base64': encoded}, raw),
+            ({'body_text': text}, text.encode()),
+        ):
+            document = parse(**task, **members).unwrap()
+            self.assertEqual(expected, document.tasks[0].body())
+
+
+class RenderTest(testtools.TestCase):
+    """Problem documents carry what a program branches on."""
+
+    def test_problem(self) -> None:
+        problem = documents.refusal(
+            code='rate_limited', status=429, detail='Wait.', retry_after_s=0.2
+        )
+        reply = documents.render_problem(problem)
+        self.assertEqual(
+            {'Content-Type': 'application/problem+json', 'Retry-After': '1'},
+            dict(reply.headers),
+        )
+        document = json.loads(reply.body)
+        names = ('code', 'verdict', 'final', 'retry_after_s')
+        self.assertEqual(
+            ['rate_limited', 'not_run', True, 0.2],
+            [document[name] for name in names],
+        )
--- /dev/null
+++ b/tests/request/test_job.py
@@ -0,0 +1,72 @@
+"""Jobs: complete, or marked failed with each task's verdict."""
+
+import asyncio
+from typing import Any
+
+import testtools
+from testtools import matchers
+
+from sardineproxy.request import documents, job, work
+from tests.request import test_submissions as fakes
+
+REFUSED = work.Refused(problem=job.cancelled())
+UNKNOWN = work.Unknown(
+    problem=documents.doubt(code='reset', status=504, detail='Reset.')
+)
+
+
+class JobTest(fakes.SubmissionsCase):
+    """Guards against jobs that look complete and are not."""
+
+    async def run_job(self, outcomes: dict[int, Any], count: int = 2) -> Any:
+        self.runner.outcomes = outcomes
+        _, document = await self.submit_job(count, key_text=self.mint())
+        return document
+
+    async def test_states(self) -> None:
+        for outcomes, state, verdict in (
+            ({}, 'complete', 'ran'),
+            ({0: fakes.make_answer(500)}, 'failed', 'ran_and_failed'),
+            ({0: REFUSED}, 'failed', 'ran_and_failed'),
+            ({0: REFUSED, 1: REFUSED}, 'failed', 'not_run'),
+            ({0: UNKNOWN, 1: REFUSED}, 'failed', 'may_have_run'),
+            ({0: ValueError('fault')}, 'failed', 'may_have_run'),
+        ):
+            document = await self.run_job(outcomes)
+            self.assertEqual(
+                (state, verdict), (document['state'], document['verdict'])
+            )
+            self.assertThat(document['tasks'], matchers.HasLength(2))
+
+    async def test_largest_job_runs_each_task_once(self) -> None:
+        document = await self.run_job({}, count=1700)
+        self.assertEqual('complete', document['state'])
+        self.assertThat(self.runner.starts, matchers.HasLength(1700))
+        self.assertEqual({1}, set(self.runner.starts.values()))
+
+    async def test_too_large_answers_fail_the_job(self) -> None:
+        large = fakes.make_answer(body=bytes(job.MAX_JOB_ANSWER_BYTES // 2 + 1))
+        document = await self.run_job({0: large, 1: large})
+        self.assertEqual('failed', document['state'])
+        dropped = document['tasks'][1]
+        self.assertEqual(
+            ('ran', 'answers_too_large'),
+            (dropped['verdict'], dropped['problem']['code']),
+        )
+
+    async def test_tasks_count_as_waiting_at_once(self) -> None:
+        """Guards against two jobs admitted before the first has started."""
+        self.process.set_version(fakes.make_version(queue=5))
+        answers = await asyncio.gather(
+            self.submit_job(4), self.submit_job(4, key_text=self.spare)
+        )
+        self.assertEqual([200, 429], [status for status, _ in answers])
+
+
+class AnswerTest(testtools.TestCase):
+    """Endpoints' answers are rendered byte for byte."""
+
+    def test_body_that_is_not_text(self) -> None:
+        document = job.answer_document(fakes.make_answer(body=b'\xff'))
+        self.assertEqual('/w==', document['body_base64'])
+        self.assertThat(document, matchers.Not(matchers.Contains('body_text')))
--- /dev/null
+++ b/tests/request/test_keys.py
@@ -0,0 +1,76 @@
+"""Keys: only the minter's customer can use them, and nothing else parses."""
+
+import hypothesis
+import testtools
+from hypothesis import strategies
+from testtools import matchers
+
+from sardineproxy import ids, verdicts
+from sardineproxy.request import keys
+
+WARM = ids.CustomerId('warm')
+RIVAL = ids.CustomerId('rival')
+
+
+def make_ring(secret: bytes = b'one', incarnation: str = 'a1') -> keys.KeyRing:
+    return keys.KeyRing(
+        vm=ids.VmId('vm1'),
+        incarnation=ids.Incarnation(incarnation),
+        secret=secret,
+        ttl_s=900,
+    )
+
+
+class KeyRingTest(testtools.TestCase):
+    """Guards against keys that another customer or process could use."""
+
+    def test_only_the_customer_and_the_minter_recognize_a_key(self) -> None:
+        ring = make_ring()
+        key = keys.parse(ring.mint(customer=WARM, now=5))
+        assert key is not None
+        self.assertEqual(905, key.expires_at)
+        for judge, customer, expected in (
+            (ring, WARM, True),
+            (ring, RIVAL, False),
+            (make_ring(secret=b'two'), WARM, False),
+            (make_ring(incarnation='a2'), WARM, False),
+        ):
+            genuine = judge.is_genuine(key=key, customer=customer)
+            self.assertEqual(expected, genuine)
+
+    def test_keys_differ(self) -> None:
+        ring = make_ring()
+        minted = {ring.mint(customer=WARM, now=5) for _ in range(100)}
+        self.assertThat(minted, matchers.HasLength(100))
+
+    @hypothesis.given(strategies.data())
+    def test_changed_key_is_not_genuine(
+        self, data: strategies.DataObject
+    ) -> None:
+        ring = make_ring()
+        text = ring.mint(customer=WARM, now=5)
+        place = data.draw(strategies.integers(0, len(text) - 1))
+        symbol = data.draw(strategies.sampled_from('0123456789abcdef.-sp'))
+        changed = text[:place] + symbol + text[place + 1 :]
+        hypothesis.assume(changed != text)
+        key = keys.parse(changed)
+        self.assertFalse(key and ring.is_genuine(key=key, customer=WARM))
+
+    @hypothesis.given(strategies.text(max_size=300))
+    def test_any_text_is_parsed_or_refused(self, text: str) -> None:
+        key = keys.parse(text)
+        self.assertTrue(key is None or key.text == text)
+
+
+class WithoutMinterTest(testtools.TestCase):
+    """Guards against "not run" from a process that did not mint the key."""
+
+    def test_verdict_depends_on_the_key(self) -> None:
+        minted = make_ring().mint(customer=WARM, now=5)
+        for text, verdict in (
+            (None, verdicts.Verdict.NOT_RUN),
+            ('my-own-key', verdicts.Verdict.NOT_RUN),
+            (minted, verdicts.Verdict.MAY_HAVE_RUN),
+        ):
+            problem = keys.without_minter(keys.malformed(), text)
+            self.assertEqual(verdict, problem.verdict)
--- /dev/null
+++ b/tests/request/test_records.py
@@ -0,0 +1,156 @@
+"""Records: a key that was used never looks new while it is valid."""
+
+import asyncio
+import random
+from typing import Any
+
+import testtools
+from testtools import matchers
+
+from sardineproxy import ids, verdicts
+from sardineproxy.request import documents, keys, records, work
+
+WARM = ids.CustomerId('warm')
+RIVAL = ids.CustomerId('rival')
+TTL_S = 100
+
+
+class TableCase(testtools.TestCase):
+    """A table with a ring of its own."""
+
+    def make(self, **bounds: Any) -> None:
+        self.ring = keys.KeyRing(
+            vm=ids.VmId('vm1'),
+            incarnation=ids.Incarnation('a1'),
+            secret=b'one',
+            ttl_s=TTL_S,
+        )
+        bounds = {
+            'key_ttl_s': TTL_S,
+            'record_ttl_s': TTL_S,
+            'max_records': 10,
+            'max_answer_bytes': 1000,
+            **bounds,
+        }
+        self.table = records.Table(ring=self.ring, **bounds)
+
+    def mint(self, customer: ids.CustomerId = WARM, now: float = 0) -> keys.Key:
+        key = keys.parse(self.ring.mint(customer=customer, now=now))
+        assert key is not None
+        return key
+
+    def open(
+        self, key: keys.Key, customer: ids.CustomerId = WARM, now: float = 0
+    ) -> records.Record:
+        record = records.Record(
+            request_id=key.text,
+            customer=customer,
+            kind=work.Kind.SINGLE,
+            fingerprint=b'f',
+            size=1,
+            tasks=1,
+            started_at=now,
+            answered=asyncio.Future(loop=self.loop),
+            sequence=key.sequence,
+        )
+        self.table.open(record=record)
+        return record
+
+    def end(
+        self, record: records.Record, now: float = 0, size: int = 1
+    ) -> None:
+        record.ended_at = now
+        record.answered.set_result(
+            documents.Reply(
+                status=200,
+                headers=(),
+                body=bytes(size),
+                verdict=verdicts.Verdict.RAN,
+            )
+        )
+        self.table.end(record=record)
+
+    def note(
+        self, key: keys.Key, customer: ids.CustomerId = WARM, now: float = 0
+    ) -> None:
+        self.table.note(
+            key=key,
+            customer=customer,
+            fingerprint=None,
+            problem=keys.malformed(),
+            now=now,
+        )
+
+    def find(
+        self, key: keys.Key, customer: ids.CustomerId = WARM, now: float = 0
+    ) -> Any:
+        return self.table.find(key=key, customer=customer, now=now)
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.loop = asyncio.new_event_loop()
+        self.addCleanup(self.loop.close)
+
+
+class RetentionTest(TableCase):
+    """What is dropped early still never starts again."""
+
+    def test_dropped_answer_leaves_its_verdict(self) -> None:
+        self.make(max_answer_bytes=5)
+        first, second = self.mint(), self.mint()
+        for key in (first, second):
+            self.end(self.open(key), size=4)
+        note = self.find(first)
+        self.assertEqual('answer_dropped', note.problem.code)
+        self.assertEqual(verdicts.Verdict.RAN, note.problem.verdict)
+        self.assertIsInstance(self.find(second), records.Record)
+
+    def test_busiest_customer_makes_room(self) -> None:
+        """A rival's load must not push out another customer's answer."""
+        self.make(max_records=3)
+        mine = self.mint()
+        self.end(self.open(mine))
+        for _ in range(20):
+            self.end(self.open(self.mint(RIVAL), RIVAL))
+        self.assertIsInstance(self.find(mine), records.Record)
+
+    def test_dropped_note_voids_older_keys_of_its_customer(self) -> None:
+        self.make(max_records=2)
+        older, mine = self.mint(RIVAL), self.mint()
+        noted = [self.mint(RIVAL) for _ in range(3)]
+        for key in noted:
+            self.note(key, RIVAL)
+        for key in (older, noted[0]):
+            self.assertIs(self.find(key, RIVAL), records.Absence.VOID)
+        self.assertIs(self.find(mine), records.Absence.NEW)
+
+    def test_no_used_key_becomes_new(self) -> None:
+        """Random use of a small table, compared with the set of used keys."""
+        rng = random.Random(7)
+        self.make(max_records=4, max_answer_bytes=20)
+        now, minted, running = 0, [], []
+        used: set[keys.Key] = set()
+        for _ in range(5000):
+            now += rng.choice((0, 1, 5))
+            minted = [*minted, self.mint(now=now)][-30:]
+            key = rng.choice(minted)
+            found = self.find(key, now=now)
+            if found is records.Absence.NEW:
+                self.assertThat(used, matchers.Not(matchers.Contains(key)))
+                used.add(key)
+                if self.table.is_full() or rng.randrange(10) < 3:
+                    self.note(key, now=now)
+                else:
+                    running.append(self.open(key, now=now))
+            if running and rng.randrange(2):
+                record = running.pop(rng.randrange(len(running)))
+                self.end(record, now=now, size=rng.randrange(10))
+        self.assertThat(len(used), matchers.GreaterThan(1000))
+
+    def test_old_entries_are_dropped(self) -> None:
+        self.make()
+        key = self.mint()
+        self.end(self.open(key), now=50)
+        self.assertIsInstance(self.find(key, now=149), records.Record)
+        self.assertIs(self.find(key, now=151), records.Absence.VOID)
+        self.assertEqual(0, self.table.sizes()[WARM]['answer_bytes'])
--- a/tests/request/test_submissions.py
+++ b/tests/request/test_submissions.py
@@ -5,21 +5,40 @@
 import hashlib
 import json
 import random
+import types
 from typing import Any
 
 import testtools
 from testtools import matchers
 
-from sardineproxy import clock, ids
+from sardineproxy import clock, ids, verdicts
 from sardineproxy.process import metrics
-from sardineproxy.request import documents, forwarding, submissions, work
+from sardineproxy.request import forwarding, job, questions, submissions, work
 from sardineproxy.version import contracts, versions
 
 WARM = ids.CustomerId('warm')
 RIVAL = ids.CustomerId('rival')
+QUESTION = questions.Question(
+    operation=questions.Operation.CANCEL, customer=WARM, key='key'
+)
+TERMS = types.MappingProxyType(
+    {
+        'weight': 1.0,
+        'submit_per_s': 100.0,
+        'submit_burst': 100,
+        'hold': 10,
+        'queue': 5000,
+    }
+)
 TASK = {'method': 'POST', 'path': '/stamp', 'body_text': 'reprint'}
 
 
+def make_answer(status: int = 200, body: bytes = b'') -> work.Answer:
+    return work.Answer(
+        status=status, headers=(), body=body, endpoint=ids.EndpointId('e1')
+    )
+
+
 class Runner:
     """Counts starts; tasks wait while ``gate`` is closed."""
 
@@ -28,7 +47,7 @@
         self.gate = asyncio.Event()
         self.gate.set()
         self.cancelled: set[str] = set()
-        self.outcomes: dict[int, work.Outcome] = {}
+        self.outcomes: dict[int, Any] = {}
 
     async def run_single(self, *, task: work.Task) -> work.Outcome:
         return await self.run_job_task(task=task)
@@ -36,19 +55,12 @@
     async def run_job_task(self, *, task: work.Task) -> work.Outcome:
         await self.gate.wait()
         if task.request_id in self.cancelled:
-            return work.Refused(
-                problem=documents.refusal(
-                    code='cancelled', status=409, detail='Cancelled.'
-                )
-            )
+            return work.Refused(problem=job.cancelled())
         self.starts[task.request_id, task.index] += 1
-        answer = work.Answer(
-            status=200,
-            headers=(),
-            body=task.body,
-            endpoint=ids.EndpointId('e1'),
-        )
-        return self.outcomes.get(task.index, answer)
+        outcome = self.outcomes.get(task.index, make_answer(body=task.body))
+        if isinstance(outcome, Exception):
+            raise outcome
+        return outcome
 
     def cancel(self, *, request_id: ids.RequestId) -> None:
         self.cancelled.add(request_id)
@@ -63,6 +75,7 @@
     def __init__(self) -> None:
         self.processes: dict[str, submissions.Submissions] = {}
         self.lost: forwarding.Reply | None = None
+        self.time = clock.ManualClock(start=1000)
 
     async def forward(
         self,
@@ -80,27 +93,15 @@
 
 def make_contract(customer: ids.CustomerId, **terms: Any) -> contracts.Contract:
     digest = hashlib.sha256(f'{customer}-credential'.encode()).hexdigest()
-    terms = {
-        'weight': 1.0,
-        'submit_per_s': 100.0,
-        'submit_burst': 100,
-        'hold': 10,
-        'queue': 5000,
-        **terms,
-    }
     return contracts.Contract(
-        customer=customer, credential_sha256=[digest], **terms
+        customer=customer, credential_sha256=[digest], **{**TERMS, **terms}
     )
 
 
 def make_version(**terms: Any) -> versions.Version:
+    found = {one: make_contract(one, **terms) for one in (WARM, RIVAL)}
     return versions.Version(
-        number=ids.VersionNumber(1),
-        digest='',
-        contracts={
-            customer: make_contract(customer, **terms)
-            for customer in (WARM, RIVAL)
-        },
+        number=ids.VersionNumber(1), digest='', contracts=found
     )
 
 
@@ -108,7 +109,7 @@
     runner: Runner, mesh: Mesh, vm: str = 'vm1', **cfg: Any
 ) -> submissions.Submissions:
     process = submissions.Submissions(
-        clock=clock.ManualClock(start=1000),
+        clock=mesh.time,
         rng=random.Random(1),
         vm=ids.VmId(vm),
         incarnation=ids.Incarnation('a1'),
@@ -124,46 +125,250 @@
 
 
 class SubmissionsCase(testtools.TestCase):
-    """Helpers for one or two processes."""
-
-    def run_async(self, coroutine: Any) -> Any:
-        return asyncio.run(coroutine)
+    """Two processes; each test is one scenario on an event loop."""
 
-    def mint(self, process: submissions.Submissions) -> str:
-        reply = process.mint(customer=WARM, body=b'')
+    def mint(self) -> str:
+        reply = self.process.mint(customer=WARM, body=b'')
         return json.loads(reply.body)['keys'][0]
 
-    async def submit(
-        self, process: submissions.Submissions, key: str | None, **extra: Any
+    async def submit(self, **changes: Any) -> tuple[int, Any]:
+        process = changes.pop('process', self.process)
+        body = changes.pop('body', TASK)
+        arguments = {'customer': WARM, 'key_text': self.key, **changes}
+        arguments.setdefault('kind', work.Kind.SINGLE)
+        arguments['body'] = json.dumps(body).encode()
+        reply = await process.submit(**arguments)
+        return reply.status, json.loads(reply.body)
+
+    async def submit_job(self, count: int = 3, **changes: Any) -> Any:
+        job = {'tasks': [TASK for _ in range(count)]}
+        return await self.submit(kind=work.Kind.JOB, body=job, **changes)
+
+    async def ask(
+        self, verb: str, process: Any = None, customer: Any = WARM
     ) -> tuple[int, Any]:
-        arguments = {
-            'customer': WARM,
-            'kind': work.Kind.SINGLE,
-            'body': json.dumps(TASK).encode(),
-            **extra,
-        }
-        reply = await process.submit(key_text=key, **arguments)
+        ask = getattr(process or self.process, verb)
+        reply = await ask(customer=customer, key_text=self.key)
         return reply.status, json.loads(reply.body)
 
+    def assert_problem(
+        self, answer: tuple[int, Any], code: str, verdict: str, final: bool
+    ) -> None:
+        document = answer[1]
+        self.assertEqual(
+            (code, verdict, final),
+            (document['code'], document['verdict'], document['final']),
+        )
+        self.assertEqual(document['status'], answer[0])
 
-class SingleTest(SubmissionsCase):
-    """A key's work starts once, however often it is submitted."""
+    def _run_test_method(self, result: Any) -> Any:
+        return asyncio.run(self._run_scenario())
 
-    def test_same_submission_again_gets_the_same_answer(self) -> None:
-        async def scenario() -> None:
-            runner = Runner()
-            process = make_submissions(runner, Mesh())
-            key = self.mint(process)
-            answers = await asyncio.gather(
-                *(self.submit(process, key) for _ in range(3))
-            )
-            answers.append(await self.submit(process, key))
-            self.assertThat(
-                answers[0][1]['body_text'], matchers.Equals('reprint')
-            )
-            self.assertThat(
-                {repr(one) for one in answers}, matchers.HasLength(1)
+    async def _run_scenario(self) -> None:
+        self.listener: Any = None
+        self.runner = Runner()
+        self.mesh = Mesh()
+        self.process = make_submissions(self.runner, self.mesh)
+        self.other = make_submissions(Runner(), self.mesh, vm='vm2')
+        self.time = self.mesh.time
+        self.key = self.mint()
+        self.spare = self.mint()
+        await self._get_test_method()()
+        if self.listener:
+            await self.listener.close()
+
+
+class KeyTest(SubmissionsCase):
+    """A key's work starts at most once, and only for its customer."""
+
+    async def test_same_submission_again_gets_the_same_answer(self) -> None:
+        answers = await asyncio.gather(
+            *(self.submit() for _ in range(3)), self.submit(process=self.other)
+        )
+        answers += [await self.submit(), await self.ask('status')]
+        self.assertEqual('reprint', answers[0][1]['body_text'])
+        self.assertThat({repr(one) for one in answers}, matchers.HasLength(1))
+        self.assertEqual({(self.key, 0): 1}, self.runner.starts)
+
+    async def test_other_body_changes_nothing(self) -> None:
+        first = await self.submit()
+        other = await self.submit(body={**TASK, 'path': '/other'})
+        self.assert_problem(other, 'key_reused', 'may_have_run', True)
+        self.assertEqual(422, other[0])
+        self.assertEqual(first, await self.submit())
+        job = await self.submit_job()
+        self.assert_problem(job, 'key_reused', 'may_have_run', True)
+
+    async def test_rival_sees_an_unknown_key(self) -> None:
+        self.runner.gate.clear()
+        await self.submit_job(wait=False)
+        for process in (self.process, self.other):
+            for verb in ('status', 'cancel'):
+                answer = await self.ask(verb, process, customer=RIVAL)
+                self.assert_problem(answer, 'unknown_key', 'not_run', True)
+            replayed = await self.submit_job(process=process, customer=RIVAL)
+            self.assert_problem(replayed, 'unknown_key', 'not_run', True)
+        self.assertEqual(202, (await self.ask('status'))[0])
+        self.runner.gate.set()
+        await self.process.idle()
+        self.assertEqual(200, (await self.ask('status'))[0])
+
+    async def test_refusal_is_remembered(self) -> None:
+        """Guards against "not run" for a key that starts work later."""
+        self.process.set_version(make_version(submit_per_s=0.1, submit_burst=1))
+        await self.submit(key_text=self.mint())
+        for _ in range(2):
+            refused = await self.submit()
+            self.assert_problem(refused, 'rate_limited', 'not_run', True)
+            self.process.set_version(make_version())
+            self.time.advance(100)
+        self.assertThat(self.runner.starts, matchers.HasLength(1))
+
+    async def test_expired_key_leaves_it_open(self) -> None:
+        self.time.advance(901)
+        expired = await self.submit()
+        self.assert_problem(expired, 'key_expired', 'may_have_run', True)
+
+    async def test_unminted_and_missing_keys(self) -> None:
+        answer = await self.submit(key_text='my-key')
+        self.assert_problem(answer, 'malformed_key', 'not_run', True)
+        lookup = {'key_text': None, 'body': {**TASK, 'idempotent': True}}
+        for answer in (
+            await self.submit(key_text=None),
+            await self.submit_job(key_text=None),
+            await self.submit(**lookup, wait=False),
+        ):
+            self.assert_problem(answer, 'key_required', 'not_run', True)
+        self.assertEqual(200, (await self.submit(**lookup))[0])
+
+    async def test_unread_submission_uses_up_its_key(self) -> None:
+        for key_text, verdict in (
+            (self.key, verdicts.Verdict.NOT_RUN),
+            (self.key, verdicts.Verdict.MAY_HAVE_RUN),
+            (None, verdicts.Verdict.NOT_RUN),
+        ):
+            reply = self.process.refuse(
+                customer=WARM, key_text=key_text, problem=job.cancelled()
             )
-            self.assertThat(runner.starts, matchers.Equals({(key, 0): 1}))
+            self.assertIs(verdict, reply.verdict)
+        answer = await self.submit()
+        self.assert_problem(answer, 'cancelled', 'not_run', True)
+        self.assertThat(self.runner.starts, matchers.HasLength(0))
+
+
+class CancelTest(SubmissionsCase):
+    """What has not started never starts."""
+
+    async def test_job_ends_failed(self) -> None:
+        self.runner.gate.clear()
+        await self.submit_job(wait=False)
+        status, document = await self.ask('cancel', self.other)
+        self.assertEqual((202, True), (status, document['cancelled']))
+        self.runner.gate.set()
+        _, job = await self.submit_job()
+        self.assertEqual('failed', job['state'])
+        self.assertEqual(
+            {'cancelled'}, {task['problem']['code'] for task in job['tasks']}
+        )
+        self.assertThat(self.runner.starts, matchers.HasLength(0))
+
+    async def test_ended_job_keeps_its_answer(self) -> None:
+        first = await self.submit_job()
+        self.assertEqual(first, await self.ask('cancel'))
+
+    async def test_cancel_may_overtake_the_submission(self) -> None:
+        unseen = await self.ask('status')
+        self.assert_problem(unseen, 'not_submitted', 'may_have_run', False)
+        for answer in (await self.ask('cancel'), await self.submit()):
+            self.assert_problem(answer, 'cancelled', 'not_run', True)
+        self.assertThat(self.runner.starts, matchers.HasLength(0))
+
+
+class ForwardTest(SubmissionsCase):
+    """Only the minter says "not run" of a minted key."""
+
+    async def test_lost_minter(self) -> None:
+        for lost, code, final in (
+            (forwarding.Gone(), 'minter_gone', True),
+            (forwarding.Unreachable(), 'minter_unreachable', False),
+            (forwarding.Replied(payload=b'?'), 'minter_unreachable', False),
+        ):
+            self.mesh.lost = lost
+            for answer in (
+                await self.submit(process=self.other),
+                await self.ask('status', self.other),
+                await self.ask('cancel', self.other),
+            ):
+                self.assert_problem(answer, code, 'may_have_run', final)
+
+    async def test_earlier_incarnation_of_this_vm(self) -> None:
+        old = self.key.replace('.a1.', '.b2.')
+        answer = await self.submit(key_text=old)
+        self.assert_problem(answer, 'minter_gone', 'may_have_run', True)
+
+    async def test_size_limits(self) -> None:
+        large = {**TASK, 'body_text': 'x' * (8_388_608 - 4000)}
+        answer = await self.submit(process=self.other, body=large)
+        self.assert_problem(
+            answer, 'too_large_to_forward', 'may_have_run', False
+        )
+        self.runner.outcomes[0] = make_answer(body=bytes(8_388_608))
+        answer = await self.submit(process=self.other)
+        self.assert_problem(answer, 'answer_too_large_to_forward', 'ran', True)
+
+    async def test_malformed_forward(self) -> None:
+        for payload in (b'', b'\x90', b'\xc1', b'x' * 100):
+            reply = questions.unpack_reply(await self.process.handle(payload))
+            assert reply is not None
+            self.assertIs(reply.verdict, verdicts.Verdict.MAY_HAVE_RUN)
+
+    async def test_any_truncated_question_is_refused(self) -> None:
+        payload = questions.pack_question(QUESTION)
+        self.assertEqual(QUESTION, questions.unpack_question(payload))
+        for size, _ in enumerate(payload):
+            self.assertIs(questions.unpack_question(payload[:size]), None)
+
+
+class ShutdownTest(SubmissionsCase):
+    """Draining refuses new work and ends what is in progress."""
+
+    async def test_drain(self) -> None:
+        self.runner.gate.clear()
+        first = asyncio.create_task(self.submit())
+        await asyncio.sleep(0)
+        self.process.drain()
+        refused = await self.submit(key_text=self.spare)
+        self.assert_problem(refused, 'shutting_down', 'not_run', True)
+        idle = asyncio.create_task(self.process.idle())
+        await asyncio.sleep(0)
+        self.assertFalse(idle.done())
+        self.runner.gate.set()
+        await idle
+        self.assertEqual(200, (await first)[0])
+
+    async def test_draining_process_still_forwards(self) -> None:
+        self.other.drain()
+        reply = self.other.mint(customer=WARM, body=b'')
+        self.assertEqual(503, reply.status)
+        answer = await self.submit(process=self.other)
+        self.assertEqual(200, answer[0])
+
+    async def test_disconnected_caller_does_not_cancel(self) -> None:
+        self.runner.gate.clear()
+        for process in (self.process, self.other):
+            caller = asyncio.create_task(self.submit(process=process))
+            await asyncio.sleep(0)
+            caller.cancel()
+        self.runner.gate.set()
+        await self.other.idle()
+        await self.process.idle()
+        self.assertEqual({(self.key, 0): 1}, self.runner.starts)
 
-        self.run_async(scenario())
+    async def test_state_is_json_without_bodies(self) -> None:
+        self.runner.gate.clear()
+        await self.submit_job(wait=False)
+        state = json.dumps(self.process.state(now=1002))
+        self.assertThat(state, matchers.Contains('"age_s": 2'))
+        self.assertThat(state, matchers.Not(matchers.Contains('reprint')))
+        self.runner.gate.set()
+        await self.process.idle()
