--- a/sardineproxy/connection/frames.py
+++ b/sardineproxy/connection/frames.py
@@ -138,7 +138,7 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class SlotRequest:
-    """Asks for loans, renews those held, and recalls those given."""
+    """Asks for loans, or for lent slots."""
 
     number: int = _checked(_count)
     wants: tuple[Want, ...] = _checked(_rows(_text, _weight, _count))
@@ -146,10 +146,13 @@
     #: Endpoints whose borrowed slots the sender wants back.
     recall: tuple[ids.EndpointId, ...] = _checked(_texts)
 
+    #: True if the sender wants all its borrowed slots that are idle.
+    reclaim: bool = _checked(_flag)
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class SlotGrant:
-    """Lends slots and renews all loans as of the request ``number``."""
+    """Lends slots in answer to the request ``number``, at once or later."""
 
     number: int = _checked(_count)
     lots: tuple[Lot, ...] = _checked(_rows(_text, _text, _count))
--- a/sardineproxy/process/borrowed.py
+++ b/sardineproxy/process/borrowed.py
@@ -99,7 +99,7 @@
                 self._index(loan)
 
     def collect(
-        self, now: float, idle_s: float
+        self, now: float, idle_s: float, *, only: ids.VmId | None = None
     ) -> dict[ids.VmId, tuple[frames.Lot, ...]]:
         """Remove idle slots that are due and return them for each lender.
 
@@ -110,6 +110,7 @@
             loan.lender
             for loan in self._all()
             if loan.count > loan.used
+            and only in {None, loan.lender}
             and (loan.recalled or now - loan.idle_at >= idle_s)
         }
         lots: dict[ids.VmId, tuple[frames.Lot, ...]] = {}
@@ -131,13 +132,17 @@
             if loan.lender == lender:
                 self._shrink(loan, loan.count)
 
-    def in_use(self, since: float) -> dict[ids.VmId, float]:
-        """Return the lease of each lender whose slots were used lately."""
-        return {
-            loan.lender: self._leases.get(loan.lender, 0)
+    def has(self, lender: ids.VmId) -> bool:
+        """Tell whether slots of the lender are borrowed."""
+        return any(loan.lender == lender for loan in self._all())
+
+    def idle_slots(self, lender: ids.VmId) -> int:
+        """Return how many of the lender's slots are not in use."""
+        return sum(
+            loan.count - loan.used
             for loan in self._all()
-            if loan.used or loan.idle_at >= since
-        }
+            if loan.lender == lender
+        )
 
     def state(self) -> list[dict[str, object]]:
         """Return all loans for the state dump."""
--- a/sardineproxy/process/borrowing.py
+++ b/sardineproxy/process/borrowing.py
@@ -1,7 +1,8 @@
 """The borrower's side of slot loans: asks, renews and returns."""
 
 import dataclasses
-from typing import Iterable, Mapping
+import math
+from typing import Collection, Mapping
 
 from sardineproxy import ids
 from sardineproxy.connection import frames
@@ -11,8 +12,8 @@
 #: Time for which a reported backlog counts as present, in seconds.
 BACKLOG_VALID_S = 1
 
-#: Part of a lease that is left when it is renewed.
-RENEWAL_FRACTION = 0.25
+#: Most slots to ask of a lender that has none free.
+MAX_PROBE = 64
 
 Outgoing = list[tuple[ids.VmId, frames.Frame]]
 Claims = Mapping[tuple[str, ids.CustomerId], tuple[float, int]]
@@ -22,20 +23,43 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Config:
-    """Times of loans, in seconds."""
+    """Times of loans, in seconds, and the backlog that is worth one."""
 
-    #: Time from a request during which its grant may be used.
-    lease_s: float = 2
+    #: Time from the lender's newest frame in which its slots may be used.
+    #: Longer than the interval of heartbeats, so that no frames are needed
+    #: to renew a loan.
+    lease_s: float = 10
 
     #: Longest time of a task that started before its lease ended.
     max_task_s: float = 10
 
-    #: Idle time after which borrowed slots are returned.
-    idle_return_s: float = 0.5
+    #: Idle time after which borrowed slots are returned unasked. The lender
+    #: asks for idle slots when it needs them, so this may be long.
+    idle_return_s: float = 2
 
     #: Shortest time between two rounds of requests.
     ask_interval_s: float = 0.02
 
+    #: Shortest time between two requests to one lender.
+    ask_again_s: float = 1
+
+    #: Slots that are worth a message where as many or more are wanted.
+    #: Fewer and larger loans serve a backlog with fewer messages.
+    min_lot: int = 16
+
+    #: Time for which a lender keeps a request that it could not meet.
+    pending_s: float = 0.3
+
+    #: Shortest time between requests to a lender without free slots.
+    probe_s: float = 4
+
+    #: Shortest time between two demands for idle slots.
+    reclaim_s: float = 2
+
+    #: Backlog, as a part of the own slots, up to which it must last.
+    short_part: float = 0.25
+    patience_s: float = 0.05
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Lender:
@@ -65,11 +89,23 @@
         """Start without a report."""
         self._demand = _NO_DEMAND
         self._until: float = 0
+        self._waits_since = math.inf
 
     def report(self, demand: demand_module.Demand, now: float) -> None:
         """Keep the report while it is fresh."""
         self._demand = demand
         self._until = now + BACKLOG_VALID_S
+        if not self.waits(now):
+            self._waits_since = math.inf
+        elif math.isinf(self._waits_since):
+            self._waits_since = now
+
+    def lasts(self, now: float, *, more_than: float, patience_s: float) -> bool:
+        """Tell whether much waits, or something for a while."""
+        waiting = sum(entry.waiting for entry in self.customers(now))
+        if waiting > more_than:
+            return True
+        return waiting > 0 and now - self._waits_since >= patience_s
 
     def customers(self, now: float) -> tuple[demand_module.CustomerDemand, ...]:
         """Return the customers, or none if the report is old."""
@@ -92,42 +128,45 @@
         self._table = table
         self._backlog = backlog
         self._asked: dict[ids.VmId, _Asked] = {}
-        self._sent: dict[tuple[ids.VmId, int], float] = {}
         self._last_number = 0
         self._ask_at: float = 0
 
-    def ask(self, lenders: Iterable[Lender], now: float) -> Outgoing:
-        """Return requests to the peers with the most free slots."""
-        if now < self._ask_at or not self._backlog.waits(now):
+    def ask(self, lenders: Collection[Lender], now: float) -> Outgoing:
+        """Return requests to the peers with the most free slots.
+
+        A backlog that the own slots soon work off is not worth the messages,
+        so a short one must last before it counts.
+        """
+        if now < self._ask_at or not self._backlog.lasts(
+            now,
+            more_than=sum(self._table.owned.values()) * self._cfg.short_part,
+            patience_s=self._cfg.patience_s,
+        ):
             return []
         self._ask_at = now + self._cfg.ask_interval_s
         needs = self._needs(now)
-        idle = sorted(
-            (lender for lender in lenders if not self._waits_for(lender, now)),
-            key=lambda lender: (not lender.near, -lender.free),
-        )
+        total = sum(need for _, need in needs.values())
         requests: Outgoing = []
-        for lender in idle:
-            wants = _choose(needs, self._most(lender, needs, now))
-            if not wants:
-                continue
-            for customer, count in wants.items():
-                weight, need = needs[customer]
-                needs[customer] = (weight, need - count)
-            self._asked[lender.vm] = _Asked(sent_at=now, wants=wants)
-            rows = tuple(
-                (name, needs[name][0], wanted) for name, wanted in wants.items()
-            )
-            requests.append((lender.vm, self._request(lender.vm, rows, now)))
+        for lender, most in self._candidates(lenders, total, now):
+            wants = _choose(needs, most)
+            if wants:
+                self._asked[lender.vm] = _Asked(
+                    sent_at=now,
+                    wants={name: wanted for name, _, wanted in wants},
+                )
+                requests.append((lender.vm, self._request(wants)))
+            for name, weight, wanted in wants:
+                needs[name] = (weight, needs[name][1] - wanted)
         return requests
 
+    def heard(self, vm: ids.VmId, now: float) -> None:
+        """Renew the loans of a lender that sent a frame."""
+        self._borrowed.renew(vm, now + self._cfg.lease_s)
+
     def granted(
         self, vm: ids.VmId, grant: frames.SlotGrant, now: float
     ) -> None:
-        """Take the slots; the lease counts from when the request left."""
-        sent_at = self._sent.get((vm, grant.number))
-        if sent_at is not None:
-            self._borrowed.renew(vm, sent_at + self._cfg.lease_s)
+        """Take the slots."""
         asked = self._asked.get(vm)
         if asked:
             for customer, _, count in grant.lots:
@@ -142,44 +181,31 @@
         self._borrowed.drop(vm)
         self._asked.pop(vm, None)
 
-    def tick(self, now: float) -> Outgoing:
-        """Return slots that are idle, and renew loans that are in use."""
-        frames_out = self.give_back(now, self._cfg.idle_return_s)
-        self._sent = {
-            key: sent_at
-            for key, sent_at in self._sent.items()
-            if now - sent_at < self._cfg.lease_s
-        }
-        margin = self._cfg.lease_s * RENEWAL_FRACTION
-        in_use = self._borrowed.in_use(now - self._cfg.idle_return_s)
-        for vm, until in in_use.items():
-            newest = max(
-                (at for sent, at in self._sent.items() if sent[0] == vm),
-                default=-margin,
-            )
-            if until - now < margin <= now - newest:
-                frames_out.append((vm, self._request(vm, (), now)))
-        return frames_out
-
-    def give_back(self, now: float, idle_s: float) -> Outgoing:
-        """Return slots that were idle for so long to their lenders."""
-        due = self._borrowed.collect(now, idle_s)
-        return [(vm, frames.SlotReturn(lots=lots)) for vm, lots in due.items()]
-
-    def _request(
-        self, vm: ids.VmId, wants: tuple[frames.Want, ...], now: float
-    ) -> frames.SlotRequest:
+    def due(self, now: float) -> Outgoing:
+        """Return slots that are idle or recalled to their lenders."""
+        return _returns(self._borrowed.collect(now, self._cfg.idle_return_s))
+
+    def give_back(self, vm: ids.VmId | None, now: float) -> Outgoing:
+        """Return all idle slots to one lender, or to all if None."""
+        return _returns(self._borrowed.collect(now, 0, only=vm))
+
+    def give_many_back(self, vm: ids.VmId, now: float) -> Outgoing:
+        """Return the idle slots of a lender with a backlog, unless few."""
+        if self._borrowed.idle_slots(vm) < self._cfg.min_lot:
+            return []
+        return self.give_back(vm, now)
+
+    def _request(self, wants: tuple[frames.Want, ...]) -> frames.SlotRequest:
         self._last_number += 1
-        self._sent[(vm, self._last_number)] = now
         return frames.SlotRequest(
-            number=self._last_number, wants=wants, recall=()
+            number=self._last_number, wants=wants, recall=(), reclaim=False
         )
 
     def _needs(self, now: float) -> dict[ids.CustomerId, tuple[float, int]]:
         """Return weight and slots wanted beyond those already asked for."""
         pending: dict[ids.CustomerId, int] = {}
         for asked in self._asked.values():
-            if now - asked.sent_at < self._cfg.lease_s:
+            if now - asked.sent_at < self._cfg.pending_s:
                 for customer, wanted in asked.wants.items():
                     pending[customer] = pending.get(customer, 0) + wanted
         return {
@@ -190,41 +216,72 @@
             for entry in self._backlog.customers(now)
         }
 
-    def _waits_for(self, lender: Lender, now: float) -> bool:
-        asked = self._asked.get(lender.vm)
-        return bool(
-            asked
-            and now - asked.sent_at < self._cfg.lease_s
-            and any(asked.wants.values())
-        )
+    def _candidates(
+        self, lenders: Collection[Lender], total: int, now: float
+    ) -> list[tuple[Lender, int]]:
+        """Return whom to ask, and for how many slots at most.
+
+        Lenders with few of the ``total`` slots that are needed are not worth
+        the messages unless there are no others.
+
+        A lender without free slots may still have lent some that are idle
+        now, or grant its fair part; such lenders are asked rarely, those of
+        the own zone and one other.
+        """
+        ready = [
+            lender
+            for lender in lenders
+            if lender.free
+            and now - self._asked_at(lender) >= self._cfg.ask_again_s
+        ]
+        ready.sort(key=lambda each: (not each.near, -each.free))
+        lot = min(total, self._cfg.min_lot)
+        large = [lender for lender in ready if lender.free >= lot]
+        return [
+            *((lender, lender.free) for lender in large or ready[:1]),
+            *((lender, MAX_PROBE) for lender in self._full(lenders, now)),
+        ]
 
-    def _most(
-        self,
-        lender: Lender,
-        needs: Mapping[ids.CustomerId, tuple[float, int]],
-        now: float,
-    ) -> int:
-        """Return how many slots to ask this lender for at most.
+    def _full(self, lenders: Collection[Lender], now: float) -> list[Lender]:
+        """Return the lenders without free slots that are asked all the same.
 
-        A near lender without free slots is asked too, but rarely, because it
-        may grant its fair part when a slot comes free.
+        One that lends to this VM already tells of its free slots when it
+        sends a frame.
         """
-        if lender.free or not lender.near:
-            return lender.free
+        full = [
+            lender
+            for lender in lenders
+            if not lender.free
+            and now - self._asked_at(lender) >= self._cfg.probe_s
+            and not self._borrowed.has(lender.vm)
+        ]
+        full.sort(key=lambda each: (not each.near, self._asked_at(each)))
+        near = sum(lender.near for lender in full)
+        return full[: near + 1]
+
+    def _asked_at(self, lender: Lender) -> float:
         asked = self._asked.get(lender.vm)
-        if asked and now - asked.sent_at < 2 * self._cfg.lease_s:
-            return 0
-        return sum(count for _, count in needs.values())
+        return asked.sent_at if asked else -math.inf
+
+
+def _returns(
+    due: Mapping[ids.VmId, tuple[frames.Lot, ...]],
+) -> Outgoing:
+    return [(vm, frames.SlotReturn(lots=lots)) for vm, lots in due.items()]
 
 
 def _choose(
     needs: Mapping[ids.CustomerId, tuple[float, int]], most: int
-) -> dict[ids.CustomerId, int]:
+) -> tuple[frames.Want, ...]:
     """Divide ``most`` slots among the customers by contract weight."""
     shares = water_fill(
         most, {('', customer): need for customer, need in needs.items()}
     )
-    return {customer: count for (_, customer), count in shares.items() if count}
+    return tuple(
+        (customer, needs[customer][0], count)
+        for (_, customer), count in shares.items()
+        if count
+    )
 
 
 def water_fill(
--- a/sardineproxy/process/lending.py
+++ b/sardineproxy/process/lending.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 import math
-from typing import Iterable
+from typing import Collection, Iterable
 
 from sardineproxy import ids
 from sardineproxy.connection import frames
@@ -24,7 +24,7 @@
     pending: dict[ids.CustomerId, int] = dataclasses.field(default_factory=dict)
     number: int = 0
     pending_until: float = 0
-    granted_at: float = 0
+    reclaimed_at: float = -math.inf
     recalled: set[ids.EndpointId] = dataclasses.field(default_factory=set)
 
     def lent(self, customer: ids.CustomerId) -> int:
@@ -63,16 +63,14 @@
     def requested(
         self, vm: ids.VmId, request: frames.SlotRequest, now: float
     ) -> frames.SlotGrant | None:
-        """Return the grant, which also renews the borrower's loans."""
+        """Return the grant, or None if nothing is wanted."""
         book = self._books.setdefault(vm, _Book())
-        if request.recall and not request.wants:
+        if not request.wants:
             return None
         book.number = request.number
-        if request.wants:
-            book.weights.update({name: w for name, w, _ in request.wants})
-            book.pending = {name: count for name, _, count in request.wants}
-            book.pending_until = now + self._cfg.lease_s / 2
-        book.granted_at = now
+        book.weights.update({name: w for name, w, _ in request.wants})
+        book.pending = {name: count for name, _, count in request.wants}
+        book.pending_until = now + self._cfg.pending_s
         return frames.SlotGrant(
             number=request.number, lots=self._grant(vm, book, now)
         )
@@ -93,11 +91,14 @@
                 self._table.take_back(customer, endpoint, back)
         self._table.changed.on_next(None)
 
-    def lost(self, vm: ids.VmId) -> None:
-        """Keep the borrower's slots aside until its tasks must have ended."""
+    def lost(self, vm: ids.VmId, now: float) -> None:
+        """Keep the borrower's slots aside until its tasks must have ended.
+
+        The borrower may have heard this process until now.
+        """
         book = self._books.pop(vm, None)
         if book and book.lots:
-            end = book.granted_at + self._cfg.lease_s + self._cfg.max_task_s
+            end = now + self._cfg.lease_s + self._cfg.max_task_s
             self._lapsing.append((end, book.lots))
 
     def tick(self, now: float) -> borrowing.Outgoing:
@@ -109,11 +110,9 @@
             if lots:
                 grant = frames.SlotGrant(number=book.number, lots=lots)
                 frames_out.append((vm, grant))
-            recall = self._recall(vm, book, now)
-            if recall:
-                book.recalled.update(recall)
-                request = frames.SlotRequest(number=0, wants=(), recall=recall)
-                frames_out.append((vm, request))
+            demanded = self._demand_back(vm, book, now)
+            if demanded:
+                frames_out.append((vm, demanded))
         self._reserve(now)
         return frames_out
 
@@ -143,8 +142,6 @@
                 book.pending[customer] -= count
             if not book.pending[customer]:
                 book.pending.pop(customer)
-        if lots:
-            book.granted_at = now
         return tuple(lots)
 
     def _cap(
@@ -187,6 +184,39 @@
             min(own.waiting + own.running, self._table.part(own.customer))
         )
 
+    def _demand_back(
+        self, vm: ids.VmId, book: _Book, now: float
+    ) -> frames.SlotRequest | None:
+        """Ask for slots that must or should come back from the borrower."""
+        recall = self._recall(vm, book, now)
+        reclaim = (
+            bool(book.lots)
+            and now - book.reclaimed_at >= self._cfg.reclaim_s
+            and self._is_short(vm, now)
+        )
+        if not recall and not reclaim:
+            return None
+        book.recalled.update(recall)
+        if reclaim:
+            book.reclaimed_at = now
+        return frames.SlotRequest(
+            number=0, wants=(), recall=recall, reclaim=reclaim
+        )
+
+    def _is_short(self, borrower: ids.VmId, now: float) -> bool:
+        """Tell whether work here or at another borrower lacks slots."""
+        if self._backlog.lasts(
+            now,
+            more_than=self._table.free_slots,
+            patience_s=self._cfg.patience_s,
+        ):
+            return True
+        return any(
+            book.pending and now < book.pending_until
+            for vm, book in self._books.items()
+            if vm != borrower
+        )
+
     def _recall(
         self, vm: ids.VmId, book: _Book, now: float
     ) -> tuple[ids.EndpointId, ...]:
@@ -247,19 +277,19 @@
         self._backlog.report(demand, now)
 
     def ask(
-        self, lenders: Iterable[borrowing.Lender], now: float
+        self, lenders: Collection[borrowing.Lender], now: float
     ) -> borrowing.Outgoing:
         """Return requests for the waiting work."""
         return self._borrowing.ask(lenders, now)
 
     def tick(
-        self, lenders: Iterable[borrowing.Lender], now: float
+        self, lenders: Collection[borrowing.Lender], now: float
     ) -> borrowing.Outgoing:
         """Return all messages that are due."""
         return [
             *self._lending.tick(now),
             *self._borrowing.ask(lenders, now),
-            *self._borrowing.tick(now),
+            *self._borrowing.due(now),
         ]
 
     def received(
@@ -268,23 +298,26 @@
         """Act on a peer's frame about loans and return the replies."""
         match frame:
             case frames.SlotRequest():
-                self._table.borrowed.recall(vm, frame.recall)
-                grant = self._lending.requested(vm, frame, now)
-                return [(vm, grant)] if grant else []
+                return self._requested(vm, frame, now)
             case frames.SlotGrant():
                 self._borrowing.granted(vm, frame, now)
             case frames.SlotReturn():
                 self._lending.returned(vm, frame.lots)
+                return self._lending.tick(now)
         return []
 
-    def lost(self, vm: ids.VmId) -> None:
+    def heard(self, vm: ids.VmId, now: float) -> None:
+        """Note that the peer is alive."""
+        self._borrowing.heard(vm, now)
+
+    def lost(self, vm: ids.VmId, now: float) -> None:
         """Note that the stream to the peer is closed."""
-        self._lending.lost(vm)
+        self._lending.lost(vm, now)
         self._borrowing.lost(vm)
 
     def give_all_back(self) -> borrowing.Outgoing:
         """Return what is idle of the borrowed slots to its lenders."""
-        return self._borrowing.give_back(0, -math.inf)
+        return self._borrowing.give_back(None, math.inf)
 
     def state(self) -> dict[str, object]:
         """Return all loans for the state dump."""
@@ -293,6 +326,21 @@
             'borrowed': self._table.borrowed.state(),
         }
 
+    def _requested(
+        self, vm: ids.VmId, request: frames.SlotRequest, now: float
+    ) -> borrowing.Outgoing:
+        """Return the peer's idle slots first, then grant what it wants."""
+        self._table.borrowed.recall(vm, request.recall)
+        replies: borrowing.Outgoing = []
+        if request.reclaim:
+            replies.extend(self._borrowing.give_back(vm, now))
+        elif request.wants:
+            replies.extend(self._borrowing.give_many_back(vm, now))
+        grant = self._lending.requested(vm, request, now)
+        if grant:
+            replies.append((vm, grant))
+        return replies
+
 
 def _cover(
     book: _Book, customer: ids.CustomerId, excess: int
--- a/sardineproxy/process/peer_events.py
+++ b/sardineproxy/process/peer_events.py
@@ -51,18 +51,18 @@
         if stream.hello.zone == self._zone:
             self._views.joined(stream.hello.vm, stream.hello.incarnation)
         self._forwards.opened(stream)
-        self._forwards.heard(stream)
+        self._note_alive(stream)
         self.review()
 
     def closed(self, stream: peer.Stream) -> None:
         """Forget a stream; outstanding forwards wait for the next one."""
         self._views.lost(stream.hello.vm, self._clock.now())
-        self._loans.lost(stream.hello.vm)
+        self._loans.lost(stream.hello.vm, self._clock.now())
         self.review()
 
     def received(self, stream: peer.Stream, frame: frames.Frame) -> None:
         """Act on a frame."""
-        self._forwards.heard(stream)
+        self._note_alive(stream)
         match frame:
             case frames.View() | frames.Goodbye():
                 self._views.heard(stream.hello.vm, frame)
@@ -76,9 +76,11 @@
             case frames.ConfigChanges():
                 self._exchange.take(frame)
             case _:
-                now = self._clock.now()
-                vm = stream.hello.vm
-                self._send_all(self._loans.received(vm, frame, now))
+                self._send_all(
+                    self._loans.received(
+                        stream.hello.vm, frame, self._clock.now()
+                    )
+                )
 
     def review(self) -> None:
         """Apply what changed in the zone's view."""
@@ -91,6 +93,10 @@
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
 
+    def _note_alive(self, stream: peer.Stream) -> None:
+        self._forwards.heard(stream)
+        self._loans.heard(stream.hello.vm, self._clock.now())
+
     def _start_answer(
         self, stream: peer.Stream, forward: frames.Forward
     ) -> None:
