--- /dev/null
+++ b/tests/operator/test_core.py
@@ -0,0 +1,236 @@
+"""Operators' commands end in one clear outcome, also when they race."""
+
+import io
+import json
+import pathlib
+import random
+import tempfile
+import threading
+from concurrent import futures
+from http import server
+
+import testtools
+from testtools import matchers
+
+from sardineproxy.exit_status import ExitStatus
+from sardineproxy.operator import core, environment
+from sardineproxy.standin import platform_thread
+from tests.version import samples
+
+_REFUSED = '127.0.0.1:1'
+
+
+class StateHandler(server.BaseHTTPRequestHandler):
+    """Answers ``/state`` as an entry process does."""
+
+    def do_GET(self):
+        self.send_response(200 if self.path == '/state' else 404)
+        self.end_headers()
+        self.wfile.write(self.server.body)
+
+    def log_message(self, *_):
+        """Print nothing."""
+
+
+def run(*argv, stdin=''):
+    """Run one command; returns its status, output and complaints."""
+    env = environment.Environment(
+        stdin=io.StringIO(stdin),
+        stdout=io.StringIO(),
+        stderr=io.StringIO(),
+        rng=random.Random(5),
+    )
+    status = core.main(['ctl', *argv], env)
+    return status, env.stdout.getvalue(), env.stderr.getvalue()
+
+
+class CommandTest(testtools.TestCase):
+    """Runs commands against a stand-in platform."""
+
+    def setUp(self):
+        super().setUp()
+        running = platform_thread.running()
+        self.platform = running.__enter__()
+        self.addCleanup(running.__exit__, None, None, None)
+        kept = tempfile.TemporaryDirectory()
+        self.addCleanup(kept.cleanup)
+        self.root = pathlib.Path(kept.name)
+
+    def test_apply_diff_and_history_agree(self):
+        wanted = self.contracts('one', acme=1, beta=1)
+        status, said, _ = self.apply(wanted, 0, 'ann')
+        self.assertThat(status, matchers.Equals(ExitStatus.SUCCESS))
+        wanted = self.contracts('two', acme=2, gamma=1)
+        _, said, _ = run('diff', wanted, *self.address())
+        self.assertThat(
+            said.splitlines(),
+            matchers.Equals(
+                [
+                    '- beta',
+                    '~ acme: weight: 1.0 -> 2.0',
+                    '+ gamma',
+                    '3 differences from version 1.',
+                ]
+            ),
+        )
+        self.apply(wanted, 1, 'bob')
+        _, said, _ = run('history', '--limit', '1', *self.address())
+        self.assertThat(
+            said,
+            matchers.MatchesRegex(
+                r'2  [0-9a-f]{8}  bob  apply [0-9a-f]{16}  set 2, removed 1: '
+                r'acme, beta, gamma\n$'
+            ),
+        )
+        status, said, _ = self.apply(wanted, 2, 'bob')
+        self.assertThat(said, matchers.Contains('Version 2 has exactly'))
+
+    def test_of_racing_operators_one_wins_and_the_others_learn_to_what(self):
+        names = [f'operator-{number}' for number in range(6)]
+        wanted = [
+            self.contracts(name, acme=number + 1, **{f'only-{number}': 1})
+            for number, name in enumerate(names)
+        ]
+        barrier = threading.Barrier(len(names))
+
+        def race(directory, name):
+            barrier.wait(60)
+            return self.apply(directory, 0, name)
+
+        with futures.ThreadPoolExecutor(len(names)) as pool:
+            outcomes = list(pool.map(race, wanted, names))
+        statuses = [status for status, _, _ in outcomes]
+        winner = statuses.index(ExitStatus.SUCCESS)
+        self.assertThat(statuses.count(ExitStatus.CONFLICT), matchers.Equals(5))
+        for status, _, complaint in outcomes:
+            expected = f'came first: {names[winner]} made version 1.'
+            if status is ExitStatus.CONFLICT:
+                self.assertThat(complaint, matchers.Contains(expected))
+        _, said, _ = run('diff', wanted[winner], *self.address())
+        self.assertThat(
+            said, matchers.Equals('0 differences from version 1.\n')
+        )
+
+    def test_rerun_after_a_lost_answer_makes_no_second_version(self):
+        wanted = self.contracts('one', acme=1)
+        self.platform.control('lose-answers', {'writes': 1})
+        status, _, complaint = self.apply(wanted, 0, 'ann')
+        self.assertThat(status, matchers.Equals(ExitStatus.UNKNOWN))
+        self.assertThat(complaint, matchers.Contains('run the same command'))
+        for _ in range(2):
+            status, said, _ = self.apply(wanted, 0, 'ann')
+            self.assertThat(status, matchers.Equals(ExitStatus.SUCCESS))
+            self.assertThat(said, matchers.Contains('already'))
+        _, said, _ = run('history', *self.address())
+        self.assertThat(said.splitlines(), matchers.HasLength(1))
+
+    def test_rerun_after_a_lost_answer_sees_a_later_change(self):
+        wanted = self.contracts('one', acme=1)
+        self.platform.control('lose-answers', {'writes': 1})
+        self.apply(wanted, 0, 'ann')
+        self.apply(self.contracts('two', acme=2), 1, 'bob')
+        status, _, complaint = self.apply(wanted, 0, 'ann')
+        self.assertThat(status, matchers.Equals(ExitStatus.CONFLICT))
+        self.assertThat(
+            complaint,
+            matchers.StartsWith(
+                'Version 1 had exactly these contracts, but bob made version 2'
+            ),
+        )
+
+    def test_outages_and_wrong_input_change_nothing(self):
+        good = self.contracts('good', acme=1)
+        bad = self.contracts('bad', acme=0)
+        address = self.address()
+        ahead = ('apply', good, '--operator', 'ann', '--base')
+        for argv, status, expected in (
+            (('check', bad), ExitStatus.INVALID_INPUT, 'weight: found 0'),
+            (('diff', bad, *address), ExitStatus.INVALID_INPUT, 'acme.jsonc'),
+            ((*ahead, '3', *address), ExitStatus.INVALID_INPUT, 'is 0.'),
+            (
+                (*ahead, '0', '--platform', _REFUSED),
+                ExitStatus.UNAVAILABLE,
+                'Nothing was changed',
+            ),
+            (('apply', good, *address), ExitStatus.USAGE, '--base N'),
+            (('history', '--platform', 'db:1'), ExitStatus.USAGE, 'IP-NUMBER'),
+            (('history', '--platfrom', 'x'), ExitStatus.USAGE, '--help'),
+            (('aply',), ExitStatus.USAGE, 'check, diff, apply'),
+            ((*ahead, '0', 'x', *address), ExitStatus.USAGE, 'found 2'),
+        ):
+            found, _, complaint = run(*argv)
+            self.assertThat(found, matchers.Equals(status))
+            self.assertThat(complaint, matchers.Contains(expected))
+        self.assertThat(self.platform.state()['rows'], matchers.Equals(0))
+
+    def contracts(self, directory, **weights):
+        path = self.root / directory
+        path.mkdir()
+        for name, weight in weights.items():
+            fields = samples.contract_fields(name, weight=weight)
+            path.joinpath(f'{name}.jsonc').write_text(json.dumps(fields))
+        return str(path)
+
+    def address(self):
+        return '--platform', f'{self.platform.host}:{self.platform.port}'
+
+    def apply(self, directory, base, operator):
+        flags = ['--base', str(base), '--operator', operator]
+        return run('apply', directory, *flags, *self.address())
+
+
+class CredentialTest(testtools.TestCase):
+    """Hashes are those that callers' credentials are compared with."""
+
+    def test_hashes_the_line_without_its_end(self):
+        status, said, _ = run('hash-credential', stdin='abc\r\n')
+        self.assertThat(
+            said,
+            matchers.Equals(
+                'ba7816bf8f01cfea414140de5dae2223'
+                'b00361a396177a9cb410ff61f20015ad\n'
+            ),
+        )
+
+    def test_refuses_what_a_header_cannot_carry(self):
+        for line in ('', '\n', 'a b', 'caf\u00e9', 'x' * 4097):
+            status, said, _ = run('hash-credential', stdin=line)
+            self.assertThat(status, matchers.Equals(ExitStatus.INVALID_INPUT))
+            self.assertThat(said, matchers.Equals(''))
+
+
+class FleetTest(testtools.TestCase):
+    """Versions are shown by VM, and VMs that do not answer are named."""
+
+    def test_compares_versions(self):
+        first = self.admin('vm-1', 3, 'aa')
+        later = self.admin('vm-2', 4, 'bb')
+        other = self.admin('vm-3', 4, 'cc')
+        none_yet = self.admin('vm-4', 0, None)
+        for addresses, status, expected in (
+            ((first,), ExitStatus.SUCCESS, 'vm-1  3  aa\n'),
+            ((first, later), ExitStatus.SUCCESS, 'in force: 3, 4.'),
+            ((later, other), ExitStatus.ERROR, 'with other contracts'),
+            ((none_yet,), ExitStatus.SUCCESS, 'vm-4  no version yet'),
+            ((first, _REFUSED), ExitStatus.UNAVAILABLE, f'{_REFUSED}: no'),
+        ):
+            found, *texts = run('versions', '--admin', ','.join(addresses))
+            self.assertThat(found, matchers.Equals(status))
+            self.assertThat(''.join(texts), matchers.Contains(expected))
+
+    def test_shows_a_state_dump(self):
+        _, said, _ = run('state', '--admin', self.admin('vm-1', 3, 'aa'))
+        self.assertThat(json.loads(said)['vm'], matchers.Equals('vm-1'))
+
+    def admin(self, vm, number, digest):
+        """Serve a state dump and return its address."""
+        dump = {'vm': vm, 'config': {'number': number, 'digest': digest}}
+
+        admin = server.HTTPServer(('127.0.0.1', 0), StateHandler)
+        admin.body = json.dumps(dump).encode()
+        thread = threading.Thread(target=admin.serve_forever, args=(0.01,))
+        thread.start()
+        self.addCleanup(admin.server_close)
+        self.addCleanup(thread.join)
+        self.addCleanup(admin.shutdown)
+        return f'127.0.0.1:{admin.server_port}'
--- /dev/null
+++ b/tests/process/test_listing.py
@@ -0,0 +1,114 @@
+"""Lists of VMs are taken whole and newer, or not at all."""
+
+import json
+import random
+import zlib
+
+import testtools
+from testtools import matchers
+
+from sardineproxy import clock
+from sardineproxy.process import directory, listing, platform
+from sardineproxy.standin import platform_thread
+from tests.version import samples
+
+
+def vm_fields(name='w-1', **changes):
+    return {
+        'name': name,
+        'role': 'endpoint',
+        'state': 'live',
+        'zone': 'z-1',
+        'region': 'r-1',
+        'host': '10.0.0.1',
+        'port': 80,
+        'slots': 8,
+        'connections': 64,
+        **changes,
+    }
+
+
+def payload_of(revision, *vms):
+    text = json.dumps({'revision': revision, 'vms': vms})
+    return zlib.compress(text.encode())
+
+
+def make_follower(client=None):
+    return listing.ListFollower(
+        platform=client,
+        directory=directory.Directory(),
+        clock=clock.ManualClock(),
+        rng=random.Random(3),
+        cfg=listing.Config(),
+    )
+
+
+class ListFollowerTest(testtools.TestCase):
+    """A lagging platform or a bad peer does not take the list back."""
+
+    def test_keeps_the_newest_list_through_lag_and_outage(self):
+        async def act(client):
+            target = make_follower(client)
+            revisions = []
+            for control, document in (
+                ('vms', {'vms': [vm_fields()]}),
+                ('list-lag', {'seconds': 3600}),
+                ('down', {'down': True}),
+                ('vms', {'vms': []}),
+                ('down', {'down': False}),
+                ('list-lag', {'seconds': 0}),
+            ):
+                running.control(control, document)
+                await target.poll_once()
+                revisions.append(target.revision())
+            return revisions
+
+        with platform_thread.running() as running:
+            revisions = samples.with_client(running, act)
+        self.assertThat(revisions, matchers.Equals([1, 1, 1, 1, 1, 2]))
+
+    def test_passes_its_list_to_a_peer(self):
+        first, second = make_follower(), make_follower()
+        vms = [vm_fields(), vm_fields('e-1', role='entry', host='fd00::1')]
+        first.offer(payload_of(4, *vms))
+        second.offer(first.encode())
+        self.assertThat(second.revision(), matchers.Equals(4))
+        self.assertThat(second.encode(), matchers.Equals(first.encode()))
+        second.offer(payload_of(3))
+        self.assertThat(second.state(now=0)['vms'], matchers.Equals(2))
+
+    def test_refuses_bad_payloads(self):
+        whole = payload_of(1, vm_fields())
+        huge = zlib.compress(bytes(listing.MAX_LIST_BYTES + 1))
+        for payload, expected in (
+            (b'', 'cut'),
+            (whole[:-9], 'cut'),
+            (b'plain', 'not compressed'),
+            (huge, 'over its bound'),
+            (bytes(listing.MAX_PAYLOAD_BYTES + 1), 'bytes'),
+            (payload_of(1, vm_fields(), vm_fields()), 'the same name'),
+            (payload_of(1, vm_fields(host='db.example')), 'IP number'),
+            (payload_of(1, vm_fields(port=0)), 'vms.0.port'),
+            (payload_of(1, vm_fields(slots=True)), 'vms.0.slots'),
+            (payload_of(1, vm_fields(state='dead')), 'vms.0.state'),
+            (payload_of(-1), 'revision'),
+        ):
+            refusal = listing.decode(payload).unwrap_err()
+            self.assertThat(refusal, matchers.Contains(expected))
+            target = make_follower()
+            target.offer(payload)
+            self.assertThat(target.revision(), matchers.Equals(0))
+
+
+class DecodeTest(testtools.TestCase):
+    """Decoding gives back what was encoded."""
+
+    def test_round_trip(self):
+        vm_list = listing.from_document(
+            {'revision': 2, 'vms': [vm_fields(state='leaving')]}
+        ).unwrap()
+        decoded = listing.decode(listing.encode(vm_list)).unwrap()
+        self.assertThat(decoded, matchers.Equals(vm_list))
+        self.assertThat(
+            decoded.vms[0].state, matchers.Is(platform.VmState.LEAVING)
+        )
--- /dev/null
+++ b/tests/process/test_platform_http.py
@@ -0,0 +1,205 @@
+"""Errors of the platform's client say truly what may have happened."""
+
+import asyncio
+import json
+
+import aiohttp
+import testtools
+from testtools import matchers
+
+from sardineproxy.process import platform, platform_http
+from sardineproxy.standin import platform_thread
+from tests.version import samples
+
+UNAVAILABLE = platform.ErrorKind.UNAVAILABLE
+UNKNOWN = platform.ErrorKind.UNKNOWN
+INVALID = platform.ErrorKind.INVALID
+CONFLICT = platform.ErrorKind.CONFLICT
+
+_WRITE = platform.Write(key='a', body=b'1')
+
+
+def http_answer(body, status='200 OK', length=None):
+    size = len(body) if length is None else length
+    return (
+        f'HTTP/1.1 {status}\r\nContent-Length: {size}\r\n\r\n'.encode() + body
+    )
+
+
+def page(rows, more=False):
+    return http_answer(json.dumps({'rows': rows, 'more': more}).encode())
+
+
+def row(key, body='MQ==', revision=1):
+    return {'key': key, 'revision': revision, 'body_base64': body}
+
+
+async def read(client):
+    return await client.read_rows('a')
+
+
+async def write(client):
+    return await client.transact(conditions=(), writes=(_WRITE,))
+
+
+async def put(client):
+    return await client.put_object('a', b'1')
+
+
+async def get(client):
+    return await client.get_object('a')
+
+
+async def list_vms(client):
+    return await client.list_vms()
+
+
+async def kind_of(answer, call, timeout_s=20):
+    """Return the error's kind when the platform sends ``answer``.
+
+    ``None`` for an answer means that the platform stays silent.
+    """
+    ended = asyncio.Event()
+
+    async def serve(reader, writer):
+        await reader.readuntil(b'\r\n\r\n')
+        if answer is None:
+            await ended.wait()
+        writer.write(answer or b'')
+        writer.close()
+
+    server = await asyncio.start_server(serve, '127.0.0.1', 0)
+    async with server, aiohttp.ClientSession() as session:
+        port = server.sockets[0].getsockname()[1]
+        client = platform_http.HttpPlatform(
+            session=session, host='127.0.0.1', port=port, timeout_s=timeout_s
+        )
+        outcome = await call(client)
+        ended.set()
+        return outcome.unwrap_err().kind
+
+
+class ErrorKindTest(testtools.TestCase):
+    """Only what certainly had no effect is reported so."""
+
+    def expect(self, kind, call, *answers, **options):
+        for answer in answers:
+            found = asyncio.run(kind_of(answer, call, **options))
+            self.assertThat((answer, found), matchers.Equals((answer, kind)))
+
+    def test_refused_connections_had_no_effect(self):
+        async def act(client):
+            return [
+                (await call(client)).unwrap_err().kind
+                for call in (read, write, put, get, list_vms)
+            ]
+
+        nobody = platform_thread.RunningPlatform(port=1)
+        kinds = samples.with_client(nobody, act)
+        self.assertThat(set(kinds), matchers.Equals({UNAVAILABLE}))
+
+    def test_a_write_without_a_whole_answer_may_have_taken_effect(self):
+        for call in (write, put):
+            self.expect(
+                UNKNOWN,
+                call,
+                b'',
+                b'nonsense\r\n\r\n',
+                http_answer(b'{}', length=5),
+                http_answer(b'', '302 Found'),
+                http_answer(b'', '500 Internal Server Error'),
+                http_answer(b'', '503 Service Unavailable'),
+            )
+            self.expect(UNKNOWN, call, None, timeout_s=0.2)
+
+    def test_a_write_refused_by_its_status_had_no_effect(self):
+        for status, kind in (
+            ('409 Conflict', CONFLICT),
+            ('429 Too Many Requests', UNAVAILABLE),
+            ('400 Bad Request', INVALID),
+        ):
+            self.expect(kind, write, http_answer(b'', status))
+
+    def test_reads_tell_an_outage_from_a_bad_answer(self):
+        self.expect(
+            UNAVAILABLE,
+            read,
+            b'',
+            http_answer(b'', '503 Service Unavailable'),
+            http_answer(b'', '429 Too Many Requests'),
+        )
+        self.expect(UNAVAILABLE, read, None, timeout_s=0.2)
+        self.expect(
+            INVALID,
+            read,
+            b'nonsense\r\n\r\n',
+            http_answer(b'{}', length=5),
+            http_answer(b'{}', '302 Found'),
+            http_answer(b'{}'),
+            http_answer(b'\xff'),
+            http_answer(b' ' * (platform_http.MAX_PAGE_BYTES + 1)),
+            page([row('b')]),
+            page([row('a2'), row('a1')]),
+            page([row('a', body='?')]),
+            page([row('a', revision=0)]),
+            page([], more=True),
+            page([], more=1),
+        )
+
+    def test_refuses_bad_lists_and_oversized_objects(self):
+        self.expect(
+            INVALID,
+            list_vms,
+            http_answer(b'{"revision": 1}'),
+            http_answer(b'{"revision": true, "vms": []}'),
+            http_answer(b'', '304 Not Modified'),
+        )
+        size = platform_http.MAX_OBJECT_BYTES + 1
+        self.expect(INVALID, get, http_answer(b' ' * size))
+
+
+class RoundTripTest(testtools.TestCase):
+    """The client and the stand-in agree on what is read and written."""
+
+    def test_reads_pages_in_order_and_after_a_key(self):
+        async def act(client):
+            for number in range(3):
+                large = platform.Write(key=f'a/{number}', body=bytes(700_000))
+                written = await client.transact(
+                    conditions=(platform.Condition(key=large.key, revision=0),),
+                    writes=(large, platform.Write(key='b', body=b'')),
+                )
+                written.unwrap()
+            rows = (await client.read_rows('a/')).unwrap()
+            rest = (await client.read_rows('a/', after='a/1')).unwrap()
+            other = (await client.read_rows('b', strict=True)).unwrap()
+            return [found.key for found in rows + rest], other
+
+        with platform_thread.running() as running:
+            keys, other = samples.with_client(running, act)
+        self.assertThat(keys, matchers.Equals(['a/0', 'a/1', 'a/2', 'a/2']))
+        self.assertThat(other[0].revision, matchers.Equals(3))
+
+    def test_a_failed_condition_writes_nothing(self):
+        async def act(client):
+            refused = await client.transact(
+                conditions=(platform.Condition(key='a', revision=1),),
+                writes=(_WRITE,),
+            )
+            return refused.unwrap_err().kind, (await read(client)).unwrap()
+
+        with platform_thread.running() as running:
+            found = samples.with_client(running, act)
+        self.assertThat(found, matchers.Equals((CONFLICT, ())))
+
+    def test_objects_and_unchanged_lists(self):
+        async def act(client):
+            absent = (await get(client)).unwrap()
+            await put(client)
+            first = (await client.list_vms()).unwrap()
+            again = (await client.list_vms()).unwrap()
+            return absent, (await get(client)).unwrap(), first is again
+
+        with platform_thread.running() as running:
+            found = samples.with_client(running, act)
+        self.assertThat(found, matchers.Equals((None, b'1', True)))
--- /dev/null
+++ b/tests/standin/test_platform.py
@@ -0,0 +1,178 @@
+"""The stand-in platform shows the faults that it is told to show."""
+
+import contextlib
+import json
+import subprocess
+import sys
+
+import testtools
+from testtools import matchers
+
+from sardineproxy.process import platform
+from sardineproxy.standin import (
+    platform_faults,
+    platform_server,
+    platform_store,
+    platform_thread,
+)
+from tests.process import test_listing
+from tests.version import samples
+
+TIMEOUT_S = 60
+
+
+def write(key, body=b'1'):
+    return platform.Write(key=key, body=body)
+
+
+class StoreTest(testtools.TestCase):
+    """Rows and lists are found as they were written."""
+
+    def test_a_failed_condition_leaves_all_rows(self):
+        store = platform_store.Store()
+        store.transact((), (write('a'),))
+        conflict = store.transact(
+            (platform.Condition(key='a', revision=0),), (write('a'), write('b'))
+        )
+        self.assertThat(
+            conflict, matchers.Equals('row a has revision 1, not 0')
+        )
+        self.assertThat(store.table.get('a').revision, matchers.Equals(1))
+        self.assertThat(store.table.get('b').revision, matchers.Equals(0))
+
+    def test_a_copy_stays_as_it_was(self):
+        store = platform_store.Store()
+        store.transact((), (write('a/1'), write('b')))
+        copy = store.table.copy()
+        store.transact((), (write('a/2'),))
+        for table, expected in ((copy, 1), (store.table, 2)):
+            rows = table.page('a/', '').rows
+            self.assertThat(rows, matchers.HasLength(expected))
+
+    def test_finds_the_list_of_a_moment(self):
+        store = platform_store.Store()
+        for now in (10, 20):
+            store.set_vms((), now=now)
+        revisions = [store.list_at(moment).revision for moment in (9, 10, 25)]
+        self.assertThat(revisions, matchers.Equals([0, 1, 2]))
+
+    def test_has_no_room_beyond_its_bounds(self):
+        store = platform_store.Store()
+        store.put_object('a', bytes(1000))
+        left = platform_store.MAX_TOTAL_BYTES - 1000
+        rooms = store.has_room(left), store.has_room(left + 1)
+        self.assertThat(rooms, matchers.Equals((True, False)))
+
+
+class RateLimitTest(testtools.TestCase):
+    """Requests over the rate are refused until time passes."""
+
+    def test_refills_with_time(self):
+        limit = platform_faults.RateLimit(per_s=2)
+        taken = [limit.take(now=now) for now in (0, 0, 0, 0.5, 0.5, 60, 60, 60)]
+        self.assertThat(
+            taken,
+            matchers.Equals(
+                [True, True, False, True, False, True, True, False]
+            ),
+        )
+
+
+class ServerTest(testtools.TestCase):
+    """Faults show in the answers, and only as long as they are set."""
+
+    def test_answers_429_over_its_rates(self):
+        async def act(client):
+            writes = [await client.put_object('a', b'') for _ in range(4)]
+            return writes, await client.read_rows('')
+
+        limits = platform_server.Limits(writes_per_s=0.01, reads_per_s=2000)
+        with platform_thread.running(limits=limits) as running:
+            writes, read = samples.with_client(running, act)
+            counts = running.state()['counts']
+        self.assertThat(
+            [outcome.is_ok() for outcome in writes],
+            matchers.Equals([True, False, False, False]),
+        )
+        self.assertThat(read.is_ok(), matchers.Is(True))
+        self.assertThat(counts['refused_writes'], matchers.Equals(3))
+
+    def test_loses_only_answers_of_writes_that_took_effect(self):
+        async def act(client):
+            never = platform.Condition(key='a', revision=9)
+            kinds = []
+            for conditions in ((never,), (), (), ()):
+                outcome = await client.transact(
+                    conditions=conditions, writes=(write('a'),)
+                )
+                kinds.append(outcome.err() and outcome.err().kind.value)
+            return kinds, (await client.read_rows('a')).unwrap()[0].revision
+
+        with platform_thread.running() as running:
+            running.control('lose-answers', {'writes': 2})
+            kinds, revision = samples.with_client(running, act)
+        self.assertThat(
+            kinds, matchers.Equals(['conflict', 'unknown', 'unknown', None])
+        )
+        self.assertThat(revision, matchers.Equals(3))
+
+    def test_stale_reads_are_not_strict(self):
+        async def act(client):
+            await client.transact(conditions=(), writes=(write('a'),))
+            strict = (await client.read_rows('a', strict=True)).unwrap()
+            return len(strict), len((await client.read_rows('a')).unwrap())
+
+        with platform_thread.running() as running:
+            running.control('stale-reads', {'stale': True})
+            found = samples.with_client(running, act)
+        self.assertThat(found, matchers.Equals((1, 0)))
+
+    def test_refuses_requests_over_its_bounds(self):
+        async def act(client):
+            large = bytes(platform_store.MAX_ROW_BYTES + 1)
+            outcomes = [
+                await client.transact(conditions=(), writes=writes)
+                for writes in (
+                    (),
+                    (write(''),),
+                    (write('a' * 257),),
+                    (write('a', large),),
+                    (write('a'),) * 65,
+                )
+            ]
+            return {outcome.unwrap_err().kind for outcome in outcomes}
+
+        with platform_thread.running() as running:
+            kinds = samples.with_client(running, act)
+            rows = running.state()['rows']
+        self.assertThat(kinds, matchers.Equals({platform.ErrorKind.INVALID}))
+        self.assertThat(rows, matchers.Equals(0))
+
+    def test_refuses_bad_controls(self):
+        with platform_thread.running() as running:
+            for name, document in (
+                ('down', {'down': 1}),
+                ('slow', {'ms': -1}),
+                ('lose-answers', {'writes': 1, 'more': 1}),
+                ('vms', {'vms': [test_listing.vm_fields(host='db')]}),
+            ):
+                with testtools.ExpectedException(ValueError, '.* answered 400'):
+                    running.control(name, document)
+
+
+class ProgramTest(testtools.TestCase):
+    """The program tells its port and ends when it is asked to."""
+
+    def test_announces_its_port_and_ends_on_sigterm(self):
+        command = [sys.executable, '-m', 'sardineproxy', 'standin-platform']
+        with subprocess.Popen(command, stdout=subprocess.PIPE) as child:
+            with contextlib.ExitStack() as stack:
+                stack.callback(child.terminate)
+                line = json.loads(child.stdout.readline())
+                running = platform_thread.RunningPlatform(
+                    port=line['ready']['http']
+                )
+                running.control('slow', {'ms': 1})
+                slow_ms = running.state()['slow_ms']
+            status = child.wait(TIMEOUT_S)
+        self.assertThat((slow_ms, status), matchers.Equals((1, 0)))
--- /dev/null
+++ b/tests/version/test_follower.py
@@ -0,0 +1,195 @@
+"""The version in force is the newest true one, whatever the platform does."""
+
+import asyncio
+import json
+
+import testtools
+from testtools import matchers
+
+from sardineproxy.process import platform
+from sardineproxy.standin import platform_thread
+from sardineproxy.version import codec, fetching, versions
+from tests.version import samples
+
+
+async def overwrite(client, key, body):
+    """Write a row as a faulty or newer program would."""
+    written = await client.transact(
+        conditions=(), writes=(platform.Write(key=key, body=body),)
+    )
+    written.unwrap()
+
+
+def on_platform(test):
+    """Run a test with a platform and a client of it."""
+
+    def run(self):
+        with platform_thread.running() as running:
+            self.platform = running
+            samples.with_client(running, lambda client: test(self, client))
+
+    return run
+
+
+async def poll(target):
+    await target.poll_once()
+    return target.number()
+
+
+class FollowerTest(testtools.TestCase):
+    """Each test drives a follower against a stand-in platform."""
+
+    @on_platform
+    async def test_applies_changes_and_never_reverts_on_stale_reads(
+        self, client
+    ):
+        target = samples.make_follower(client)
+        seen = [await poll(target)]
+        await samples.apply(client, 0, acme=1)
+        self.platform.control('stale-reads', {'stale': True})
+        await samples.apply(client, 1, acme=2, beta=1)
+        # The first version is read strictly, so not from the stale rows.
+        seen.extend([await poll(target), await poll(target)])
+        await samples.apply(client, 2, beta=1)
+        seen.append(await poll(target))
+        self.platform.control('stale-reads', {'stale': False})
+        seen.append(await poll(target))
+        self.assertThat(seen, matchers.Equals([0, 2, 2, 2, 3]))
+
+    @on_platform
+    async def test_learns_from_a_peer_while_the_platform_is_down(self, client):
+        peer = samples.make_follower(client)
+        for base in range(3):
+            await samples.apply(client, base, acme=base + 1)
+        await peer.poll_once()
+        self.platform.control('down', {'down': True})
+        target = samples.make_follower(client)
+        found = await poll(target), target.state(now=0)['faults']['platform']
+        self.assertThat(found[0], matchers.Equals(0))
+        self.assertThat(found[1], matchers.Contains('503'))
+        target.offer(peer.changes_since(target.number()))
+        self.assertThat(
+            target.in_force.value, matchers.Equals(peer.in_force.value)
+        )
+        self.assertThat(target.number(), matchers.Equals(3))
+        self.assertThat(peer.changes_since(3), matchers.Is(None))
+
+    @on_platform
+    async def test_keeps_the_old_version_until_one_can_be_parsed(self, client):
+        target = samples.make_follower(client)
+        await samples.apply(client, 0, acme=1)
+        await target.poll_once()
+        snapshots, changes = samples.chain(
+            samples.documents(acme=1),
+            {'acme': versions.canonical({'customer': 'acme', 'new': 1})},
+            samples.documents(acme=3),
+        )
+        for change, expected in ((changes[1], 1), (changes[2], 3)):
+            await overwrite(
+                client,
+                fetching.change_key(change.head.number),
+                codec.encode_change(change),
+            )
+            await overwrite(
+                client, fetching.HEAD_KEY, codec.encode_head(change.head)
+            )
+            await target.poll_once()
+            self.assertThat(target.number(), matchers.Equals(expected))
+            found = target.state(now=0)['faults'].get('unparsable', '')
+            says = 'version 2 cannot be parsed, 1 stays in force'
+            self.assertThat(
+                found.startswith(says), matchers.Equals(expected == 1)
+            )
+
+    @on_platform
+    async def test_passes_over_a_broken_row_with_the_next_snapshot(
+        self, client
+    ):
+        target = samples.make_follower(client)
+        await samples.apply(client, 0, acme=1)
+        await target.poll_once()
+        for base in range(1, 66):
+            await samples.apply(client, base, acme=base + 1)
+        await overwrite(client, fetching.change_key(2), b'{}')
+        before = self.platform.state()['counts']['reads']
+        number = await poll(target)
+        reads = self.platform.state()['counts']['reads'] - before
+        # Head, digest of the snapshot, snapshot, changes after it.
+        self.assertThat((number, reads), matchers.Equals((66, 4)))
+        late = samples.make_follower(client)
+        await late.poll_once()
+        self.assertThat(
+            late.in_force.value, matchers.Equals(target.in_force.value)
+        )
+        # Its kept changes start at 65, so older peers get a snapshot.
+        payloads = [
+            codec.decode_payload(late.changes_since(number)).unwrap()
+            for number in (1, 64)
+        ]
+        self.assertThat(payloads[0].snapshot.number, matchers.Equals(66))
+        self.assertThat(payloads[1].changes, matchers.HasLength(2))
+
+    @on_platform
+    async def test_stays_at_the_last_good_version_before_a_false_digest(
+        self, client
+    ):
+        target = samples.make_follower(client)
+        for base in range(3):
+            await samples.apply(client, base, acme=base + 1)
+        row = (await client.read_rows(fetching.change_key(2))).unwrap()[0]
+        fields = json.loads(row.body)
+        fields['digest'] = '0' * 64
+        await overwrite(client, row.key, versions.canonical(fields).encode())
+        await target.poll_once()
+        self.assertThat(target.number(), matchers.Equals(1))
+        self.assertThat(
+            target.state(now=0)['faults']['change'],
+            matchers.Contains('change 2 leads to digest'),
+        )
+
+    @on_platform
+    async def test_reports_another_digest_of_the_same_number(self, client):
+        target = samples.make_follower(client)
+        await samples.apply(client, 0, acme=1)
+        await target.poll_once()
+        snapshots, changes = samples.chain(samples.documents(acme=9))
+        await overwrite(
+            client, fetching.HEAD_KEY, codec.encode_head(changes[0].head)
+        )
+        other = codec.Payload(snapshot=snapshots[1], changes=())
+        await target.poll_once()
+        self.expect_conflict(target)
+        target = samples.make_follower(client)
+        mine, _ = samples.chain(samples.documents(acme=1))
+        first = codec.Payload(snapshot=mine[1], changes=())
+        target.offer(codec.encode_payload(first))
+        target.offer(codec.encode_payload(other))
+        self.expect_conflict(target)
+
+    @on_platform
+    async def test_runs_until_cancelled_through_an_outage(self, client):
+        target = samples.make_follower(client, poll_s=0.01)
+        reached = asyncio.Event()
+        target.in_force.subscribe(lambda version: version and reached.set())
+        self.platform.control('down', {'down': True})
+        running = asyncio.create_task(target.run())
+        await target.poll_once()
+        self.platform.control('down', {'down': False})
+        await samples.apply(client, 0, acme=1)
+        await asyncio.wait_for(reached.wait(), 60)
+        running.cancel()
+        await asyncio.wait([running])
+
+    def test_ignores_bad_payloads(self):
+        target = samples.make_follower()
+        for payload in (b'', b'\x00' * 99, b'{"changes": 1, "snapshot": null}'):
+            target.offer(payload)
+        self.assertThat(target.in_force.value, matchers.Is(None))
+
+    def expect_conflict(self, target):
+        contract = target.in_force.value.contracts['acme']
+        self.assertThat(contract.weight, matchers.Equals(1))
+        self.assertThat(
+            target.state(now=0)['faults']['conflict'],
+            matchers.StartsWith('version 1 has digest'),
+        )
