--- a/sardineproxy/standin/endpoint_server.py
+++ b/sardineproxy/standin/endpoint_server.py
@@ -4,13 +4,16 @@
 import hashlib
 import json
 import math
-from typing import Any
 
 import pydantic
 from aiohttp import web, web_protocol
 
 from sardineproxy import clock as clocks
-from sardineproxy.standin import endpoint_modes, endpoint_record
+from sardineproxy.standin import (
+    endpoint_modes,
+    endpoint_record,
+    endpoint_reset,
+)
 
 #: Longest run time that a request may ask for, in milliseconds.
 MAX_RUN_MS = 600_000
@@ -101,7 +104,7 @@
         match self.setting.mode:
             case endpoint_modes.Mode.SILENT:
                 await self._mode_changed.wait()
-                _abort(req)
+                endpoint_reset.reset(req.transport)
                 return reply
             case endpoint_modes.Mode.DELAY:
                 await asyncio.sleep(
@@ -119,7 +122,7 @@
         if mode in {endpoint_modes.Mode.CUT, endpoint_modes.Mode.SHORT}:
             await reply.write(body[: len(body) // 2])
             if mode is endpoint_modes.Mode.CUT:
-                _abort(req)
+                endpoint_reset.reset(req.transport)
             else:
                 _close(req)
             return reply
@@ -150,7 +153,7 @@
         super().connection_made(handler, transport)
         if self._open_connections() > self._bound:
             self._endpoint.record.count('refused_connections')
-            transport.abort()
+            endpoint_reset.reset(transport)
 
     def _open_connections(self) -> int:
         # A lost connection stays in the mapping while its task runs.
@@ -208,12 +211,6 @@
     return digest.hexdigest()
 
 
-def _abort(req: web.BaseRequest) -> None:
-    transport: Any = req.transport
-    if transport is not None:
-        transport.abort()
-
-
 def _close(req: web.BaseRequest) -> None:
     if req.transport is not None:
         req.transport.close()
