Add the demo

Two zones, a lookup, a stamp whose key is submitted twice, and a job. It succeeds only if every answer and the endpoints' records are right.

--- /dev/null
+++ b/sardineproxy/demo/caller.py
@@ -0,0 +1,70 @@
+"""A caller: mints keys and submits requests and jobs to an entry VM."""
+
+import dataclasses
+import json
+from typing import Any, Mapping
+
+import aiohttp
+
+SINGLES = '/v1/requests'
+JOBS = '/v1/jobs'
+
+
+class CallerError(Exception):
+    """The entry process refused to mint keys."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Reply:
+    """An entry process's answer; ``document`` is empty if it has no JSON."""
+
+    status: int
+    document: dict[str, Any]
+
+
+class Caller:
+    """Speaks the caller protocol with one entry process as one customer."""
+
+    def __init__(
+        self, *, session: aiohttp.ClientSession, base: str, credential: str
+    ) -> None:
+        """Submit to the URL ``base``, which has no path."""
+        self._session = session
+        self._base = base
+        self._headers = {
+            'Authorization': f'Bearer {credential}',
+            'Content-Type': 'application/json',
+        }
+
+    async def mint(self, count: int) -> list[str]:
+        """Return ``count`` new idempotency keys."""
+        reply = await self.submit('/v1/keys', {'count': count})
+        keys = reply.document.get('keys', [])
+        if len(keys) != count:
+            raise CallerError(
+                f'{len(keys)} of {count} keys: {reply.status} {reply.document}'
+            )
+        return list(keys)
+
+    async def submit(
+        self, path: str, document: Mapping[str, Any], *, key: str = ''
+    ) -> Reply:
+        """Post a document; raise ``aiohttp.ClientError`` if no answer came."""
+        headers = self._headers
+        if key:
+            headers = {**headers, 'Idempotency-Key': key}
+        async with self._session.post(
+            f'{self._base}{path}',
+            data=json.dumps(document).encode(),
+            headers=headers,
+        ) as reply:
+            status, body = reply.status, await reply.read()
+        return Reply(status=status, document=_parse(body))
+
+
+def _parse(body: bytes) -> dict[str, Any]:
+    try:
+        document = json.loads(body)
+    except ValueError:
+        return {}
+    return document if isinstance(document, dict) else {}
--- a/sardineproxy/demo/child.py
+++ b/sardineproxy/demo/child.py
@@ -36,12 +36,17 @@
     """A process that runs one of this package's programs."""
 
     def __init__(
-        self, name: str, args: Sequence[str], directory: pathlib.Path
+        self,
+        name: str,
+        args: Sequence[str],
+        directory: pathlib.Path,
+        *,
+        module: str = 'sardineproxy',
     ) -> None:
-        """Prepare to run ``python -m sardineproxy NAME ARGS``."""
+        """Prepare to run ``python -m MODULE NAME ARGS``."""
         self.name = name
         self.ports: dict[str, int] = {}
-        self._args = (sys.executable, '-m', 'sardineproxy', name, *args)
+        self._args = (sys.executable, '-m', module, name, *args)
         self._stderr = directory / f'{name}-{id(self)}.stderr'
         self._process: asyncio.subprocess.Process | None = None
         self._drain: asyncio.Task[None] | None = None
--- /dev/null
+++ b/sardineproxy/demo/core.py
@@ -0,0 +1,220 @@
+"""Show a whole deployment on loopback: two zones, lookups, stamps, a job.
+
+Starts a stand-in platform, stand-in endpoints and entry processes, applies a
+contract, submits work as a clerk would and checks every answer and the
+endpoints' records. Ends all processes; takes about ten seconds.
+"""
+
+import asyncio
+import random
+import sys
+import time
+
+import aiohttp
+from absl import flags
+
+from sardineproxy import clock as clocks
+from sardineproxy import exit_status
+from sardineproxy.demo import caller, deployment, parts, processes, tasks
+from sardineproxy.standin import endpoint_flags
+
+CREDENTIAL = 'reprint-desk-demo-credential'
+CUSTOMER = 'reprint-desk'
+DEADLINE_MS = 60_000
+SHORT_RUN_MS = 50
+LONG_RUN_MS = 400
+
+#: Speeds of each zone's endpoints.
+ZONES = (('sondrio', (1, 1.5, 2)), ('tirano', (0.5, 1, 2)))
+ENTRIES = (
+    parts.EntrySpec(name='sondrio-entry-1', zone='sondrio', size=2),
+    parts.EntrySpec(name='sondrio-entry-2', zone='sondrio'),
+    parts.EntrySpec(name='tirano-entry-1', zone='tirano'),
+    parts.EntrySpec(name='tirano-entry-2', zone='tirano', size=2),
+)
+LOOKUP = tasks.Task(
+    label='lookup', method='GET', path='/certificates/4711', run_ms=120
+)
+STAMP = tasks.Task(
+    label='stamp',
+    path='/stamps',
+    run_ms=300,
+    body='Reprint certificate 4711.',
+    idempotent=False,
+)
+
+
+def main(argv: list[str]) -> exit_status.ExitStatus:
+    """Run the demo; succeed only if everything was right."""
+    cfg = endpoint_flags.new_flags()
+    flags.DEFINE_integer(
+        'tasks', 200, 'Tasks of the job.', 1, 1700, flag_values=cfg
+    )
+    flags.DEFINE_integer('seed', 1, 'Seed of the run times.', flag_values=cfg)
+    status = endpoint_flags.parse(cfg, argv, __doc__ or '')
+    if status is not None:
+        return status
+    try:
+        faults = processes.run(run(count=cfg.tasks, seed=cfg.seed))
+    except (processes.DeploymentError, caller.CallerError) as exc:
+        sys.stderr.write(f'{exc}\n')
+        return exit_status.ExitStatus.ERROR
+    except (aiohttp.ClientError, TimeoutError) as exc:
+        sys.stderr.write(f'no answer from an entry process: {exc!r}\n')
+        return exit_status.ExitStatus.UNAVAILABLE
+    for fault in faults:
+        print(f'WRONG: {fault}')
+    if faults:
+        return exit_status.ExitStatus.ERROR
+    return exit_status.ExitStatus.SUCCESS
+
+
+async def run(
+    *, count: int, seed: int, module: str = 'sardineproxy'
+) -> list[str]:
+    """Run the demo on programs of ``module``; return what was wrong."""
+    async with deployment.Deployment(module=module) as dep:
+        await _start(dep)
+        callers = _connect(dep)
+        job = _compose_job(count, clocks.new_random(seed))
+        faults = [
+            await _look_up(callers[0]),
+            await _stamp(callers[-1], callers[0]),
+            await _submit_job(callers[1], job),
+            *await _check_records(dep, (LOOKUP, STAMP, *job)),
+        ]
+    return [fault for fault in faults if fault]
+
+
+async def _start(dep: deployment.Deployment) -> None:
+    print('Starting the platform, endpoints and entry processes ...')
+    await dep.start_platform()
+    await asyncio.gather(
+        *(
+            dep.start_endpoints(
+                [
+                    parts.EndpointSpec(
+                        name=f'{zone}-worker-{number + 1}',
+                        zone=zone,
+                        speed=speed,
+                    )
+                    for number, speed in enumerate(speeds)
+                ]
+            )
+            for zone, speeds in ZONES
+        )
+    )
+    await dep.register()
+    await asyncio.gather(*(dep.start_entry(spec) for spec in ENTRIES))
+    await dep.register()
+    await dep.apply([await _compose_contract(dep)])
+    await dep.wait_ready()
+    zones = ', '.join(zone for zone, _ in ZONES)
+    print(
+        f'{len(dep.entries)} entry VMs and {len(dep.endpoints)} endpoints are '
+        f'ready in the zones {zones}; contract version 1 is in force.'
+    )
+
+
+async def _compose_contract(dep: deployment.Deployment) -> parts.Document:
+    return {
+        'customer': CUSTOMER,
+        'credential_sha256': [await dep.hash_credential(CREDENTIAL)],
+        'weight': 1.0,
+        'submit_per_s': 10_000.0,
+        'submit_burst': 10_000,
+        'hold': 10_000,
+        'queue': 10_000,
+    }
+
+
+def _connect(dep: deployment.Deployment) -> list[caller.Caller]:
+    return [
+        caller.Caller(
+            session=dep.session, base=entry.url(''), credential=CREDENTIAL
+        )
+        for _, entry in sorted(dep.entries.items())
+    ]
+
+
+async def _look_up(clerk: caller.Caller) -> str | None:
+    began = time.monotonic()
+    reply = await clerk.submit(
+        caller.SINGLES, tasks.render_single(LOOKUP, deadline_ms=DEADLINE_MS)
+    )
+    _print_answer('Certificate lookup', began, reply)
+    return LOOKUP.find_fault(reply.document)
+
+
+async def _stamp(clerk: caller.Caller, other: caller.Caller) -> str | None:
+    """Stamp once, although the clerk submits the same key twice."""
+    key = (await clerk.mint(1))[0]
+    document = tasks.render_single(STAMP, deadline_ms=DEADLINE_MS)
+    began = time.monotonic()
+    reply = await clerk.submit(caller.SINGLES, document, key=key)
+    _print_answer('Stamp', began, reply)
+    began = time.monotonic()
+    repeat = await other.submit(caller.SINGLES, document, key=key)
+    _print_answer('Stamp, same key at another entry VM', began, repeat)
+    return STAMP.find_fault(reply.document) or STAMP.find_fault(repeat.document)
+
+
+async def _submit_job(
+    clerk: caller.Caller, job: tuple[tasks.Task, ...]
+) -> str | None:
+    key = (await clerk.mint(1))[0]
+    began = time.monotonic()
+    reply = await clerk.submit(
+        caller.JOBS, tasks.render_job(job, deadline_ms=DEADLINE_MS), key=key
+    )
+    _print_answer(f'Job of {len(job)} tasks', began, reply)
+    return tasks.find_job_fault(job, reply.document)
+
+
+def _compose_job(count: int, rng: random.Random) -> tuple[tasks.Task, ...]:
+    return tuple(
+        tasks.Task(
+            label=f'job-{number}',
+            path=rng.choice(('/compose', '/render', '/check')),
+            run_ms=rng.randint(SHORT_RUN_MS, LONG_RUN_MS),
+            body=f'page {number}',
+            idempotent=rng.choice((True, False)),
+        )
+        for number in range(count)
+    )
+
+
+def _print_answer(title: str, began: float, reply: caller.Reply) -> None:
+    took_ms = 1000 * (time.monotonic() - began)
+    document = reply.document
+    outcome = (
+        document.get('state')
+        or document.get('verdict')
+        or document.get('code', 'no verdict')
+    )
+    print(f'{title}: {outcome}, HTTP {reply.status}, {took_ms:.0f} ms')
+
+
+async def _check_records(
+    dep: deployment.Deployment, expected: tuple[tasks.Task, ...]
+) -> list[str]:
+    """Print what the endpoints ran; return tasks not run exactly once."""
+    records = await asyncio.gather(
+        *(dep.read_record(name) for name in dep.endpoints)
+    )
+    starts: dict[str, int] = {}
+    for endpoint, (summary, record) in zip(dep.endpoints.values(), records):
+        for start in record:
+            starts[start['task']] = starts.get(start['task'], 0) + 1
+        print(
+            f'  {endpoint.name} (speed {endpoint.speed:g}): '
+            f'{summary["started"]} tasks, at most {summary["most_running"]} '
+            f'of {endpoint.slots} slots busy'
+        )
+    once = sum(starts.get(task.label) == 1 for task in expected)
+    print(f'{once} of {len(expected)} tasks were started exactly once.')
+    return [
+        f'{task.label} was started {starts.get(task.label, 0)} times'
+        for task in expected
+        if starts.get(task.label) != 1
+    ]
--- a/sardineproxy/demo/deployment.py
+++ b/sardineproxy/demo/deployment.py
@@ -18,9 +18,11 @@
 class Deployment(processes.Processes):
     """A stand-in platform, stand-in endpoints and entry processes."""
 
-    def __init__(self, *, region: str = 'alpha') -> None:
+    def __init__(
+        self, *, region: str = 'alpha', module: str = 'sardineproxy'
+    ) -> None:
         """Start with no process."""
-        super().__init__()
+        super().__init__(module=module)
         self._region = region
         self._platform: child.Child | None = None
         self._states: dict[str, str] = {}
--- a/sardineproxy/demo/processes.py
+++ b/sardineproxy/demo/processes.py
@@ -3,9 +3,10 @@
 import asyncio
 import contextlib
 import pathlib
+import signal
 import tempfile
 from types import TracebackType
-from typing import Any, Mapping, Self
+from typing import Any, Coroutine, Mapping, Self, TypeVar
 
 import aiohttp
 
@@ -18,6 +19,9 @@
 CONTROL_LIMIT_S = 30
 
 
+Outcome = TypeVar('Outcome')
+
+
 class DeploymentError(Exception):
     """A part of the deployment could not be started or set up."""
 
@@ -28,8 +32,9 @@
     Leaving the context, for whatever reason, ends every process.
     """
 
-    def __init__(self) -> None:
-        """Start with no process."""
+    def __init__(self, *, module: str = 'sardineproxy') -> None:
+        """Run programs by ``python -m MODULE NAME``."""
+        self._module = module
         self._stack = contextlib.AsyncExitStack()
         self._children: list[child.Child] = []
 
@@ -57,9 +62,13 @@
         """End all processes and remove the directory."""
         await self._stack.aclose()
 
-    async def start_program(self, name: str, *args: str) -> child.Child:
+    async def start_program(
+        self, name: str, *args: str, module: str | None = None
+    ) -> child.Child:
         """Start any program that prints a ready line."""
-        process = child.Child(name, args, self.directory)
+        process = child.Child(
+            name, args, self.directory, module=module or self._module
+        )
         self._children.append(process)
         try:
             await process.start()
@@ -69,7 +78,7 @@
 
     async def ctl(self, *args: str, text: str = '') -> str:
         """Run the operator's program and return what it prints."""
-        command = child.Child('ctl', args, self.directory)
+        command = child.Child('ctl', args, self.directory, module=self._module)
         self._children.append(command)
         try:
             return await command.run(text, limit_s=COMMAND_LIMIT_S)
@@ -89,3 +98,14 @@
         await asyncio.gather(
             *(process.stop() for process in reversed(self._children))
         )
+
+
+def run(main: Coroutine[Any, Any, Outcome]) -> Outcome:
+    """Run ``main``; SIGTERM cancels it, so that it can end its processes."""
+    return asyncio.run(_run_until_signal(main))
+
+
+async def _run_until_signal(main: Coroutine[Any, Any, Outcome]) -> Outcome:
+    task = asyncio.ensure_future(main)
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+    return await task
