--- /dev/null
+++ b/sardineproxy/connection/caller.py
@@ -0,0 +1,200 @@
+"""HTTP handlers for callers."""
+
+import asyncio
+import types
+from typing import Awaitable, Callable
+
+import result
+from aiohttp import web
+
+from sardineproxy import clock, ids, problems
+from sardineproxy.connection import edge
+from sardineproxy.request import admission, documents, keys, submissions, work
+
+KINDS = types.MappingProxyType(
+    {'requests': work.Kind.SINGLE, 'jobs': work.Kind.JOB}
+)
+WAITS = types.MappingProxyType({'true': True, 'false': False})
+BEARER = 'bearer '
+BACKLOG = 1024
+
+EdgeLimits = edge.EdgeLimits
+
+
+class Handlers:
+    """Answers callers' HTTP requests."""
+
+    def __init__(
+        self, *, submissions: submissions.Submissions, limits: EdgeLimits
+    ) -> None:
+        """Pass on to ``submissions`` what is within the limits."""
+        self._submissions = submissions
+        self._limits = limits
+
+    async def mint(self, req: web.Request) -> web.Response:
+        """Answer ``POST /v1/keys``."""
+        customer, body = await self._enter(req)
+        if isinstance(customer, result.Err):
+            return _refusal(customer.err_value, None)
+        if isinstance(body, result.Err):
+            return _refusal(body.err_value, None)
+        return edge.render(
+            self._submissions.mint(
+                customer=customer.ok_value, body=body.ok_value
+            )
+        )
+
+    async def submit(self, req: web.Request) -> web.Response:
+        """Answer ``POST /v1/requests`` and ``POST /v1/jobs``."""
+        key_text = req.headers.get(edge.KEY_HEADER)
+        customer, body = await self._enter(req)
+        if isinstance(customer, result.Err):
+            return _refusal(customer.err_value, key_text)
+        wait = WAITS.get(req.query.get('wait', 'true'))
+        if wait is None and isinstance(body, result.Ok):
+            body = result.Err(_malformed_wait())
+        if isinstance(body, result.Err):
+            reply = self._submissions.refuse(
+                customer=customer.ok_value,
+                key_text=key_text,
+                problem=body.err_value,
+            )
+            return edge.render(reply)
+        reply = await self._submissions.submit(
+            customer=customer.ok_value,
+            kind=KINDS[req.match_info['collection']],
+            key_text=key_text,
+            body=body.ok_value,
+            wait=wait is not False,
+        )
+        return edge.render(reply)
+
+    async def status(self, req: web.Request) -> web.Response:
+        """Answer ``GET`` on a request or job."""
+        return await self._ask(req, self._submissions.status)
+
+    async def cancel(self, req: web.Request) -> web.Response:
+        """Answer ``DELETE`` on a request or job."""
+        return await self._ask(req, self._submissions.cancel)
+
+    async def _ask(
+        self, req: web.Request, ask: Callable[..., Awaitable[documents.Reply]]
+    ) -> web.Response:
+        key_text = req.match_info['key']
+        customer, body = await self._enter(req)
+        if isinstance(customer, result.Err):
+            return _refusal(customer.err_value, key_text)
+        if isinstance(body, result.Err):
+            return _refusal(body.err_value, key_text)
+        return edge.render(
+            await ask(customer=customer.ok_value, key_text=key_text)
+        )
+
+    async def _enter(
+        self, req: web.Request
+    ) -> tuple[result.Result[ids.CustomerId, problems.Problem], edge.Body]:
+        """Authenticate the caller, and only then read the body."""
+        customer = self._authenticate(req)
+        problem = edge.check_head(req, self._limits)
+        if problem is not None:
+            return customer, result.Err(problem)
+        if isinstance(customer, result.Err):
+            return customer, customer
+        assert isinstance(req.protocol, edge.Connection)
+        return customer, await req.protocol.read_body(req)
+
+    def _authenticate(
+        self, req: web.Request
+    ) -> result.Result[ids.CustomerId, problems.Problem]:
+        header = req.headers.get('Authorization', '')
+        if not header.lower().startswith(BEARER):
+            return result.Err(admission.unauthorized())
+        return self._submissions.authenticate(
+            credential=header[len(BEARER) :].strip()
+        )
+
+
+class Listener:
+    """An open port for callers."""
+
+    def __init__(
+        self, *, runner: web.AppRunner, server: asyncio.Server
+    ) -> None:
+        """Own ``runner`` and ``server`` from now on."""
+        self._runner = runner
+        self._server = server
+        self.port: int = server.sockets[0].getsockname()[1]
+
+    async def close(self) -> None:
+        """Stop listening, let answers leave and close all connections."""
+        self._server.close()
+        await self._runner.cleanup()
+
+
+def build_app(
+    *,
+    submissions: submissions.Submissions,
+    limits: EdgeLimits,
+    clock: clock.Clock,
+) -> web.Application:
+    """Return the application that serves callers."""
+    handlers = Handlers(submissions=submissions, limits=limits)
+    app = web.Application(
+        client_max_size=limits.body_bytes, middlewares=[_render_refusals]
+    )
+    collection = '/v1/{collection:requests|jobs}'
+    item = f'{collection}/{{key}}'
+    app.router.add_post('/v1/keys', handlers.mint)
+    app.router.add_post(collection, handlers.submit)
+    app.router.add_get(item, handlers.status, allow_head=False)
+    app.router.add_delete(item, handlers.cancel)
+    return app
+
+
+async def start(
+    *, app: web.Application, limits: EdgeLimits, host: str, port: int
+) -> Listener:
+    """Serve ``app``; port 0 lets the kernel choose."""
+    runner = web.AppRunner(app, shutdown_timeout=limits.close_timeout_s)
+    await runner.setup()
+    web_server = runner.server
+    assert web_server is not None
+    loop = asyncio.get_running_loop()
+    server = await loop.create_server(
+        lambda: edge.Connection(web_server, limits=limits, loop=loop),
+        host,
+        port,
+        backlog=BACKLOG,
+    )
+    return Listener(runner=runner, server=server)
+
+
+@web.middleware
+async def _render_refusals(
+    request: web.Request,
+    handler: Callable[[web.Request], Awaitable[web.StreamResponse]],
+) -> web.StreamResponse:
+    """Turn the router's refusals into problem documents."""
+    try:
+        return await handler(request)
+    except web.HTTPException as exc:
+        problem = documents.refusal(
+            code='no_such_resource',
+            status=exc.status,
+            detail='There is no such resource or method.',
+        )
+        return _refusal(problem, request.headers.get(edge.KEY_HEADER))
+
+
+def _refusal(problem: problems.Problem, key_text: str | None) -> web.Response:
+    return edge.render(
+        documents.render_problem(keys.without_minter(problem, key_text))
+    )
+
+
+def _malformed_wait() -> problems.Problem:
+    return documents.refusal(
+        code='malformed_request',
+        status=400,
+        detail='wait must be "true" or "false".',
+    )
--- /dev/null
+++ b/sardineproxy/request/keys.py
@@ -0,0 +1,224 @@
+"""Idempotency keys, minted ahead of use for one process and one customer.
+
+A key reads ``sp1.VM.INCARNATION.SEQUENCE.EXPIRY.MAC``. The expiry is in
+milliseconds of the minting process's own monotonic clock. The MAC covers
+the other fields and the customer, so that a key is of no use to another
+customer.
+"""
+
+import dataclasses
+import hashlib
+import hmac
+import itertools
+import re
+
+from sardineproxy import ids, problems, verdicts
+from sardineproxy.request import documents
+
+#: Characters of the hexadecimal MAC: 128 bits of HMAC-SHA256.
+MAC_CHARACTERS = 32
+
+#: Longest key that is looked at, in characters.
+MAX_KEY_CHARACTERS = 256
+
+#: Seconds after which to ask again for a minter that was not reached.
+RETRY_S = 1
+
+MS_PER_SECOND = 1000
+
+_PATTERN = re.compile(
+    r'(?P<signed>sp1\.(?P<vm>[a-z0-9][a-z0-9-]{0,62})'
+    r'\.(?P<incarnation>[0-9a-f]{1,64})'
+    r'\.(?P<sequence>[0-9a-f]{1,16})'
+    r'\.(?P<expiry>[0-9a-f]{1,16}))'
+    r'\.(?P<mac>[0-9a-f]{32})',
+    re.ASCII,
+)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Key:
+    """A well-formed key; whether it is genuine is known only to its minter."""
+
+    #: The whole key.
+    text: ids.RequestId
+
+    vm: ids.VmId
+    incarnation: ids.Incarnation
+    sequence: int
+
+    #: Seconds of the minter's monotonic clock.
+    expires_at: float
+
+    #: Part of the text that the MAC covers.
+    signed: str
+    mac: str
+
+
+def parse(text: str) -> Key | None:
+    """Return the key that ``text`` spells, or None if it is not well formed."""
+    if len(text) > MAX_KEY_CHARACTERS:
+        return None
+    found = _PATTERN.fullmatch(text)
+    if found is None:
+        return None
+    return Key(
+        text=ids.RequestId(text),
+        vm=ids.VmId(found['vm']),
+        incarnation=ids.Incarnation(found['incarnation']),
+        sequence=int(found['sequence'], 16),
+        expires_at=int(found['expiry'], 16) / MS_PER_SECOND,
+        signed=found['signed'],
+        mac=found['mac'],
+    )
+
+
+class KeyRing:
+    """Mints keys of one incarnation and recognizes them again."""
+
+    def __init__(
+        self,
+        *,
+        vm: ids.VmId,
+        incarnation: ids.Incarnation,
+        secret: bytes,
+        ttl_s: float,
+    ) -> None:
+        """Sign with ``secret``, which no other process may hold."""
+        self._vm = vm
+        self._incarnation = incarnation
+        self._secret = secret
+        self._ttl_s = ttl_s
+        self._sequence = itertools.count(1)
+
+    def mint(self, *, customer: ids.CustomerId, now: float) -> ids.RequestId:
+        """Return a new key of ``customer``."""
+        sequence = next(self._sequence)
+        expiry = int((now + self._ttl_s) * MS_PER_SECOND)
+        signed = f'sp1.{self._vm}.{self._incarnation}.{sequence:x}.{expiry:x}'
+        return ids.RequestId(f'{signed}.{self._mac(signed, customer)}')
+
+    def is_own(self, *, key: Key) -> bool:
+        """Tell whether the key names this incarnation."""
+        return (key.vm, key.incarnation) == (self._vm, self._incarnation)
+
+    def is_genuine(self, *, key: Key, customer: ids.CustomerId) -> bool:
+        """Tell whether this process minted the key for ``customer``."""
+        return self.is_own(key=key) and hmac.compare_digest(
+            self._mac(key.signed, customer), key.mac
+        )
+
+    def _mac(self, signed: str, customer: ids.CustomerId) -> str:
+        covered = f'{signed}\n{customer}'.encode()
+        digest = hmac.new(self._secret, covered, hashlib.sha256).hexdigest()
+        return digest[:MAC_CHARACTERS]
+
+
+def malformed() -> problems.Problem:
+    """Return the refusal of a text that no process can have minted."""
+    return documents.refusal(
+        code='malformed_key',
+        status=400,
+        detail='Idempotency keys are minted by POST /v1/keys.',
+    )
+
+
+def unknown() -> problems.Problem:
+    """Return the refusal of a key that was not minted for the customer."""
+    return documents.refusal(
+        code='unknown_key',
+        status=404,
+        detail='This VM minted no such key for the customer.',
+    )
+
+
+def expired() -> problems.Problem:
+    """Return the answer to a key whose record may have been dropped."""
+    return documents.doubt(
+        code='key_expired',
+        status=410,
+        detail='The key has expired and never starts work again.',
+    )
+
+
+def reused() -> problems.Problem:
+    """Return the refusal of a second submission under one key.
+
+    The verdict is the key's: a caller that rendered the same work in other
+    bytes must not take it for work that did not run.
+    """
+    return documents.doubt(
+        code='key_reused',
+        status=422,
+        detail=(
+            'The key was used for a submission with another body. This one '
+            'is not run; the earlier one may have run.'
+        ),
+    )
+
+
+def not_submitted() -> problems.Problem:
+    """Return the status of a key with which nothing has arrived so far."""
+    return documents.doubt(
+        code='not_submitted',
+        status=404,
+        detail=(
+            'Nothing has arrived under this key so far; a submission may be '
+            'on its way. DELETE keeps it from starting.'
+        ),
+        final=False,
+    )
+
+
+def minter_gone() -> problems.Problem:
+    """Return the answer to a key whose incarnation has ended."""
+    return documents.doubt(
+        code='minter_gone',
+        status=410,
+        detail='The process that minted the key has ended.',
+    )
+
+
+def minter_unreachable() -> problems.Problem:
+    """Return the answer to a key whose minter could not be asked."""
+    return documents.doubt(
+        code='minter_unreachable',
+        status=503,
+        detail='The process that minted the key cannot be reached now.',
+        retry_after_s=RETRY_S,
+        final=False,
+    )
+
+
+def too_large_to_forward() -> problems.Problem:
+    """Return the refusal of a submission that fits into no peer message."""
+    return documents.doubt(
+        code='too_large_to_forward',
+        status=413,
+        detail='Submit this body at the VM that minted the key.',
+        final=False,
+    )
+
+
+def malformed_forward() -> problems.Problem:
+    """Return the answer to a forward that could not be read."""
+    return documents.doubt(
+        code='malformed_forward',
+        status=502,
+        detail='The process that minted the key could not read the forward.',
+        final=False,
+    )
+
+
+def without_minter(
+    problem: problems.Problem, key_text: str | None
+) -> problems.Problem:
+    """Return the problem as a process may state it that did not ask the minter.
+
+    Only the minter may say of a well-formed key that its work did not run.
+    """
+    if key_text is None or parse(key_text) is None:
+        return problem
+    return dataclasses.replace(
+        problem, verdict=verdicts.Verdict.MAY_HAVE_RUN, final=False
+    )
--- /dev/null
+++ b/sardineproxy/request/submissions.py
@@ -0,0 +1,389 @@
+"""Take submissions from callers and see each of them through."""
+
+import asyncio
+import dataclasses
+import hashlib
+import random
+
+import result
+
+from sardineproxy import clock, ids, logs, problems
+from sardineproxy.process import metrics
+from sardineproxy.request import (
+    admission,
+    documents,
+    forwarding,
+    job,
+    keys,
+    questions,
+    records,
+    work,
+)
+from sardineproxy.version import versions
+
+#: Bits of the random part of a keyless request's id.
+KEYLESS_ID_BITS = 64
+
+#: Seconds for a forward beyond the longest deadline of its submission.
+FORWARD_SLACK_S = 5
+
+Runner = job.Runner
+_Held = records.Record | records.Note | records.Absence
+_Operation = questions.Operation
+_log = logs.get_logger('request')
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Config:
+    """Lifetimes and bounds of keys and records."""
+
+    #: Seconds for which a key that was not used stays valid.
+    key_ttl_s: float = 900
+
+    #: Seconds for which an answer is held; at least ``key_ttl_s``.
+    record_ttl_s: float = 900
+
+    #: Most records, and most notes about keys without a record.
+    max_records: int = 200_000
+
+    #: Most bytes of answers that are held after the requests have ended.
+    max_answer_bytes: int = 268_435_456
+
+    def __post_init__(self) -> None:
+        """Refuse lifetimes that would let a key's work start twice."""
+        if self.record_ttl_s < self.key_ttl_s:
+            raise ValueError('record_ttl_s must be at least key_ttl_s')
+
+
+class Submissions:
+    """All submissions of one entry process."""
+
+    def __init__(
+        self,
+        *,
+        clock: clock.Clock,
+        rng: random.Random,
+        vm: ids.VmId,
+        incarnation: ids.Incarnation,
+        secret: bytes,
+        cfg: Config,
+        runner: Runner,
+        forwarder: forwarding.Forwarder,
+        metrics: metrics.Metrics,
+    ) -> None:
+        """Start without a version; nothing is admitted until there is one."""
+        self._clock = clock
+        self._rng = rng
+        self._vm = vm
+        self._incarnation = incarnation
+        self._metrics = metrics
+        self._keys = keys.KeyRing(
+            vm=vm,
+            incarnation=incarnation,
+            secret=secret,
+            ttl_s=cfg.key_ttl_s,
+        )
+        self._table = records.Table(
+            ring=self._keys,
+            key_ttl_s=cfg.key_ttl_s,
+            record_ttl_s=cfg.record_ttl_s,
+            max_records=cfg.max_records,
+            max_answer_bytes=cfg.max_answer_bytes,
+        )
+        self._admission = admission.Admission()
+        self._executions = job.Executions(
+            clock=clock, runner=runner, table=self._table, metrics=metrics
+        )
+        self._minters = questions.Minters(
+            clock=clock, forwarder=forwarder, metrics=metrics
+        )
+
+    def set_version(self, version: versions.Version | None) -> None:
+        """Apply the version's contracts to new submissions."""
+        self._admission.set_version(version)
+
+    def set_live_vms(self, count: int) -> None:
+        """Set among how many VMs the submission rates are divided."""
+        self._admission.set_live_vms(count)
+
+    def drain(self) -> None:
+        """Refuse new work as not run from now on."""
+        self._admission.drain()
+
+    async def idle(self) -> None:
+        """Wait until no submission and no forward is in progress."""
+        await self._executions.idle()
+
+    def authenticate(
+        self, *, credential: str
+    ) -> result.Result[ids.CustomerId, problems.Problem]:
+        """Return the customer that the credential belongs to."""
+        return self._admission.authenticate(credential=credential)
+
+    def mint(self, *, customer: ids.CustomerId, body: bytes) -> documents.Reply:
+        """Answer with new keys of the customer."""
+        refused = self._admission.refusal_of_all()
+        if refused is not None:
+            return documents.render_problem(refused)
+        count = documents.parse_key_count(body)
+        if isinstance(count, result.Err):
+            return documents.render_problem(count.err_value)
+        now = self._clock.now()
+        minted = [
+            self._keys.mint(customer=customer, now=now)
+            for _ in range(count.ok_value)
+        ]
+        self._metrics.count('keys_minted_total', by=len(minted))
+        return documents.render_json(status=200, document={'keys': minted})
+
+    async def submit(
+        self,
+        *,
+        customer: ids.CustomerId,
+        kind: work.Kind,
+        key_text: str | None,
+        body: bytes,
+        wait: bool = True,
+    ) -> documents.Reply:
+        """Answer a submission: run it, join it or forward it."""
+        if key_text is None:
+            reply = await self._submit_keyless(
+                customer=customer, kind=kind, body=body
+            )
+        else:
+            question = questions.Question(
+                operation=_Operation.SUBMIT,
+                customer=customer,
+                key=key_text,
+                kind=kind,
+                body=body,
+                wait=wait,
+            )
+            reply = await self.ask(question)
+        self._metrics.count(
+            'submissions_total',
+            kind=kind.value,
+            verdict=reply.verdict.value if reply.verdict else 'none',
+        )
+        return reply
+
+    async def status(
+        self, *, customer: ids.CustomerId, key_text: str
+    ) -> documents.Reply:
+        """Answer with the state of a request, or its answer if it has ended."""
+        return await self.ask(
+            questions.Question(
+                operation=_Operation.STATUS, customer=customer, key=key_text
+            )
+        )
+
+    async def cancel(
+        self, *, customer: ids.CustomerId, key_text: str
+    ) -> documents.Reply:
+        """Keep what has not started from starting, and answer the status."""
+        return await self.ask(
+            questions.Question(
+                operation=_Operation.CANCEL, customer=customer, key=key_text
+            )
+        )
+
+    async def ask(self, question: questions.Question) -> documents.Reply:
+        """Answer a question about a key, here or at the key's minter."""
+        key = keys.parse(question.key)
+        if key is None:
+            return documents.render_problem(keys.malformed())
+        if self._keys.is_own(key=key):
+            return await self._answer(question, key)
+        if key.vm == self._vm:
+            return _not_minter(key, self._vm)
+        wait_s = float(FORWARD_SLACK_S)
+        if question.wait:
+            wait_s += self._admission.longest_deadline_s(
+                customer=question.customer
+            )
+        return await self._executions.keep(
+            self._minters.ask(question=question, key=key, wait_s=wait_s)
+        )
+
+    async def handle(self, payload: bytes) -> bytes:
+        """Return the reply to a payload that another process forwarded."""
+        question = questions.unpack_question(payload)
+        key = keys.parse(question.key) if question else None
+        if question is None or key is None:
+            _log.warning('malformed forward')
+            reply = documents.render_problem(keys.malformed_forward())
+        elif self._keys.is_own(key=key):
+            reply = await self._answer(question, key)
+        else:
+            reply = _not_minter(key, self._vm)
+        packed = questions.pack_reply(reply)
+        if len(packed) > questions.MAX_PAYLOAD_BYTES:
+            problem = documents.answer_too_large(reply.verdict)
+            return questions.pack_reply(documents.render_problem(problem))
+        return packed
+
+    def refuse(
+        self,
+        *,
+        customer: ids.CustomerId,
+        key_text: str | None,
+        problem: problems.Problem,
+    ) -> documents.Reply:
+        """Refuse a submission whose body was not read."""
+        key = keys.parse(key_text) if key_text else None
+        if key is not None:
+            now = self._clock.now()
+            held = self._table.find(key=key, customer=customer, now=now)
+            if held is records.Absence.NEW:
+                self._table.note(
+                    key=key,
+                    customer=customer,
+                    fingerprint=None,
+                    problem=problem,
+                    now=now,
+                )
+            else:
+                problem = keys.without_minter(problem, key_text)
+        return documents.render_problem(problem)
+
+    def state(self, *, now: float) -> dict[str, object]:
+        """Return what is held, for whom and since when, for the dump."""
+        return {
+            'vm': self._vm,
+            'incarnation': self._incarnation,
+            'submissions': self._executions.state(now=now),
+            'held': self._table.sizes(),
+            'admission': self._admission.state(),
+        }
+
+    async def _submit_keyless(
+        self, *, customer: ids.CustomerId, kind: work.Kind, body: bytes
+    ) -> documents.Reply:
+        admitted = self._admit(
+            admission.Offer(
+                customer=customer, kind=kind, keyed=False, body=body
+            )
+        )
+        if isinstance(admitted, result.Err):
+            return documents.render_problem(admitted.err_value)
+        request_id = f'r-{self._rng.getrandbits(KEYLESS_ID_BITS):016x}'
+        record = self._executions.start(
+            admitted=admitted.ok_value, request_id=ids.RequestId(request_id)
+        )
+        return await asyncio.shield(record.answered)
+
+    async def _answer(
+        self, question: questions.Question, key: keys.Key
+    ) -> documents.Reply:
+        """Answer a question about a key of this incarnation."""
+        now = self._clock.now()
+        held = self._table.find(key=key, customer=question.customer, now=now)
+        match held:
+            case records.Absence.UNKNOWN:
+                return documents.render_problem(keys.unknown())
+            case records.Absence.VOID:
+                return documents.render_problem(keys.expired())
+        if question.operation is _Operation.SUBMIT:
+            return await self._answer_submit(question, key, held)
+        if question.operation is _Operation.CANCEL:
+            held = self._cancel(question, key, held)
+        return _status_reply(held)
+
+    def _cancel(
+        self, question: questions.Question, key: keys.Key, held: _Held
+    ) -> _Held:
+        if isinstance(held, records.Record):
+            self._executions.cancel(record=held)
+        if held is records.Absence.NEW:
+            return self._table.note(
+                key=key,
+                customer=question.customer,
+                fingerprint=None,
+                problem=job.cancelled(),
+                now=self._clock.now(),
+            )
+        return held
+
+    async def _answer_submit(
+        self,
+        question: questions.Question,
+        key: keys.Key,
+        held: _Held,
+    ) -> documents.Reply:
+        fingerprint = _fingerprint(question)
+        if isinstance(held, records.Absence):
+            held = self._open(question, key, fingerprint)
+        if held.fingerprint not in {None, fingerprint}:
+            return documents.render_problem(keys.reused())
+        if question.wait and isinstance(held, records.Record):
+            return await asyncio.shield(held.answered)
+        return _status_reply(held)
+
+    def _open(
+        self, question: questions.Question, key: keys.Key, fingerprint: bytes
+    ) -> records.Record | records.Note:
+        """Start a new key's work, or note that it never starts."""
+        admitted = self._admit(
+            admission.Offer(
+                customer=question.customer,
+                kind=question.kind,
+                keyed=True,
+                body=question.body,
+            )
+        )
+        if isinstance(admitted, result.Err):
+            return self._table.note(
+                key=key,
+                customer=question.customer,
+                fingerprint=fingerprint,
+                problem=admitted.err_value,
+                now=self._clock.now(),
+            )
+        return self._executions.start(
+            admitted=admitted.ok_value,
+            request_id=key.text,
+            sequence=key.sequence,
+            fingerprint=fingerprint,
+        )
+
+    def _admit(
+        self, offer: admission.Offer
+    ) -> result.Result[admission.Admitted, problems.Problem]:
+        if offer.keyed and self._table.is_full():
+            return result.Err(records.table_full())
+        return self._admission.admit(
+            offer=offer,
+            waiting=self._executions.waiting(customer=offer.customer),
+            now=self._clock.now(),
+        )
+
+
+def _not_minter(key: keys.Key, vm: ids.VmId) -> documents.Reply:
+    """Answer for another incarnation: gone if it was one of this VM."""
+    if key.vm == vm:
+        return documents.render_problem(keys.minter_gone())
+    return documents.render_problem(keys.minter_unreachable())
+
+
+def _fingerprint(question: questions.Question) -> bytes:
+    kind = question.kind.value.encode()
+    return hashlib.sha256(kind + b'\n' + question.body).digest()
+
+
+def _status_reply(held: _Held) -> documents.Reply:
+    if isinstance(held, records.Absence):
+        return documents.render_problem(keys.not_submitted())
+    if isinstance(held, records.Note):
+        return documents.render_problem(held.problem)
+    if held.answered.done():
+        return held.answered.result()
+    return documents.render_json(
+        status=202,
+        document={
+            'id': held.request_id,
+            'state': 'running',
+            'cancelled': held.cancelled,
+            'tasks': held.tasks,
+            'ended_tasks': held.ended_tasks,
+        },
+    )
