Drive the stand-in platform as it is, test the demo with a fake entry

Faults and the VM list are set by one POST for each; contract files end in .jsonc. Entry processes get a short shutdown, because no balancer watches.

--- a/sardineproxy/demo/deployment.py
+++ b/sardineproxy/demo/deployment.py
@@ -67,13 +67,18 @@
             )
         return process
 
-    async def start_entry(self, spec: parts.EntrySpec) -> parts.Entry:
-        """Start an entry process; it is ready once it has a contract."""
+    async def start_entry(
+        self, spec: parts.EntrySpec, **more: Any
+    ) -> parts.Entry:
+        """Start an entry process; ``more`` replaces settings.
+
+        It is ready once it has a version of the contracts.
+        """
         path = self.directory / f'{spec.name}.json'
         settings = parts.render_settings(
             spec, region=self._region, platform_port=self._platform_port()
         )
-        path.write_text(json.dumps(settings), encoding='utf-8')
+        path.write_text(json.dumps({**settings, **more}), encoding='utf-8')
         process = await self.start_program('entry', '--settings', str(path))
         entry = parts.Entry(
             name=spec.name, zone=spec.zone, size=spec.size, process=process
@@ -83,18 +88,20 @@
 
     async def register(self) -> None:
         """Put all entry VMs and endpoints into the platform's list."""
-        await self.request(
-            'PUT', self._platform_url('vms'), {'vms': self._list_vms()}
-        )
+        await self.control_platform('vms', vms=self._list_vms())
 
     async def set_state(self, name: str, state: str) -> None:
         """List an entry VM or endpoint as ``live`` or ``leaving``."""
         self._states[name] = state
         await self.register()
 
-    async def set_faults(self, **faults: Any) -> None:
-        """Tell the platform to be down, slow, stale or lagging."""
-        await self.request('POST', self._platform_url('faults'), faults)
+    async def control_platform(self, name: str, **fields: Any) -> None:
+        """Set the platform's VM list or a fault, such as ``down``."""
+        await self.request(
+            'POST',
+            f'http://{HOST}:{self._platform_port()}/control/{name}',
+            fields,
+        )
 
     async def set_mode(self, endpoint: str, mode: str, **more: Any) -> None:
         """Make an endpoint show a fault; ``normal`` ends it."""
@@ -126,7 +133,7 @@
         directory = self.directory / f'contracts-{base}'
         directory.mkdir()
         for contract in contracts:
-            path = directory / f'{contract["customer"]}.json'
+            path = directory / f'{contract["customer"]}.jsonc'
             path.write_text(json.dumps(contract), encoding='utf-8')
         await self.ctl(
             'apply',
@@ -174,9 +181,6 @@
             raise processes.DeploymentError('the platform is not started')
         return self._platform.ports['http']
 
-    def _platform_url(self, name: str) -> str:
-        return f'http://{HOST}:{self._platform_port()}/control/{name}'
-
     def _list_vms(self) -> list[parts.Document]:
         everything: tuple[parts.Endpoint | parts.Entry, ...] = (
             *self.entries.values(),
--- a/sardineproxy/demo/parts.py
+++ b/sardineproxy/demo/parts.py
@@ -1,6 +1,7 @@
 """Parts of a deployment, and how the platform and settings list them."""
 
 import dataclasses
+import types
 from typing import Any
 
 from sardineproxy.demo import child
@@ -9,6 +10,9 @@
 
 Document = dict[str, Any]
 
+#: No balancer has to notice, so entry processes end soon.
+SHUTDOWN = types.MappingProxyType({'notice_s': 0.2, 'limit_s': 10})
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class EndpointSpec:
@@ -97,4 +101,5 @@
         'peers': any_port,
         'platform': {'host': HOST, 'port': platform_port},
         'size': spec.size,
+        'shutdown': dict(SHUTDOWN),
     }
--- /dev/null
+++ b/tests/bench/fakes.py
@@ -0,0 +1,117 @@
+"""Entry process for tests of the harness; other programs are the real ones.
+
+It sends each task to an endpoint at random and keeps no limit of any kind.
+Run as ``python -m tests.bench.fakes NAME``.
+"""
+
+import asyncio
+import json
+import pathlib
+import random
+import sys
+import time
+from typing import Any
+
+import aiohttp
+from aiohttp import web
+
+from sardineproxy import __main__ as programs
+from sardineproxy.process import platform, platform_http, ready
+
+METRICS = """sardineproxy_peer_frames_total{kind="Heartbeat"} 3
+sardineproxy_endpoint_attempts_total 0
+"""
+
+
+class _Entry:
+    def __init__(self, settings: dict[str, Any]) -> None:
+        self._settings = settings
+        self._port = 0
+        self._endpoints: list[platform.Vm] = []
+        self._answers: dict[str, asyncio.Future[dict[str, Any]]] = {}
+
+    async def serve(self) -> None:
+        self._session = aiohttp.ClientSession()
+        address = self._settings['platform']
+        client = platform_http.HttpPlatform(
+            session=self._session, host=address['host'], port=address['port']
+        )
+        vms = (await client.list_vms()).unwrap().vms
+        self._endpoints = [
+            vm for vm in vms if vm.role is platform.VmRole.ENDPOINT
+        ]
+        app = web.Application(client_max_size=1 << 23)
+        app.router.add_post('/v1/keys', self._mint)
+        app.router.add_post('/v1/{kind}', self._submit)
+        app.router.add_get('/readyz', self._ready)
+        app.router.add_get('/metrics', self._metrics)
+        app.router.add_get('/state', self._state)
+        runner = web.AppRunner(app)
+        await runner.setup()
+        site = web.TCPSite(runner, '127.0.0.1', 0)
+        await site.start()
+        self._port = runner.addresses[0][1]
+        ready.announce(dict.fromkeys(('callers', 'admin', 'peers'), self._port))
+        await asyncio.Event().wait()
+
+    async def _mint(self, req: web.Request) -> web.Response:
+        count = (await req.json())['count']
+        names = [f'{self._port}.{random.random()}' for _ in range(count)]
+        return web.json_response({'keys': names})
+
+    async def _submit(self, req: web.Request) -> web.Response:
+        document = await req.json()
+        key = req.headers.get('Idempotency-Key', '')
+        if key and int(key.split('.')[0]) != self._port:
+            return await self._forward(key, req.path, document)
+        known = self._answers.get(key)
+        if known is not None:
+            return web.json_response(await known)
+        if key:
+            self._answers[key] = asyncio.get_running_loop().create_future()
+        answer = await self._run_all(document)
+        if key:
+            self._answers[key].set_result(answer)
+        return web.json_response(answer)
+
+    async def _run_all(self, document: dict[str, Any]) -> dict[str, Any]:
+        if 'tasks' not in document:
+            return await self._run(document)
+        answers = await asyncio.gather(*map(self._run, document['tasks']))
+        return {'state': 'complete', 'tasks': answers}
+
+    async def _forward(
+        self, key: str, path: str, document: dict[str, Any]
+    ) -> web.Response:
+        url = f'http://127.0.0.1:{key.split(".")[0]}{path}'
+        async with self._session.post(
+            url, json=document, headers={'Idempotency-Key': key}
+        ) as reply:
+            return web.json_response(await reply.json())
+
+    async def _run(self, task: dict[str, Any]) -> dict[str, Any]:
+        vm = random.choice(self._endpoints)
+        async with self._session.request(
+            task['method'],
+            f'http://{vm.host}:{vm.port}{task["path"]}',
+            headers=task['headers'],
+            data=task.get('body_text', ''),
+        ) as reply:
+            text = await reply.text()
+        return {'verdict': 'ran', 'status': reply.status, 'body_text': text}
+
+    async def _ready(self, _: web.Request) -> web.Response:
+        return web.Response()
+
+    async def _metrics(self, _: web.Request) -> web.Response:
+        return web.Response(text=METRICS)
+
+    async def _state(self, _: web.Request) -> web.Response:
+        return web.json_response({'cpu_s': time.process_time()})
+
+
+if __name__ == '__main__':
+    if sys.argv[1] != 'entry':
+        sys.exit(programs.main(sys.argv))
+    settings = json.loads(pathlib.Path(sys.argv[3]).read_text())
+    asyncio.run(_Entry(settings).serve())
