--- /dev/null
+++ b/sardineproxy/bench/core.py
@@ -0,0 +1,132 @@
+"""Measure a deployment under load against an ideal, floors and baselines.
+
+Starts three zones with 24 workers of 8 slots and 6 entry VMs on loopback,
+offers seeded work without waiting for answers, and prints one "name: value"
+line for each figure. Figures of the baselines have the prefix "random." or
+"round_robin.": they send the main phase's work straight to the endpoints.
+A figure that could not be measured is printed as "not measured", with the
+reason on standard error. Takes under five minutes, or about one with --quick.
+"""
+
+import sys
+
+from absl import flags
+
+from sardineproxy import exit_status
+from sardineproxy.bench import fleet, floor, phases, ratios, report, senders
+from sardineproxy.demo import deployment, parts, processes
+from sardineproxy.standin import endpoint_flags
+
+#: Seconds of the main phase, of the shorter phases and of the floors.
+FULL_S = (40, 15, 6)
+QUICK_S = (8, 6, 2)
+
+#: Requests a second of the floors: about those of one entry process.
+FLOOR_RATE = 70
+
+MAIN_FIGURES = (
+    *ratios.NAMES,
+    'dispatch_cpu_us_per_task',
+    'dispatch_cpu_over_floor',
+    'wasted_messages_per_task',
+)
+SENDERS = ('random', 'round_robin')
+
+
+def main(argv: list[str]) -> exit_status.ExitStatus:
+    """Run all phases; succeed if every figure was measured."""
+    cfg = _define_flags()
+    status = endpoint_flags.parse(cfg, argv, __doc__ or '')
+    if status is not None:
+        return status
+    out = report.Report()
+    try:
+        processes.run(
+            run(
+                out=out,
+                seconds=QUICK_S if cfg.quick else FULL_S,
+                seed=cfg.seed,
+                load=cfg.load,
+            )
+        )
+    except processes.DeploymentError as exc:
+        sys.stderr.write(f'{exc}\n')
+        return exit_status.ExitStatus.ERROR
+    if None in out.figures.values():
+        return exit_status.ExitStatus.ERROR
+    return exit_status.ExitStatus.SUCCESS
+
+
+def _define_flags() -> flags.FlagValues:
+    cfg = endpoint_flags.new_flags()
+    flags.DEFINE_bool(
+        'quick', False, 'Run for about one minute.', flag_values=cfg
+    )
+    flags.DEFINE_integer('seed', 1, 'Seed of the work.', flag_values=cfg)
+    flags.DEFINE_float(
+        'load',
+        0.7,
+        'Offered load of the main phase, as a part of the capacity.',
+        0.01,
+        2,
+        flag_values=cfg,
+    )
+    return cfg
+
+
+async def run(
+    *,
+    out: report.Report,
+    seconds: tuple[float, float, float],
+    seed: int,
+    load: float,
+    module: str = 'sardineproxy',
+) -> None:
+    """Run all phases on programs of ``module``."""
+    async with deployment.Deployment(module=module) as dep:
+        measured = fleet.Fleet(dep)
+        await measured.start_endpoints()
+        bare = await floor.measure(dep, seconds=seconds[2], rate=FLOOR_RATE)
+        out.add('round_trip_ms', 1000 * bare.round_trip_s)
+        out.add('floor_cpu_us_per_job_task', 1e6 * bare.job_task_cpu_s)
+        out.add('floor_cpu_us_per_single', 1e6 * bare.single_cpu_s)
+        shared = phases.Run(
+            fleet=measured,
+            out=out,
+            seed=seed,
+            load=load,
+            main_s=seconds[0],
+            short_s=seconds[1],
+        )
+        await _measure_ours(shared, bare)
+        await _measure_baselines(shared, bare)
+
+
+async def _measure_ours(run: phases.Run, bare: floor.Floor) -> None:
+    out = run.out
+    with out.measuring(*MAIN_FIGURES):
+        await run.fleet.start_entries()
+        await phases.measure_main(run, bare)
+    with out.measuring('victim_slowdown'):
+        await phases.measure_victim(run)
+    with out.measuring('slot_utilisation_saturated'):
+        await phases.measure_saturation(run)
+    with out.measuring('wasted_messages_per_task_faults'):
+        await phases.measure_faults(run)
+
+
+async def _measure_baselines(run: phases.Run, bare: floor.Floor) -> None:
+    endpoints = list(run.fleet.dep.endpoints.values())
+    for name in SENDERS:
+        with run.out.measuring(*(f'{name}.{one}' for one in ratios.NAMES)):
+            sender = _open_sender(name, endpoints, run.seed)
+            await phases.measure_baseline(run, bare, name, sender)  # noqa: WPS476
+
+
+def _open_sender(
+    name: str, endpoints: list[parts.Endpoint], seed: int
+) -> senders.RandomSender | senders.RoundRobinSender:
+    if name == 'round_robin':
+        return senders.RoundRobinSender(endpoints)
+    entries = len(fleet.ZONES) * len(fleet.ENTRY_SIZES)
+    return senders.RandomSender(endpoints, entries=entries, seed=seed)
--- /dev/null
+++ b/sardineproxy/bench/ratios.py
@@ -0,0 +1,83 @@
+"""Response times over the ideal, for all and for each customer."""
+
+from typing import Sequence
+
+from sardineproxy.bench import driver, ideal, measures, report, workload
+
+NAMES = (
+    'response_ratio_p50',
+    'response_ratio_p99',
+    'response_ratio_worst',
+    'job_response_ratio_mean',
+    'job_response_ratio_p50',
+    'job_response_ratio_p99',
+    'job_response_ratio_worst',
+)
+_MEASURES = {
+    'p50': lambda ratios: measures.percentile(ratios, 50),
+    'p99': lambda ratios: measures.percentile(ratios, 99),
+    'worst': max,
+    'mean': measures.mean,
+}
+
+
+def add_ratios(
+    out: report.Report,
+    samples: Sequence[driver.Sample],
+    ideals: dict[str, float],
+    *,
+    prefix: str = '',
+) -> None:
+    """Print the ratios of answered submissions and count the others.
+
+    ``ideals`` has the ideal response, with the round trip, by the label of
+    each submission's first task. Unanswered submissions count with the time
+    after which the driver gave up, so their ratio is at least that.
+    """
+    counted = [sample for sample in samples if sample.counts]
+    for customer in ('', *sorted({_customer(one) for one in counted})):
+        chosen = [one for one in counted if customer in {'', _customer(one)}]
+        suffix = f'.{customer}' if customer else ''
+        _add(out, chosen, ideals, prefix, suffix)
+    unanswered = sum(one.reply.fault == driver.UNANSWERED for one in samples)
+    out.add(f'{prefix}submissions', len(samples))
+    out.add(f'{prefix}unanswered', unanswered)
+    out.add(f'{prefix}refused_or_wrong', len(samples) - len(counted))
+
+
+def compute_ideals(
+    submissions: Sequence[workload.Submission],
+    slots: list[float],
+    round_trip_s: float,
+) -> dict[str, float]:
+    """Return ideal responses by the label of the first task."""
+    responses = ideal.respond(submissions, slots)
+    return {
+        submission.tasks[0].label: response + round_trip_s
+        for submission, response in zip(submissions, responses)
+    }
+
+
+def _add(
+    out: report.Report,
+    samples: Sequence[driver.Sample],
+    ideals: dict[str, float],
+    prefix: str,
+    suffix: str,
+) -> None:
+    for is_job in (False, True):
+        ratios = [
+            one.response_s / ideals[one.submission.tasks[0].label]
+            for one in samples
+            if one.submission.is_job is is_job
+        ]
+        start = 'job_response_ratio' if is_job else 'response_ratio'
+        wanted = [name for name in NAMES if name.startswith(start)]
+        for name in wanted:
+            if ratios:
+                figure = _MEASURES[name.rsplit('_', 1)[-1]](ratios)
+                out.add(f'{prefix}{name}{suffix}', figure)
+
+
+def _customer(sample: driver.Sample) -> str:
+    return sample.submission.customer
--- a/sardineproxy/demo/caller.py
+++ b/sardineproxy/demo/caller.py
@@ -9,6 +9,10 @@
 SINGLES = '/v1/requests'
 JOBS = '/v1/jobs'
 
+#: Longest wait for an answer; entry processes end requests before that.
+ANSWER_LIMIT_S = 150
+_TIMEOUT = aiohttp.ClientTimeout(total=ANSWER_LIMIT_S)
+
 
 class CallerError(Exception):
     """The entry process refused to mint keys."""
@@ -57,6 +61,7 @@
             f'{self._base}{path}',
             data=json.dumps(document).encode(),
             headers=headers,
+            timeout=_TIMEOUT,
         ) as reply:
             status, body = reply.status, await reply.read()
         return Reply(status=status, document=_parse(body))
--- a/sardineproxy/standin/endpoint_server.py
+++ b/sardineproxy/standin/endpoint_server.py
@@ -178,7 +178,12 @@
         case ('POST', 'mode'):
             return await _change_mode(endpoint, req)
         case ('GET', 'mode'):
-            return web.json_response(endpoint.setting.model_dump(mode='json'))
+            return web.json_response(
+                {
+                    **endpoint.setting.model_dump(mode='json'),
+                    'running': endpoint.record.running,
+                }
+            )
     return web.json_response({'error': 'no such control'}, status=404)
 
 
