--- a/sardineproxy/bench/phases.py
+++ b/sardineproxy/bench/phases.py
@@ -112,14 +112,14 @@
     dep = run.fleet.dep
     names = list(dep.endpoints)
     await asyncio.gather(
-        dep.control_platform('down', down=True),
+        dep.set_faults(down=True),
         *(dep.set_mode(names[index], mode) for index, mode in FAULTS),
     )
     try:
         _, samples = await _offer(run, submissions)
     finally:
         await asyncio.gather(
-            dep.control_platform('down', down=False),
+            dep.set_faults(down=False),
             *(dep.set_mode(names[index], 'normal') for index, _ in FAULTS),
         )
     counted = measures.subtract(await run.fleet.read_counters(), counters)
--- a/sardineproxy/bench/ratios.py
+++ b/sardineproxy/bench/ratios.py
@@ -13,12 +13,6 @@
     'job_response_ratio_p99',
     'job_response_ratio_worst',
 )
-_MEASURES = {
-    'p50': lambda ratios: measures.percentile(ratios, 50),
-    'p99': lambda ratios: measures.percentile(ratios, 99),
-    'worst': max,
-    'mean': measures.mean,
-}
 
 
 def add_ratios(
@@ -75,9 +69,18 @@
         wanted = [name for name in NAMES if name.startswith(start)]
         for name in wanted:
             if ratios:
-                figure = _MEASURES[name.rsplit('_', 1)[-1]](ratios)
-                out.add(f'{prefix}{name}{suffix}', figure)
+                out.add(f'{prefix}{name}{suffix}', _measure(name, ratios))
 
 
 def _customer(sample: driver.Sample) -> str:
     return sample.submission.customer
+
+
+def _measure(name: str, ratios: Sequence[float]) -> float:
+    match name.rsplit('_', 1)[-1]:
+        case 'mean':
+            return measures.mean(ratios)
+        case 'worst':
+            return max(ratios)
+        case percentile:
+            return measures.percentile(ratios, float(percentile[1:]))
--- a/sardineproxy/demo/deployment.py
+++ b/sardineproxy/demo/deployment.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import types
 from typing import Any, Mapping, Sequence
 
 from sardineproxy.demo import child, controls, parts, processes
@@ -14,6 +15,17 @@
 
 POLL_S = 0.05
 
+#: Control path and key of each fault of the stand-in platform.
+PLATFORM_FAULTS = types.MappingProxyType(
+    {
+        'down': ('down', 'down'),
+        'slow_ms': ('slow', 'ms'),
+        'stale': ('stale-reads', 'stale'),
+        'list_lag_s': ('list-lag', 'seconds'),
+        'lose_answers': ('lose-answers', 'writes'),
+    }
+)
+
 
 class Deployment(processes.Processes):
     """A stand-in platform, stand-in endpoints and entry processes."""
@@ -88,20 +100,20 @@
 
     async def register(self) -> None:
         """Put all entry VMs and endpoints into the platform's list."""
-        await self.control_platform('vms', vms=self._list_vms())
+        await self.request(
+            'POST', self._platform_url('vms'), {'vms': self._list_vms()}
+        )
 
     async def set_state(self, name: str, state: str) -> None:
         """List an entry VM or endpoint as ``live`` or ``leaving``."""
         self._states[name] = state
         await self.register()
 
-    async def control_platform(self, name: str, **fields: Any) -> None:
-        """Set the platform's VM list or a fault, such as ``down``."""
-        await self.request(
-            'POST',
-            f'http://{HOST}:{self._platform_port()}/control/{name}',
-            fields,
-        )
+    async def set_faults(self, **faults: Any) -> None:
+        """Tell the platform to be down, slow, stale or lagging."""
+        for name, setting in faults.items():
+            path, key = PLATFORM_FAULTS[name]
+            await self.request('POST', self._platform_url(path), {key: setting})
 
     async def set_mode(self, endpoint: str, mode: str, **more: Any) -> None:
         """Make an endpoint show a fault; ``normal`` ends it."""
@@ -181,6 +193,9 @@
             raise processes.DeploymentError('the platform is not started')
         return self._platform.ports['http']
 
+    def _platform_url(self, name: str) -> str:
+        return f'http://{HOST}:{self._platform_port()}/control/{name}'
+
     def _list_vms(self) -> list[parts.Document]:
         everything: tuple[parts.Endpoint | parts.Entry, ...] = (
             *self.entries.values(),
