--- a/sardineproxy/demo/deployment.py
+++ b/sardineproxy/demo/deployment.py
@@ -30,9 +30,11 @@
 class Deployment(processes.Processes):
     """A stand-in platform, stand-in endpoints and entry processes."""
 
-    def __init__(self, *, region: str = 'alpha') -> None:
+    def __init__(
+        self, *, region: str = 'alpha', module: str = 'sardineproxy'
+    ) -> None:
         """Start with no process."""
-        super().__init__()
+        super().__init__(module=module)
         self._region = region
         self._platform: child.Child | None = None
         self._states: dict[str, str] = {}
@@ -77,13 +79,18 @@
             )
         return process
 
-    async def start_entry(self, spec: parts.EntrySpec) -> parts.Entry:
-        """Start an entry process; it is ready once it has a contract."""
+    async def start_entry(
+        self, spec: parts.EntrySpec, **more: Any
+    ) -> parts.Entry:
+        """Start an entry process; ``more`` replaces settings.
+
+        It is ready once it has a version of the contracts.
+        """
         path = self.directory / f'{spec.name}.json'
         settings = parts.render_settings(
             spec, region=self._region, platform_port=self._platform_port()
         )
-        path.write_text(json.dumps(settings), encoding='utf-8')
+        path.write_text(json.dumps({**settings, **more}), encoding='utf-8')
         process = await self.start_program('entry', '--settings', str(path))
         entry = parts.Entry(
             name=spec.name, zone=spec.zone, size=spec.size, process=process
