--- a/tests/scenarios/world.py
+++ b/tests/scenarios/world.py
@@ -82,27 +82,6 @@
         await self.deployment.wait_ready()
         await self.until(self._owns_all_slots)
 
-    async def _start_zone(
-        self, zone: str, entries: int, endpoints: int
-    ) -> None:
-        first = len(self.deployment.entries) + 1
-        for number in range(first, first + entries):
-            await self.deployment.start_entry(
-                parts.EntrySpec(name=f'entry-{number}', zone=zone)
-            )
-        first = len(self.deployment.endpoints) + 1
-        for number in range(first, first + endpoints):
-            await self.deployment.start_endpoints(
-                [parts.EndpointSpec(name=f'endpoint-{number}', zone=zone)]
-            )
-
-    async def _owns_all_slots(self) -> bool:
-        owned: set[str] = set()
-        for name in self.deployment.entries:
-            state = await self.state(name)
-            owned.update(state['slots']['owned'])
-        return owned == set(self.deployment.endpoints)
-
     async def until(self, holds: Callable[[], Awaitable[bool]]) -> None:
         """Wait until ``holds`` is true."""
         async with asyncio.timeout(WAIT_LIMIT_S):
@@ -229,6 +208,27 @@
                     )
         return faults
 
+    async def _start_zone(
+        self, zone: str, entries: int, endpoints: int
+    ) -> None:
+        first = len(self.deployment.entries) + 1
+        for number in range(first, first + entries):
+            await self.deployment.start_entry(
+                parts.EntrySpec(name=f'entry-{number}', zone=zone)
+            )
+        first = len(self.deployment.endpoints) + 1
+        for number in range(first, first + endpoints):
+            await self.deployment.start_endpoints(
+                [parts.EndpointSpec(name=f'endpoint-{number}', zone=zone)]
+            )
+
+    async def _owns_all_slots(self) -> bool:
+        owned: set[str] = set()
+        for name in self.deployment.entries:
+            state = await self.state(name)
+            owned.update(state['slots']['owned'])
+        return owned == set(self.deployment.endpoints)
+
 
 def _task(label: str, *, run_ms: int, idempotent: bool) -> dict[str, Any]:
     return {
