Settings name seeds, asked while the platform is down at the start

Cause: an entry VM that starts during an outage knows no peer, since peers come from the platform's list; it could not learn a version. Ruled out: waiting to be dialled, which needs the VM to be listed before.

--- a/sardineproxy/demo/deployment.py
+++ b/sardineproxy/demo/deployment.py
@@ -88,7 +88,10 @@
         """
         path = self.directory / f'{spec.name}.json'
         settings = parts.render_settings(
-            spec, region=self._region, platform_port=self._platform_port()
+            spec,
+            region=self._region,
+            platform_port=self._platform_port(),
+            seeds=self.entries.values(),
         )
         path.write_text(json.dumps({**settings, **more}), encoding='utf-8')
         process = await self.start_program('entry', '--settings', str(path))
@@ -98,6 +101,10 @@
         self.entries[spec.name] = entry
         return entry
 
+    def platform_address(self) -> str:
+        """Return the stand-in platform's ``IP:port``."""
+        return f'{HOST}:{self._platform_port()}'
+
     async def register(self) -> None:
         """Put all entry VMs and endpoints into the platform's list."""
         await self.request(
@@ -155,7 +162,7 @@
             '--operator',
             OPERATOR,
             '--platform',
-            f'{HOST}:{self._platform_port()}',
+            self.platform_address(),
         )
 
     async def wait_ready(self) -> None:
--- a/sardineproxy/demo/parts.py
+++ b/sardineproxy/demo/parts.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 import types
-from typing import Any
+from typing import Any, Iterable
 
 from sardineproxy.demo import child
 
@@ -88,7 +88,7 @@
 
 
 def render_settings(
-    spec: EntrySpec, *, region: str, platform_port: int
+    spec: EntrySpec, *, region: str, platform_port: int, seeds: Iterable[Entry]
 ) -> Document:
     """Return the settings of an entry process with ports of any number."""
     any_port = {'host': HOST, 'port': 0}
--- a/sardineproxy/process/directory.py
+++ b/sardineproxy/process/directory.py
@@ -8,16 +8,16 @@
 from sardineproxy import ids
 from sardineproxy.process import platform
 
-_EMPTY = platform.VmList(revision=0, vms=())
-
 
 class Directory:
     """Keeps the newest list; an older revision never replaces it."""
 
-    def __init__(self) -> None:
-        """Start with an empty list of revision 0."""
-        self._listing = subject.BehaviorSubject(_EMPTY)
-        self._entry_vms: tuple[platform.Vm, ...] = ()
+    def __init__(self, *, seeds: tuple[platform.Vm, ...] = ()) -> None:
+        """Start with a list of revision 0 that holds only ``seeds``."""
+        self._listing = subject.BehaviorSubject(
+            platform.VmList(revision=0, vms=seeds)
+        )
+        self._entry_vms = seeds
         self._endpoints: Mapping[ids.EndpointId, platform.Vm] = {}
 
     @property
--- a/sardineproxy/process/parts.py
+++ b/sardineproxy/process/parts.py
@@ -95,7 +95,7 @@
     """Build all parts; nothing runs and no port is open yet."""
     incarnation = ids.Incarnation(secrets.token_hex(INCARNATION_BYTES))
     registry = metrics.Metrics()
-    vm_directory = directory.Directory()
+    vm_directory = directory.Directory(seeds=_seeds(cfg))
     vm_list = listing.ListFollower(
         platform=outside.platform,
         directory=vm_directory,
@@ -174,6 +174,22 @@
     return parts
 
 
+def _seeds(cfg: settings.Settings) -> tuple[platform.Vm, ...]:
+    return tuple(
+        platform.Vm(
+            name=seed.vm,
+            role=platform.VmRole.ENTRY,
+            state=platform.VmState.LIVE,
+            zone=ids.ZoneId(seed.zone),
+            region=ids.RegionId(seed.region),
+            host=seed.address.host,
+            port=seed.address.port,
+            slots=1,
+        )
+        for seed in cfg.seeds
+    )
+
+
 def _submissions_config(retention: settings.Retention) -> submissions.Config:
     return submissions.Config(
         key_ttl_s=retention.key_ttl_s,
--- a/sardineproxy/process/settings.py
+++ b/sardineproxy/process/settings.py
@@ -45,6 +45,17 @@
     port: Port
 
 
+class Seed(Section):
+    """An entry VM to ask while the platform's list cannot be read."""
+
+    vm: Name
+    zone: Name
+    region: Name
+
+    #: Address of its peer listener.
+    address: Address
+
+
 class Shutdown(Section):
     """Bounds of a graceful shutdown."""
 
@@ -118,10 +129,19 @@
     #: Relative size of this VM among the zone's entry VMs.
     size: Annotated[int, pydantic.Field(ge=1, le=1024)] = 1
 
+    #: Other entry VMs, for a start during an outage of the platform.
+    seeds: Annotated[tuple[Seed, ...], pydantic.Field(max_length=64)] = ()
+
     shutdown: Shutdown = Shutdown()
     peering: Peering = Peering()
     retention: Retention = Retention()
 
+    @pydantic.field_validator('seeds', mode='before')
+    @classmethod
+    def accept_list(cls, seeds: object) -> object:
+        """Take a JSON array for the tuple of seeds."""
+        return tuple(seeds) if isinstance(seeds, list) else seeds
+
     @pydantic.model_validator(mode='after')
     def check_ports(self) -> Self:
         """Refuse two listeners on one port."""
--- a/tests/scenarios/world.py
+++ b/tests/scenarios/world.py
@@ -228,6 +228,13 @@
             ),
         )
 
+    async def _owns_all_slots(self) -> bool:
+        owned: set[str] = set()
+        for name in self.deployment.entries:
+            state = await self.state(name)
+            owned.update(state['slots']['owned'])
+        return owned == set(self.deployment.endpoints)
+
 
 def _task(label: str, *, run_ms: int, idempotent: bool) -> dict[str, Any]:
     return {
