Health: learn speed, eject failing endpoints, rank the rest

Speed is learned from successes only. Failures in a row and refusals eject an endpoint for an exponential time, at most half of a zone at once.

--- a/sardineproxy/process/health.py
+++ b/sardineproxy/process/health.py
@@ -1,7 +1,32 @@
-"""Learned speed, failures and ejection of endpoints."""
+"""Learned speed, failures and ejection of endpoints.
 
+The expected run time of an endpoint is learned from successes only, relative
+to what the fleet needs for the same workload. Failures never make an endpoint
+more attractive; they raise its score and, in a row, eject it for a time.
+"""
+
+import collections
 import dataclasses
+import math
 import random
+from typing import Iterable, Mapping
+
+from sardineproxy import ids
+
+#: Ranks that put another zone's endpoints after all of the own zone's.
+OTHER_ZONE_RANK = 10_000
+
+#: Scores within this ratio of each other count as equal, so that noise in the
+#: estimates does not send all tasks to one endpoint.
+SCORE_STEP = 1.1
+
+#: Requests for which failures and successes are remembered.
+MAX_KNOWN_REQUESTS = 1024
+
+_RANKS_PER_E = 1 / math.log(SCORE_STEP)
+
+#: Stands for "some task of the request succeeded".
+_SUCCEEDED = ids.EndpointId('')
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -11,13 +36,379 @@
     #: Largest part of a zone's endpoints that may be ejected at once.
     max_ejected_fraction: float = 0.5
 
+    #: Failures in a row that eject an endpoint.
+    failures_to_eject: int = 3
+
+    #: Mean of the first ejection, in seconds; each further one doubles it.
+    first_ejection_s: float = 1
+
+    #: Longest mean of an ejection, in seconds.
+    max_ejection_s: float = 60
+
+    #: Part of an ejection that is random, either way.
+    jitter: float = 0.25
+
+    #: Time in service after which ejections start short again, in seconds.
+    forgive_s: float = 120
+
+    #: Part of a new observation in a learned speed or failure rate.
+    gain: float = 0.1
+
+    #: Part of a new observation in the fleet's run time of a workload.
+    fleet_gain: float = 0.02
+
+    #: Time after which an unused endpoint's estimate is half forgotten.
+    half_life_s: float = 30
+
+    #: Weight of the failure rate in the score: 1 doubles it at 100 %.
+    failure_weight: float = 4
+
+    #: A task is a straggler after this multiple of its expected run time...
+    straggler_factor: float = 4
+
+    #: ...but not before this time, in seconds.
+    min_straggler_s: float = 2
+
+    #: Stragglers, with no success since they started, that eject an endpoint.
+    stragglers_to_eject: int = 2
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class _Estimate:
+    """What is known of one endpoint."""
+
+    zone: ids.ZoneId
+
+    #: Run time relative to the fleet.
+    slowness: float = 1
+    failure_rate: float = 0
+    failures_in_row: int = 0
+
+    #: Rank of the mean run time in the endpoint's zone.
+    base_rank: int = 0
+
+    #: Ejections in a row.
+    ejections: int = 0
+    is_ejected: bool = False
+    ejected_until: float = 0
+    probes: int = 0
+    returned_at: float = -math.inf
+    last_success: float = -math.inf
+    last_change: float = 0
+
+    def rank(self, cfg: Config) -> int:
+        """Return the logarithm of the score in steps of ``SCORE_STEP``."""
+        score = self.slowness * (1 + cfg.failure_weight * self.failure_rate)
+        if score <= 0:
+            return self.base_rank
+        return self.base_rank + round(math.log(score) * _RANKS_PER_E)
+
+
+class _RequestFailures:
+    """Where recent requests failed first, and whether they can succeed."""
+
+    def __init__(self) -> None:
+        """Start without requests."""
+        self._first_failed: collections.OrderedDict[
+            ids.RequestId, ids.EndpointId
+        ] = collections.OrderedDict()
+
+    def record_success(self, request_id: ids.RequestId) -> None:
+        """Note that one of the request's tasks succeeded."""
+        self._first_failed[request_id] = _SUCCEEDED
+        self._drop_oldest()
+
+    def are_to_blame(
+        self, request_id: ids.RequestId, endpoint: ids.EndpointId
+    ) -> bool:
+        """Tell whether the request, not the endpoint, explains a failure."""
+        first = self._first_failed.setdefault(request_id, endpoint)
+        self._drop_oldest()
+        return first not in {endpoint, _SUCCEEDED}
+
+    def _drop_oldest(self) -> None:
+        if len(self._first_failed) > MAX_KNOWN_REQUESTS:
+            self._first_failed.popitem(last=False)
+
 
 class Health:
-    """Health estimates of all endpoints."""
+    """Health estimates of all listed endpoints."""
 
     def __init__(
         self, *, rng: random.Random, cfg: Config | None = None
     ) -> None:
-        """Start without observations."""
+        """Start without endpoints."""
         self._rng = rng
         self._cfg = cfg or Config()
+        self._estimates: dict[ids.EndpointId, _Estimate] = {}
+        self._zone_sizes: collections.Counter[ids.ZoneId] = (
+            collections.Counter()
+        )
+        self._ejected: dict[ids.EndpointId, _Estimate] = {}
+        self._fleet_run_s: dict[ids.CustomerId, float] = {}
+        self._requests = _RequestFailures()
+
+        #: Place of the expected run time of each endpoint that is listed and
+        #: not ejected, least first; only the estimates change it.
+        self.ranks: dict[ids.EndpointId, int] = {}
+
+    def set_zones(
+        self,
+        zones: Mapping[ids.EndpointId, ids.ZoneId],
+        *,
+        own: ids.ZoneId,
+    ) -> None:
+        """Replace the listed endpoints; estimates of the others are dropped.
+
+        Endpoints of the ``own`` zone rank before all others.
+        """
+        kept = {
+            endpoint: estimate
+            for endpoint, estimate in self._estimates.items()
+            if zones.get(endpoint) == estimate.zone
+        }
+        self._estimates = {
+            endpoint: kept.get(endpoint) or _Estimate(zone=zone)
+            for endpoint, zone in zones.items()
+        }
+        self._ejected = {
+            endpoint: estimate
+            for endpoint, estimate in kept.items()
+            if estimate.is_ejected
+        }
+        self._zone_sizes = collections.Counter(zones.values())
+        self.ranks.clear()
+        for endpoint, estimate in self._estimates.items():
+            if estimate.zone != own:
+                estimate.base_rank = OTHER_ZONE_RANK
+            if not estimate.is_ejected:
+                self.ranks[endpoint] = estimate.rank(self._cfg)
+
+    def on_probation(
+        self, endpoints: Iterable[ids.EndpointId], *, now: float
+    ) -> list[ids.EndpointId]:
+        """Return those whose ejection has passed and that have no probe.
+
+        Each may get one task at a time.
+        """
+        if not self._ejected:
+            return []
+        return [
+            endpoint
+            for endpoint in endpoints
+            if self._is_on_probation(self._ejected.get(endpoint), now)
+        ]
+
+    def next_return(self, *, now: float) -> float | None:
+        """Return when the next ejection ends, or None if there is none."""
+        ends = [
+            estimate.ejected_until
+            for estimate in self._ejected.values()
+            if estimate.ejected_until > now
+        ]
+        return min(ends, default=None)
+
+    def record_start(self, endpoint: ids.EndpointId, *, now: float) -> None:
+        """Note that a task is about to be sent to the endpoint."""
+        estimate = self._ejected.get(endpoint)
+        if estimate is not None and now >= estimate.ejected_until:
+            estimate.probes += 1
+
+    def record_answer(self, endpoint: ids.EndpointId, *, now: float) -> None:
+        """Note a whole answer that is no failure of the endpoint."""
+        estimate = self._estimates.get(endpoint)
+        if estimate is None:
+            return
+        if estimate.is_ejected:
+            self._finish_probe(endpoint, estimate, now=now)
+        estimate.failures_in_row = 0
+        estimate.last_success = now
+
+    def record_success(
+        self,
+        endpoint: ids.EndpointId,
+        *,
+        customer: ids.CustomerId,
+        run_s: float,
+        now: float,
+    ) -> None:
+        """Learn from a whole answer without an error status."""
+        self.record_answer(endpoint, now=now)
+        cfg = self._cfg
+        fleet_s = self._fleet_run_s.get(customer, run_s)
+        self._fleet_run_s[customer] = fleet_s + cfg.fleet_gain * (
+            run_s - fleet_s
+        )
+        estimate = self._estimates.get(endpoint)
+        if estimate is None:
+            return
+        estimate.failure_rate -= cfg.gain * estimate.failure_rate
+        relative = run_s / fleet_s if fleet_s > 0 else 1
+        estimate.slowness += cfg.gain * (relative - estimate.slowness)
+        estimate.last_change = now
+        if not estimate.is_ejected:
+            self.ranks[endpoint] = estimate.rank(cfg)
+
+    def record_job_success(self, request_id: ids.RequestId) -> None:
+        """Note that a task of a job succeeded, so that it can run."""
+        self._requests.record_success(request_id)
+
+    def record_failure(
+        self,
+        endpoint: ids.EndpointId,
+        *,
+        request_id: ids.RequestId,
+        now: float,
+    ) -> None:
+        """Count a failed task; several in a row eject the endpoint.
+
+        A request that failed at another endpoint before, and of which no task
+        succeeded, is to blame itself: a job that can never run must not eject
+        half of the zone.
+        """
+        estimate = self._estimates.get(endpoint)
+        if estimate is None:
+            return
+        if estimate.is_ejected:
+            self._renew_ejection(estimate, now=now)
+            return
+        if self._requests.are_to_blame(request_id, endpoint):
+            return
+        estimate.failures_in_row += 1
+        self._count_failure(endpoint, estimate, now=now)
+        if estimate.failures_in_row >= self._cfg.failures_to_eject:
+            self._eject(endpoint, estimate, now=now)
+
+    def record_refusal(
+        self,
+        endpoint: ids.EndpointId,
+        *,
+        request_id: ids.RequestId,
+        now: float,
+    ) -> None:
+        """Set aside an endpoint that took no connection or answered 503."""
+        estimate = self._estimates.get(endpoint)
+        if estimate is None:
+            return
+        if estimate.is_ejected:
+            self._renew_ejection(estimate, now=now)
+            return
+        self._count_failure(endpoint, estimate, now=now)
+        self._eject(endpoint, estimate, now=now)
+
+    def record_nothing(self, endpoint: ids.EndpointId) -> None:
+        """Note that a started task ended without a sign of health."""
+        estimate = self._ejected.get(endpoint)
+        if estimate is not None and estimate.probes:
+            estimate.probes -= 1
+
+    def straggler_after_s(self, customer: ids.CustomerId) -> float:
+        """Return the run time, in seconds, that makes a task a straggler."""
+        fleet_s = self._fleet_run_s.get(customer, 0)
+        return max(
+            self._cfg.min_straggler_s, self._cfg.straggler_factor * fleet_s
+        )
+
+    def record_stragglers(
+        self,
+        endpoint: ids.EndpointId,
+        *,
+        count: int,
+        since: float,
+        now: float,
+    ) -> None:
+        """Eject an endpoint that gave no answer since its stragglers began."""
+        estimate = self._estimates.get(endpoint)
+        if estimate is None or estimate.is_ejected:
+            return
+        silent = estimate.last_success < since
+        if silent and count >= self._cfg.stragglers_to_eject:
+            self._count_failure(endpoint, estimate, now=now)
+            self._eject(endpoint, estimate, now=now)
+
+    def forget_unused(self, *, now: float) -> None:
+        """Move estimates without recent observations towards the mean.
+
+        Called about once a second; otherwise an endpoint that was slow once
+        would never get the work that could show that it recovered.
+        """
+        half_life_s = self._cfg.half_life_s
+        for endpoint, estimate in self._estimates.items():
+            idle_s = now - estimate.last_change
+            if idle_s >= 1 and self.ranks.get(endpoint):
+                kept = math.pow(2, -min(idle_s, half_life_s) / half_life_s)
+                estimate.slowness = 1 + (estimate.slowness - 1) * kept
+                estimate.failure_rate *= kept
+                estimate.last_change = now
+                self.ranks[endpoint] = estimate.rank(self._cfg)
+
+    def state(self, *, now: float) -> dict[str, object]:
+        """Return the state dump."""
+        return {
+            endpoint: {
+                'ejected_for_s': max(0, estimate.ejected_until - now)
+                if estimate.is_ejected
+                else None,
+                'slowness': round(estimate.slowness, 3),
+                'failure_rate': round(estimate.failure_rate, 3),
+                'failures_in_row': estimate.failures_in_row,
+                'ejections': estimate.ejections,
+            }
+            for endpoint, estimate in sorted(self._estimates.items())
+        }
+
+    def _is_on_probation(self, estimate: _Estimate | None, now: float) -> bool:
+        if estimate is None or estimate.probes:
+            return False
+        return now >= estimate.ejected_until
+
+    def _count_failure(
+        self, endpoint: ids.EndpointId, estimate: _Estimate, *, now: float
+    ) -> None:
+        estimate.failure_rate += self._cfg.gain * (1 - estimate.failure_rate)
+        estimate.last_change = now
+        self.ranks[endpoint] = estimate.rank(self._cfg)
+
+    def _eject(
+        self, endpoint: ids.EndpointId, estimate: _Estimate, *, now: float
+    ) -> None:
+        zone = estimate.zone
+        ejected = sum(other.zone == zone for other in self._ejected.values())
+        allowed = self._cfg.max_ejected_fraction * self._zone_sizes[zone]
+        if ejected + 1 > allowed:
+            return
+        if now - estimate.returned_at > self._cfg.forgive_s:
+            estimate.ejections = 0
+        estimate.is_ejected = True
+        self._ejected[endpoint] = estimate
+        self.ranks.pop(endpoint, None)
+        self._renew_ejection(estimate, now=now)
+
+    def _renew_ejection(self, estimate: _Estimate, *, now: float) -> None:
+        """Start the next, longer period of an ejection.
+
+        Tasks that began before the ejection do not prolong it.
+        """
+        if now < estimate.ejected_until:
+            return
+        cfg = self._cfg
+        mean_s = min(
+            cfg.max_ejection_s,
+            cfg.first_ejection_s * math.pow(2, min(estimate.ejections, 30)),
+        )
+        jitter = self._rng.uniform(1 - cfg.jitter, 1 + cfg.jitter)
+        estimate.ejections += 1
+        estimate.probes = 0
+        estimate.ejected_until = now + mean_s * jitter
+
+    def _finish_probe(
+        self, endpoint: ids.EndpointId, estimate: _Estimate, *, now: float
+    ) -> None:
+        """Return the endpoint to service if its ejection has passed."""
+        if now < estimate.ejected_until:
+            return
+        estimate.is_ejected = False
+        estimate.returned_at = now
+        estimate.probes = 0
+        self._ejected.pop(endpoint, None)
+        self.ranks[endpoint] = estimate.rank(self._cfg)
