Endpoint client: honest verdicts and clean connections

A task counts as not run only while no connection was handed to it. Connections that hold bytes of an earlier answer, or that the endpoint closed, are dropped before the request is written; aiohttp's own retry is off.

--- a/sardineproxy/connection/endpoint.py
+++ b/sardineproxy/connection/endpoint.py
@@ -1,14 +1,63 @@
-"""One attempt to run a task at an endpoint over HTTP/1.1."""
+"""One attempt to run a task at an endpoint over HTTP/1.1.
+
+"Not run" is said only while no connection was handed to the request. From
+that moment on a byte may have left, and only a whole answer is certain.
+"""
 
 import asyncio
 import dataclasses
+import functools
+import re
 
 import aiohttp
+import yarl
+from aiohttp import http
 
 from sardineproxy import clock, ids, problems, verdicts
+from sardineproxy.connection import endpoint_pool
 from sardineproxy.process import metrics, platform
 from sardineproxy.request import work
 
+#: Problem code of an attempt that got no connection, so that another
+#: endpoint may run the task.
+UNREACHABLE = 'endpoint_unreachable'
+
+#: Headers that concern one connection only and never pass through.
+HOP_BY_HOP = frozenset(
+    (
+        'connection',
+        'keep-alive',
+        'proxy-authenticate',
+        'proxy-authorization',
+        'proxy-connection',
+        'te',
+        'trailer',
+        'transfer-encoding',
+        'upgrade',
+    )
+)
+
+#: Request headers that the connection sets itself. ``Expect`` would hold the
+#: body back until the endpoint asks for it.
+_OWN_HEADERS = HOP_BY_HOP | {'content-length', 'expect', 'host'}
+
+_FIRST_FINAL_STATUS = 200
+_BODILESS_STATUSES = frozenset((204, 304))
+
+#: Methods that open a tunnel or echo the request are not for tasks.
+_METHOD = re.compile('(?!CONNECT$|TRACE$)[A-Z]{1,20}')
+_TARGET = re.compile('/[!"$-~]*')
+_HEADER_NAME = re.compile("[!#$%&'*+.^_`|~0-9A-Za-z-]+")
+_HEADER_TEXT = re.compile('[\t -~\x80-\ud7ff\ue000-\U0010ffff]*')
+
+
+_ATTEMPT_ERRORS = (
+    aiohttp.ClientError,
+    http.HttpProcessingError,
+    OSError,
+    endpoint_pool.NotWholeError,
+)
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Config:
@@ -17,10 +66,24 @@
     #: Longest wait for a TCP connection to be established, in seconds.
     connect_timeout_s: float = 1
 
+    #: Idle connections are closed after this time, in seconds. Common servers
+    #: close theirs after 5 s; a request must not meet that close.
+    keepalive_s: float = 4
+
+    #: Most connections to an endpoint, whatever the list says.
+    max_connections: int = 64
+
     #: Largest answer of an endpoint, in bytes.
     max_answer_bytes: int = 8_388_608
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Lost(work.Unknown):
+    """No whole answer came from a known endpoint."""
+
+    endpoint: ids.EndpointId
+
+
 class EndpointClient:
     """Sends tasks to endpoints and classifies what came back."""
 
@@ -36,12 +99,25 @@
         self._metrics = metrics
         self._cfg = cfg or Config()
         self._session: aiohttp.ClientSession | None = None
+        self._gates: dict[tuple[str, int], endpoint_pool.Gate] = {}
 
     async def start(self) -> None:
         """Open the session on the running event loop."""
         self._session = aiohttp.ClientSession(
-            cookie_jar=aiohttp.DummyCookieJar(), auto_decompress=False
+            connector=endpoint_pool.Connector(
+                limit=0, keepalive_timeout=self._cfg.keepalive_s
+            ),
+            timeout=aiohttp.ClientTimeout(
+                total=None, sock_connect=self._cfg.connect_timeout_s
+            ),
+            cookie_jar=aiohttp.DummyCookieJar(),
+            request_class=endpoint_pool.Request,
+            auto_decompress=False,
+            trust_env=False,
         )
+        # aiohttp repeats idempotent methods on a new connection otherwise.
+        # The connector refuses a second connection in any case.
+        self._session._retry_connection = False  # noqa: SLF001
 
     async def close(self) -> None:
         """Close all connections."""
@@ -52,52 +128,213 @@
         self, *, task: work.Task, vm: platform.Vm
     ) -> work.Outcome:
         """Run ``task`` once at ``vm`` and return its outcome."""
+        fault = _find_fault(task)
+        if fault is not None:
+            return work.Refused(problem=_bad_task(fault))
+        exchange = endpoint_pool.Exchange()
+        endpoint_pool.current_exchange.set(exchange)
+        outcome = await self._attempt(task, vm, exchange)
+        if not isinstance(outcome, work.Answer):
+            self._metrics.count(
+                'endpoint_attempts_failed_total', code=outcome.problem.code
+            )
+        return outcome
+
+    async def _attempt(
+        self, task: work.Task, vm: platform.Vm, exchange: endpoint_pool.Exchange
+    ) -> work.Outcome:
         left_s = task.deadline - self._clock.now()
+        if left_s <= 0:
+            return work.Refused(problem=deadline_passed())
         try:
             async with asyncio.timeout(left_s):
-                return await self._exchange(task, vm)
-        except aiohttp.ClientConnectorError:
-            return _refused(vm)
-        except (aiohttp.ClientError, TimeoutError) as exc:
-            return _unknown(vm, type(exc).__name__)
+                return await self._pass_gate(task, vm, exchange)
+        except TimeoutError as timeout:
+            if exchange.protocol is None and task.deadline <= self._clock.now():
+                return work.Refused(problem=deadline_passed())
+            return _failed(vm, exchange, timeout)
+        except _ATTEMPT_ERRORS as exc:
+            return _failed(vm, exchange, exc)
 
-    async def _exchange(self, task: work.Task, vm: platform.Vm) -> work.Outcome:
+    async def _exchange(
+        self, task: work.Task, vm: platform.Vm, exchange: endpoint_pool.Exchange
+    ) -> work.Answer:
         assert self._session is not None, 'start() was not called'
-        url = f'http://{vm.host}:{vm.port}{task.path}'
-        async with self._session.request(
+        host = f'[{vm.host}]' if ':' in vm.host else vm.host
+        reply = await self._session.request(
             task.method,
-            url,
-            headers=task.headers,
-            data=task.body,
+            yarl.URL(f'http://{host}:{vm.port}{task.path}', encoded=True),
+            headers=_request_headers(task),
+            data=task.body or None,
             allow_redirects=False,
-        ) as reply:
-            body = await reply.read()
-            return work.Answer(
-                status=reply.status,
-                headers=(('Content-Type', reply.content_type),),
-                body=body,
-                endpoint=ids.EndpointId(vm.name),
-            )
+        )
+        try:
+            headers, framing = _read_headers(reply, task.method)
+            body = await self._read_body(reply, framing)
+        except BaseException:
+            reply.close()
+            raise
+        assert exchange.protocol is not None
+        exchange.protocol.approve(framing)
+        return work.Answer(
+            status=reply.status,
+            headers=headers,
+            body=body,
+            endpoint=ids.EndpointId(vm.name),
+        )
 
+    async def _read_body(
+        self, reply: aiohttp.ClientResponse, framing: endpoint_pool.Framing
+    ) -> bytes:
+        most = self._cfg.max_answer_bytes
+        if framing.length is not None and framing.length > most:
+            raise endpoint_pool.NotWholeError('answer_too_large')
+        parts = []
+        size = 0
+        while size != framing.length:
+            part = await reply.content.readany()
+            if not part:
+                break
+            parts.append(part)
+            size += len(part)
+            if size > most:
+                raise endpoint_pool.NotWholeError('answer_too_large')
+        if framing.length is not None and size != framing.length:
+            raise endpoint_pool.NotWholeError('wrong_length')
+        return parts[0] if len(parts) == 1 else b''.join(parts)
 
-def _refused(vm: platform.Vm) -> work.Refused:
-    return work.Refused(
-        problem=problems.Problem(
-            code='endpoint_unreachable',
-            verdict=verdicts.Verdict.NOT_RUN,
-            status=503,
-            detail=f'Endpoint {vm.name} could not be reached.',
-            retry_after_s=1,
-        )
+    async def _pass_gate(
+        self, task: work.Task, vm: platform.Vm, exchange: endpoint_pool.Exchange
+    ) -> work.Answer:
+        """Keep within the number of connections that the endpoint takes."""
+        key = (vm.host, vm.port)
+        gate = self._gates.get(key)
+        if gate is None:
+            most = self._cfg.max_connections
+            gate = endpoint_pool.Gate(most=min(vm.connections or most, most))
+            self._gates[key] = gate
+        if not gate.try_enter():
+            await gate.wait()
+        try:
+            return await self._exchange(task, vm, exchange)
+        finally:
+            gate.leave()
+            if not gate.inside:
+                self._gates.pop(key, None)
+
+
+def deadline_passed() -> problems.Problem:
+    """Describe a task whose deadline passed before it was sent."""
+    return problems.Problem(
+        code='deadline_passed',
+        verdict=verdicts.Verdict.NOT_RUN,
+        status=504,
+        detail='The deadline passed before the task started.',
+        retry_after_s=1,
+    )
+
+
+def _find_fault(task: work.Task) -> str | None:
+    """Name the part of a task that cannot be sent as it is."""
+    if not _METHOD.fullmatch(task.method):
+        return 'method'
+    if not _TARGET.fullmatch(task.path):
+        return 'path'
+    for name, text in task.headers:
+        if not _HEADER_NAME.fullmatch(name) or not _HEADER_TEXT.fullmatch(text):
+            return 'headers'
+    return None
+
+
+def _request_headers(task: work.Task) -> list[tuple[str, str]]:
+    dropped: frozenset[str] = _OWN_HEADERS
+    for name, text in task.headers:
+        if name.lower() == 'connection':
+            dropped |= _tokens(text)
+    return [
+        header for header in task.headers if header[0].lower() not in dropped
+    ]
+
+
+def _read_headers(
+    reply: aiohttp.ClientResponse, method: str
+) -> tuple[tuple[tuple[str, str], ...], endpoint_pool.Framing]:
+    """Return the end-to-end headers and the framing of an answer."""
+    dropped: frozenset[str] = HOP_BY_HOP
+    lengths = []
+    codings = []
+    headers = []
+    for raw_name, raw_text in reply.raw_headers:
+        name = raw_name.decode('latin-1')
+        text = raw_text.decode('latin-1')
+        match name.lower():
+            case 'content-length':
+                lengths.append(text)
+            case 'transfer-encoding':
+                codings.append(text.lower())
+            case 'connection':
+                dropped |= _tokens(text)
+        headers.append((name, text))
+    framing = _find_framing(reply.status, method, lengths, codings)
+    kept = tuple(
+        header for header in headers if header[0].lower() not in dropped
     )
+    return kept, framing
 
 
-def _unknown(vm: platform.Vm, cause: str) -> work.Unknown:
-    return work.Unknown(
+def _find_framing(
+    status: int, method: str, lengths: list[str], codings: list[str]
+) -> endpoint_pool.Framing:
+    if status < _FIRST_FINAL_STATUS or len(lengths) + len(codings) > 1:
+        raise endpoint_pool.NotWholeError('malformed_answer')
+    if method == 'HEAD' or status in _BODILESS_STATUSES:
+        return endpoint_pool.Framing(length=0)
+    if codings == ['chunked']:
+        return endpoint_pool.Framing(length=None)
+    # A body that ends with the connection may have been cut anywhere.
+    if not lengths or not lengths[0].isdecimal():
+        raise endpoint_pool.NotWholeError('unknown_length')
+    return endpoint_pool.Framing(length=int(lengths[0]))
+
+
+@functools.lru_cache(maxsize=64)
+def _tokens(text: str) -> frozenset[str]:
+    return frozenset(token.strip().lower() for token in text.split(','))
+
+
+def _bad_task(fault: str) -> problems.Problem:
+    return problems.Problem(
+        code='bad_task',
+        verdict=verdicts.Verdict.NOT_RUN,
+        status=400,
+        detail=f'The {fault} of the task cannot be sent over HTTP/1.1.',
+    )
+
+
+def _failed(
+    vm: platform.Vm, exchange: endpoint_pool.Exchange, exc: Exception
+) -> work.Outcome:
+    if exchange.protocol is None:
+        return work.Refused(
+            problem=problems.Problem(
+                code=UNREACHABLE,
+                verdict=verdicts.Verdict.NOT_RUN,
+                status=503,
+                detail=f'Endpoint {vm.name} could not be reached.',
+                retry_after_s=1,
+            )
+        )
+    cause = (
+        str(exc)
+        if isinstance(exc, endpoint_pool.NotWholeError)
+        else type(exc).__name__
+    )
+    return Lost(
+        endpoint=ids.EndpointId(vm.name),
         problem=problems.Problem(
             code='no_whole_answer',
             verdict=verdicts.Verdict.MAY_HAVE_RUN,
             status=504,
             detail=f'Endpoint {vm.name} gave no whole answer ({cause}).',
-        )
+        ),
     )
