Dispatcher: wake only the coroutines whose tasks start or end

A released slot looks for one start. Tasks whose endpoint was unreachable go back to the front. Idempotent single requests are retried within a budget.

--- a/sardineproxy/process/dispatcher.py
+++ b/sardineproxy/process/dispatcher.py
@@ -1,18 +1,30 @@
-"""Match waiting tasks with free slots."""
+"""Run tasks on free slots and account for their outcomes.
+
+A task stays with the coroutine that submitted it; the dispatcher only hands
+out slots and wakes exactly the coroutines whose tasks start or end.
+"""
 
 import asyncio
 import dataclasses
+import math
 import random
 from typing import Mapping
 
 import reactivex
-from reactivex import subject
 
 from sardineproxy import clock, ids, problems, verdicts
 from sardineproxy.connection import endpoint as endpoint_conn
-from sardineproxy.process import demand, directory, health, metrics, slots
-from sardineproxy.request import work
-
+from sardineproxy.process import (
+    demand,
+    directory,
+    dispatch_timing,
+    health,
+    matching,
+    metrics,
+    platform,
+    slots,
+)
+from sardineproxy.request import fair_queue, work
 
 #: Default of ``Dispatcher.run``: any endpoint will do.
 NOTHING_EXCLUDED: frozenset[ids.EndpointId] = frozenset()
@@ -20,7 +32,26 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Config:
-    """Bounds of the dispatcher."""
+    """Parameters of the dispatcher."""
+
+    queue: fair_queue.Config = dataclasses.field(
+        default_factory=fair_queue.Config
+    )
+
+    #: Customers that could use no free slot are tried again after this time.
+    held_s: float = 0.005
+
+    #: Least time between two demands on the backlog stream, in seconds.
+    backlog_interval_s: float = 0.001
+
+    #: Interval of the search for stragglers, in seconds.
+    housekeeping_s: float = 0.25
+
+    #: Unreachable endpoints after which a task pauses before the next one.
+    refusals_before_pause: int = 3
+
+    #: Mean of that pause, in seconds.
+    pause_s: float = 0.2
 
 
 class Dispatcher:
@@ -42,93 +73,279 @@
         """Start with no waiting tasks."""
         self._clock = clock
         self._rng = rng
-        self._zone = zone
-        self._directory = directory
-        self._slots = slot_table
         self._client = client
         self._health = health
         self._metrics = metrics
         self._cfg = cfg or Config()
-        self._freed = asyncio.Condition()
-        self._backlog: subject.Subject[demand.Demand] = subject.Subject()
+        self._queue = fair_queue.FairQueue(cfg=self._cfg.queue)
+        self._matcher = matching.Matcher(
+            queue=self._queue,
+            slot_table=slot_table,
+            rng=rng,
+            zone=zone,
+            health=health,
+        )
+        self._alarm = dispatch_timing.Alarm(self._on_alarm)
+        self._next_housekeeping = -math.inf
+        self._backlog = dispatch_timing.Backlog(
+            measure=self.demand, interval_s=self._cfg.backlog_interval_s
+        )
+        self._closed = False
+        self._subscription = directory.listing.subscribe(self._take_listing)
 
     @property
     def backlog(self) -> reactivex.Observable[demand.Demand]:
         """Return the stream of demands while tasks wait for slots."""
-        return self._backlog
+        return self._backlog.stream
+
+    async def run(
+        self,
+        *,
+        task: work.Task,
+        exclude: frozenset[ids.EndpointId] = NOTHING_EXCLUDED,
+    ) -> work.Outcome:
+        """Run the task once when a slot is free, and return its outcome.
+
+        Endpoints in ``exclude`` do not get it while others are listed.
+        """
+        now = self._clock.now()
+        if self._closed:
+            return work.Refused(problem=_shutting_down())
+        if now >= task.deadline:
+            return work.Refused(problem=endpoint_conn.deadline_passed())
+        entry = self._queue.admit(task, exclude=exclude)
+        placement = self._matcher.place_new(entry, now=now)
+        if placement is None:
+            self._prepare_wait(entry, now)
+            self._queue.wait(entry)
+        outcome: work.Outcome | None = None
+        while outcome is None:
+            if placement is None:
+                granted = await self._wait(entry)
+                if isinstance(granted, work.Refused):
+                    return granted
+                placement = granted
+            outcome = await self._attempt(placement)
+            placement = None
+        return outcome
 
     def cancel(self, *, request_id: ids.RequestId) -> None:
         """End the waiting tasks of a request as not run."""
+        for entry in self._queue.cancel(request_id):
+            self._refuse(entry, _cancelled())
 
     def waiting(self, *, customer: ids.CustomerId) -> int:
         """Return the number of the customer's waiting tasks."""
-        return 0
+        flow = self._queue.flows.get(customer)
+        return 0 if flow is None else flow.waiting
 
     def set_weights(self, weights: Mapping[ids.CustomerId, float]) -> None:
         """Replace the customers' shares."""
+        self._queue.set_weights(weights)
 
     def demand(self) -> demand.Demand:
         """Return the waiting and running work."""
-        return demand.Demand(customers=())
+        return demand.Demand(
+            customers=tuple(
+                demand.CustomerDemand(
+                    customer=flow.customer,
+                    weight=flow.weight,
+                    waiting=flow.waiting,
+                    running=flow.running,
+                )
+                for flow in self._queue.flows.values()
+                if flow.running or flow.waiting
+            )
+        )
 
     def wake(self) -> None:
         """Look again for free slots, because the slot table changed."""
+        if self._queue.waiting:
+            now = self._clock.now()
+            self._matcher.match_all(now=now)
+            self._note_backlog(now)
 
     def close(self) -> None:
-        """Refuse all waiting tasks."""
+        """Refuse all waiting tasks and stop the timers."""
+        self._closed = True
+        self._subscription.dispose()
+        for entry in self._queue.expire(now=math.inf):
+            self._refuse(entry, _shutting_down())
+        self._alarm.close()
+        self._backlog.close()
 
     def state(self, *, now: float) -> dict[str, object]:
         """Return the state dump."""
-        return {}
+        running = self._matcher.running.values()
+        return {
+            'customers': {
+                flow.customer: {
+                    'waiting': flow.waiting,
+                    'running': flow.running,
+                    'weight': flow.weight,
+                    'run_s': round(flow.run_s, 4),
+                }
+                for flow in self._queue.flows.values()
+            },
+            'held_customers': sorted(self._matcher.held),
+            'longest_run_s': max(
+                (now - placement.started for placement in running),
+                default=0,
+            ),
+            'endpoints': self._health.state(now=now),
+        }
 
-    async def run(
-        self,
-        *,
-        task: work.Task,
-        exclude: frozenset[ids.EndpointId] = NOTHING_EXCLUDED,
-    ) -> work.Outcome:
-        """Run the task once when a slot is free, and return its outcome."""
-        ticket = await self._wait_for_slot(task)
-        if ticket is None:
-            return work.Refused(problem=_deadline_passed())
-        vm = self._directory.endpoint(ticket.endpoint)
+    def _take_listing(self, vm_list: platform.VmList) -> None:
+        self._matcher.router.set_listing(vm_list)
+        self.wake()
+
+    def _prepare_wait(self, entry: fair_queue.Entry, now: float) -> None:
+        entry.waiter = asyncio.get_running_loop().create_future()
+        self._alarm.set(
+            min(entry.task.deadline, now + self._cfg.housekeeping_s), now=now
+        )
+
+    async def _wait(
+        self, entry: fair_queue.Entry
+    ) -> matching.Placement | work.Refused:
+        waiter = entry.waiter
+        assert waiter is not None, 'only prepared tasks wait'
+        self._backlog.notice()
         try:
-            if vm is None:
-                return work.Refused(problem=_deadline_passed())
-            return await self._client.attempt(task=task, vm=vm)
-        finally:
-            self._slots.release(ticket=ticket, now=self._clock.now())
-            async with self._freed:
-                self._freed.notify_all()
-
-    async def _wait_for_slot(self, task: work.Task) -> slots.Ticket | None:
-        async with self._freed:
-            while True:
-                now = self._clock.now()
-                if now >= task.deadline:
-                    return None
-                free = self._slots.free_endpoints(
-                    customer=task.customer, now=now
+            return await waiter
+        except asyncio.CancelledError:
+            if entry.state is fair_queue.State.WAITING:
+                self._queue.end(entry)
+            placement = self._matcher.running.get(entry.number)
+            if placement is not None:
+                self._settle(placement, work.Refused(problem=_cancelled()))
+            raise
+
+    async def _attempt(
+        self, placement: matching.Placement
+    ) -> work.Outcome | None:
+        """Return the outcome, or None if the task waits for another slot."""
+        entry = placement.entry
+        outcome: work.Outcome | None = None
+        try:
+            if entry.cancelled:
+                outcome = work.Refused(problem=_cancelled())
+            else:
+                outcome = await self._client.attempt(
+                    task=entry.task, vm=placement.vm
                 )
-                if free:
-                    return self._slots.take(
-                        endpoint=self._rng.choice(free),
-                        customer=task.customer,
-                        now=now,
-                    )
-                try:
-                    await asyncio.wait_for(
-                        self._freed.wait(), task.deadline - now
-                    )
-                except TimeoutError:
-                    return None
-
-
-def _deadline_passed() -> problems.Problem:
+        finally:
+            self._settle(placement, outcome)
+        return None if entry.state in _PENDING else outcome
+
+    def _settle(
+        self, placement: matching.Placement, outcome: work.Outcome | None
+    ) -> None:
+        """Account for an ended attempt and start the next task."""
+        entry = placement.entry
+        now = self._clock.now()
+        run_s = now - placement.started
+        self._matcher.router.learn(
+            entry.task,
+            placement.ticket.endpoint,
+            outcome,
+            run_s=run_s,
+            now=now,
+        )
+        if isinstance(outcome, work.Refused):
+            self._queue.give_back(entry)
+            if not self._closed and _goes_elsewhere(entry, outcome, now):
+                self._put_back(entry, placement.ticket.endpoint, now)
+            else:
+                self._queue.end(entry)
+        else:
+            self._queue.finish(entry, run_s=run_s)
+        self._matcher.release(placement, now=now)
+        if self._queue.waiting:
+            self._note_backlog(now)
+
+    def _put_back(
+        self, entry: fair_queue.Entry, endpoint: ids.EndpointId, now: float
+    ) -> None:
+        """Put a task of which nothing was sent at the front again."""
+        self._metrics.count('dispatch_put_back_total')
+        self._prepare_wait(entry, now)
+        entry.refusals += 1
+        if entry.refusals % self._cfg.refusals_before_pause:
+            entry.exclude |= {endpoint}
+            self._queue.wait(entry, first=True)
+            return
+        # Most endpoints are unreachable; trying the rest at once is a storm.
+        entry.exclude = NOTHING_EXCLUDED
+        self._queue.rest(entry)
+        pause_s = self._cfg.pause_s * self._rng.uniform(0.5, 1.5)
+        asyncio.get_running_loop().call_later(pause_s, self._resume, entry)
+
+    def _resume(self, entry: fair_queue.Entry) -> None:
+        if entry.state is fair_queue.State.WAITING:
+            self._queue.wait(entry, first=True)
+            self.wake()
+
+    def _refuse(
+        self, entry: fair_queue.Entry, problem: problems.Problem
+    ) -> None:
+        self._metrics.count('dispatch_refused_total', code=problem.code)
+        if entry.waiter is not None and not entry.waiter.done():
+            entry.waiter.set_result(work.Refused(problem=problem))
+
+    def _note_backlog(self, now: float) -> None:
+        """Ask for slots, and see to customers that were passed over."""
+        self._backlog.notice()
+        if self._matcher.held:
+            self._alarm.set(now + self._cfg.held_s, now=now)
+
+    def _on_alarm(self) -> None:
+        """Act on deadlines, ended ejections, held customers, stragglers."""
+        now = self._clock.now()
+        for entry in self._queue.expire(now=now):
+            self._refuse(entry, endpoint_conn.deadline_passed())
+        if now >= self._next_housekeeping:
+            self._next_housekeeping = now + self._cfg.housekeeping_s
+            self._matcher.report_stragglers(now=now)
+            self._health.forget_unused(now=now)
+        self.wake()
+        if not self._queue.waiting and not self._matcher.running:
+            return
+        for due in (
+            self._next_housekeeping,
+            self._queue.next_deadline(),
+            self._health.next_return(now=now),
+        ):
+            if due is not None:
+                self._alarm.set(due, now=now)
+
+
+#: States of a task whose attempt ended and that waits for another slot.
+_PENDING = frozenset((fair_queue.State.WAITING, fair_queue.State.STARTED))
+
+
+def _goes_elsewhere(
+    entry: fair_queue.Entry, outcome: work.Refused, now: float
+) -> bool:
+    if entry.cancelled or now >= entry.task.deadline:
+        return False
+    return outcome.problem.code == endpoint_conn.UNREACHABLE
+
+
+def _shutting_down() -> problems.Problem:
     return problems.Problem(
-        code='deadline_passed',
+        code='shutting_down',
         verdict=verdicts.Verdict.NOT_RUN,
-        status=504,
-        detail='The deadline passed before the task started.',
+        status=503,
+        detail='The entry process shuts down.',
         retry_after_s=1,
     )
+
+
+def _cancelled() -> problems.Problem:
+    return problems.Problem(
+        code='cancelled',
+        verdict=verdicts.Verdict.NOT_RUN,
+        status=409,
+        detail='The request was cancelled before the task started.',
+    )
--- a/sardineproxy/request/runner.py
+++ b/sardineproxy/request/runner.py
@@ -1,8 +1,10 @@
 """Run tasks through the dispatcher and retry what may be retried."""
 
+import asyncio
 import random
 
 from sardineproxy import clock, ids
+from sardineproxy.connection import endpoint
 from sardineproxy.process import dispatcher, metrics
 from sardineproxy.request import retries, work
 
@@ -26,18 +28,104 @@
         self._rng = rng
         self._metrics = metrics
 
+        #: Set when the request is cancelled, by request in retries.
+        self._cancelled: dict[ids.RequestId, asyncio.Event] = {}
+
     async def run_single(self, *, task: work.Task) -> work.Outcome:
-        """Run a single request and return its outcome."""
-        return await self._dispatcher.run(task=task)
+        """Run a single request and return its outcome.
+
+        An idempotent one is tried again elsewhere within its deadline and
+        the retry budget.
+        """
+        if not task.idempotent:
+            return await self._run_once(task)
+        cancelled = asyncio.Event()
+        self._cancelled[task.request_id] = cancelled
+        try:
+            return await self._run_repeatedly(task, cancelled)
+        finally:
+            self._cancelled.pop(task.request_id, None)
 
     async def run_job_task(self, *, task: work.Task) -> work.Outcome:
         """Run a job's task at most once and return its outcome."""
-        return await self._dispatcher.run(task=task)
+        return await self._run_once(task)
 
     def cancel(self, *, request_id: ids.RequestId) -> None:
-        """End the waiting tasks of a request as not run."""
+        """End the waiting tasks of a request as not run; start no retry."""
+        cancelled = self._cancelled.get(request_id)
+        if cancelled is not None:
+            cancelled.set()
         self._dispatcher.cancel(request_id=request_id)
 
     def waiting(self, *, customer: ids.CustomerId) -> int:
         """Return the number of the customer's waiting tasks."""
         return self._dispatcher.waiting(customer=customer)
+
+    async def _run_once(
+        self,
+        task: work.Task,
+        exclude: frozenset[ids.EndpointId] = dispatcher.NOTHING_EXCLUDED,
+    ) -> work.Outcome:
+        outcome = await self._dispatcher.run(task=task, exclude=exclude)
+        if retries.is_success(outcome):
+            self._budget.record_success()
+        return outcome
+
+    async def _run_repeatedly(
+        self, task: work.Task, cancelled: asyncio.Event
+    ) -> work.Outcome:
+        outcome = await self._run_once(task)
+        tried = _endpoints_of(outcome)
+        attempts = 1
+        while await self._may_retry(task, outcome, attempts, cancelled):
+            self._metrics.count('retries_total')
+            attempts += 1
+            latest = await self._run_once(task, tried)
+            tried |= _endpoints_of(latest)
+            outcome = _better(outcome, latest)
+            if isinstance(latest, work.Refused):
+                break
+        return outcome
+
+    async def _may_retry(
+        self,
+        task: work.Task,
+        outcome: work.Outcome,
+        attempts: int,
+        cancelled: asyncio.Event,
+    ) -> bool:
+        """Wait for the back-off; tell whether another attempt may start."""
+        if attempts >= self._budget.cfg.max_attempts or cancelled.is_set():
+            return False
+        if not retries.is_retriable(task, outcome):
+            return False
+        pause_s = self._budget.pause_s(attempts=attempts, rng=self._rng)
+        if self._clock.now() + pause_s >= task.deadline:
+            return False
+        if not self._budget.try_spend():
+            self._metrics.count('retries_denied_total')
+            return False
+        try:
+            await asyncio.wait_for(cancelled.wait(), pause_s)
+        except TimeoutError:
+            return True
+        return False
+
+
+def _endpoints_of(outcome: work.Outcome) -> frozenset[ids.EndpointId]:
+    """Return the endpoint that an attempt reached, if it is known."""
+    if isinstance(outcome, (work.Answer, endpoint.Lost)):
+        return frozenset((outcome.endpoint,))
+    return dispatcher.NOTHING_EXCLUDED
+
+
+def _better(earlier: work.Outcome, latest: work.Outcome) -> work.Outcome:
+    """Return the outcome to report after both attempts.
+
+    The earlier attempt was started, so "not run" would be false.
+    """
+    if isinstance(latest, work.Answer):
+        return latest
+    if isinstance(earlier, work.Answer) or isinstance(latest, work.Refused):
+        return earlier
+    return latest
