--- /dev/null
+++ b/tests/request/test_fair_queue.py
@@ -0,0 +1,248 @@
+"""Order, shares and cancellation of waiting tasks."""
+
+import time
+
+import hypothesis
+import testtools
+from hypothesis import strategies
+from testtools import matchers
+
+from sardineproxy import ids
+from sardineproxy.request import fair_queue, work
+
+NOWHERE: frozenset[ids.EndpointId] = frozenset()
+SETTINGS = hypothesis.settings(
+    derandomize=True, deadline=None, max_examples=150
+)
+
+
+def make_task(
+    customer: str,
+    *,
+    request: str = 'r',
+    kind: work.Kind = work.Kind.SINGLE,
+    deadline: float = 1000,
+) -> work.Task:
+    return work.Task(
+        request_id=ids.RequestId(request),
+        index=0,
+        customer=ids.CustomerId(customer),
+        kind=kind,
+        idempotent=True,
+        method='GET',
+        path='/',
+        headers=(),
+        body=b'',
+        deadline=deadline,
+    )
+
+
+def enqueue(queue: fair_queue.FairQueue, task: work.Task) -> fair_queue.Entry:
+    entry = queue.admit(task, exclude=NOWHERE)
+    queue.wait(entry)
+    return entry
+
+
+def start_next(queue: fair_queue.FairQueue) -> fair_queue.Entry | None:
+    flow = queue.pop_flow()
+    if flow is None:
+        return None
+    entry = queue.candidates(flow)[0]
+    queue.start(entry)
+    queue.offer(flow)
+    return entry
+
+
+class Model:
+    """A queue and where each of its tasks should be."""
+
+    def __init__(self) -> None:
+        self.queue = fair_queue.FairQueue()
+        self.waiting: dict[int, fair_queue.Entry] = {}
+        self.resting: dict[int, fair_queue.Entry] = {}
+        self.running: list[fair_queue.Entry] = []
+
+    def wait(self, pick: int) -> None:
+        kind = work.Kind.JOB if pick % 2 else work.Kind.SINGLE
+        task = make_task(f'c{pick % 3}', request=f'{pick}', kind=kind)
+        entry = enqueue(self.queue, task)
+        self.waiting[entry.number] = entry
+
+    def start(self, pick: int) -> None:
+        entry = start_next(self.queue)
+        assert bool(self.waiting) == (entry is not None), 'a slot stays idle'
+        if entry is not None:
+            self.waiting.pop(entry.number)
+            self.running.append(entry)
+
+    def cancel(self, pick: int) -> None:
+        for entry in self.queue.cancel(ids.RequestId(f'{pick}')):
+            home = (
+                self.waiting if entry.number in self.waiting else self.resting
+            )
+            home.pop(entry.number)
+
+    def finish(self, pick: int) -> None:
+        if self.running:
+            entry = self.running.pop(pick % len(self.running))
+            self.queue.finish(entry, run_s=pick / 10)
+
+    def give_back(self, pick: int) -> None:
+        if self.running:
+            entry = self.running.pop(pick % len(self.running))
+            self.queue.give_back(entry)
+            self.queue.wait(entry, first=True)
+            self.waiting[entry.number] = entry
+
+    def rest(self, pick: int) -> None:
+        if self.running:
+            entry = self.running.pop(pick % len(self.running))
+            self.queue.give_back(entry)
+            self.queue.rest(entry)
+            self.resting[entry.number] = entry
+
+    def wake(self, pick: int) -> None:
+        for entry in self.resting.values():
+            self.queue.wait(entry, first=True)
+        self.waiting.update(self.resting)
+        self.resting.clear()
+
+
+ACTIONS = ('wait', 'start', 'cancel', 'finish', 'give_back', 'rest', 'wake')
+
+
+class FairQueueTest(testtools.TestCase):
+    """Customers get their shares, and no task is lost or started twice."""
+
+    @SETTINGS
+    @hypothesis.given(
+        strategies.lists(
+            strategies.tuples(
+                strategies.sampled_from(ACTIONS), strategies.integers(0, 5)
+            ),
+            max_size=80,
+        )
+    )
+    def test_every_task_ends_once(self, steps: list[tuple[str, int]]) -> None:
+        """Guards against lost tasks, double starts and idle slots."""
+        model = Model()
+        for action, pick in steps:
+            getattr(model, action)(pick)
+            self.assertEqual(
+                len(model.waiting) + len(model.resting), model.queue.waiting
+            )
+        model.wake(0)
+        while model.waiting:
+            model.start(0)
+        self.assertEqual(0, model.queue.waiting)
+        self.assertEqual(
+            len(model.running),
+            sum(flow.running for flow in model.queue.flows.values()),
+        )
+
+    @SETTINGS
+    @hypothesis.given(
+        weights=strategies.lists(
+            strategies.integers(1, 8), min_size=2, max_size=4
+        ),
+        times=strategies.lists(
+            strategies.floats(0.05, 1), min_size=4, max_size=4
+        ),
+    )
+    def test_shares_follow_weights(
+        self, weights: list[int], times: list[float]
+    ) -> None:
+        """Guards against a customer gaining by longer or more tasks."""
+        queue = fair_queue.FairQueue()
+        queue.set_weights(
+            {
+                ids.CustomerId(f'c{no}'): weight
+                for no, weight in enumerate(weights)
+            }
+        )
+        served = [float(0) for _ in weights]
+        for no, _ in enumerate(weights):
+            for _ in range(4):
+                enqueue(queue, make_task(f'c{no}'))
+        # The queue learns run times first; the shares count from then on.
+        for turn in range(600):
+            entry = start_next(queue)
+            assert entry is not None
+            no = int(entry.task.customer[1:])
+            queue.finish(entry, run_s=times[no])
+            enqueue(queue, make_task(f'c{no}'))
+            if turn >= 100:
+                served[no] += times[no]
+        normalized = [used / weight for used, weight in zip(served, weights)]
+        # One task of each customer is the bound of start-time fair queueing.
+        bound = 2 * max(time / weight for time, weight in zip(times, weights))
+        bound += 2 * max(times) / min(weights)
+        self.assertThat(
+            max(normalized) - min(normalized), matchers.LessThan(bound)
+        )
+
+    def test_idle_time_earns_no_credit(self) -> None:
+        """Guards against a customer that returns and starves the others."""
+        queue = fair_queue.FairQueue()
+        for _ in range(100):
+            enqueue(queue, make_task('busy'))
+        for _ in range(50):
+            entry = start_next(queue)
+            assert entry is not None
+            queue.finish(entry, run_s=1)
+        for _ in range(20):
+            enqueue(queue, make_task('late'))
+        order = []
+        for _ in range(20):
+            entry = start_next(queue)
+            assert entry is not None
+            order.append(entry.task.customer)
+            queue.finish(entry, run_s=1)
+        # The late customer's estimate is lower until its first tasks end.
+        self.assertThat(order.count('busy'), matchers.GreaterThan(6))
+
+    def test_jobs_follow_after_eight_singles(self) -> None:
+        """Guards against single requests that starve a customer's jobs."""
+        queue = fair_queue.FairQueue()
+        for _ in range(4):
+            enqueue(queue, make_task('c', kind=work.Kind.JOB))
+        for _ in range(40):
+            enqueue(queue, make_task('c'))
+        kinds = []
+        for _ in range(27):
+            entry = start_next(queue)
+            assert entry is not None
+            kinds.append(entry.task.kind)
+        jobs = [at for at, kind in enumerate(kinds) if kind is work.Kind.JOB]
+        self.assertEqual([8, 17, 26], jobs)
+
+    def test_deadlines_end_waiting_tasks_only(self) -> None:
+        """Guards against late starts and against ends of running tasks."""
+        queue = fair_queue.FairQueue()
+        first = enqueue(queue, make_task('c', deadline=1))
+        second = enqueue(queue, make_task('c', deadline=2))
+        enqueue(queue, make_task('c', deadline=3))
+        self.assertIs(first, start_next(queue))
+        self.assertEqual(2, queue.next_deadline())
+        self.assertEqual([second], queue.expire(now=2))
+        self.assertEqual(1, queue.waiting)
+
+    def test_cancellation_wave_is_cheap(self) -> None:
+        """Guards against a search through all tasks for each request."""
+        small_s = min(cancelling_s(2000) for _ in range(3))
+        large_s = min(cancelling_s(16000) for _ in range(3))
+        # Eight times the tasks; a search would take eight times as long.
+        self.assertThat(large_s, matchers.LessThan(4 * small_s + 0.02))
+
+
+def cancelling_s(size: int) -> float:
+    """Return the CPU time that a thousand cancellations take."""
+    queue = fair_queue.FairQueue()
+    for number in range(size):
+        enqueue(queue, make_task('c', request=f'{number}'))
+    began = time.process_time()
+    for number in reversed(range(1000)):
+        queue.cancel(ids.RequestId(f'{number}'))
+    elapsed_s = time.process_time() - began
+    assert queue.waiting == size - 1000
+    return elapsed_s
