--- a/sardineproxy/process/borrowing.py
+++ b/sardineproxy/process/borrowing.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 import math
-from typing import Collection, Mapping
+from typing import Callable, Collection, Mapping
 
 from sardineproxy import ids
 from sardineproxy.connection import frames
@@ -131,7 +131,9 @@
         self._last_number = 0
         self._ask_at: float = 0
 
-    def ask(self, lenders: Collection[Lender], now: float) -> Outgoing:
+    def ask(
+        self, lenders: Callable[[], Collection[Lender]], now: float
+    ) -> Outgoing:
         """Return requests to the peers with the most free slots.
 
         A backlog that the own slots soon work off is not worth the messages,
@@ -147,7 +149,7 @@
         needs = self._needs(now)
         total = sum(need for _, need in needs.values())
         requests: Outgoing = []
-        for lender, most in self._candidates(lenders, total, now):
+        for lender, most in self._candidates(lenders(), total, now):
             wants = _choose(needs, most)
             if wants:
                 self._asked[lender.vm] = _Asked(
--- a/sardineproxy/process/lending.py
+++ b/sardineproxy/process/lending.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 import math
-from typing import Collection, Iterable
+from typing import Callable, Collection, Iterable
 
 from sardineproxy import ids
 from sardineproxy.connection import frames
@@ -277,13 +277,13 @@
         self._backlog.report(demand, now)
 
     def ask(
-        self, lenders: Collection[borrowing.Lender], now: float
+        self, lenders: Callable[[], Collection[borrowing.Lender]], now: float
     ) -> borrowing.Outgoing:
         """Return requests for the waiting work."""
         return self._borrowing.ask(lenders, now)
 
     def tick(
-        self, lenders: Collection[borrowing.Lender], now: float
+        self, lenders: Callable[[], Collection[borrowing.Lender]], now: float
     ) -> borrowing.Outgoing:
         """Return all messages that are due."""
         return [
--- a/sardineproxy/process/peers.py
+++ b/sardineproxy/process/peers.py
@@ -180,7 +180,7 @@
         """
         now = self._clock.now()
         self._loans.report(demand, now)
-        self._send_all(self._loans.ask(self._lenders(), now))
+        self._send_all(self._loans.ask(self._lenders, now))
 
     def tick(self, now: float) -> None:
         """Do what is due; a long gap voids ownership and loans."""
@@ -192,7 +192,7 @@
         self._streams.open_missing(self._forwards.vms(), now)
         self._exchange.tick(list(self._streams.current.values()), now)
         self._events.review()
-        self._send_all(self._loans.tick(self._lenders(), now))
+        self._send_all(self._loans.tick(self._lenders, now))
         live = self._streams.neighbors.count_live(self._streams.current) + 1
         if live != self._live_vms.value:
             self._live_vms.on_next(live)
--- /dev/null
+++ b/tests/process/test_views.py
@@ -0,0 +1,279 @@
+"""Views: no slot has two owners while the zone is whole."""
+
+import collections
+import dataclasses
+import functools
+
+import hypothesis
+import testtools
+from hypothesis import strategies
+from testtools import matchers
+
+from sardineproxy import ids
+from sardineproxy.process import ownership, platform, slots, views
+
+ZONE = ids.ZoneId('zone-a')
+GRACE_S = 3
+DRAIN_S = 10
+SLOTS = 8
+
+
+@functools.cache
+def listing(
+    revision: int, entries: str, endpoints: int = 12
+) -> platform.VmList:
+    """Return a list of entry VMs, one a letter, and of endpoints."""
+    entry = platform.Vm(
+        name='',
+        role=platform.VmRole.ENTRY,
+        state=platform.VmState.LIVE,
+        zone=ZONE,
+        region=ids.RegionId('region'),
+        host='127.0.0.1',
+        port=1,
+        slots=1,
+    )
+    return platform.VmList(
+        revision=revision,
+        vms=tuple(
+            dataclasses.replace(entry, name=name, slots=1 + ord(name) % 3)
+            for name in entries
+        )
+        + tuple(
+            dataclasses.replace(
+                entry,
+                name=f'endpoint-{number}',
+                role=platform.VmRole.ENDPOINT,
+                slots=SLOTS,
+                connections=64,
+            )
+            for number in range(endpoints)
+        ),
+    )
+
+
+class Zone:
+    """Members whose messages wait until the test delivers them."""
+
+    def __init__(self, names: str) -> None:
+        """Connect all members with each other."""
+        self.now: float = 0
+        self.links: dict[tuple[str, str], collections.deque] = {}
+        self.views: dict[str, views.Views] = {}
+        self.tables: dict[str, slots.SlotTable] = {}
+        self.owners: dict[str, ownership.Ownership] = {}
+        for name in names:
+            self.views[name] = views.Views(
+                vm=ids.VmId(name),
+                incarnation=ids.Incarnation('1'),
+                zone=ZONE,
+                grace_s=GRACE_S,
+            )
+            self.tables[name] = slots.SlotTable()
+            self.owners[name] = ownership.Ownership(
+                views=self.views[name],
+                table=self.tables[name],
+                drain_s=DRAIN_S,
+            )
+        for one in names:
+            for other in names.replace(one, ''):
+                self.connect(one, other)
+
+    def connect(self, one: str, other: str) -> None:
+        """Open the stream as ``one`` sees it."""
+        self.links[one, other] = collections.deque()
+        self.views[one].joined(ids.VmId(other), ids.Incarnation('1'))
+
+    def cut(self, one: str, other: str) -> None:
+        """Close the stream as both see it."""
+        for here, there in ((one, other), (other, one)):
+            self.links[here, there].clear()
+            self.views[here].lost(ids.VmId(there), self.now)
+
+    def review(self, name: str) -> None:
+        """Let a member act on what it knows."""
+        for to, view in self.owners[name].review(self.now):
+            self.links[name, to].append(view)
+
+    def deliver(self, one: str, other: str) -> bool:
+        """Let ``other`` act on the oldest message from ``one``."""
+        link = self.links.get((one, other))
+        if not link:
+            return False
+        self.views[other].heard(ids.VmId(one), link.popleft())
+        self.review(other)
+        return True
+
+    def settle(self) -> None:
+        """Deliver everything."""
+        for name in self.views:
+            self.review(name)
+        while any([self.deliver(*link) for link in list(self.links)]):
+            for name in self.views:
+                self.review(name)
+
+    def use(self, revision: int, entries: str, names: str) -> None:
+        """Give some members a list of VMs."""
+        for name in names:
+            self.views[name].set_listing(listing(revision, entries))
+
+    def owned(self, name: str) -> set[str]:
+        """Return the endpoints of a member."""
+        return set(self.tables[name].owned)
+
+
+def _whole_zone(entries: str = 'abc') -> Zone:
+    zone = Zone(entries)
+    zone.use(1, entries, entries)
+    zone.now = GRACE_S
+    zone.settle()
+    return zone
+
+
+class ViewsTest(testtools.TestCase):
+    """Each endpoint has at most one owner, and in the end one."""
+
+    def assert_no_overlap(self, zone: Zone) -> None:
+        owners = collections.Counter(
+            endpoint for name in zone.views for endpoint in zone.owned(name)
+        )
+        self.assertThat(max(owners.values(), default=0), matchers.LessThan(2))
+
+    def assert_all_owned(self, zone: Zone, names: str) -> None:
+        self.assert_no_overlap(zone)
+        total = sum(len(zone.owned(name)) for name in names)
+        self.assertThat(total, matchers.Equals(12))
+
+    @hypothesis.settings(derandomize=True, max_examples=500, deadline=None)
+    @hypothesis.given(data=strategies.data())
+    def test_disagreeing_members_never_share_an_endpoint(
+        self, data: strategies.DataObject
+    ) -> None:
+        """Lists differ, messages wait, members freeze: one owner at most."""
+        zone = _whole_zone()
+        names = strategies.sampled_from('abc')
+        links = strategies.sampled_from(list(zone.links))
+        lists = strategies.sampled_from(('abc', 'ab', 'bc', 'ac', 'a', 'b'))
+        for step in range(data.draw(strategies.integers(1, 40))):
+            match data.draw(strategies.sampled_from('lfttdddddd')):
+                case 'l':
+                    zone.use(step + 2, data.draw(lists), data.draw(names))
+                case 'f':
+                    zone.owners[data.draw(names)].drop()
+                case 't':
+                    zone.review(data.draw(names))
+                case _:
+                    zone.deliver(*data.draw(links))
+            self.assert_no_overlap(zone)
+        zone.use(1000, 'abc', 'abc')
+        zone.now += GRACE_S
+        zone.settle()
+        self.assert_all_owned(zone, 'abc')
+
+    def test_statements_under_way_confirm_nothing(self) -> None:
+        """A returns to its old view before it hears that B and C left it."""
+        zone = _whole_zone()
+        zone.use(2, 'ab', 'abc')
+        zone.settle()
+        for name in 'acb':
+            zone.use(3, 'bc', name)
+            zone.review(name)
+            zone.deliver(name, 'b')
+            zone.deliver(name, 'c')
+        zone.deliver('c', 'b')
+        zone.use(4, 'ab', 'a')
+        zone.review('a')
+        self.assert_no_overlap(zone)
+
+    def test_owns_nothing_until_confirmed(self) -> None:
+        zone = Zone('ab')
+        zone.use(1, 'ab', 'ab')
+        zone.review('a')
+        self.assertThat(zone.owned('a'), matchers.HasLength(0))
+        zone.settle()
+        self.assert_all_owned(zone, 'ab')
+
+    def test_a_vm_alone_serves_alone(self) -> None:
+        zone = _whole_zone('a')
+        self.assert_all_owned(zone, 'a')
+
+    def test_vanished_member_is_replaced_after_the_grace(self) -> None:
+        zone = _whole_zone()
+        kept = zone.owned('a')
+        for other in 'ab':
+            zone.cut('c', other)
+        zone.settle()
+        self.assertThat(zone.owned('a'), matchers.Equals(kept))
+        zone.now += GRACE_S - 0.1
+        zone.settle()
+        self.assertThat(zone.owned('a'), matchers.Equals(kept))
+        zone.now += 0.1
+        zone.settle()
+        self.assertThat(
+            len(zone.owned('a') | zone.owned('b')), matchers.Equals(12)
+        )
+        self.assertThat(
+            zone.owned('a') & zone.owned('b'), matchers.HasLength(0)
+        )
+
+    def test_goodbye_hands_over_without_the_grace(self) -> None:
+        zone = _whole_zone()
+        zone.owners['c'].leave()
+        for other in 'ab':
+            zone.views[other].heard(ids.VmId('c'), views.frames.Goodbye())
+            zone.links['c', other].clear()
+        zone.settle()
+        self.assert_all_owned(zone, 'ab')
+        for other in 'ab':
+            zone.cut('c', other)
+        zone.settle()
+        self.assert_all_owned(zone, 'ab')
+
+    def test_frozen_member_owns_nothing_until_confirmed_again(self) -> None:
+        zone = _whole_zone()
+        before = zone.owned('b')
+        zone.owners['b'].drop()
+        self.assertThat(zone.owned('b'), matchers.HasLength(0))
+        zone.use(2, 'b', 'b')
+        zone.review('b')
+        self.assertThat(zone.owned('b'), matchers.HasLength(0))
+        zone.use(3, 'abc', 'b')
+        zone.settle()
+        self.assertThat(zone.owned('b'), matchers.Equals(before))
+
+    def test_both_sides_of_a_partition_serve(self) -> None:
+        zone = _whole_zone()
+        for other in 'ab':
+            zone.cut('c', other)
+        zone.now += GRACE_S
+        zone.settle()
+        self.assert_both_serve(zone)
+        for other in 'ab':
+            zone.connect('c', other)
+            zone.connect(other, 'c')
+        zone.settle()
+        self.assert_all_owned(zone, 'abc')
+
+    def assert_both_serve(self, zone: Zone) -> None:
+        self.assertThat(zone.owned('c'), matchers.HasLength(12))
+        self.assertThat(
+            len(zone.owned('a') | zone.owned('b')), matchers.Equals(12)
+        )
+
+    def test_waits_for_tasks_on_slots_that_move(self) -> None:
+        """A new member must not use a slot on which a task still runs."""
+        zone = _whole_zone('ab')
+        table = zone.tables['a']
+        tickets = [
+            table.take(endpoint=endpoint, customer=ids.CustomerId('x'), now=0)
+            for endpoint in zone.owned('a')
+        ]
+        zone.use(2, 'b', 'ab')
+        zone.settle()
+        self.assertThat(zone.owned('a'), matchers.HasLength(0))
+        before = zone.owned('b')
+        self.assertThat(len(before), matchers.LessThan(12))
+        for ticket in tickets:
+            table.release(ticket=ticket, now=0)
+        zone.settle()
+        self.assertThat(zone.owned('b'), matchers.HasLength(12))
