--- a/sardineproxy/process/borrowing.py
+++ b/sardineproxy/process/borrowing.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 import math
-from typing import Collection, Mapping
+from typing import Callable, Collection, Mapping
 
 from sardineproxy import ids
 from sardineproxy.connection import frames
@@ -43,8 +43,9 @@
     #: Shortest time between two requests to one lender.
     ask_again_s: float = 1
 
-    #: Slots that are worth a message where as many or more are wanted.
-    #: Fewer and larger loans serve a backlog with fewer messages.
+    #: Slots that are worth a message where as many or more are wanted, or
+    #: half the own slots if that is less. Fewer and larger loans serve a
+    #: backlog with fewer messages.
     min_lot: int = 16
 
     #: Time for which a lender keeps a request that it could not meet.
@@ -131,7 +132,9 @@
         self._last_number = 0
         self._ask_at: float = 0
 
-    def ask(self, lenders: Collection[Lender], now: float) -> Outgoing:
+    def ask(
+        self, lenders: Callable[[], Collection[Lender]], now: float
+    ) -> Outgoing:
         """Return requests to the peers with the most free slots.
 
         A backlog that the own slots soon work off is not worth the messages,
@@ -147,7 +150,7 @@
         needs = self._needs(now)
         total = sum(need for _, need in needs.values())
         requests: Outgoing = []
-        for lender, most in self._candidates(lenders, total, now):
+        for lender, most in self._candidates(lenders(), total, now):
             wants = _choose(needs, most)
             if wants:
                 self._asked[lender.vm] = _Asked(
@@ -235,7 +238,8 @@
             and now - self._asked_at(lender) >= self._cfg.ask_again_s
         ]
         ready.sort(key=lambda each: (not each.near, -each.free))
-        lot = min(total, self._cfg.min_lot)
+        own_half = sum(self._table.owned.values()) // 2
+        lot = min(total, self._cfg.min_lot, own_half)
         large = [lender for lender in ready if lender.free >= lot]
         return [
             *((lender, lender.free) for lender in large or ready[:1]),
