--- a/sardineproxy/operator/applying.py
+++ b/sardineproxy/operator/applying.py
@@ -163,9 +163,6 @@
     written = await client.transact(
         conditions=(
             platform.Condition(key=fetching.HEAD_KEY, revision=newest.revision),
-            platform.Condition(
-                key=fetching.change_key(head.number), revision=0
-            ),
         ),
         writes=(
             platform.Write(key=fetching.change_key(head.number), body=body),
--- a/sardineproxy/operator/environment.py
+++ b/sardineproxy/operator/environment.py
@@ -22,8 +22,13 @@
         self.stdout.write(f'{line}\n')
 
     def complain(self, line: str) -> None:
-        """Print one line about a failure."""
-        self.stderr.write(f'{line}\n')
+        """Print one line about a failure.
+
+        Parts of it may come from a server, so control characters are shown
+        as question marks.
+        """
+        shown = ''.join(char if char.isprintable() else '?' for char in line)
+        self.stderr.write(f'{shown}\n')
 
 
 def of_process() -> Environment:
--- a/sardineproxy/process/platform_http.py
+++ b/sardineproxy/process/platform_http.py
@@ -337,6 +337,8 @@
     is_number = isinstance(revision, int) and not isinstance(revision, bool)
     if not isinstance(key, str) or not is_number or revision < 1:
         raise ValueError('row with a bad key or revision')
+    # A lone surrogate cannot be sent back as the start of the next page.
+    key.encode()
     return platform.Row(
         key=key,
         revision=revision,
--- a/sardineproxy/standin/platform_server.py
+++ b/sardineproxy/standin/platform_server.py
@@ -222,8 +222,9 @@
 
 async def read_json(req: web.Request) -> Any:
     """Return the request's JSON object, or raise ``ValueError``."""
+    body = await req.read()
     parsed = json_text.parse_object(
-        await req.text(), max_bytes=MAX_REQUEST_BYTES, comments=False
+        body.decode(), max_bytes=MAX_REQUEST_BYTES, comments=False
     )
     if parsed.is_err():
         raise ValueError(parsed.unwrap_err())
--- a/sardineproxy/version/codec.py
+++ b/sardineproxy/version/codec.py
@@ -2,7 +2,8 @@
 
 import dataclasses
 import json
-from typing import Annotated, Any, Mapping, Sequence
+import re
+from typing import Annotated, Any, Mapping, Sequence, TypeGuard
 
 import pydantic
 import result
@@ -20,6 +21,8 @@
 MAX_HEAD_BYTES = 1024
 MAX_CHANGES_IN_PAYLOAD = 256
 
+_NAME = re.compile(contracts.NAME_PATTERN)
+
 Hash = Annotated[str, pydantic.Field(pattern='^[0-9a-f]{64}$')]
 Number = Annotated[int, pydantic.Field(ge=1, le=999_999_999_999)]
 Documents = Annotated[
@@ -152,13 +155,17 @@
     return [json.loads(documents[customer]) for customer in sorted(documents)]
 
 
+def _is_name(found: Any) -> TypeGuard[str]:
+    return isinstance(found, str) and bool(_NAME.fullmatch(found))
+
+
 def _to_documents(
     members: Sequence[Mapping[str, Any]],
 ) -> result.Result[dict[ids.CustomerId, str], str]:
     documents: dict[ids.CustomerId, str] = {}
     for member in members:
         customer = member.get('customer')
-        if not isinstance(customer, str) or customer in documents:
+        if not _is_name(customer) or customer in documents:
             return result.Err(f'bad or repeated customer {customer!r}')
         documents[ids.CustomerId(customer)] = versions.canonical(member)
     return result.Ok(documents)
--- a/sardineproxy/version/contracts.py
+++ b/sardineproxy/version/contracts.py
@@ -10,10 +10,10 @@
 #: Digits by which messages tell hashes apart.
 SHOWN_DIGITS = 8
 
+NAME_PATTERN = '^[a-z0-9][a-z0-9-]{0,62}$'
+
 Hash = Annotated[str, pydantic.Field(pattern='^[0-9a-f]{64}$')]
-CustomerName = Annotated[
-    str, pydantic.Field(pattern=r'^[a-z0-9][a-z0-9-]{0,62}$')
-]
+CustomerName = Annotated[str, pydantic.Field(pattern=NAME_PATTERN)]
 
 
 class Contract(pydantic.BaseModel):
--- a/sardineproxy/version/follower.py
+++ b/sardineproxy/version/follower.py
@@ -16,7 +16,7 @@
 #: Changes kept for peers that are a few versions behind.
 KEPT_CHANGES = 128
 
-#: Bytes of contracts in the kept changes. Peers that need older ones get a
+#: Bytes of all kept changes. Peers that need older ones get a
 #: snapshot.
 KEPT_BYTES = 1_048_576
 
@@ -252,4 +252,6 @@
 
 
 def _size_of(change: versions.Change) -> int:
-    return sum(len(document) for document in change.documents.values())
+    """Return about the bytes that the change takes in a payload."""
+    texts = (*change.documents.values(), *change.removed)
+    return sum(len(text) for text in texts)
--- a/tests/version/samples.py
+++ b/tests/version/samples.py
@@ -10,6 +10,7 @@
 from sardineproxy import clock
 from sardineproxy.operator import applying
 from sardineproxy.process import metrics, platform_http
+from sardineproxy.standin import platform_thread
 from sardineproxy.version import contracts, follower, versions
 
 
@@ -75,6 +76,17 @@
     return asyncio.run(run())
 
 
+def on_platform(test):
+    """Run a test with a stand-in platform and a client of it."""
+
+    def run(self):
+        with platform_thread.running() as running:
+            self.platform = running
+            with_client(running, lambda client: test(self, client))
+
+    return run
+
+
 async def apply(client, base, operator='ann', **weights):
     """Make version ``base + 1`` with these weights."""
     wanted = applying.Wanted(
