--- a/sardineproxy/process/listing.py
+++ b/sardineproxy/process/listing.py
@@ -1,7 +1,6 @@
 """Follow the platform's list of VMs, and exchange it with peers."""
 
 import asyncio
-import dataclasses
 import json
 import random
 import socket
@@ -13,6 +12,7 @@
 
 from sardineproxy import clock, ids, json_text, logs
 from sardineproxy.process import directory, platform, settings
+from sardineproxy.version import polling
 
 #: Most VMs of one list.
 MAX_VMS = 32_768
@@ -31,18 +31,9 @@
 _LOG = logs.get_logger('listing')
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Config:
-    """How often the list is read."""
-
-    poll_s: float = 2
-
-    #: Each wait is drawn from this fraction below to above ``poll_s``.
-    jitter: float = 0.25
-
-    #: Longest wait while the platform fails. Kept small because an endpoint
-    #: that leaves must get no work after a few seconds.
-    max_backoff_s: float = 4
+#: An endpoint that leaves is to get no new work after a few seconds, so the
+#: list is read as often as the configuration.
+Config = polling.Config
 
 
 def _check_host(text: str) -> str:
@@ -143,9 +134,7 @@
         self._platform = platform
         self._directory = directory
         self._clock = clock
-        self._rng = rng
-        self._cfg = cfg
-        self._failures = 0
+        self._schedule = polling.Schedule(rng=rng, cfg=cfg)
         self._last_read: float | None = None
         self._last_error: str | None = None
         self._encoded: tuple[int, bytes] | None = None
@@ -154,21 +143,17 @@
         """Poll until cancelled."""
         while True:
             await self.poll_once()
-            await asyncio.sleep(self._next_wait_s())
+            await asyncio.sleep(self._schedule.next_wait_s())
 
     async def poll_once(self) -> None:
         """Read the platform's list once and offer it to the directory."""
-        listed = await self._platform.list_vms()
-        if isinstance(listed, result.Err):
-            self._failures += 1
-            self._last_error = listed.err_value.detail
-            if self._failures == 1:
-                _LOG.warning('cannot read VM list: %s', self._last_error)
-            return
-        self._failures = 0
-        self._last_error = None
-        self._last_read = self._clock.now()
-        self._directory.offer(listed.ok_value)
+        before = self._schedule.failures
+        error = await self._schedule.limited(self._poll())
+        self._last_error = None if error is None else error.detail
+        if error is None:
+            self._last_read = self._clock.now()
+        elif not before:
+            _LOG.warning('cannot read VM list: %s', error.detail)
 
     def revision(self) -> int:
         """Return the revision of the newest list."""
@@ -198,12 +183,12 @@
             'platform_error': self._last_error,
         }
 
-    def _next_wait_s(self) -> float:
-        cfg = self._cfg
-        base = min(cfg.poll_s * 2 ** min(self._failures, 8), cfg.max_backoff_s)
-        if not self._failures:
-            base = cfg.poll_s
-        return base * self._rng.uniform(1 - cfg.jitter, 1 + cfg.jitter)
+    async def _poll(self) -> result.Result[None, platform.PlatformError]:
+        listed = await self._platform.list_vms()
+        if isinstance(listed, result.Err):
+            return listed
+        self._directory.offer(listed.ok_value)
+        return result.Ok(None)
 
 
 def _vm_fields(vm: platform.Vm) -> dict[str, Any]:
--- a/sardineproxy/version/follower.py
+++ b/sardineproxy/version/follower.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import collections
-import dataclasses
 import random
 from typing import Any
 
@@ -11,7 +10,7 @@
 
 from sardineproxy import clock, ids, logs
 from sardineproxy.process import metrics, platform
-from sardineproxy.version import codec, fetching, versions
+from sardineproxy.version import codec, fetching, polling, versions
 
 #: Changes kept for peers that are a few versions behind.
 KEPT_CHANGES = 128
@@ -20,24 +19,10 @@
 #: snapshot.
 KEPT_BYTES = 1_048_576
 
-#: Largest exponent of the back-off; keeps the power small.
-_MAX_EXPONENT = 8
-
 _LOG = logs.get_logger('config')
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Config:
-    """How often the head is read."""
-
-    poll_s: float = 2
-
-    #: Each wait is drawn from this fraction below to above its length.
-    jitter: float = 0.25
-
-    #: Longest wait while the platform fails. A version is to be in force
-    #: everywhere within 8 s, also right after an outage.
-    max_backoff_s: float = 4
+Config = polling.Config
 
 
 class Follower:
@@ -63,14 +48,12 @@
         )
         self._platform = platform
         self._clock = clock
-        self._rng = rng
         self._metrics = metrics
-        self._cfg = cfg
+        self._schedule = polling.Schedule(rng=rng, cfg=cfg)
         self._newest = versions.EMPTY
         self._tried = 0
         self._changes: collections.deque[versions.Change] = collections.deque()
         self._kept_bytes = 0
-        self._failures = 0
         self._last_read: float | None = None
         self._faults: dict[str, str] = {}
 
@@ -78,25 +61,23 @@
         """Poll until cancelled."""
         while True:
             await self.poll_once()
-            await asyncio.sleep(self._next_wait_s())
+            await asyncio.sleep(self._schedule.next_wait_s())
 
     async def poll_once(self) -> None:
         """Read the head and catch up with it if it is newer."""
-        strict = self.in_force.value is None
-        read = await fetching.read_head(self._platform, strict=strict)
-        if isinstance(read, result.Err):
-            self._platform_failed(read.err_value)
+        before = self._schedule.failures
+        error = await self._schedule.limited(self._poll())
+        if error is None:
+            if before:
+                _LOG.info('platform answers after %d failures', before)
+            self._last_read = self._clock.now()
+            self._faults.pop('platform', None)
             return
-        head = read.ok_value.head
-        if head is not None and self._is_newer(head):
-            fetched = await fetching.catch_up(
-                self._platform, known=self._newest, head=head, strict=strict
-            )
-            if isinstance(fetched, result.Err):
-                self._platform_failed(fetched.err_value)
-                return
-            self._take_fetched(fetched.ok_value)
-        self._platform_answered()
+        fault = f'{error.kind.value}: {error.detail}'
+        if not before:
+            _LOG.warning('platform fails: %s', fault)
+        self._metrics.count('config_platform_failures_total')
+        self._faults['platform'] = fault
 
     def number(self) -> ids.VersionNumber:
         """Return the number of the version in force, 0 if there is none."""
@@ -148,6 +129,19 @@
             'faults': dict(self._faults),
         }
 
+    async def _poll(self) -> result.Result[None, platform.PlatformError]:
+        strict = self.in_force.value is None
+        read = await fetching.read_head(self._platform, strict=strict)
+        if isinstance(read, result.Err):
+            return read
+        head = read.ok_value.head
+        if head is None or not self._is_newer(head):
+            return result.Ok(None)
+        fetched = await fetching.catch_up(
+            self._platform, known=self._newest, head=head, strict=strict
+        )
+        return fetched.map(self._take_fetched)
+
     def _is_newer(self, other: versions.Head | versions.Snapshot) -> bool:
         """Compare with the newest version; report a conflict."""
         newest = self._newest
@@ -221,35 +215,12 @@
         self._changes.clear()
         self._kept_bytes = 0
 
-    def _platform_failed(self, error: platform.PlatformError) -> None:
-        fault = f'{error.kind.value}: {error.detail}'
-        if not self._failures:
-            _LOG.warning('platform fails: %s', fault)
-        self._failures += 1
-        self._metrics.count('config_platform_failures_total')
-        self._faults['platform'] = fault
-
-    def _platform_answered(self) -> None:
-        if self._failures:
-            _LOG.info('platform answers after %d failures', self._failures)
-        self._failures = 0
-        self._last_read = self._clock.now()
-        self._faults.pop('platform', None)
-
     def _report(self, kind: str, fault: str) -> None:
         """Log an error once, until it changes."""
         if self._faults.get(kind) != fault:
             _LOG.error('%s', fault)
         self._faults[kind] = fault
 
-    def _next_wait_s(self) -> float:
-        cfg = self._cfg
-        wait_s = cfg.poll_s
-        if self._failures:
-            longer_s = cfg.poll_s * 2 ** min(self._failures, _MAX_EXPONENT)
-            wait_s = min(longer_s, max(cfg.max_backoff_s, cfg.poll_s))
-        return wait_s * self._rng.uniform(1 - cfg.jitter, 1 + cfg.jitter)
-
 
 def _size_of(change: versions.Change) -> int:
     """Return about the bytes that the change takes in a payload."""
