--- a/sardineproxy/operator/applying.py
+++ b/sardineproxy/operator/applying.py
@@ -127,7 +127,7 @@
     )
     if isinstance(fetched, result.Err):
         return fetched
-    snapshot = fetched.ok_value.snapshot
+    snapshot = fetched.ok_value.newest
     if snapshot.number > head.number:
         return result.Ok(None)
     if snapshot.number < head.number:
--- a/sardineproxy/version/fetching.py
+++ b/sardineproxy/version/fetching.py
@@ -1,5 +1,6 @@
 """Read versions from the platform's tables and objects."""
 
+import collections
 import dataclasses
 
 import result
@@ -16,6 +17,9 @@
 #: Snapshots tried, from the latest backwards, before all changes are read.
 MAX_SNAPSHOTS_TRIED = 4
 
+#: Versions before the newest that are kept in case it cannot be parsed.
+KEPT_SNAPSHOTS = 64
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class HeadRow:
@@ -27,14 +31,22 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Fetched:
-    """The newest version that was reached, and the changes to it."""
+    """Versions in ascending order, the newest that was reached last."""
+
+    #: The latest ``KEPT_SNAPSHOTS`` versions, with the one started from.
+    snapshots: tuple[versions.Snapshot, ...]
 
-    snapshot: versions.Snapshot
+    #: All changes that were applied.
     changes: tuple[versions.Change, ...]
 
-    #: Why the changes after ``snapshot`` could not be applied, else None.
+    #: Why the change after the newest could not be applied, else None.
     fault: str | None = None
 
+    @property
+    def newest(self) -> versions.Snapshot:
+        """Return the newest version that was reached."""
+        return self.snapshots[-1]
+
 
 def change_key(number: int) -> str:
     """Return the key of a change's row; keys sort by number."""
@@ -100,15 +112,15 @@
     the latest usable snapshot object and the changes after it.
     """
     is_near = head.number - known.number <= SNAPSHOT_EVERY
-    reached = Fetched(snapshot=known, changes=())
+    reached = Fetched(snapshots=(known,), changes=())
     if is_near:
         direct = await _follow(client, known, strict)
         if isinstance(direct, result.Err):
             return direct
         reached = direct.ok_value
-    if reached.snapshot.number >= head.number:
+    if reached.newest.number >= head.number:
         return result.Ok(reached)
-    start = await _find_snapshot(client, reached.snapshot, head, strict)
+    start = await _find_snapshot(client, reached.newest, head, strict)
     if isinstance(start, result.Err):
         return start
     if start.ok_value is not None:
@@ -122,18 +134,20 @@
     known: versions.Snapshot, rows: tuple[platform.Row, ...]
 ) -> Fetched:
     """Apply the changes in the rows in order, up to the first fault."""
-    snapshot = known
+    snapshots = collections.deque([known], maxlen=KEPT_SNAPSHOTS)
     changes: list[versions.Change] = []
+    fault = None
     for row in rows:
-        step = _apply_row(snapshot, row)
+        step = _apply_row(snapshots[-1], row)
         if isinstance(step, result.Err):
             fault = f'row {row.key}: {step.err_value}'
-            return Fetched(
-                snapshot=snapshot, changes=tuple(changes), fault=fault
-            )
+            break
         change, snapshot = step.ok_value
         changes.append(change)
-    return Fetched(snapshot=snapshot, changes=tuple(changes))
+        snapshots.append(snapshot)
+    return Fetched(
+        snapshots=tuple(snapshots), changes=tuple(changes), fault=fault
+    )
 
 
 def _apply_row(
--- a/sardineproxy/version/follower.py
+++ b/sardineproxy/version/follower.py
@@ -15,13 +15,11 @@
 #: Changes kept for peers that are a few versions behind.
 KEPT_CHANGES = 128
 
-#: Bytes of all kept changes. Peers that need older ones get a
-#: snapshot.
+#: Bytes of all kept changes. Peers that need older ones get a snapshot.
 KEPT_BYTES = 1_048_576
 
 _LOG = logs.get_logger('config')
 
-
 Config = polling.Config
 
 
@@ -51,7 +49,9 @@
         self._metrics = metrics
         self._schedule = polling.Schedule(rng=rng, cfg=cfg)
         self._newest = versions.EMPTY
-        self._tried = 0
+        self._untried: collections.deque[versions.Snapshot] = collections.deque(
+            maxlen=fetching.KEPT_SNAPSHOTS
+        )
         self._changes: collections.deque[versions.Change] = collections.deque()
         self._kept_bytes = 0
         self._last_read: float | None = None
@@ -96,7 +96,7 @@
         )
         is_chain = bool(changes) and changes[0].head.number == number + 1
         payload = codec.Payload(snapshot=None, changes=changes)
-        if not is_chain or len(changes) > codec.MAX_CHANGES_IN_PAYLOAD:
+        if not is_chain:
             payload = codec.Payload(snapshot=self._newest, changes=())
         return codec.encode_payload(payload)
 
@@ -110,7 +110,7 @@
         snapshot = decoded.ok_value.snapshot
         if snapshot is not None and self._is_newer(snapshot):
             self._forget_changes()
-            self._newest = snapshot
+            self._advance(snapshot)
         for change in decoded.ok_value.changes:
             if self._is_newer(change.head) and not self._take_change(change):
                 break
@@ -161,44 +161,55 @@
             _LOG.warning('peer sent a bad change: %s', applied.err_value)
             return False
         self._keep(change)
-        self._newest = applied.ok_value
+        self._advance(applied.ok_value)
         return True
 
     def _take_fetched(self, fetched: fetching.Fetched) -> None:
-        if fetched.fault is None:
-            self._faults.pop('change', None)
-        else:
+        if self._is_newer(fetched.newest):
+            first = fetched.changes[0].head.number if fetched.changes else 0
+            if first != self._newest.number + 1:
+                self._forget_changes()
+            for change in fetched.changes:
+                self._keep(change)
+            for snapshot in fetched.snapshots:
+                self._advance(snapshot)
+            self._put_in_force()
+        if fetched.fault is not None:
             self._report('change', fetched.fault)
-        if not self._is_newer(fetched.snapshot):
+
+    def _advance(self, snapshot: versions.Snapshot) -> None:
+        """Make the snapshot the newest unless it is older."""
+        if snapshot.number <= self._newest.number:
             return
-        first = fetched.changes[0].head.number if fetched.changes else 0
-        if first != self._newest.number + 1:
-            self._forget_changes()
-        for change in fetched.changes:
-            self._keep(change)
-        self._newest = fetched.snapshot
-        self._put_in_force()
+        self._newest = snapshot
+        self._untried.append(snapshot)
+        self._faults.pop('change', None)
 
     def _put_in_force(self) -> None:
-        """Put the newest version in force unless that was tried before."""
-        newest = self._newest
-        if newest.number <= self._tried:
-            return
-        self._tried = newest.number
-        parsed = versions.parse(newest)
-        if isinstance(parsed, result.Err):
+        """Put the newest version that can be parsed in force."""
+        fault = None
+        while self._untried:
+            parsed = versions.parse(self._untried.pop())
+            if isinstance(parsed, result.Ok):
+                self._untried.clear()
+                self._take_version(parsed.ok_value)
+            else:
+                fault = fault or parsed.err_value
+        if fault is not None:
             self._metrics.count('config_unparsable_total')
             self._report(
                 'unparsable',
-                f'version {newest.number} cannot be parsed, '
-                f'{self.number()} stays in force: {parsed.err_value}',
+                f'version {self._newest.number} cannot be parsed, '
+                f'{self.number()} stays in force: {fault}',
             )
-            return
-        self._faults.pop('unparsable', None)
+
+    def _take_version(self, version: versions.Version) -> None:
+        if version.number == self._newest.number:
+            self._faults.pop('unparsable', None)
         self._faults.pop('conflict', None)
         self._metrics.count('config_versions_total')
-        _LOG.info('version %d is in force', newest.number)
-        self.in_force.on_next(parsed.ok_value)
+        _LOG.info('version %d is in force', version.number)
+        self.in_force.on_next(version)
 
     def _keep(self, change: versions.Change) -> None:
         self._changes.append(change)
