--- a/sardineproxy/version/follower.py
+++ b/sardineproxy/version/follower.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import collections
-import dataclasses
 import random
 from typing import Any
 
@@ -11,33 +10,17 @@
 
 from sardineproxy import clock, ids, logs
 from sardineproxy.process import metrics, platform
-from sardineproxy.version import codec, fetching, versions
+from sardineproxy.version import codec, fetching, polling, versions
 
 #: Changes kept for peers that are a few versions behind.
 KEPT_CHANGES = 128
 
-#: Bytes of contracts in the kept changes. Peers that need older ones get a
-#: snapshot.
+#: Bytes of all kept changes. Peers that need older ones get a snapshot.
 KEPT_BYTES = 1_048_576
 
-#: Largest exponent of the back-off; keeps the power small.
-_MAX_EXPONENT = 8
-
 _LOG = logs.get_logger('config')
 
-
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Config:
-    """How often the head is read."""
-
-    poll_s: float = 2
-
-    #: Each wait is drawn from this fraction below to above its length.
-    jitter: float = 0.25
-
-    #: Longest wait while the platform fails. A version is to be in force
-    #: everywhere within 8 s, also right after an outage.
-    max_backoff_s: float = 4
+Config = polling.Config
 
 
 class Follower:
@@ -63,14 +46,14 @@
         )
         self._platform = platform
         self._clock = clock
-        self._rng = rng
         self._metrics = metrics
-        self._cfg = cfg
+        self._schedule = polling.Schedule(rng=rng, cfg=cfg)
         self._newest = versions.EMPTY
-        self._tried = 0
+        self._untried: collections.deque[versions.Snapshot] = collections.deque(
+            maxlen=fetching.KEPT_SNAPSHOTS
+        )
         self._changes: collections.deque[versions.Change] = collections.deque()
         self._kept_bytes = 0
-        self._failures = 0
         self._last_read: float | None = None
         self._faults: dict[str, str] = {}
 
@@ -78,25 +61,23 @@
         """Poll until cancelled."""
         while True:
             await self.poll_once()
-            await asyncio.sleep(self._next_wait_s())
+            await asyncio.sleep(self._schedule.next_wait_s())
 
     async def poll_once(self) -> None:
         """Read the head and catch up with it if it is newer."""
-        strict = self.in_force.value is None
-        read = await fetching.read_head(self._platform, strict=strict)
-        if isinstance(read, result.Err):
-            self._platform_failed(read.err_value)
+        before = self._schedule.failures
+        error = await self._schedule.limited(self._poll())
+        if error is None:
+            if before:
+                _LOG.info('platform answers after %d failures', before)
+            self._last_read = self._clock.now()
+            self._faults.pop('platform', None)
             return
-        head = read.ok_value.head
-        if head is not None and self._is_newer(head):
-            fetched = await fetching.catch_up(
-                self._platform, known=self._newest, head=head, strict=strict
-            )
-            if isinstance(fetched, result.Err):
-                self._platform_failed(fetched.err_value)
-                return
-            self._take_fetched(fetched.ok_value)
-        self._platform_answered()
+        fault = f'{error.kind.value}: {error.detail}'
+        if not before:
+            _LOG.warning('platform fails: %s', fault)
+        self._metrics.count('config_platform_failures_total')
+        self._faults['platform'] = fault
 
     def number(self) -> ids.VersionNumber:
         """Return the number of the version in force, 0 if there is none."""
@@ -115,7 +96,7 @@
         )
         is_chain = bool(changes) and changes[0].head.number == number + 1
         payload = codec.Payload(snapshot=None, changes=changes)
-        if not is_chain or len(changes) > codec.MAX_CHANGES_IN_PAYLOAD:
+        if not is_chain:
             payload = codec.Payload(snapshot=self._newest, changes=())
         return codec.encode_payload(payload)
 
@@ -129,7 +110,7 @@
         snapshot = decoded.ok_value.snapshot
         if snapshot is not None and self._is_newer(snapshot):
             self._forget_changes()
-            self._newest = snapshot
+            self._advance(snapshot)
         for change in decoded.ok_value.changes:
             if self._is_newer(change.head) and not self._take_change(change):
                 break
@@ -148,6 +129,19 @@
             'faults': dict(self._faults),
         }
 
+    async def _poll(self) -> result.Result[None, platform.PlatformError]:
+        strict = self.in_force.value is None
+        read = await fetching.read_head(self._platform, strict=strict)
+        if isinstance(read, result.Err):
+            return read
+        head = read.ok_value.head
+        if head is None or not self._is_newer(head):
+            return result.Ok(None)
+        fetched = await fetching.catch_up(
+            self._platform, known=self._newest, head=head, strict=strict
+        )
+        return fetched.map(self._take_fetched)
+
     def _is_newer(self, other: versions.Head | versions.Snapshot) -> bool:
         """Compare with the newest version; report a conflict."""
         newest = self._newest
@@ -167,44 +161,55 @@
             _LOG.warning('peer sent a bad change: %s', applied.err_value)
             return False
         self._keep(change)
-        self._newest = applied.ok_value
+        self._advance(applied.ok_value)
         return True
 
     def _take_fetched(self, fetched: fetching.Fetched) -> None:
-        if fetched.fault is None:
-            self._faults.pop('change', None)
-        else:
+        if self._is_newer(fetched.newest):
+            first = fetched.changes[0].head.number if fetched.changes else 0
+            if first != self._newest.number + 1:
+                self._forget_changes()
+            for change in fetched.changes:
+                self._keep(change)
+            for snapshot in fetched.snapshots:
+                self._advance(snapshot)
+            self._put_in_force()
+        if fetched.fault is not None:
             self._report('change', fetched.fault)
-        if not self._is_newer(fetched.snapshot):
+
+    def _advance(self, snapshot: versions.Snapshot) -> None:
+        """Make the snapshot the newest unless it is older."""
+        if snapshot.number <= self._newest.number:
             return
-        first = fetched.changes[0].head.number if fetched.changes else 0
-        if first != self._newest.number + 1:
-            self._forget_changes()
-        for change in fetched.changes:
-            self._keep(change)
-        self._newest = fetched.snapshot
-        self._put_in_force()
+        self._newest = snapshot
+        self._untried.append(snapshot)
+        self._faults.pop('change', None)
 
     def _put_in_force(self) -> None:
-        """Put the newest version in force unless that was tried before."""
-        newest = self._newest
-        if newest.number <= self._tried:
-            return
-        self._tried = newest.number
-        parsed = versions.parse(newest)
-        if isinstance(parsed, result.Err):
+        """Put the newest version that can be parsed in force."""
+        fault = None
+        while self._untried:
+            parsed = versions.parse(self._untried.pop())
+            if isinstance(parsed, result.Ok):
+                self._untried.clear()
+                self._take_version(parsed.ok_value)
+            else:
+                fault = fault or parsed.err_value
+        if fault is not None:
             self._metrics.count('config_unparsable_total')
             self._report(
                 'unparsable',
-                f'version {newest.number} cannot be parsed, '
-                f'{self.number()} stays in force: {parsed.err_value}',
+                f'version {self._newest.number} cannot be parsed, '
+                f'{self.number()} stays in force: {fault}',
             )
-            return
-        self._faults.pop('unparsable', None)
+
+    def _take_version(self, version: versions.Version) -> None:
+        if version.number == self._newest.number:
+            self._faults.pop('unparsable', None)
         self._faults.pop('conflict', None)
         self._metrics.count('config_versions_total')
-        _LOG.info('version %d is in force', newest.number)
-        self.in_force.on_next(parsed.ok_value)
+        _LOG.info('version %d is in force', version.number)
+        self.in_force.on_next(version)
 
     def _keep(self, change: versions.Change) -> None:
         self._changes.append(change)
@@ -221,35 +226,14 @@
         self._changes.clear()
         self._kept_bytes = 0
 
-    def _platform_failed(self, error: platform.PlatformError) -> None:
-        fault = f'{error.kind.value}: {error.detail}'
-        if not self._failures:
-            _LOG.warning('platform fails: %s', fault)
-        self._failures += 1
-        self._metrics.count('config_platform_failures_total')
-        self._faults['platform'] = fault
-
-    def _platform_answered(self) -> None:
-        if self._failures:
-            _LOG.info('platform answers after %d failures', self._failures)
-        self._failures = 0
-        self._last_read = self._clock.now()
-        self._faults.pop('platform', None)
-
     def _report(self, kind: str, fault: str) -> None:
         """Log an error once, until it changes."""
         if self._faults.get(kind) != fault:
             _LOG.error('%s', fault)
         self._faults[kind] = fault
 
-    def _next_wait_s(self) -> float:
-        cfg = self._cfg
-        wait_s = cfg.poll_s
-        if self._failures:
-            longer_s = cfg.poll_s * 2 ** min(self._failures, _MAX_EXPONENT)
-            wait_s = min(longer_s, max(cfg.max_backoff_s, cfg.poll_s))
-        return wait_s * self._rng.uniform(1 - cfg.jitter, 1 + cfg.jitter)
-
 
 def _size_of(change: versions.Change) -> int:
-    return sum(len(document) for document in change.documents.values())
+    """Return about the bytes that the change takes in a payload."""
+    texts = (*change.documents.values(), *change.removed)
+    return sum(len(text) for text in texts)
