Write the seeds into the demo's settings files

Cause: an entry VM that started during an outage had an empty seed list, as the settings renderer did not write it.

--- a/sardineproxy/demo/parts.py
+++ b/sardineproxy/demo/parts.py
@@ -88,7 +88,11 @@
 
 
 def render_settings(
-    spec: EntrySpec, *, region: str, platform_port: int, seeds: Iterable[Entry]
+    spec: EntrySpec,
+    *,
+    region: str,
+    platform_port: int,
+    seeds: Iterable[Entry] = (),
 ) -> Document:
     """Return the settings of an entry process with ports of any number."""
     any_port = {'host': HOST, 'port': 0}
@@ -102,4 +106,14 @@
         'platform': {'host': HOST, 'port': platform_port},
         'size': spec.size,
         'shutdown': dict(SHUTDOWN),
+        'seeds': [_render_seed(seed, region) for seed in seeds],
+    }
+
+
+def _render_seed(seed: Entry, region: str) -> Document:
+    return {
+        'vm': seed.name,
+        'zone': seed.zone,
+        'region': region,
+        'address': {'host': HOST, 'port': seed.process.ports['peers']},
     }
