--- a/tests/request/test_job.py
+++ b/tests/request/test_job.py
@@ -54,6 +54,12 @@
             (dropped['verdict'], dropped['problem']['code']),
         )
 
+    async def test_unrenderable_answer_is_answered(self) -> None:
+        """Guards against callers that wait forever for a record."""
+        self.runner.outcomes[0] = fakes.make_answer(status=b'fault')
+        answer = await self.submit()
+        self.assert_problem(answer, 'internal_error', 'may_have_run', True)
+
     async def test_tasks_count_as_waiting_at_once(self) -> None:
         """Guards against two jobs admitted before the first has started."""
         self.process.set_version(fakes.make_version(queue=5))
