--- /dev/null
+++ b/tests/request/test_retries.py
@@ -0,0 +1,32 @@
+"""Retry budget and back-off."""
+
+import random
+
+import testtools
+from testtools import matchers
+
+from sardineproxy.request import retries
+
+
+class RetryBudgetTest(testtools.TestCase):
+    """Retries stay a fixed part of the successes."""
+
+    def test_budget_follows_successes(self) -> None:
+        """Guards against retries that multiply the load of a failing fleet."""
+        budget = retries.RetryBudget(cfg=retries.Config(max_tokens=2))
+        spent = [budget.try_spend() for _ in range(4)]
+        self.assertEqual([True, True, False, False], spent)
+        for _ in range(100):
+            budget.record_success()
+        self.assertEqual(2, sum(budget.try_spend() for _ in range(10)))
+
+    def test_pauses_are_spread_and_bounded(self) -> None:
+        """Guards against retries that arrive together."""
+        budget = retries.RetryBudget()
+        rng = random.Random(1)
+        pauses = [budget.pause_s(attempts=1, rng=rng) for _ in range(200)]
+        self.assertThat(min(pauses), matchers.LessThan(0.005))
+        self.assertThat(max(pauses), matchers.GreaterThan(0.02))
+        self.assertThat(
+            budget.pause_s(attempts=50, rng=rng), matchers.LessThan(1.01)
+        )
--- /dev/null
+++ b/tests/request/test_runner.py
@@ -0,0 +1,131 @@
+"""Which outcomes are retried, and what the caller is told then."""
+
+import asyncio
+import dataclasses
+import random
+from typing import Any
+
+import testtools
+
+from sardineproxy import clock, ids, problems, verdicts
+from sardineproxy.connection import endpoint
+from sardineproxy.process import metrics
+from sardineproxy.request import retries, runner, work
+
+LONG_S = 30
+
+
+def make_problem(verdict: verdicts.Verdict) -> problems.Problem:
+    return problems.Problem(code='x', verdict=verdict, status=503, detail='x')
+
+
+def answer(status: int, vm: str) -> work.Answer:
+    return work.Answer(
+        status=status, headers=(), body=b'', endpoint=ids.EndpointId(vm)
+    )
+
+
+GOOD = answer(200, 'w3')
+FAILED = answer(500, 'w1')
+LOST = endpoint.Lost(
+    problem=make_problem(verdicts.Verdict.MAY_HAVE_RUN),
+    endpoint=ids.EndpointId('w2'),
+)
+REFUSED = work.Refused(problem=make_problem(verdicts.Verdict.NOT_RUN))
+
+
+class FakeDispatcher:
+    """Gives the planned outcomes in turn."""
+
+    def __init__(self, *outcomes: work.Outcome) -> None:
+        self.outcomes = list(outcomes)
+        self.excluded: list[set[str]] = []
+
+    async def run(self, *, task: work.Task, exclude: Any) -> work.Outcome:
+        self.excluded.append(set(exclude))
+        return self.outcomes.pop(0)
+
+    def cancel(self, *, request_id: ids.RequestId) -> None:
+        """Have nothing waiting."""
+
+
+class RunnerTest(testtools.TestCase):
+    """Only idempotent single requests are tried again."""
+
+    def run_with(
+        self,
+        *outcomes: work.Outcome,
+        cfg: retries.Config | None = None,
+        job: bool = False,
+        cancel: bool = False,
+        **changes: Any,
+    ) -> tuple[work.Outcome, list[set[str]]]:
+        """Return the outcome and the endpoints excluded in each attempt."""
+        dispatcher = FakeDispatcher(*outcomes)
+        tested = runner.Runner(
+            dispatcher=dispatcher,  # type: ignore[arg-type]
+            budget=retries.RetryBudget(cfg=cfg),
+            clock=clock.SystemClock(),
+            rng=random.Random(1),
+            metrics=metrics.Metrics(),
+        )
+        task = dataclasses.replace(make_task(), **changes)
+        start = tested.run_job_task if job else tested.run_single
+
+        async def run() -> work.Outcome:
+            running = asyncio.create_task(start(task=task))
+            await asyncio.sleep(0)
+            if cancel:
+                tested.cancel(request_id=task.request_id)
+            return await asyncio.wait_for(running, LONG_S)
+
+        return asyncio.run(run()), dispatcher.excluded
+
+    def test_idempotent_single_is_tried_elsewhere(self) -> None:
+        """Guards against a lookup lost with its endpoint."""
+        outcome, excluded = self.run_with(FAILED, LOST, GOOD)
+        self.assertEqual(GOOD, outcome)
+        self.assertEqual([set(), {'w1'}, {'w1', 'w2'}], excluded)
+
+    def test_other_work_is_never_started_twice(self) -> None:
+        """Guards against duplicate stamps and cuts."""
+        for outcome in (LOST, FAILED, REFUSED):
+            for changes in (
+                {'idempotent': False},
+                {'job': True, 'kind': work.Kind.JOB},
+                {'job': True},
+                {'kind': work.Kind.JOB},
+            ):
+                got, excluded = self.run_with(outcome, **changes)  # type: ignore[arg-type]
+                self.assertEqual((outcome, [set()]), (got, excluded))
+
+    def test_started_work_is_not_reported_as_not_run(self) -> None:
+        """Guards against "not run" after a first attempt that may have run."""
+        self.assertEqual(LOST, self.run_with(LOST, REFUSED)[0])
+        self.assertEqual(FAILED, self.run_with(FAILED, LOST, LOST)[0])
+
+    def test_bounds_of_retries(self) -> None:
+        """Guards against retries without budget, time or consent."""
+        for bounds in (
+            {'cfg': retries.Config(max_tokens=0)},
+            {'cfg': retries.Config(first_pause_s=99, max_pause_s=99)},
+            {'cancel': True},
+        ):
+            outcome, excluded = self.run_with(LOST, **bounds)  # type: ignore[arg-type]
+            self.assertEqual((LOST, [set()]), (outcome, excluded))
+        self.assertEqual(3, len(self.run_with(LOST, LOST, LOST, LOST)[1]))
+
+
+def make_task() -> work.Task:
+    return work.Task(
+        request_id=ids.RequestId('r'),
+        index=0,
+        customer=ids.CustomerId('c'),
+        kind=work.Kind.SINGLE,
+        idempotent=True,
+        method='GET',
+        path='/',
+        headers=(),
+        body=b'',
+        deadline=clock.SystemClock().now() + 10,
+    )
