Health: judge short deadlines by the usual run time; log ejections

A task that its own deadline cuts off counts against the endpoint only after twice the customer's usual run time. Waiting tasks start as soon as an ejected endpoint returns, on all of its slots.

--- a/sardineproxy/process/dispatcher.py
+++ b/sardineproxy/process/dispatcher.py
@@ -39,7 +39,7 @@
     )
 
     #: Customers that could use no free slot are tried again after this time.
-    held_s: float = 0.005
+    held_s: float = 0.05
 
     #: Least time between two demands on the backlog stream, in seconds.
     backlog_interval_s: float = 0.001
@@ -245,6 +245,7 @@
         entry = placement.entry
         now = self._clock.now()
         run_s = now - placement.started
+        in_service = len(self._health.ranks)
         self._matcher.router.learn(
             entry.task,
             placement.ticket.endpoint,
@@ -261,7 +262,9 @@
         else:
             self._queue.finish(entry, run_s=run_s)
         self._matcher.release(placement, now=now)
-        if self._queue.waiting:
+        if len(self._health.ranks) > in_service:
+            self.wake()
+        elif self._queue.waiting:
             self._note_backlog(now)
 
     def _put_back(
@@ -272,11 +275,11 @@
         self._prepare_wait(entry, now)
         entry.refusals += 1
         if entry.refusals % self._cfg.refusals_before_pause:
-            entry.exclude |= {endpoint}
+            entry.refused |= {endpoint}
             self._queue.wait(entry, first=True)
             return
         # Most endpoints are unreachable; trying the rest at once is a storm.
-        entry.exclude = NOTHING_EXCLUDED
+        entry.refused = NOTHING_EXCLUDED
         self._queue.rest(entry)
         pause_s = self._cfg.pause_s * self._rng.uniform(0.5, 1.5)
         asyncio.get_running_loop().call_later(pause_s, self._resume, entry)
--- a/sardineproxy/process/health.py
+++ b/sardineproxy/process/health.py
@@ -6,129 +6,17 @@
 """
 
 import collections
-import dataclasses
 import math
 import random
 from typing import Iterable, Mapping
 
-from sardineproxy import ids
+from sardineproxy import ids, logs
+from sardineproxy.process import health_estimates
 
-#: Ranks that put another zone's endpoints after all of the own zone's.
-OTHER_ZONE_RANK = 10_000
+#: Bounds of ejection and learning.
+Config = health_estimates.Config
 
-#: Scores within this ratio of each other count as equal, so that noise in the
-#: estimates does not send all tasks to one endpoint.
-SCORE_STEP = 1.1
-
-#: Requests for which failures and successes are remembered.
-MAX_KNOWN_REQUESTS = 1024
-
-_RANKS_PER_E = 1 / math.log(SCORE_STEP)
-
-#: Stands for "some task of the request succeeded".
-_SUCCEEDED = ids.EndpointId('')
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Config:
-    """Bounds of ejection and learning."""
-
-    #: Largest part of a zone's endpoints that may be ejected at once.
-    max_ejected_fraction: float = 0.5
-
-    #: Failures in a row that eject an endpoint.
-    failures_to_eject: int = 3
-
-    #: Mean of the first ejection, in seconds; each further one doubles it.
-    first_ejection_s: float = 1
-
-    #: Longest mean of an ejection, in seconds.
-    max_ejection_s: float = 60
-
-    #: Part of an ejection that is random, either way.
-    jitter: float = 0.25
-
-    #: Time in service after which ejections start short again, in seconds.
-    forgive_s: float = 120
-
-    #: Part of a new observation in a learned speed or failure rate.
-    gain: float = 0.1
-
-    #: Part of a new observation in the fleet's run time of a workload.
-    fleet_gain: float = 0.02
-
-    #: Time after which an unused endpoint's estimate is half forgotten.
-    half_life_s: float = 30
-
-    #: Weight of the failure rate in the score: 1 doubles it at 100 %.
-    failure_weight: float = 4
-
-    #: A task is a straggler after this multiple of its expected run time...
-    straggler_factor: float = 4
-
-    #: ...but not before this time, in seconds.
-    min_straggler_s: float = 2
-
-    #: Stragglers, with no success since they started, that eject an endpoint.
-    stragglers_to_eject: int = 2
-
-
-@dataclasses.dataclass(kw_only=True, slots=True)
-class _Estimate:
-    """What is known of one endpoint."""
-
-    zone: ids.ZoneId
-
-    #: Run time relative to the fleet.
-    slowness: float = 1
-    failure_rate: float = 0
-    failures_in_row: int = 0
-
-    #: Rank of the mean run time in the endpoint's zone.
-    base_rank: int = 0
-
-    #: Ejections in a row.
-    ejections: int = 0
-    is_ejected: bool = False
-    ejected_until: float = 0
-    probes: int = 0
-    returned_at: float = -math.inf
-    last_success: float = -math.inf
-    last_change: float = 0
-
-    def rank(self, cfg: Config) -> int:
-        """Return the logarithm of the score in steps of ``SCORE_STEP``."""
-        score = self.slowness * (1 + cfg.failure_weight * self.failure_rate)
-        if score <= 0:
-            return self.base_rank
-        return self.base_rank + round(math.log(score) * _RANKS_PER_E)
-
-
-class _RequestFailures:
-    """Where recent requests failed first, and whether they can succeed."""
-
-    def __init__(self) -> None:
-        """Start without requests."""
-        self._first_failed: collections.OrderedDict[
-            ids.RequestId, ids.EndpointId
-        ] = collections.OrderedDict()
-
-    def record_success(self, request_id: ids.RequestId) -> None:
-        """Note that one of the request's tasks succeeded."""
-        self._first_failed[request_id] = _SUCCEEDED
-        self._drop_oldest()
-
-    def are_to_blame(
-        self, request_id: ids.RequestId, endpoint: ids.EndpointId
-    ) -> bool:
-        """Tell whether the request, not the endpoint, explains a failure."""
-        first = self._first_failed.setdefault(request_id, endpoint)
-        self._drop_oldest()
-        return first not in {endpoint, _SUCCEEDED}
-
-    def _drop_oldest(self) -> None:
-        if len(self._first_failed) > MAX_KNOWN_REQUESTS:
-            self._first_failed.popitem(last=False)
+_log = logs.get_logger('dispatch')
 
 
 class Health:
@@ -140,13 +28,13 @@
         """Start without endpoints."""
         self._rng = rng
         self._cfg = cfg or Config()
-        self._estimates: dict[ids.EndpointId, _Estimate] = {}
+        self._estimates: dict[ids.EndpointId, health_estimates.Estimate] = {}
         self._zone_sizes: collections.Counter[ids.ZoneId] = (
             collections.Counter()
         )
-        self._ejected: dict[ids.EndpointId, _Estimate] = {}
+        self._ejected: dict[ids.EndpointId, health_estimates.Estimate] = {}
         self._fleet_run_s: dict[ids.CustomerId, float] = {}
-        self._requests = _RequestFailures()
+        self._requests = health_estimates.RequestFailures()
 
         #: Place of the expected run time of each endpoint that is listed and
         #: not ejected, least first; only the estimates change it.
@@ -168,7 +56,7 @@
             if zones.get(endpoint) == estimate.zone
         }
         self._estimates = {
-            endpoint: kept.get(endpoint) or _Estimate(zone=zone)
+            endpoint: kept.get(endpoint) or health_estimates.Estimate(zone=zone)
             for endpoint, zone in zones.items()
         }
         self._ejected = {
@@ -180,7 +68,7 @@
         self.ranks.clear()
         for endpoint, estimate in self._estimates.items():
             if estimate.zone != own:
-                estimate.base_rank = OTHER_ZONE_RANK
+                estimate.base_rank = health_estimates.OTHER_ZONE_RANK
             if not estimate.is_ejected:
                 self.ranks[endpoint] = estimate.rank(self._cfg)
 
@@ -196,7 +84,8 @@
         return [
             endpoint
             for endpoint in endpoints
-            if self._is_on_probation(self._ejected.get(endpoint), now)
+            if endpoint in self._ejected
+            and self._ejected[endpoint].is_on_probation(now)
         ]
 
     def next_return(self, *, now: float) -> float | None:
@@ -270,7 +159,7 @@
         if estimate is None:
             return
         if estimate.is_ejected:
-            self._renew_ejection(estimate, now=now)
+            estimate.renew_ejection(cfg=self._cfg, rng=self._rng, now=now)
             return
         if self._requests.are_to_blame(request_id, endpoint):
             return
@@ -291,7 +180,7 @@
         if estimate is None:
             return
         if estimate.is_ejected:
-            self._renew_ejection(estimate, now=now)
+            estimate.renew_ejection(cfg=self._cfg, rng=self._rng, now=now)
             return
         self._count_failure(endpoint, estimate, now=now)
         self._eject(endpoint, estimate, now=now)
@@ -302,11 +191,15 @@
         if estimate is not None and estimate.probes:
             estimate.probes -= 1
 
+    def usual_run_s(self, customer: ids.CustomerId) -> float:
+        """Return the fleet's mean run time of the customer's tasks, or 0."""
+        return self._fleet_run_s.get(customer, 0)
+
     def straggler_after_s(self, customer: ids.CustomerId) -> float:
         """Return the run time, in seconds, that makes a task a straggler."""
-        fleet_s = self._fleet_run_s.get(customer, 0)
+        usual_s = self.usual_run_s(customer)
         return max(
-            self._cfg.min_straggler_s, self._cfg.straggler_factor * fleet_s
+            self._cfg.min_straggler_s, self._cfg.straggler_factor * usual_s
         )
 
     def record_stragglers(
@@ -357,20 +250,23 @@
             for endpoint, estimate in sorted(self._estimates.items())
         }
 
-    def _is_on_probation(self, estimate: _Estimate | None, now: float) -> bool:
-        if estimate is None or estimate.probes:
-            return False
-        return now >= estimate.ejected_until
-
     def _count_failure(
-        self, endpoint: ids.EndpointId, estimate: _Estimate, *, now: float
+        self,
+        endpoint: ids.EndpointId,
+        estimate: health_estimates.Estimate,
+        *,
+        now: float,
     ) -> None:
         estimate.failure_rate += self._cfg.gain * (1 - estimate.failure_rate)
         estimate.last_change = now
         self.ranks[endpoint] = estimate.rank(self._cfg)
 
     def _eject(
-        self, endpoint: ids.EndpointId, estimate: _Estimate, *, now: float
+        self,
+        endpoint: ids.EndpointId,
+        estimate: health_estimates.Estimate,
+        *,
+        now: float,
     ) -> None:
         zone = estimate.zone
         ejected = sum(other.zone == zone for other in self._ejected.values())
@@ -382,27 +278,15 @@
         estimate.is_ejected = True
         self._ejected[endpoint] = estimate
         self.ranks.pop(endpoint, None)
-        self._renew_ejection(estimate, now=now)
-
-    def _renew_ejection(self, estimate: _Estimate, *, now: float) -> None:
-        """Start the next, longer period of an ejection.
-
-        Tasks that began before the ejection do not prolong it.
-        """
-        if now < estimate.ejected_until:
-            return
-        cfg = self._cfg
-        mean_s = min(
-            cfg.max_ejection_s,
-            cfg.first_ejection_s * math.pow(2, min(estimate.ejections, 30)),
-        )
-        jitter = self._rng.uniform(1 - cfg.jitter, 1 + cfg.jitter)
-        estimate.ejections += 1
-        estimate.probes = 0
-        estimate.ejected_until = now + mean_s * jitter
+        estimate.renew_ejection(cfg=self._cfg, rng=self._rng, now=now)
+        _log.warning('endpoint ejected', extra={'endpoint': endpoint})
 
     def _finish_probe(
-        self, endpoint: ids.EndpointId, estimate: _Estimate, *, now: float
+        self,
+        endpoint: ids.EndpointId,
+        estimate: health_estimates.Estimate,
+        *,
+        now: float,
     ) -> None:
         """Return the endpoint to service if its ejection has passed."""
         if now < estimate.ejected_until:
@@ -411,4 +295,5 @@
         estimate.returned_at = now
         estimate.probes = 0
         self._ejected.pop(endpoint, None)
+        _log.info('endpoint returned', extra={'endpoint': endpoint})
         self.ranks[endpoint] = estimate.rank(self._cfg)
--- a/sardineproxy/process/routing.py
+++ b/sardineproxy/process/routing.py
@@ -7,6 +7,10 @@
 from sardineproxy.process import health, platform
 from sardineproxy.request import fair_queue, work
 
+#: A task that its deadline cut off counts against the endpoint only after
+#: this multiple of the customer's usual run time.
+USUAL_RUNS_TO_FAIL = 2
+
 #: Above the ranks of all endpoints that may get work.
 _NO_RANK = 1_000_000
 
@@ -58,8 +62,8 @@
         endpoint on probation goes first with a task that may be retried, and
         last with any other.
         """
-        if entry.exclude:
-            free = self._without_excluded(free, entry.exclude)
+        if entry.exclude or entry.refused:
+            free = self._without(free, entry.exclude | entry.refused)
         probes = self._health.on_probation(free, now=now)
         if probes and _is_harmless_probe(entry.task):
             return self._rng.choice(probes)
@@ -131,9 +135,10 @@
         """Tell whether the caller's short deadline explains the loss."""
         if now < task.deadline:
             return False
-        return run_s < self._health.straggler_after_s(task.customer)
+        usual_s = self._health.usual_run_s(task.customer)
+        return run_s < USUAL_RUNS_TO_FAIL * usual_s
 
-    def _without_excluded(
+    def _without(
         self,
         free: tuple[ids.EndpointId, ...],
         exclude: frozenset[ids.EndpointId],
--- a/sardineproxy/request/fair_queue.py
+++ b/sardineproxy/request/fair_queue.py
@@ -107,8 +107,11 @@
     number: int
     flow: Flow
 
-    #: Endpoints that must not run the task.
+    #: Endpoints that must not run the task while others are listed.
     exclude: frozenset[ids.EndpointId]
+
+    #: Endpoints that could not be reached for it lately.
+    refused: frozenset[ids.EndpointId] = frozenset()
     state: State = State.NEW
     lane: '_Lane | None' = None
 
@@ -118,7 +121,7 @@
     #: True if the request was cancelled after the task had started.
     cancelled: bool = False
 
-    #: Endpoints that could not be reached for this task.
+    #: Attempts that did not reach their endpoint.
     refusals: int = 0
 
     #: Future of the coroutine that waits for the start.
@@ -387,7 +390,7 @@
 
 
 def _lane_of(entry: Entry) -> _Lane:
-    if entry.exclude:
+    if entry.exclude or entry.refused:
         return entry.flow.returned
     if entry.task.kind is work.Kind.SINGLE:
         return entry.flow.singles
