--- a/sardineproxy/connection/endpoint.py
+++ b/sardineproxy/connection/endpoint.py
@@ -41,6 +41,15 @@
 #: body back until the endpoint asks for it.
 _OWN_HEADERS = HOP_BY_HOP | {'content-length', 'expect', 'host'}
 
+#: Answer headers that say where the answer ends or what to drop.
+_SPECIAL_HEADERS = frozenset(
+    (
+        'connection',
+        'content-length',
+        'transfer-encoding',
+    )
+)
+
 _FIRST_FINAL_STATUS = 200
 _BODILESS_STATUSES = frozenset((204, 304))
 
@@ -51,6 +60,8 @@
 _HEADER_TEXT = re.compile('[\t -~\x80-\ud7ff\ue000-\U0010ffff]*')
 
 
+_Headers = tuple[tuple[str, str], ...]
+
 _ATTEMPT_ERRORS = (
     aiohttp.ClientError,
     http.HttpProcessingError,
@@ -128,48 +139,69 @@
         self, *, task: work.Task, vm: platform.Vm
     ) -> work.Outcome:
         """Run ``task`` once at ``vm`` and return its outcome."""
-        fault = _find_fault(task)
-        if fault is not None:
-            return work.Refused(problem=_bad_task(fault))
-        exchange = endpoint_pool.Exchange()
-        endpoint_pool.current_exchange.set(exchange)
-        outcome = await self._attempt(task, vm, exchange)
-        if not isinstance(outcome, work.Answer):
-            self._metrics.count(
-                'endpoint_attempts_failed_total', code=outcome.problem.code
-            )
-        return outcome
-
-    async def _attempt(
-        self, task: work.Task, vm: platform.Vm, exchange: endpoint_pool.Exchange
-    ) -> work.Outcome:
         left_s = task.deadline - self._clock.now()
         if left_s <= 0:
             return work.Refused(problem=deadline_passed())
+        headers = _request_headers(task.headers)
+        if headers is None or not _is_sound(task.method, task.path):
+            return work.Refused(problem=_bad_task())
+        exchange = endpoint_pool.Exchange()
+        endpoint_pool.current_exchange.set(exchange)
         try:
             async with asyncio.timeout(left_s):
-                return await self._pass_gate(task, vm, exchange)
+                return await self._pass_gate(task, vm, headers, exchange)
         except TimeoutError as timeout:
             if exchange.protocol is None and task.deadline <= self._clock.now():
                 return work.Refused(problem=deadline_passed())
-            return _failed(vm, exchange, timeout)
+            outcome = _failed(vm, exchange, timeout)
         except _ATTEMPT_ERRORS as exc:
-            return _failed(vm, exchange, exc)
+            outcome = _failed(vm, exchange, exc)
+        self._metrics.count(
+            'endpoint_attempts_failed_total', code=outcome.problem.code
+        )
+        return outcome
+
+    async def _pass_gate(
+        self,
+        task: work.Task,
+        vm: platform.Vm,
+        headers: _Headers,
+        exchange: endpoint_pool.Exchange,
+    ) -> work.Answer:
+        """Keep within the number of connections that the endpoint takes."""
+        key = (vm.host, vm.port)
+        gate = self._gates.get(key)
+        if gate is None:
+            most = self._cfg.max_connections
+            gate = endpoint_pool.Gate(most=min(vm.connections or most, most))
+            self._gates[key] = gate
+        if not gate.try_enter():
+            await gate.wait()
+        try:
+            return await self._exchange(task, vm, headers, exchange)
+        finally:
+            gate.leave()
+            if not gate.inside:
+                self._gates.pop(key, None)
 
     async def _exchange(
-        self, task: work.Task, vm: platform.Vm, exchange: endpoint_pool.Exchange
+        self,
+        task: work.Task,
+        vm: platform.Vm,
+        headers: _Headers,
+        exchange: endpoint_pool.Exchange,
     ) -> work.Answer:
         assert self._session is not None, 'start() was not called'
         host = f'[{vm.host}]' if ':' in vm.host else vm.host
         reply = await self._session.request(
             task.method,
             yarl.URL(f'http://{host}:{vm.port}{task.path}', encoded=True),
-            headers=_request_headers(task),
+            headers=headers,
             data=task.body or None,
             allow_redirects=False,
         )
         try:
-            headers, framing = _read_headers(reply, task.method)
+            kept, framing = _read_headers(reply, task.method)
             body = await self._read_body(reply, framing)
         except BaseException:
             reply.close()
@@ -178,7 +210,7 @@
         exchange.protocol.approve(framing)
         return work.Answer(
             status=reply.status,
-            headers=headers,
+            headers=kept,
             body=body,
             endpoint=ids.EndpointId(vm.name),
         )
@@ -203,25 +235,6 @@
             raise endpoint_pool.NotWholeError('wrong_length')
         return parts[0] if len(parts) == 1 else b''.join(parts)
 
-    async def _pass_gate(
-        self, task: work.Task, vm: platform.Vm, exchange: endpoint_pool.Exchange
-    ) -> work.Answer:
-        """Keep within the number of connections that the endpoint takes."""
-        key = (vm.host, vm.port)
-        gate = self._gates.get(key)
-        if gate is None:
-            most = self._cfg.max_connections
-            gate = endpoint_pool.Gate(most=min(vm.connections or most, most))
-            self._gates[key] = gate
-        if not gate.try_enter():
-            await gate.wait()
-        try:
-            return await self._exchange(task, vm, exchange)
-        finally:
-            gate.leave()
-            if not gate.inside:
-                self._gates.pop(key, None)
-
 
 def deadline_passed() -> problems.Problem:
     """Describe a task whose deadline passed before it was sent."""
@@ -234,52 +247,59 @@
     )
 
 
-def _find_fault(task: work.Task) -> str | None:
-    """Name the part of a task that cannot be sent as it is."""
-    if not _METHOD.fullmatch(task.method):
-        return 'method'
-    if not _TARGET.fullmatch(task.path):
-        return 'path'
-    for name, text in task.headers:
-        if not _HEADER_NAME.fullmatch(name) or not _HEADER_TEXT.fullmatch(text):
-            return 'headers'
-    return None
+def _is_sound(method: str, path: str) -> bool:
+    """Tell whether the request line reads the same to all parsers."""
+    return bool(_METHOD.fullmatch(method) and _TARGET.fullmatch(path))
 
 
-def _request_headers(task: work.Task) -> list[tuple[str, str]]:
+@functools.lru_cache(maxsize=256)
+def _request_headers(headers: _Headers) -> _Headers | None:
+    """Return the headers to send, or None if one of them is malformed."""
     dropped: frozenset[str] = _OWN_HEADERS
-    for name, text in task.headers:
+    for name, text in headers:
+        if not _HEADER_NAME.fullmatch(name) or not _HEADER_TEXT.fullmatch(text):
+            return None
         if name.lower() == 'connection':
             dropped |= _tokens(text)
-    return [
-        header for header in task.headers if header[0].lower() not in dropped
-    ]
+    return tuple(
+        header for header in headers if header[0].lower() not in dropped
+    )
 
 
 def _read_headers(
     reply: aiohttp.ClientResponse, method: str
-) -> tuple[tuple[tuple[str, str], ...], endpoint_pool.Framing]:
+) -> tuple[_Headers, endpoint_pool.Framing]:
     """Return the end-to-end headers and the framing of an answer."""
-    dropped: frozenset[str] = HOP_BY_HOP
-    lengths = []
-    codings = []
+    special: dict[str, list[str]] = {}
     headers = []
     for raw_name, raw_text in reply.raw_headers:
-        name = raw_name.decode('latin-1')
+        name, lowered, is_special = _read_name(raw_name)
         text = raw_text.decode('latin-1')
-        match name.lower():
-            case 'content-length':
-                lengths.append(text)
-            case 'transfer-encoding':
-                codings.append(text.lower())
-            case 'connection':
-                dropped |= _tokens(text)
-        headers.append((name, text))
-    framing = _find_framing(reply.status, method, lengths, codings)
-    kept = tuple(
-        header for header in headers if header[0].lower() not in dropped
+        if is_special:
+            special.setdefault(lowered, []).append(text)
+        if lowered not in HOP_BY_HOP:
+            headers.append((name, text))
+    framing = _find_framing(
+        reply.status,
+        method,
+        special.get('content-length', []),
+        special.get('transfer-encoding', []),
     )
-    return kept, framing
+    connection = special.get('connection')
+    if connection:
+        named = _tokens(','.join(connection))
+        headers = [
+            header for header in headers if header[0].lower() not in named
+        ]
+    return tuple(headers), framing
+
+
+@functools.lru_cache(maxsize=512)
+def _read_name(raw_name: bytes) -> tuple[str, str, bool]:
+    """Return a name, the same in lower case, and whether it is special."""
+    name = raw_name.decode('latin-1')
+    lowered = name.lower()
+    return name, lowered, lowered in _SPECIAL_HEADERS
 
 
 def _find_framing(
@@ -289,7 +309,7 @@
         raise endpoint_pool.NotWholeError('malformed_answer')
     if method == 'HEAD' or status in _BODILESS_STATUSES:
         return endpoint_pool.Framing(length=0)
-    if codings == ['chunked']:
+    if [coding.lower() for coding in codings] == ['chunked']:
         return endpoint_pool.Framing(length=None)
     # A body that ends with the connection may have been cut anywhere.
     if not lengths or not lengths[0].isdecimal():
@@ -302,18 +322,18 @@
     return frozenset(token.strip().lower() for token in text.split(','))
 
 
-def _bad_task(fault: str) -> problems.Problem:
+def _bad_task() -> problems.Problem:
     return problems.Problem(
         code='bad_task',
         verdict=verdicts.Verdict.NOT_RUN,
         status=400,
-        detail=f'The {fault} of the task cannot be sent over HTTP/1.1.',
+        detail='The method, path or headers are not valid in HTTP/1.1.',
     )
 
 
 def _failed(
     vm: platform.Vm, exchange: endpoint_pool.Exchange, exc: Exception
-) -> work.Outcome:
+) -> work.Refused | work.Unknown:
     if exchange.protocol is None:
         return work.Refused(
             problem=problems.Problem(
