--- a/sardineproxy/process/borrowing.py
+++ b/sardineproxy/process/borrowing.py
@@ -282,7 +282,7 @@
         most, {('', customer): need for customer, need in needs.items()}
     )
     return tuple(
-        (customer, needs[customer][0], count)
+        (customer, float(needs[customer][0]), count)
         for (_, customer), count in shares.items()
         if count
     )
--- a/sardineproxy/process/streams.py
+++ b/sardineproxy/process/streams.py
@@ -207,7 +207,7 @@
     def _back_off(self, vm: ids.VmId) -> None:
         """Wait longer after each failure, with jitter."""
         failures = self._retries[vm].failures if vm in self._retries else 0
-        longest = min(BACK_OFF_MIN_S * 2**failures, BACK_OFF_MAX_S)
+        longest = min(BACK_OFF_MIN_S * 2 ** min(failures, 9), BACK_OFF_MAX_S)
         wait_s = longest * self._rng.uniform(0.5, 1)
         self._retries[vm] = _Retry(
             since=self._ctx.clock.now(),
@@ -275,7 +275,6 @@
             old.abort('replaced')
             self._forget(old)
         self.current[hello.vm] = stream
-        self._retries.pop(hello.vm, None)
         _log.info('stream to %s open', hello.vm)
         self._events.opened(stream)
         return True
@@ -298,5 +297,7 @@
         if hello is None or self.current.get(hello.vm) is not stream:
             return
         self.current.pop(hello.vm)
+        if self._ctx.clock.now() - stream.since >= BACK_OFF_MAX_S:
+            self._retries.pop(hello.vm, None)
         self._back_off(hello.vm)
         self._events.closed(stream)
--- a/tests/process/test_lending.py
+++ b/tests/process/test_lending.py
@@ -70,7 +70,9 @@
         """Put messages on their links."""
         for vm, frame in outgoing:
             self.sent[type(frame).__name__] += 1
-            self.links[name, vm].append(frame)
+            encoded = frames.encode(frame).unwrap()
+            decoded = frames.decode(encoded[4:]).unwrap()
+            self.links[name, vm].append(decoded.frame)
 
     def report(self, name: str, **waiting: int) -> None:
         """Report a backlog and send the requests for it."""
@@ -281,6 +283,8 @@
         vms.settle()
         vms.take_all('a', X)
         vms.cut('a', 'b')
+        vms.release(-1)
+        self.assertFalse(vms.take('a', X))
         lasting_s = CFG.lease_s + CFG.max_task_s
         for wait_s, free in ((lasting_s - 1, 0), (1, SLOTS * ENDPOINTS)):
             vms.now += wait_s
--- /dev/null
+++ b/tests/process/test_peers.py
@@ -0,0 +1,467 @@
+"""Entry processes of a deployment over loopback."""
+
+import asyncio
+import contextlib
+import dataclasses
+import random
+from typing import AsyncIterator, Callable
+
+import testtools
+from testtools import matchers
+
+from sardineproxy import clock, ids
+from sardineproxy.connection import frames
+from sardineproxy.process import (
+    demand,
+    directory,
+    metrics,
+    neighbors,
+    peers,
+    platform,
+    slots,
+)
+from sardineproxy.request import forwarding
+
+HOST = '127.0.0.1'
+TIMEOUT_S = 60
+ENDPOINTS = 12
+SLOTS = 8
+X = ids.CustomerId('x')
+
+#: Only tests of silence shorten it, as a busy machine may stall a process.
+CFG = peers.Config(takeover_grace_s=0.2, tick_s=0.01)
+NEVER_S = 10_000
+
+
+class ShiftedClock(clock.SystemClock):
+    """System clock that a test can set forward."""
+
+    shift: float = 0
+
+    def now(self) -> float:
+        """Return monotonic seconds."""
+        return super().now() + self.shift
+
+
+class Process:
+    """One entry process, with its handler and what it gossips."""
+
+    def __init__(
+        self,
+        name: str,
+        zone: str,
+        *,
+        cfg: peers.Config = CFG,
+        incarnation: str = '1',
+        cut: set[int] | None = None,
+    ) -> None:
+        """Build the process; it opens no stream to ports in ``cut``."""
+        self.name = name
+        self.zone = zone
+        self.cut = cut if cut is not None else set()
+        self.clock = ShiftedClock()
+        self.table = slots.SlotTable()
+        self.directory = directory.Directory()
+        self.metrics = metrics.Metrics()
+        self.handled: list[bytes] = []
+        self.hold: asyncio.Event | None = None
+        self.version = 0
+        self.peers = peers.Peers(
+            clock=self.clock,
+            rng=random.Random(name),
+            vm=ids.VmId(name),
+            incarnation=ids.Incarnation(incarnation),
+            zone=ids.ZoneId(zone),
+            size=1,
+            directory=self.directory,
+            slot_table=self.table,
+            handler=self,
+            gossip=self,
+            metrics=self.metrics,
+            cfg=cfg,
+            connect=self.connect,
+        )
+
+    async def connect(self, host: str, port: int):
+        """Open a connection unless the test cut it."""
+        if port in self.cut:
+            raise ConnectionRefusedError
+        return await asyncio.open_connection(host, port)
+
+    async def handle(self, payload: bytes) -> bytes:
+        """Reply, the first time only when the test allows it."""
+        self.handled.append(payload)
+        if self.hold:
+            await self.hold.wait()
+        return b'reply to ' + payload
+
+    def number(self) -> int:
+        """Return the version in force."""
+        return self.version
+
+    def changes_since(self, number: int) -> bytes | None:
+        """Return the version as the changes."""
+        return str(self.version).encode()
+
+    def offer(self, payload: bytes) -> None:
+        """Put the version in force."""
+        self.version = int(payload)
+
+    def listing_revision(self) -> int:
+        """Return a revision that never changes."""
+        return 0
+
+    def listing(self) -> bytes:
+        """Return nothing; tests hand out lists themselves."""
+        return b''
+
+    def offer_listing(self, payload: bytes) -> None:
+        """Take no list."""
+
+    def peer_names(self) -> list[str]:
+        """Return the connected peers."""
+        state = self.peers.state(now=self.clock.now())
+        return [peer['vm'] for peer in state['peers']]  # type: ignore
+
+    async def forward(self, to: str, incarnation: str, wait_s: float = 60):
+        """Forward a payload."""
+        return await self.peers.forward(
+            vm=ids.VmId(to),
+            incarnation=ids.Incarnation(incarnation),
+            payload=b'ask',
+            deadline=self.clock.now() + wait_s,
+        )
+
+
+def _list(revision: int, zones: dict[str, str], ports: dict[str, int]):
+    vm = platform.Vm(
+        name='',
+        role=platform.VmRole.ENTRY,
+        state=platform.VmState.LIVE,
+        zone=ids.ZoneId('z1'),
+        region=ids.RegionId('r'),
+        host=HOST,
+        port=1,
+        slots=1,
+    )
+    entries = tuple(
+        dataclasses.replace(
+            vm, name=name, zone=ids.ZoneId(zone), port=ports.get(name, 1)
+        )
+        for name, zone in zones.items()
+    )
+    endpoints = tuple(
+        dataclasses.replace(
+            vm,
+            name=f'e{number}',
+            role=platform.VmRole.ENDPOINT,
+            slots=SLOTS,
+            zone=ids.ZoneId(
+                sorted(set(zones.values()))[number % len(set(zones.values()))]
+            ),
+        )
+        for number in range(ENDPOINTS)
+    )
+    return platform.VmList(revision=revision, vms=entries + endpoints)
+
+
+async def eventually(holds: Callable[[], object]) -> None:
+    """Wait until it holds, for as long as the test may last."""
+    while not holds():
+        await asyncio.sleep(0.01)
+
+
+@contextlib.asynccontextmanager
+async def running(*processes: Process) -> AsyncIterator[dict[str, int]]:
+    """Start processes that list each other; yield their ports."""
+    ports = {}
+    try:
+        async with asyncio.timeout(TIMEOUT_S):
+            for process in processes:
+                await process.peers.start(host=HOST, port=0)
+                ports[process.name] = process.peers.port
+            zones = {process.name: process.zone for process in processes}
+            for listed in processes:
+                listed.directory.offer(_list(1, zones, ports))
+            yield ports
+    finally:
+        await asyncio.gather(*(process.peers.close() for process in processes))
+
+
+def owned(*processes: Process) -> list[str]:
+    """Return all endpoints that the processes own, with repetitions."""
+    return sorted(
+        endpoint for process in processes for endpoint in process.table.owned
+    )
+
+
+def share_all(*processes: Process) -> Callable[[], bool]:
+    """Return the check that each endpoint has one owner among these."""
+
+    def check() -> bool:
+        names = owned(*processes)
+        return len(names) == ENDPOINTS == len(set(names))
+
+    return check
+
+
+def _zone(cfg: peers.Config = CFG) -> tuple[Process, Process, Process]:
+    return (
+        Process('a', 'z1', cfg=cfg),
+        Process('b', 'z1', cfg=cfg),
+        Process('c', 'z1', cfg=cfg),
+    )
+
+
+class ZoneTest(testtools.TestCase):
+    """The processes of one zone share its endpoints."""
+
+    def test_vanished_process_is_replaced(self) -> None:
+        asyncio.run(self.vanish())
+
+    async def vanish(self) -> None:
+        one, two, three = _zone()
+        async with running(one, two, three):
+            counts: list[int] = []
+            one.peers.live_vms.subscribe(counts.append)
+            await eventually(share_all(one, two, three))
+            await eventually(lambda: counts[-1] == 3)
+            await three.peers.close()
+            await eventually(share_all(one, two))
+            await eventually(lambda: counts[-1] == 2)
+
+    def test_goodbye_needs_no_grace(self) -> None:
+        asyncio.run(self.say_goodbye())
+
+    async def say_goodbye(self) -> None:
+        one, two, three = _zone()
+        async with running(one, two, three):
+            await eventually(share_all(one, two, three))
+            for process in (one, two):
+                process.peers._views._grace_s = NEVER_S
+            await three.peers.goodbye()
+            self.assertEqual([], owned(three))
+            await three.peers.close()
+            await eventually(share_all(one, two))
+
+    def test_restart_under_the_same_address(self) -> None:
+        asyncio.run(self.restart())
+
+    async def restart(self) -> None:
+        old, other = Process('a', 'z1'), Process('b', 'z1')
+        new = Process('a', 'z1', incarnation='2')
+        async with running(old, other) as ports:
+            await eventually(share_all(old, other))
+            await old.peers.close()
+            await new.peers.start(host=HOST, port=ports['a'])
+            new.directory.offer(other.directory.newest)
+            await eventually(share_all(new, other))
+            self.assertEqual(forwarding.Gone(), await other.forward('a', '1'))
+            self.assertEqual(
+                forwarding.Replied(payload=b'reply to ask'),
+                await other.forward('a', '2'),
+            )
+            await new.peers.close()
+
+    def test_frozen_process_drops_what_it_owned(self) -> None:
+        asyncio.run(self.freeze())
+
+    async def freeze(self) -> None:
+        one, two = Process('a', 'z1'), Process('b', 'z1')
+        async with running(one, two):
+            await eventually(share_all(one, two))
+            endpoint = ids.EndpointId(owned(one)[0])
+            one.clock.shift = CFG.stream.peer_silent_s
+            now = one.clock.now()
+            self.assertIs(
+                None, one.table.take(endpoint=endpoint, customer=X, now=now)
+            )
+            one.peers.tick(now)
+            self.assertEqual([], owned(one))
+            await eventually(share_all(one, two))
+
+    def test_both_sides_of_a_partition_serve(self) -> None:
+        asyncio.run(self.partition())
+
+    async def partition(self) -> None:
+        cut: set[int] = set()
+        one, two = Process('a', 'z1', cut=cut), Process('b', 'z1', cut=cut)
+        async with running(one, two) as ports:
+            await eventually(share_all(one, two))
+            cut.update(ports.values())
+            one.peers._streams.abort_all('cut by the test')
+            await eventually(share_all(one))
+            await eventually(share_all(two))
+            cut.clear()
+            await eventually(share_all(one, two))
+
+    def test_lends_idle_slots_across_zones(self) -> None:
+        asyncio.run(self.lend())
+
+    async def lend(self) -> None:
+        cfg = dataclasses.replace(
+            CFG, stream=peers.streams.Config(heartbeat_s=0.1)
+        )
+        one, two = Process('a', 'z1', cfg=cfg), Process('b', 'z2', cfg=cfg)
+        async with running(one, two):
+            await eventually(share_all(one, two))
+            backlog = demand.CustomerDemand(
+                customer=X, weight=1, waiting=200, running=0
+            )
+
+            def borrows_all() -> bool:
+                one.peers.on_backlog(demand.Demand(customers=(backlog,)))
+                now = one.clock.now()
+                free = one.table.free_endpoints(customer=X, now=now)
+                return len(free) == ENDPOINTS
+
+            await eventually(borrows_all)
+            self.assertEqual(0, two.table.free_slots)
+            counted = two.metrics.counters()
+            self.assertThat(
+                counted,
+                matchers.Contains('peer_frames_total{kind="SlotGrant"}'),
+            )
+
+
+class StreamsTest(testtools.TestCase):
+    """Streams fail and are opened again; what was asked is asked again."""
+
+    def test_forwards_are_asked_again_on_a_new_stream(self) -> None:
+        asyncio.run(self.ask_again())
+
+    async def ask_again(self) -> None:
+        one, two = Process('a', 'z1'), Process('b', 'z1')
+        async with running(one, two):
+            two.hold = asyncio.Event()
+            asked = asyncio.create_task(one.forward('b', '1'))
+            await eventually(lambda: two.handled)
+            one.peers._streams.abort_all('cut by the test')
+            await eventually(lambda: len(two.handled) == 2)
+            two.hold.set()
+            self.assertEqual(
+                forwarding.Replied(payload=b'reply to ask'), await asked
+            )
+
+    def test_opens_a_stream_for_a_forward(self) -> None:
+        asyncio.run(self.open_for_forward())
+
+    async def open_for_forward(self) -> None:
+        cfg = dataclasses.replace(CFG, cross_zone_peers=0)
+        one, two = Process('a', 'z1', cfg=cfg), Process('b', 'z2', cfg=cfg)
+        async with running(one, two):
+            self.assertEqual(
+                forwarding.Replied(payload=b'reply to ask'),
+                await two.forward('a', '1'),
+            )
+            self.assertEqual(forwarding.Gone(), await one.forward('b', '0'))
+
+    def test_unreachable_until_the_deadline(self) -> None:
+        asyncio.run(self.ask_in_vain())
+
+    async def ask_in_vain(self) -> None:
+        one, two = Process('a', 'z1'), Process('b', 'z1')
+        async with running(one, two) as ports:
+            one.cut.update(ports.values())
+            two.cut.update(ports.values())
+            one.peers._streams.abort_all('cut by the test')
+            self.assertEqual(
+                forwarding.Unreachable(), await one.forward('b', '1', 0.2)
+            )
+            self.assertEqual(
+                forwarding.Unreachable(), await one.forward('unlisted', '1')
+            )
+
+    def test_garbled_stream_changes_nothing(self) -> None:
+        """A View after garbage on the same stream must not be acted on."""
+        asyncio.run(self.garble())
+
+    async def garble(self) -> None:
+        one = Process('a', 'z1')
+        hello = frames.Hello(
+            vm=ids.VmId('x'),
+            incarnation=ids.Incarnation('1'),
+            zone=ids.ZoneId('z9'),
+            version=0,
+            revision=0,
+        )
+        good = frames.encode(frames.Forward(number=1, payload=b'x')).unwrap()
+        async with running(one) as ports:
+            for bad in (b'\x00\x00\x00\x01\xc1', b'\xff\xff\xff\xff'):
+                reader, writer = await asyncio.open_connection(HOST, ports['a'])
+                writer.write(frames.encode(hello).unwrap() + bad + good)
+                with contextlib.suppress(OSError):
+                    await reader.read()
+                writer.close()
+            self.assertEqual([], one.handled)
+            await eventually(lambda: not one.peer_names())
+            self.assertThat(owned(one), matchers.HasLength(ENDPOINTS))
+
+    def test_silent_stream_is_closed_and_opened_again(self) -> None:
+        asyncio.run(self.fall_silent())
+
+    async def fall_silent(self) -> None:
+        """The far end says Hello and nothing more, on every stream."""
+        cfg = dataclasses.replace(
+            CFG,
+            stream=peers.streams.Config(heartbeat_s=0.1, peer_silent_s=0.3),
+        )
+        one = Process('a', 'z1', cfg=cfg)
+        received: list[str] = []
+
+        async def accept(reader, writer) -> None:
+            received.append('stream')
+            hello = dataclasses.replace(one.peers._hello(), vm=ids.VmId('b'))
+            writer.write(frames.encode(hello).unwrap())
+            with contextlib.suppress(OSError):
+                await reader.read()
+            writer.close()
+
+        server = await asyncio.start_server(accept, HOST, 0)
+        ports = {'b': server.sockets[0].getsockname()[1]}
+        async with running(one):
+            one.directory.offer(_list(2, {'a': 'z1', 'b': 'z1'}, ports))
+            await eventually(lambda: len(received) > 2)
+            beats = one.metrics.counters()
+            self.assertIn('peer_frames_total{kind="Heartbeat"}', beats)
+        server.close()
+
+    def test_newer_versions_spread(self) -> None:
+        asyncio.run(self.spread())
+
+    async def spread(self) -> None:
+        processes = [Process(f'v{each}', f'z{each % 3}') for each in range(6)]
+        async with running(*processes):
+            await eventually(
+                lambda: all(each.peer_names() for each in processes)
+            )
+            processes[4].version = 7
+            await eventually(
+                lambda: all(each.version == 7 for each in processes)
+            )
+
+
+class NeighborsTest(testtools.TestCase):
+    """Streams stay few at the target size, one for each pair."""
+
+    def test_one_end_opens_each_stream(self) -> None:
+        zones = {
+            f'vm-{vm}-{zone}': f'zone-{zone}'
+            for zone in range(13)
+            for vm in range(8)
+        }
+        listing = _list(1, zones, {})
+        chosen = {
+            vm: neighbors.choose(
+                listing=listing,
+                vm=ids.VmId(vm),
+                zone=ids.ZoneId(zone),
+                each_zone=2,
+            ).chosen
+            for vm, zone in zones.items()
+        }
+        for vm, others in chosen.items():
+            self.assertThat(others, matchers.HasLength(7 + 12 * 2))
+            for other, dials in others.items():
+                dialed = chosen[other].get(ids.VmId(vm), False)
+                self.assertNotEqual(dials, dialed)
--- a/tests/process/test_views.py
+++ b/tests/process/test_views.py
@@ -117,6 +117,13 @@
         for name in names:
             self.views[name].set_listing(listing(revision, entries))
 
+    def leave_for(self, entries: str, name: str) -> None:
+        """Change a member's view and deliver that to all but A."""
+        self.use(3, entries, name)
+        self.review(name)
+        self.deliver(name, 'b')
+        self.deliver(name, 'c')
+
     def owned(self, name: str) -> set[str]:
         """Return the endpoints of a member."""
         return set(self.tables[name].owned)
@@ -176,10 +183,7 @@
         zone.use(2, 'ab', 'abc')
         zone.settle()
         for name in 'acb':
-            zone.use(3, 'bc', name)
-            zone.review(name)
-            zone.deliver(name, 'b')
-            zone.deliver(name, 'c')
+            zone.leave_for('bc', name)
         zone.deliver('c', 'b')
         zone.use(4, 'ab', 'a')
         zone.review('a')
