--- a/tests/version/test_versions.py
+++ b/tests/version/test_versions.py
@@ -128,7 +128,7 @@
             (whole.replace(b'"weight":1.0', b'"weight":2.0'), 'but states'),
             (whole.replace(b'"number":1', b'"number":0'), 'snapshot.number'),
             (
-                whole.replace(b'acme', '\\ud800'.encode()),
+                whole.replace(b'acme', r'\ud800'.encode()),
                 'bad or repeated customer',
             ),
             (b'\xff', 'not valid UTF-8'),
