--- a/sardineproxy/bench/workload.py
+++ b/sardineproxy/bench/workload.py
@@ -42,6 +42,11 @@
     tasks: tuple[tasks.Task, ...]
     is_job: bool
 
+    @property
+    def label(self) -> str:
+        """Return the label of the first task, which is unique in a run."""
+        return self.tasks[0].label
+
     @property
     def needs_key(self) -> bool:
         """Tell whether the caller has to mint a key."""
--- a/sardineproxy/demo/caller.py
+++ b/sardineproxy/demo/caller.py
@@ -54,20 +54,29 @@
         self, path: str, document: Mapping[str, Any], *, key: str = ''
     ) -> Reply:
         """Post a document; raise ``aiohttp.ClientError`` if no answer came."""
+        status, body = await self.post(
+            path, json.dumps(document).encode(), key=key
+        )
+        return Reply(status=status, document=parse(body))
+
+    async def post(
+        self, path: str, body: bytes, *, key: str = ''
+    ) -> tuple[int, bytes]:
+        """Post a rendered document and return the status and the body."""
         headers = self._headers
         if key:
             headers = {**headers, 'Idempotency-Key': key}
         async with self._session.post(
             f'{self._base}{path}',
-            data=json.dumps(document).encode(),
+            data=body,
             headers=headers,
             timeout=_TIMEOUT,
         ) as reply:
-            status, body = reply.status, await reply.read()
-        return Reply(status=status, document=_parse(body))
+            return reply.status, await reply.read()
 
 
-def _parse(body: bytes) -> dict[str, Any]:
+def parse(body: bytes) -> dict[str, Any]:
+    """Return the JSON object in ``body``, or an empty one."""
     try:
         document = json.loads(body)
     except ValueError:
