--- a/sardineproxy/operator/applying.py
+++ b/sardineproxy/operator/applying.py
@@ -127,7 +127,7 @@
     )
     if isinstance(fetched, result.Err):
         return fetched
-    snapshot = fetched.ok_value.snapshot
+    snapshot = fetched.ok_value.newest
     if snapshot.number > head.number:
         return result.Ok(None)
     if snapshot.number < head.number:
@@ -163,9 +163,6 @@
     written = await client.transact(
         conditions=(
             platform.Condition(key=fetching.HEAD_KEY, revision=newest.revision),
-            platform.Condition(
-                key=fetching.change_key(head.number), revision=0
-            ),
         ),
         writes=(
             platform.Write(key=fetching.change_key(head.number), body=body),
