--- a/sardineproxy/connection/endpoint.py
+++ b/sardineproxy/connection/endpoint.py
@@ -354,7 +354,7 @@
         problem=problems.Problem(
             code='no_whole_answer',
             verdict=verdicts.Verdict.MAY_HAVE_RUN,
-            status=504,
+            status=504 if isinstance(exc, TimeoutError) else 502,
             detail=f'Endpoint {vm.name} gave no whole answer ({cause}).',
         ),
     )
