--- a/tests/bench/test_deployment.py
+++ b/tests/bench/test_deployment.py
@@ -46,7 +46,7 @@
         """Guards against settings that drift from their schema."""
         spec = parts.EntrySpec(name='sondrio-1', zone='sondrio', size=2)
         document = parts.render_settings(
-            spec, region='alpha', platform_port=4711
+            spec, region='alpha', platform_port=4711, seeds=()
         )
         parsed = settings.parse(json.dumps(document)).unwrap()
         self.assertThat(parsed.vm, matchers.Equals('sondrio-1'))
