--- a/sardineproxy/connection/endpoint.py
+++ b/sardineproxy/connection/endpoint.py
@@ -145,6 +145,7 @@
         headers = _request_headers(task.headers)
         if headers is None or not _is_sound(task.method, task.path):
             return work.Refused(problem=_bad_task())
+        self._metrics.count('endpoint_attempts_total', kind=task.kind.value)
         exchange = endpoint_pool.Exchange()
         endpoint_pool.current_exchange.set(exchange)
         try:
--- a/sardineproxy/process/entry.py
+++ b/sardineproxy/process/entry.py
@@ -10,7 +10,7 @@
 
 from sardineproxy import clock, exit_status, logs
 from sardineproxy.connection import admin, caller
-from sardineproxy.process import parts, settings
+from sardineproxy.process import metrics, parts, settings
 
 _LOG = logs.get_logger('entry')
 
@@ -110,11 +110,13 @@
         if self._outside is not None:
             return self._outside
         self._session = aiohttp.ClientSession(trust_env=False)
+        registry = metrics.Metrics()
         return parts.Outside(
+            metrics=registry,
             clock=self._clock,
             rng=clock.new_random(),
             platform=parts.connect_platform(
-                cfg=self._cfg, session=self._session
+                cfg=self._cfg, session=self._session, registry=registry
             ),
         )
 
--- a/sardineproxy/process/parts.py
+++ b/sardineproxy/process/parts.py
@@ -39,6 +39,7 @@
     clock: clock.Clock
     rng: random.Random
     platform: platform.Platform
+    metrics: metrics.Metrics
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -83,18 +84,24 @@
 
 
 def connect_platform(
-    *, cfg: settings.Settings, session: aiohttp.ClientSession
+    *,
+    cfg: settings.Settings,
+    session: aiohttp.ClientSession,
+    registry: metrics.Metrics,
 ) -> platform.Platform:
     """Return the client of the platform that the settings name."""
     return platform_http.HttpPlatform(
-        session=session, host=cfg.platform.host, port=cfg.platform.port
+        session=session,
+        host=cfg.platform.host,
+        port=cfg.platform.port,
+        metrics=registry,
     )
 
 
 def build(*, cfg: settings.Settings, outside: Outside) -> Parts:
     """Build all parts; nothing runs and no port is open yet."""
     incarnation = ids.Incarnation(secrets.token_hex(INCARNATION_BYTES))
-    registry = metrics.Metrics()
+    registry = outside.metrics
     vm_directory = directory.Directory(seeds=_seeds(cfg))
     vm_list = listing.ListFollower(
         platform=outside.platform,
--- a/sardineproxy/process/platform_http.py
+++ b/sardineproxy/process/platform_http.py
@@ -12,7 +12,7 @@
 import yarl
 
 from sardineproxy import json_text
-from sardineproxy.process import listing, platform
+from sardineproxy.process import listing, metrics, platform
 
 #: Longest wait for a connection, in seconds.
 CONNECT_TIMEOUT_S = 2
@@ -65,9 +65,11 @@
         host: str,
         port: int,
         timeout_s: float = 5,
+        metrics: metrics.Metrics | None = None,
     ) -> None:
         """Use ``session``, which ``close`` closes, for all connections."""
         self._session = session
+        self._metrics = metrics
         self._base = yarl.URL.build(scheme='http', host=host, port=port)
         self._timeout = aiohttp.ClientTimeout(
             total=timeout_s, connect=min(timeout_s, CONNECT_TIMEOUT_S)
@@ -207,6 +209,9 @@
         )
 
     async def _exchange(self, req: _Request) -> result.Result[_Reply, _Error]:
+        if self._metrics is not None:
+            access = 'write' if req.is_write else 'read'
+            self._metrics.count('platform_calls_total', kind=access)
         try:
             return await self._send(req)
         except (
