--- a/sardineproxy/process/views.py
+++ b/sardineproxy/process/views.py
@@ -259,7 +259,7 @@
 
     def _build(self, members: tuple[Member, ...]) -> Candidate:
         live = self._live
-        sizes = {vm: live[vm] for vm, _ in members}
+        sizes: dict[ids.VmId, float] = {vm: live[vm] for vm, _ in members}
         owned: dict[ids.EndpointId, int] = {}
         vm_slots = {vm: 0 for vm, _ in members}
         zone_slots: dict[ids.ZoneId, int] = {}
@@ -271,13 +271,11 @@
             if endpoint.zone != self._zone:
                 continue
             digest.update(f'{endpoint.name} {endpoint.slots}\n'.encode())
-            # Each member owns slots of fast and of slow endpoints, so that
-            # it finds a fast one without borrowing.
-            parts = rendezvous.divide(endpoint.slots, sizes, endpoint.name)
-            for owner, part in parts.items():
-                vm_slots[owner] += part
-            if parts.get(self._me[0]):
-                owned[ids.EndpointId(endpoint.name)] = parts[self._me[0]]
+            owner = rendezvous.winner(endpoint.name, sizes)
+            if owner:
+                vm_slots[owner] += endpoint.slots
+            if owner == self._me[0]:
+                owned[ids.EndpointId(endpoint.name)] = endpoint.slots
         digest.update(repr(sorted(zone_slots.items())).encode())
         return Candidate(
             members=members,
