--- a/sardineproxy/connection/caller.py
+++ b/sardineproxy/connection/caller.py
@@ -139,9 +139,7 @@
 ) -> web.Application:
     """Return the application that serves callers."""
     handlers = Handlers(submissions=submissions, limits=limits)
-    app = web.Application(
-        client_max_size=limits.body_bytes, middlewares=[_render_refusals]
-    )
+    app = web.Application(client_max_size=limits.body_bytes)
     collection = '/v1/{collection:requests|jobs}'
     item = f'{collection}/{{key}}'
     app.router.add_post('/v1/keys', handlers.mint)
@@ -172,23 +170,6 @@
     return Listener(runner=runner, server=server)
 
 
-@web.middleware
-async def _render_refusals(
-    request: web.Request,
-    handler: Callable[[web.Request], Awaitable[web.StreamResponse]],
-) -> web.StreamResponse:
-    """Turn the router's refusals into problem documents."""
-    try:
-        return await handler(request)
-    except web.HTTPException as exc:
-        problem = documents.refusal(
-            code='no_such_resource',
-            status=exc.status,
-            detail='There is no such resource or method.',
-        )
-        return _refusal(problem, request.headers.get(edge.KEY_HEADER))
-
-
 def _refusal(problem: problems.Problem, key_text: str | None) -> web.Response:
     return edge.render(
         documents.render_problem(keys.without_minter(problem, key_text))
--- a/sardineproxy/connection/edge.py
+++ b/sardineproxy/connection/edge.py
@@ -13,7 +13,7 @@
 from aiohttp import HttpVersion11, http_exceptions, web
 
 from sardineproxy import logs, problems, verdicts
-from sardineproxy.request import admission, documents
+from sardineproxy.request import admission, documents, keys
 
 KEY_HEADER = 'Idempotency-Key'
 
@@ -185,6 +185,8 @@
         if self._phase is _Phase.REFUSED:
             return resp, True
         self._stop_timer()
+        if isinstance(resp, web.HTTPException):
+            resp = _render_exception(request, resp)
         if self._phase is not _Phase.WHOLE:
             # What is left of the body must not be taken for a request.
             resp.force_close()
@@ -330,6 +332,21 @@
     return req.version < HttpVersion11 or coding.lower() != 'chunked'
 
 
+def _render_exception(
+    req: web.BaseRequest, exc: web.HTTPException
+) -> web.Response:
+    """Return aiohttp's own refusal, such as 404, as a problem document."""
+    problem = documents.refusal(
+        code='no_such_resource',
+        status=exc.status,
+        detail='There is no such resource, method or expectation.',
+    )
+    key_text = req.headers.get(KEY_HEADER)
+    return render(
+        documents.render_problem(keys.without_minter(problem, key_text))
+    )
+
+
 def render(reply: documents.Reply) -> web.Response:
     """Return the answer as aiohttp sends it."""
     return web.Response(
--- a/sardineproxy/request/documents.py
+++ b/sardineproxy/request/documents.py
@@ -3,6 +3,7 @@
 import base64
 import binascii
 import dataclasses
+import functools
 import json
 import math
 import re
@@ -14,7 +15,7 @@
 from sardineproxy import ids, problems, verdicts
 from sardineproxy.request import work
 
-JSON_TYPE = 'application/json'
+JSON_HEADERS = (('Content-Type', 'application/json'),)
 
 #: Largest body of a caller's request, in bytes.
 MAX_BODY_BYTES = 8_388_608
@@ -305,6 +306,7 @@
     )
 
 
+@functools.cache  # Notes by the ten thousand share the few that there are.
 def answer_dropped(verdict: verdicts.Verdict | None) -> problems.Problem:
     """Return what is left of a record that had to make room."""
     return problems.Problem(
@@ -334,7 +336,7 @@
     """Return a JSON answer."""
     return Reply(
         status=status,
-        headers=(('Content-Type', JSON_TYPE),),
+        headers=JSON_HEADERS,
         body=json.dumps(document).encode(),
         verdict=verdict,
     )
--- a/tests/connection/test_caller.py
+++ b/tests/connection/test_caller.py
@@ -157,6 +157,7 @@
             (f'{CHUNKED}{CHUNKED}{LAST_CHUNK}', 400),
             (f'{CHUNKED}\r\nzz\r\n{{}}{LAST_CHUNK}', 400),
             (f'Authorization: Bearer x\r\n{EMPTY}', 400),
+            (f'Expect: other\r\n{EMPTY}', 417),
             (f'Content-Encoding: gzip\r\n{EMPTY}', 415),
             (f'X: {"a" * 17_000}\r\n{EMPTY}', 431),
             (''.join(f'X{n}: {"a" * 400}\r\n' for n in range(50)), 431),
