--- a/tests/request/test_documents.py
+++ b/tests/request/test_documents.py
@@ -72,11 +72,13 @@
             tasks = [fakes.TASK for _ in range(count)]
             self.assertTrue(parse(work.Kind.JOB, tasks=tasks).is_err())
 
+    @hypothesis.settings(deadline=None, derandomize=True)
     @hypothesis.given(strategies.binary(max_size=200))
     def test_any_bytes_are_refused_without_exception(self, body: bytes) -> None:
         for kind in work.Kind:
             self.assertTrue(parse_bytes(kind, body).is_err())
 
+    @hypothesis.settings(deadline=None, derandomize=True)
     @hypothesis.given(strategies.binary(), strategies.text())
     def test_bodies_arrive_unchanged(self, raw: bytes, text: str) -> None:
         task = {'method': 'PUT', 'path': '/'}
--- a/tests/request/test_keys.py
+++ b/tests/request/test_keys.py
@@ -33,6 +33,7 @@
             genuine = judge.is_genuine(key=key, customer=customer)
             self.assertEqual(expected, genuine)
 
+    @hypothesis.settings(deadline=None, derandomize=True)
     @hypothesis.given(strategies.data())
     def test_changed_key_is_not_genuine(
         self, data: strategies.DataObject
@@ -46,6 +47,7 @@
         key = keys.parse(changed)
         self.assertFalse(key and ring.is_genuine(key=key, customer=WARM))
 
+    @hypothesis.settings(deadline=None, derandomize=True)
     @hypothesis.given(strategies.text(max_size=300))
     def test_any_text_is_parsed_or_refused(self, text: str) -> None:
         key = keys.parse(text)
