--- a/sardineproxy/connection/edge.py
+++ b/sardineproxy/connection/edge.py
@@ -35,6 +35,43 @@
 #: Seconds for which an unread body is skipped after a refusal.
 LINGER_S = 2
 
+_HEAD_TOO_LARGE = documents.refusal(
+    code='head_too_large',
+    status=431,
+    detail='The request line and headers are too large.',
+)
+_BODY_TOO_LARGE = documents.refusal(
+    code='body_too_large',
+    status=413,
+    detail='The body is too large.',
+)
+_READ_TIMEOUT = documents.refusal(
+    code='read_timeout',
+    status=408,
+    detail='The request did not arrive whole in time.',
+)
+_MALFORMED_HTTP = documents.refusal(
+    code='malformed_http',
+    status=400,
+    detail='The request is not well-formed HTTP/1.1.',
+)
+_REPEATED_HEADER = documents.doubt(
+    code='repeated_header',
+    status=400,
+    detail=f'Only one each is allowed of {", ".join(SINGLE_HEADERS)}.',
+)
+_ENCODED_BODY = documents.refusal(
+    code='encoded_body',
+    status=415,
+    detail='Content-Encoding is not supported.',
+)
+_INTERNAL_ERROR = documents.doubt(
+    code='internal_error',
+    status=500,
+    detail='The request failed inside this VM.',
+    final=False,
+)
+
 Body = result.Result[bytes, problems.Problem]
 _log = logs.get_logger('caller')
 
@@ -147,7 +184,7 @@
             self._body_bytes += len(data)
             self._pipelined |= self._phase is _Phase.WHOLE
         if self._head_bytes > self._limits.header_bytes:
-            self._refuse(_head_too_large())
+            self._refuse(_HEAD_TOO_LARGE)
             return
         super().data_received(data)
 
@@ -213,11 +250,11 @@
     ) -> web.StreamResponse:
         """Answer with a problem document, and log no part of the request."""
         if isinstance(exc, http_exceptions.LineTooLong):
-            problem = _head_too_large()
+            problem = _HEAD_TOO_LARGE
         elif isinstance(exc, http_exceptions.HttpProcessingError):
-            problem = _malformed_http()
+            problem = _MALFORMED_HTTP
         else:
-            problem = _internal_error()
+            problem = _INTERNAL_ERROR
             _log.error('request failed', exc_info=exc)
         _log.info('refused', extra={'code': problem.code})
         if request.writer.output_size > 0:
@@ -233,11 +270,11 @@
             async with asyncio.timeout_at(deadline):
                 return result.Ok(await req.read())
         except TimeoutError:
-            return result.Err(_read_timeout())
+            return result.Err(_READ_TIMEOUT)
         except web.HTTPRequestEntityTooLarge:
-            return result.Err(_body_too_large())
+            return result.Err(_BODY_TOO_LARGE)
         except web.RequestPayloadError:
-            return result.Err(_malformed_http())
+            return result.Err(_MALFORMED_HTTP)
 
     def _begin(self) -> None:
         self._phase = _Phase.HEAD
@@ -266,7 +303,7 @@
 
     def _time_out(self) -> None:
         self._timer = None
-        self._refuse(_read_timeout())
+        self._refuse(_READ_TIMEOUT)
 
     def _refuse(self, problem: problems.Problem) -> None:
         """Answer a request whose head is not whole, and close."""
@@ -298,15 +335,15 @@
         for name, text in req.raw_headers
     )
     if size > limits.header_bytes:
-        return _head_too_large()
+        return _HEAD_TOO_LARGE
     if any(len(req.headers.getall(name, ())) > 1 for name in SINGLE_HEADERS):
-        return _repeated_header()
+        return _REPEATED_HEADER
     if _is_framing_unclear(req):
-        return _malformed_http()
+        return _MALFORMED_HTTP
     if req.headers.get('Content-Encoding', 'identity') != 'identity':
-        return _encoded_body()
+        return _ENCODED_BODY
     if (req.content_length or 0) > limits.body_bytes:
-        return _body_too_large()
+        return _BODY_TOO_LARGE
     return None
 
 
@@ -352,60 +389,3 @@
     return web.Response(
         status=reply.status, headers=reply.headers, body=reply.body
     )
-
-
-def _head_too_large() -> problems.Problem:
-    return documents.refusal(
-        code='head_too_large',
-        status=431,
-        detail='The request line and headers are too large.',
-    )
-
-
-def _body_too_large() -> problems.Problem:
-    return documents.refusal(
-        code='body_too_large',
-        status=413,
-        detail='The body is too large.',
-    )
-
-
-def _read_timeout() -> problems.Problem:
-    return documents.refusal(
-        code='read_timeout',
-        status=408,
-        detail='The request did not arrive whole in time.',
-    )
-
-
-def _malformed_http() -> problems.Problem:
-    return documents.refusal(
-        code='malformed_http',
-        status=400,
-        detail='The request is not well-formed HTTP/1.1.',
-    )
-
-
-def _repeated_header() -> problems.Problem:
-    return documents.doubt(
-        code='repeated_header',
-        status=400,
-        detail=f'Only one each is allowed of {", ".join(SINGLE_HEADERS)}.',
-    )
-
-
-def _encoded_body() -> problems.Problem:
-    return documents.refusal(
-        code='encoded_body',
-        status=415,
-        detail='Content-Encoding is not supported.',
-    )
-
-
-def _internal_error() -> problems.Problem:
-    return documents.doubt(
-        code='internal_error',
-        status=500,
-        detail='The request failed inside this VM.',
-        final=False,
-    )
