Dispatch: split flows from the fair queue; say why an unreachable task ended

A task whose endpoints were unreachable until its deadline is now refused as deadline_passed whichever of the two is noticed first. Tests share sample tasks and VMs.

--- a/sardineproxy/process/dispatcher.py
+++ b/sardineproxy/process/dispatcher.py
@@ -24,7 +24,7 @@
     platform,
     slots,
 )
-from sardineproxy.request import fair_queue, work
+from sardineproxy.request import fair_queue, flows, work
 
 #: Default of ``Dispatcher.run``: any endpoint will do.
 NOTHING_EXCLUDED: frozenset[ids.EndpointId] = frozenset()
@@ -199,14 +199,14 @@
         self._matcher.router.set_listing(vm_list)
         self.wake()
 
-    def _prepare_wait(self, entry: fair_queue.Entry, now: float) -> None:
+    def _prepare_wait(self, entry: flows.Entry, now: float) -> None:
         entry.waiter = asyncio.get_running_loop().create_future()
         self._alarm.set(
             min(entry.task.deadline, now + self._cfg.housekeeping_s), now=now
         )
 
     async def _wait(
-        self, entry: fair_queue.Entry
+        self, entry: flows.Entry
     ) -> matching.Placement | work.Refused:
         waiter = entry.waiter
         assert waiter is not None, 'only prepared tasks wait'
@@ -214,7 +214,7 @@
         try:
             return await waiter
         except asyncio.CancelledError:
-            if entry.state is fair_queue.State.WAITING:
+            if entry.state is flows.State.WAITING:
                 self._queue.end(entry)
             placement = self._matcher.running.get(entry.number)
             if placement is not None:
@@ -236,7 +236,13 @@
                 )
         finally:
             self._settle(placement, outcome)
-        return None if entry.state in _PENDING else outcome
+        if entry.state in _PENDING:
+            return None
+        if _is_unreachable(outcome):
+            return work.Refused(
+                problem=_why_not_again(entry, closed=self._closed)
+            )
+        return outcome
 
     def _settle(
         self, placement: matching.Placement, outcome: work.Outcome | None
@@ -255,7 +261,12 @@
         )
         if isinstance(outcome, work.Refused):
             self._queue.give_back(entry)
-            if not self._closed and _goes_elsewhere(entry, outcome, now):
+            may_start = not (self._closed or entry.cancelled)
+            if (
+                may_start
+                and _is_unreachable(outcome)
+                and now < entry.task.deadline
+            ):
                 self._put_back(entry, placement.ticket.endpoint, now)
             else:
                 self._queue.end(entry)
@@ -268,7 +279,7 @@
             self._note_backlog(now)
 
     def _put_back(
-        self, entry: fair_queue.Entry, endpoint: ids.EndpointId, now: float
+        self, entry: flows.Entry, endpoint: ids.EndpointId, now: float
     ) -> None:
         """Put a task of which nothing was sent at the front again."""
         self._metrics.count('dispatch_put_back_total')
@@ -284,14 +295,12 @@
         pause_s = self._cfg.pause_s * self._rng.uniform(0.5, 1.5)
         asyncio.get_running_loop().call_later(pause_s, self._resume, entry)
 
-    def _resume(self, entry: fair_queue.Entry) -> None:
-        if entry.state is fair_queue.State.WAITING:
+    def _resume(self, entry: flows.Entry) -> None:
+        if entry.state is flows.State.WAITING:
             self._queue.wait(entry, first=True)
             self.wake()
 
-    def _refuse(
-        self, entry: fair_queue.Entry, problem: problems.Problem
-    ) -> None:
+    def _refuse(self, entry: flows.Entry, problem: problems.Problem) -> None:
         self._metrics.count('dispatch_refused_total', code=problem.code)
         if entry.waiter is not None and not entry.waiter.done():
             entry.waiter.set_result(work.Refused(problem=problem))
@@ -324,17 +333,22 @@
 
 
 #: States of a task whose attempt ended and that waits for another slot.
-_PENDING = frozenset((fair_queue.State.WAITING, fair_queue.State.STARTED))
+_PENDING = frozenset((flows.State.WAITING, flows.State.STARTED))
 
 
-def _goes_elsewhere(
-    entry: fair_queue.Entry, outcome: work.Refused, now: float
-) -> bool:
-    if entry.cancelled or now >= entry.task.deadline:
+def _is_unreachable(outcome: work.Outcome | None) -> bool:
+    if not isinstance(outcome, work.Refused):
         return False
     return outcome.problem.code == endpoint_conn.UNREACHABLE
 
 
+def _why_not_again(entry: flows.Entry, *, closed: bool) -> problems.Problem:
+    """Tell why an unreachable endpoint was the last one tried."""
+    if entry.cancelled:
+        return _cancelled()
+    return _shutting_down() if closed else endpoint_conn.deadline_passed()
+
+
 def _shutting_down() -> problems.Problem:
     return problems.Problem(
         code='shutting_down',
--- a/sardineproxy/process/matching.py
+++ b/sardineproxy/process/matching.py
@@ -10,7 +10,7 @@
 
 from sardineproxy import ids
 from sardineproxy.process import health, platform, routing, slots
-from sardineproxy.request import fair_queue
+from sardineproxy.request import fair_queue, flows
 
 
 class SlotSource(Protocol):
@@ -38,7 +38,7 @@
 class Placement:
     """A started task and its slot."""
 
-    entry: fair_queue.Entry
+    entry: flows.Entry
     ticket: slots.Ticket
     vm: platform.Vm
 
@@ -70,11 +70,9 @@
         self.running: dict[int, Placement] = {}
 
         #: Flows that could use no free slot while others could.
-        self.held: dict[ids.CustomerId, fair_queue.Flow] = {}
+        self.held: dict[ids.CustomerId, flows.Flow] = {}
 
-    def place_new(
-        self, entry: fair_queue.Entry, *, now: float
-    ) -> Placement | None:
+    def place_new(self, entry: flows.Entry, *, now: float) -> Placement | None:
         """Start a new task at once if a free slot fits it.
 
         The waiting tasks of its customer fit no free slot, nor do those of
@@ -134,7 +132,7 @@
                 endpoint, count=len(started), since=max(started), now=now
             )
 
-    def _match_one(self, now: float) -> fair_queue.Flow | None:
+    def _match_one(self, now: float) -> flows.Flow | None:
         """Start the first task that fits; return its flow.
 
         Flows that come before it fit no free slot because of limits of their
@@ -154,7 +152,7 @@
             self._queue.offer(flow)
         return flow
 
-    def _start_next(self, flow: fair_queue.Flow, now: float) -> bool:
+    def _start_next(self, flow: flows.Flow, now: float) -> bool:
         """Start the flow's next task if a free slot fits one."""
         for entry in self._candidates(flow):
             placement = self._place(entry, now)
@@ -164,9 +162,7 @@
                 return True
         return False
 
-    def _candidates(
-        self, flow: fair_queue.Flow
-    ) -> tuple[fair_queue.Entry, ...]:
+    def _candidates(self, flow: flows.Flow) -> tuple[flows.Entry, ...]:
         """Return the tasks to try, without those that nobody waits for."""
         entries = self._queue.candidates(flow)
         gone = [each for each in entries if _is_gone(each)]
@@ -177,7 +173,7 @@
             gone = [each for each in entries if _is_gone(each)]
         return entries
 
-    def _place(self, entry: fair_queue.Entry, now: float) -> Placement | None:
+    def _place(self, entry: flows.Entry, now: float) -> Placement | None:
         """Take the best free slot for a task and start it."""
         customer = entry.task.customer
         free = self._slots.free_endpoints(customer=customer, now=now)
@@ -194,7 +190,7 @@
         return None
 
     def _start(
-        self, entry: fair_queue.Entry, ticket: slots.Ticket, now: float
+        self, entry: flows.Entry, ticket: slots.Ticket, now: float
     ) -> Placement:
         self._queue.start(entry)
         self._health.record_start(ticket.endpoint, now=now)
@@ -213,5 +209,5 @@
         self.held.clear()
 
 
-def _is_gone(entry: fair_queue.Entry) -> bool:
+def _is_gone(entry: flows.Entry) -> bool:
     return entry.waiter is None or entry.waiter.done()
--- a/sardineproxy/process/routing.py
+++ b/sardineproxy/process/routing.py
@@ -5,7 +5,7 @@
 from sardineproxy import ids
 from sardineproxy.connection import endpoint as endpoint_conn
 from sardineproxy.process import health, platform
-from sardineproxy.request import fair_queue, work
+from sardineproxy.request import flows, work
 
 #: A task that its deadline cut off counts against the endpoint only after
 #: this multiple of the customer's usual run time.
@@ -51,7 +51,7 @@
 
     def choose(
         self,
-        entry: fair_queue.Entry,
+        entry: flows.Entry,
         free: tuple[ids.EndpointId, ...],
         *,
         now: float,
--- a/sardineproxy/request/fair_queue.py
+++ b/sardineproxy/request/fair_queue.py
@@ -5,16 +5,13 @@
 to the observed run time. The customer with the least tag starts next.
 """
 
-import asyncio
-import collections
 import dataclasses
-import enum
 import heapq
 import itertools
-from typing import Any, Mapping
+from typing import Mapping
 
 from sardineproxy import ids
-from sardineproxy.request import work
+from sardineproxy.request import flows, work
 
 #: Least part of a new observation in a customer's estimated run time; the
 #: first observations count for more.
@@ -48,108 +45,17 @@
     default_run_s: float = 0.2
 
 
-class State(enum.Enum):
-    """Where a task is."""
-
-    #: Known to the queue, neither waiting nor started.
-    NEW = 'new'
-
-    #: In the order, or waiting for a pause to pass.
-    WAITING = 'waiting'
-    STARTED = 'started'
-
-    #: Finished, cancelled or expired.
-    ENDED = 'ended'
-
-
-@dataclasses.dataclass(kw_only=True, slots=True, eq=False)
-class Flow:
-    """One customer's waiting tasks and its share."""
-
-    customer: ids.CustomerId
-
-    #: Estimated run time of one task, in seconds.
-    run_s: float
-    weight: float = 1
-
-    #: Virtual seconds at which the next task starts.
-    tag: float = 0
-
-    #: Single requests started in a row while job tasks waited.
-    burst: int = 0
-    running: int = 0
-    finished: int = 0
-
-    #: Waiting tasks that are in none of the lanes.
-    resting: int = 0
-
-    #: Tasks that some endpoints must not run; they go first.
-    returned: '_Lane' = dataclasses.field(
-        default_factory=collections.OrderedDict
-    )
-    singles: '_Lane' = dataclasses.field(
-        default_factory=collections.OrderedDict
-    )
-    jobs: '_Lane' = dataclasses.field(default_factory=collections.OrderedDict)
-
-    #: Number of the flow's place in the order, 0 if it has none.
-    version: int = 0
-
-    @property
-    def waiting(self) -> int:
-        """Return the number of waiting tasks."""
-        lanes = len(self.singles) + len(self.jobs) + len(self.returned)
-        return lanes + self.resting
-
-    @property
-    def is_backlogged(self) -> bool:
-        """Tell whether a task could start now."""
-        return bool(self.singles or self.jobs or self.returned)
-
-
-@dataclasses.dataclass(kw_only=True, slots=True, eq=False)
-class Entry:
-    """One task in the queue."""
-
-    task: work.Task
-    number: int
-    flow: Flow
-
-    #: Endpoints that must not run the task while others are listed.
-    exclude: frozenset[ids.EndpointId]
-
-    #: Endpoints that could not be reached for it lately.
-    refused: frozenset[ids.EndpointId] = frozenset()
-    state: State = State.NEW
-    lane: '_Lane | None' = None
-
-    #: Run time that the customer was charged at the start, in seconds.
-    charged_s: float = 0
-
-    #: True if the request was cancelled after the task had started.
-    cancelled: bool = False
-
-    #: Attempts that did not reach their endpoint.
-    refusals: int = 0
-
-    #: Future of the coroutine that waits for the start.
-    waiter: 'asyncio.Future[Any] | None' = None
-
-
-_Lane = collections.OrderedDict[int, Entry]
-
-
 class _Order:
     """Flows by start tag; outdated entries are skipped when popped."""
 
     def __init__(self) -> None:
         """Start empty."""
-        self._heap: list[tuple[float, int, Flow]] = []
+        self._heap: list[tuple[float, int, flows.Flow]] = []
         self._last_version = 0
 
-    def push(self, flow: Flow, *, flows: int) -> None:
+    def push(self, flow: flows.Flow, *, in_use: int) -> None:
         """Place a flow by its tag, ties in order of the pushes."""
-        if len(self._heap) > _most_entries(flows):
+        if len(self._heap) > _most_entries(in_use):
             self._heap = [
                 ranked
                 for ranked in self._heap
@@ -160,7 +66,7 @@
         flow.version = self._last_version
         heapq.heappush(self._heap, (flow.tag, flow.version, flow))
 
-    def pop(self) -> Flow | None:
+    def pop(self) -> flows.Flow | None:
         """Take the flow with the least tag out."""
         while self._heap:
             _, version, flow = heapq.heappop(self._heap)
@@ -175,14 +81,16 @@
 
     def __init__(self) -> None:
         """Start empty."""
-        self._heap: list[tuple[float, int, Entry]] = []
+        self._heap: list[tuple[float, int, flows.Entry]] = []
         self._last_push = 0
 
-    def push(self, entry: Entry, *, waiting: int) -> None:
+    def push(self, entry: flows.Entry, *, waiting: int) -> None:
         """Place a waiting task."""
         if len(self._heap) > _most_entries(waiting):
             self._heap = [
-                timed for timed in self._heap if timed[2].state is State.WAITING
+                timed
+                for timed in self._heap
+                if timed[2].state is flows.State.WAITING
             ]
             heapq.heapify(self._heap)
         self._last_push += 1
@@ -190,11 +98,11 @@
             self._heap, (entry.task.deadline, self._last_push, entry)
         )
 
-    def earliest(self) -> Entry | None:
+    def earliest(self) -> flows.Entry | None:
         """Return the waiting task with the earliest deadline."""
         while self._heap:
             entry = self._heap[0][2]
-            if entry.state is State.WAITING:
+            if entry.state is flows.State.WAITING:
                 return entry
             heapq.heappop(self._heap)
         return None
@@ -208,12 +116,12 @@
         self._cfg = cfg or Config()
 
         #: Flows of all customers seen so far; only the queue changes it.
-        self.flows: dict[ids.CustomerId, Flow] = {}
+        self.flows: dict[ids.CustomerId, flows.Flow] = {}
 
         #: Number of all waiting tasks; only the queue changes it.
         self.waiting = 0
         self._weights: dict[ids.CustomerId, float] = {}
-        self._requests: dict[ids.RequestId, dict[int, Entry]] = {}
+        self._requests: dict[ids.RequestId, dict[int, flows.Entry]] = {}
         self._order = _Order()
         self._deadlines = _Deadlines()
         self._virtual_s = float(0)
@@ -230,10 +138,10 @@
 
     def admit(
         self, task: work.Task, *, exclude: frozenset[ids.EndpointId]
-    ) -> Entry:
+    ) -> flows.Entry:
         """Register a task; it neither waits nor runs yet."""
         self._last_number += 1
-        entry = Entry(
+        entry = flows.Entry(
             task=task,
             number=self._last_number,
             flow=self._flow(task.customer),
@@ -246,7 +154,7 @@
             request[entry.number] = entry
         return entry
 
-    def wait(self, entry: Entry, *, first: bool = False) -> None:
+    def wait(self, entry: flows.Entry, *, first: bool = False) -> None:
         """Put a task at the end of its lane, or at the front."""
         flow = entry.flow
         was_backlogged = flow.is_backlogged
@@ -261,22 +169,22 @@
             flow.tag = max(flow.tag, self._virtual_s - _credit_s(flow))
             self.offer(flow)
 
-    def rest(self, entry: Entry) -> None:
+    def rest(self, entry: flows.Entry) -> None:
         """Keep a task waiting outside the order until ``wait`` is called."""
         self._leave_lane(entry)
         entry.flow.resting += 1
         self._mark_waiting(entry)
 
-    def pop_flow(self) -> Flow | None:
+    def pop_flow(self) -> flows.Flow | None:
         """Take the flow with the least tag out of the order."""
         return self._order.pop()
 
-    def offer(self, flow: Flow) -> None:
+    def offer(self, flow: flows.Flow) -> None:
         """Put a flow into the order if it has tasks that could start."""
         if flow.is_backlogged:
-            self._order.push(flow, flows=len(self.flows))
+            self._order.push(flow, in_use=len(self.flows))
 
-    def candidates(self, flow: Flow) -> tuple[Entry, ...]:
+    def candidates(self, flow: flows.Flow) -> tuple[flows.Entry, ...]:
         """Return the tasks of the flow that may start next, best first."""
         lane = self._next_lane(flow)
         plain = (next(iter(lane.values())),) if lane else ()
@@ -285,10 +193,10 @@
         returned = flow.returned.values()
         return (*itertools.islice(returned, MAX_RETURNED_CANDIDATES), *plain)
 
-    def start(self, entry: Entry) -> None:
+    def start(self, entry: flows.Entry) -> None:
         """Take a task out of the order and charge its estimated run time."""
         flow = entry.flow
-        if entry.state is State.WAITING:
+        if entry.state is flows.State.WAITING:
             if entry.lane is flow.singles and flow.jobs:
                 flow.burst += 1
             elif entry.lane is flow.jobs:
@@ -297,18 +205,18 @@
             self.waiting -= 1
         elif not flow.is_backlogged:
             flow.tag = max(flow.tag, self._virtual_s - _credit_s(flow))
-        entry.state = State.STARTED
+        entry.state = flows.State.STARTED
         entry.charged_s = flow.run_s
         flow.running += 1
         self._virtual_s = max(self._virtual_s, flow.tag)
         flow.tag += entry.charged_s / flow.weight
 
-    def give_back(self, entry: Entry) -> None:
+    def give_back(self, entry: flows.Entry) -> None:
         """Undo the start of a task of which nothing ran."""
-        entry.state = State.NEW
+        entry.state = flows.State.NEW
         self._settle(entry, 0)
 
-    def finish(self, entry: Entry, *, run_s: float) -> None:
+    def finish(self, entry: flows.Entry, *, run_s: float) -> None:
         """End a started task and charge what it really used."""
         flow = entry.flow
         flow.finished += 1
@@ -317,33 +225,33 @@
         self._settle(entry, run_s)
         self.end(entry)
 
-    def end(self, entry: Entry) -> None:
+    def end(self, entry: flows.Entry) -> None:
         """Forget a task that does not run, or no longer runs."""
-        if entry.state is State.WAITING:
+        if entry.state is flows.State.WAITING:
             self._leave_lane(entry)
             self.waiting -= 1
-        entry.state = State.ENDED
+        entry.state = flows.State.ENDED
         request_id = entry.task.request_id
         request = self._requests[request_id]
         request.pop(entry.number)
         if not request:
             self._requests.pop(request_id)
 
-    def cancel(self, request_id: ids.RequestId) -> list[Entry]:
+    def cancel(self, request_id: ids.RequestId) -> list[flows.Entry]:
         """End the request's waiting tasks and return them.
 
         Its started tasks are marked as cancelled.
         """
         ended = []
         for entry in tuple(self._requests.get(request_id, {}).values()):
-            if entry.state is State.WAITING:
+            if entry.state is flows.State.WAITING:
                 self.end(entry)
                 ended.append(entry)
             else:
                 entry.cancelled = True
         return ended
 
-    def expire(self, *, now: float) -> list[Entry]:
+    def expire(self, *, now: float) -> list[flows.Entry]:
         """End the waiting tasks past their deadline and return them."""
         ended = []
         entry = self._deadlines.earliest()
@@ -358,36 +266,36 @@
         entry = self._deadlines.earliest()
         return None if entry is None else entry.task.deadline
 
-    def _flow(self, customer: ids.CustomerId) -> Flow:
+    def _flow(self, customer: ids.CustomerId) -> flows.Flow:
         flow = self.flows.get(customer)
         if flow is None:
-            flow = Flow(customer=customer, run_s=self._cfg.default_run_s)
+            flow = flows.Flow(customer=customer, run_s=self._cfg.default_run_s)
             flow.weight = self._weights.get(customer, 1)
             self.flows[customer] = flow
         return flow
 
-    def _next_lane(self, flow: Flow) -> _Lane:
+    def _next_lane(self, flow: flows.Flow) -> flows.Lane:
         if not flow.jobs:
             return flow.singles
         if not flow.singles or flow.burst >= self._cfg.interactive_burst:
             return flow.jobs
         return flow.singles
 
-    def _mark_waiting(self, entry: Entry) -> None:
-        if entry.state is State.WAITING:
+    def _mark_waiting(self, entry: flows.Entry) -> None:
+        if entry.state is flows.State.WAITING:
             return
-        entry.state = State.WAITING
+        entry.state = flows.State.WAITING
         self.waiting += 1
         self._deadlines.push(entry, waiting=self.waiting)
 
-    def _leave_lane(self, entry: Entry) -> None:
+    def _leave_lane(self, entry: flows.Entry) -> None:
         if entry.lane is not None:
             entry.lane.pop(entry.number)
             entry.lane = None
-        elif entry.state is State.WAITING:
+        elif entry.state is flows.State.WAITING:
             entry.flow.resting -= 1
 
-    def _settle(self, entry: Entry, run_s: float) -> None:
+    def _settle(self, entry: flows.Entry, run_s: float) -> None:
         flow = entry.flow
         flow.running -= 1
         flow.tag += (run_s - entry.charged_s) / flow.weight
@@ -399,13 +307,13 @@
     return MIN_REBUILD_SIZE + MAX_OUTDATED_RATIO * used
 
 
-def _credit_s(flow: Flow) -> float:
+def _credit_s(flow: flows.Flow) -> float:
     """Return the virtual time that a flow keeps when it falls idle."""
     tasks = 1 + flow.running * CREDIT_PER_RUNNING
     return tasks * flow.run_s / flow.weight
 
 
-def _lane_of(entry: Entry) -> _Lane:
+def _lane_of(entry: flows.Entry) -> flows.Lane:
     if entry.exclude or entry.refused:
         return entry.flow.returned
     if entry.task.kind is work.Kind.SINGLE:
--- a/tests/connection/test_endpoint.py
+++ b/tests/connection/test_endpoint.py
@@ -1,18 +1,16 @@
 """Verdicts of one attempt, against endpoints that break in known ways."""
 
 import asyncio
-import dataclasses
 from typing import Any, Awaitable, Callable
 
 import testtools
-from testtools import matchers
 
-from sardineproxy import clock, ids
+from sardineproxy import clock
 from sardineproxy.connection import endpoint
-from sardineproxy.process import metrics, platform
+from sardineproxy.process import metrics
 from sardineproxy.request import work
+from tests import dispatch_samples
 
-LONG_S = 30
 WHOLE = b'HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello'
 OTHER = b'HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstale'
 CHUNKED = b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
@@ -118,14 +116,18 @@
             async with Server(script) as server:
 
                 async def attempt(
-                    deadline_s: float = LONG_S, **changes: Any
+                    deadline_s: float = dispatch_samples.LONG_S, **changes: Any
                 ) -> work.Outcome:
                     return await client.attempt(
-                        task=make_task(deadline_s, **changes),
-                        vm=make_vm(server.port),
+                        task=dispatch_samples.make_task(
+                            deadline_s=deadline_s, **changes
+                        ),
+                        vm=dispatch_samples.make_vm(port=server.port),
                     )
 
-                await asyncio.wait_for(use(server, attempt), LONG_S)
+                await asyncio.wait_for(
+                    use(server, attempt), dispatch_samples.LONG_S
+                )
             await client.close()
 
         asyncio.run(run())
@@ -154,35 +156,27 @@
         self.attempts(answering(reply), use)
 
     def test_broken_answers_may_have_run(self) -> None:
-        """Guards against partial answers and against silent retries."""
-        for name, reply in BROKEN.items():
+        """Guards against partial answers and against silent retries.
+
+        A malformed answer must not wait for the end of the connection.
+        """
+        malformed = ('malformed chunk size', 'longer than declared')
+        cases = [(name, True) for name in BROKEN]
+        for name, close in cases + [(name, False) for name in malformed]:
 
             async def use(server: Server, attempt: Any) -> None:
                 outcome = await attempt()
-                self.assertThat(
-                    outcome, matchers.IsInstance(endpoint.Lost), name
-                )
+                self.assertIsInstance(outcome, endpoint.Lost, name)
                 self.assertEqual(1, len(server.requests), name)
 
-            self.attempts(answering(reply, close=True), use)
-
-    def test_malformed_answer_ends_the_attempt_at_once(self) -> None:
-        """Guards against waiting for the deadline on an open connection."""
-        for name in ('malformed chunk size', 'longer than declared'):
-
-            async def use(server: Server, attempt: Any) -> None:
-                self.assertThat(
-                    await attempt(), matchers.IsInstance(endpoint.Lost), name
-                )
-
-            self.attempts(answering(BROKEN[name]), use)
+            self.attempts(answering(BROKEN[name], close=close), use)
 
     def test_request_is_not_repeated_on_a_closed_connection(self) -> None:
         """Guards against aiohttp's retry, which would start a task twice."""
 
         async def use(server: Server, attempt: Any) -> None:
-            self.assertThat(await attempt(), matchers.IsInstance(work.Answer))
-            self.assertThat(await attempt(), matchers.IsInstance(work.Unknown))
+            self.assertIsInstance(await attempt(), work.Answer)
+            self.assertIsInstance(await attempt(), work.Unknown)
             self.assertEqual((2, 1), (len(server.requests), server.connections))
 
         self.attempts(answering(WHOLE, b'', close=True), use)
@@ -235,7 +229,7 @@
             server._server.close()
             outcome = await attempt()
             self.assertEqual(endpoint.UNREACHABLE, outcome.problem.code)
-            self.assertThat(outcome, matchers.IsInstance(work.Refused))
+            self.assertIsInstance(outcome, work.Refused)
 
         self.attempts(never, use)
 
@@ -248,8 +242,8 @@
                 await asyncio.sleep(0.01)
             waiting = await attempt(0.05)
             self.assertEqual('deadline_passed', waiting.problem.code)
-            self.assertThat(waiting, matchers.IsInstance(work.Refused))
-            self.assertThat(await holder, matchers.IsInstance(work.Unknown))
+            self.assertIsInstance(waiting, work.Refused)
+            self.assertIsInstance(await holder, work.Unknown)
             self.assertEqual(1, len(server.requests))
 
         self.attempts(never, use)
@@ -272,33 +266,3 @@
             self.assertEqual([], server.requests)
 
         self.attempts(never, use)
-
-
-def make_task(deadline_s: float, **changes: Any) -> work.Task:
-    task = work.Task(
-        request_id=ids.RequestId('r'),
-        index=0,
-        customer=ids.CustomerId('c'),
-        kind=work.Kind.SINGLE,
-        idempotent=True,
-        method='GET',
-        path='/',
-        headers=(),
-        body=b'',
-        deadline=clock.SystemClock().now() + deadline_s,
-    )
-    return dataclasses.replace(task, **changes)
-
-
-def make_vm(port: int) -> platform.Vm:
-    return platform.Vm(
-        name='w1',
-        role=platform.VmRole.ENDPOINT,
-        state=platform.VmState.LIVE,
-        zone=ids.ZoneId('z'),
-        region=ids.RegionId('r'),
-        host='127.0.0.1',
-        port=port,
-        slots=1,
-        connections=1,
-    )
--- a/tests/process/test_dispatcher.py
+++ b/tests/process/test_dispatcher.py
@@ -2,14 +2,12 @@
 
 import asyncio
 import collections
-import dataclasses
 import random
 from typing import Any, Awaitable, Callable
 
 import hypothesis
 import testtools
 from hypothesis import strategies
-from testtools import matchers
 
 from sardineproxy import clock, ids, problems, verdicts
 from sardineproxy.connection import endpoint
@@ -22,8 +20,7 @@
     slots,
 )
 from sardineproxy.request import work
-
-LONG_S = 30
+from tests import dispatch_samples
 
 
 class FakeClient:
@@ -65,7 +62,9 @@
 
     def free_endpoints(self, *, customer: Any, now: float) -> Any:
         self.searches += 1
-        if self.holding[customer] >= self.limits.get(customer, LONG_S):
+        if self.holding[customer] >= self.limits.get(
+            customer, dispatch_samples.LONG_S
+        ):
             return ()
         return super().free_endpoints(customer=customer, now=now)
 
@@ -85,7 +84,12 @@
         self.client = FakeClient()
         self.slots = LimitedSlots(**limits)
         self.directory = directory.Directory()
-        self.list_vms(*(make_vm(no) for no, _ in enumerate(endpoint_slots)))
+        self.list_vms(
+            *(
+                dispatch_samples.make_vm(name=f'w{no}')
+                for no, _ in enumerate(endpoint_slots)
+            )
+        )
         self.own(*endpoint_slots)
         self.health = health.Health(rng=random.Random(1))
         self.dispatcher = dispatcher.Dispatcher(
@@ -113,9 +117,14 @@
         )
 
     def submit(
-        self, request: str, customer: str = 'c', deadline_s: float = LONG_S
+        self,
+        request: str,
+        customer: str = 'c',
+        deadline_s: float = dispatch_samples.LONG_S,
     ) -> 'asyncio.Task[work.Outcome]':
-        task = make_task(request, customer, deadline_s)
+        task = dispatch_samples.make_task(
+            request_id=request, customer=customer, deadline_s=deadline_s
+        )
         return asyncio.create_task(self.dispatcher.run(task=task))
 
 
@@ -141,14 +150,16 @@
         run.cancel()
     rig.client.answer.set()
     gathered = asyncio.gather(*runs, return_exceptions=True)
-    return rig, await asyncio.wait_for(gathered, LONG_S)
+    return rig, await asyncio.wait_for(gathered, dispatch_samples.LONG_S)
 
 
 def within_loop(
     scenario: Callable[..., Awaitable[None]],
 ) -> Callable[..., None]:
     def run(self: Any, *args: Any) -> None:
-        asyncio.run(asyncio.wait_for(scenario(self, *args), LONG_S))
+        asyncio.run(
+            asyncio.wait_for(scenario(self, *args), dispatch_samples.LONG_S)
+        )
 
     run.__name__ = scenario.__name__
     run.__doc__ = scenario.__doc__
@@ -159,7 +170,7 @@
     """Slots are used when tasks wait, and each task starts at most once."""
 
     def code_of(self, run: 'asyncio.Task[work.Outcome]') -> str:
-        self.assertThat(run.result(), matchers.IsInstance(work.Refused))
+        self.assertIsInstance(run.result(), work.Refused)
         return run.result().problem.code  # type: ignore[union-attr]
 
     @hypothesis.settings(derandomize=True, deadline=None, max_examples=25)
@@ -182,11 +193,9 @@
             if isinstance(outcome, work.Answer)
         }
         self.assertEqual(set(), answers - set(starts))
-        self.assertThat(
-            len(answers), matchers.GreaterThan(len(outcomes) - cancelled - 2)
-        )
+        self.assertGreater(len(answers), len(outcomes) - cancelled - 2)
         self.assertEqual(0, sum(rig.slots.holding.values()))
-        self.assertThat(rig.client.most['w0'], matchers.LessThan(3))
+        self.assertLess(rig.client.most['w0'], 3)
         self.assertEqual((), rig.dispatcher.demand().customers)
 
     @within_loop
@@ -270,14 +279,12 @@
     async def test_leaving_endpoints_get_no_new_work(self) -> None:
         """Guards against sending work to a VM that is about to stop."""
         rig = Rig(1, 1)
-        leaving = dataclasses.replace(
-            make_vm(0), state=platform.VmState.LEAVING
-        )
+        leaving = dispatch_samples.make_vm(state=platform.VmState.LEAVING)
         rig.list_vms(leaving)
         runs = [rig.submit('a'), rig.submit('b')]
         await turn()
         self.assertEqual([], rig.client.started)
-        rig.list_vms(leaving, make_vm(1))
+        rig.list_vms(leaving, dispatch_samples.make_vm(name='w1'))
         rig.client.answer.set()
         await asyncio.gather(*runs)
         self.assertEqual(['w1', 'w1'], [vm for _, vm in rig.client.started])
@@ -286,8 +293,8 @@
     async def test_own_zone_goes_first(self) -> None:
         """Guards against needless traffic between zones."""
         rig = Rig(1, 1)
-        far = dataclasses.replace(make_vm(0), zone=ids.ZoneId('far'))
-        rig.list_vms(far, make_vm(1))
+        far = dispatch_samples.make_vm(zone=ids.ZoneId('far'))
+        rig.list_vms(far, dispatch_samples.make_vm(name='w1'))
         runs = [rig.submit('a'), rig.submit('b')]
         rig.client.answer.set()
         await asyncio.gather(*runs)
@@ -313,7 +320,7 @@
         await turn()
         rig.client.answer.set()
         await asyncio.gather(*runs)
-        self.assertThat(rig.slots.searches, matchers.LessThan(3000))
+        self.assertLess(rig.slots.searches, 3000)
 
     @within_loop
     async def test_backlog_is_told_once_a_turn(self) -> None:
@@ -338,7 +345,7 @@
         runs.append(rig.submit('late'))
         rig.client.answer.set()
         await asyncio.gather(*runs)
-        self.assertThat(runs[0].result(), matchers.IsInstance(work.Answer))
+        self.assertIsInstance(runs[0].result(), work.Answer)
         for run in runs[1:]:
             self.assertEqual('shutting_down', self.code_of(run))
 
@@ -355,7 +362,7 @@
         run = rig.submit('a')
         await turn()
         self.assertEqual([], rig.client.started)
-        self.assertThat(await run, matchers.IsInstance(work.Answer))
+        self.assertIsInstance(await run, work.Answer)
         self.assertIn('w1', rig.health.ranks)
 
 
@@ -363,32 +370,3 @@
     return problems.Problem(
         code=code, verdict=verdicts.Verdict.NOT_RUN, status=503, detail=code
     )
-
-
-def make_task(request: str, customer: str, deadline_s: float) -> work.Task:
-    return work.Task(
-        request_id=ids.RequestId(request),
-        index=0,
-        customer=ids.CustomerId(customer),
-        kind=work.Kind.SINGLE,
-        idempotent=True,
-        method='GET',
-        path='/',
-        headers=(),
-        body=b'',
-        deadline=clock.SystemClock().now() + deadline_s,
-    )
-
-
-def make_vm(number: int) -> platform.Vm:
-    return platform.Vm(
-        name=f'w{number}',
-        role=platform.VmRole.ENDPOINT,
-        state=platform.VmState.LIVE,
-        zone=ids.ZoneId('z'),
-        region=ids.RegionId('r'),
-        host='127.0.0.1',
-        port=1,
-        slots=1,
-        connections=1,
-    )
--- a/tests/request/test_fair_queue.py
+++ b/tests/request/test_fair_queue.py
@@ -1,49 +1,31 @@
 """Order, shares and cancellation of waiting tasks."""
 
 import time
+from typing import Any
 
 import hypothesis
 import testtools
 from hypothesis import strategies
-from testtools import matchers
 
 from sardineproxy import ids
-from sardineproxy.request import fair_queue, work
+from sardineproxy.request import fair_queue, flows, work
+from tests import dispatch_samples
 
-NOWHERE: frozenset[ids.EndpointId] = frozenset()
 SETTINGS = hypothesis.settings(
     derandomize=True, deadline=None, max_examples=150
 )
 
 
-def make_task(
-    customer: str,
-    *,
-    request: str = 'r',
-    kind: work.Kind = work.Kind.SINGLE,
-    deadline: float = 1000,
-) -> work.Task:
-    return work.Task(
-        request_id=ids.RequestId(request),
-        index=0,
-        customer=ids.CustomerId(customer),
-        kind=kind,
-        idempotent=True,
-        method='GET',
-        path='/',
-        headers=(),
-        body=b'',
-        deadline=deadline,
-    )
-
-
-def enqueue(queue: fair_queue.FairQueue, task: work.Task) -> fair_queue.Entry:
-    entry = queue.admit(task, exclude=NOWHERE)
+def enqueue(
+    queue: fair_queue.FairQueue, customer: str, **changes: Any
+) -> flows.Entry:
+    task = dispatch_samples.make_task(customer=customer, **changes)
+    entry = queue.admit(task, exclude=frozenset())
     queue.wait(entry)
     return entry
 
 
-def start_next(queue: fair_queue.FairQueue) -> fair_queue.Entry | None:
+def start_next(queue: fair_queue.FairQueue) -> flows.Entry | None:
     flow = queue.pop_flow()
     if flow is None:
         return None
@@ -58,14 +40,15 @@
 
     def __init__(self) -> None:
         self.queue = fair_queue.FairQueue()
-        self.waiting: dict[int, fair_queue.Entry] = {}
-        self.resting: dict[int, fair_queue.Entry] = {}
-        self.running: list[fair_queue.Entry] = []
+        self.waiting: dict[int, flows.Entry] = {}
+        self.resting: dict[int, flows.Entry] = {}
+        self.running: list[flows.Entry] = []
 
     def wait(self, pick: int) -> None:
         kind = work.Kind.JOB if pick % 2 else work.Kind.SINGLE
-        task = make_task(f'c{pick % 3}', request=f'{pick}', kind=kind)
-        entry = enqueue(self.queue, task)
+        entry = enqueue(
+            self.queue, f'c{pick % 3}', request_id=f'{pick}', kind=kind
+        )
         self.waiting[entry.number] = entry
 
     def start(self, pick: int) -> None:
@@ -88,13 +71,6 @@
             self.queue.finish(entry, run_s=pick / 10)
 
     def give_back(self, pick: int) -> None:
-        if self.running:
-            entry = self.running.pop(pick % len(self.running))
-            self.queue.give_back(entry)
-            self.queue.wait(entry, first=True)
-            self.waiting[entry.number] = entry
-
-    def rest(self, pick: int) -> None:
         if self.running:
             entry = self.running.pop(pick % len(self.running))
             self.queue.give_back(entry)
@@ -108,7 +84,7 @@
         self.resting.clear()
 
 
-ACTIONS = ('wait', 'start', 'cancel', 'finish', 'give_back', 'rest', 'wake')
+ACTIONS = ('wait', 'start', 'cancel', 'finish', 'give_back', 'wake')
 
 
 class FairQueueTest(testtools.TestCase):
@@ -163,35 +139,33 @@
         served = [float(0) for _ in weights]
         for no, _ in enumerate(weights):
             for _ in range(4):
-                enqueue(queue, make_task(f'c{no}'))
+                enqueue(queue, f'c{no}')
         # The queue learns run times first; the shares count from then on.
         for turn in range(600):
             entry = start_next(queue)
             assert entry is not None
             no = int(entry.task.customer[1:])
             queue.finish(entry, run_s=times[no])
-            enqueue(queue, make_task(f'c{no}'))
+            enqueue(queue, f'c{no}')
             if turn >= 100:
                 served[no] += times[no]
         normalized = [used / weight for used, weight in zip(served, weights)]
         # One task of each customer is the bound of start-time fair queueing.
         bound = 2 * max(time / weight for time, weight in zip(times, weights))
         bound += 2 * max(times) / min(weights)
-        self.assertThat(
-            max(normalized) - min(normalized), matchers.LessThan(bound)
-        )
+        self.assertLess(max(normalized) - min(normalized), bound)
 
     def test_idle_time_earns_no_credit(self) -> None:
         """Guards against a customer that returns and starves the others."""
         queue = fair_queue.FairQueue()
         for _ in range(100):
-            enqueue(queue, make_task('busy'))
+            enqueue(queue, 'busy')
         for _ in range(50):
             entry = start_next(queue)
             assert entry is not None
             queue.finish(entry, run_s=1)
         for _ in range(20):
-            enqueue(queue, make_task('late'))
+            enqueue(queue, 'late')
         order = []
         for _ in range(20):
             entry = start_next(queue)
@@ -199,15 +173,15 @@
             order.append(entry.task.customer)
             queue.finish(entry, run_s=1)
         # The late customer's estimate is lower until its first tasks end.
-        self.assertThat(order.count('busy'), matchers.GreaterThan(6))
+        self.assertGreater(order.count('busy'), 6)
 
     def test_jobs_follow_after_eight_singles(self) -> None:
         """Guards against single requests that starve a customer's jobs."""
         queue = fair_queue.FairQueue()
         for _ in range(4):
-            enqueue(queue, make_task('c', kind=work.Kind.JOB))
+            enqueue(queue, 'c', kind=work.Kind.JOB)
         for _ in range(40):
-            enqueue(queue, make_task('c'))
+            enqueue(queue, 'c')
         kinds = []
         for _ in range(27):
             entry = start_next(queue)
@@ -219,9 +193,9 @@
     def test_deadlines_end_waiting_tasks_only(self) -> None:
         """Guards against late starts and against ends of running tasks."""
         queue = fair_queue.FairQueue()
-        first = enqueue(queue, make_task('c', deadline=1))
-        second = enqueue(queue, make_task('c', deadline=2))
-        enqueue(queue, make_task('c', deadline=3))
+        first = enqueue(queue, 'c', deadline=1)
+        second = enqueue(queue, 'c', deadline=2)
+        enqueue(queue, 'c', deadline=3)
         self.assertIs(first, start_next(queue))
         self.assertEqual(2, queue.next_deadline())
         self.assertEqual([second], queue.expire(now=2))
@@ -232,14 +206,14 @@
         small_s = min(cancelling_s(2000) for _ in range(3))
         large_s = min(cancelling_s(16000) for _ in range(3))
         # Eight times the tasks; a search would take eight times as long.
-        self.assertThat(large_s, matchers.LessThan(4 * small_s + 0.02))
+        self.assertLess(large_s, 4 * small_s + 0.02)
 
 
 def cancelling_s(size: int) -> float:
     """Return the CPU time that a thousand cancellations take."""
     queue = fair_queue.FairQueue()
     for number in range(size):
-        enqueue(queue, make_task('c', request=f'{number}'))
+        enqueue(queue, 'c', request_id=f'{number}')
     began = time.process_time()
     for number in reversed(range(1000)):
         queue.cancel(ids.RequestId(f'{number}'))
--- a/tests/request/test_retries.py
+++ b/tests/request/test_retries.py
@@ -3,7 +3,6 @@
 import random
 
 import testtools
-from testtools import matchers
 
 from sardineproxy.request import retries
 
@@ -25,8 +24,6 @@
         budget = retries.RetryBudget()
         rng = random.Random(1)
         pauses = [budget.pause_s(attempts=1, rng=rng) for _ in range(200)]
-        self.assertThat(min(pauses), matchers.LessThan(0.005))
-        self.assertThat(max(pauses), matchers.GreaterThan(0.02))
-        self.assertThat(
-            budget.pause_s(attempts=50, rng=rng), matchers.LessThan(1.01)
-        )
+        self.assertLess(min(pauses), 0.005)
+        self.assertGreater(max(pauses), 0.02)
+        self.assertLess(budget.pause_s(attempts=50, rng=rng), 1.01)
--- a/tests/request/test_runner.py
+++ b/tests/request/test_runner.py
@@ -1,7 +1,6 @@
 """Which outcomes are retried, and what the caller is told then."""
 
 import asyncio
-import dataclasses
 import random
 from typing import Any
 
@@ -11,8 +10,7 @@
 from sardineproxy.connection import endpoint
 from sardineproxy.process import metrics
 from sardineproxy.request import retries, runner, work
-
-LONG_S = 30
+from tests import dispatch_samples
 
 
 def make_problem(verdict: verdicts.Verdict) -> problems.Problem:
@@ -69,7 +67,7 @@
             rng=random.Random(1),
             metrics=metrics.Metrics(),
         )
-        task = dataclasses.replace(make_task(), **changes)
+        task = dispatch_samples.make_task(deadline_s=10, **changes)
         start = tested.run_job_task if job else tested.run_single
 
         async def run() -> work.Outcome:
@@ -77,7 +75,7 @@
             await asyncio.sleep(0)
             if cancel:
                 tested.cancel(request_id=task.request_id)
-            return await asyncio.wait_for(running, LONG_S)
+            return await asyncio.wait_for(running, dispatch_samples.LONG_S)
 
         return asyncio.run(run()), dispatcher.excluded
 
@@ -114,18 +112,3 @@
             outcome, excluded = self.run_with(LOST, **bounds)  # type: ignore[arg-type]
             self.assertEqual((LOST, [set()]), (outcome, excluded))
         self.assertEqual(3, len(self.run_with(LOST, LOST, LOST, LOST)[1]))
-
-
-def make_task() -> work.Task:
-    return work.Task(
-        request_id=ids.RequestId('r'),
-        index=0,
-        customer=ids.CustomerId('c'),
-        kind=work.Kind.SINGLE,
-        idempotent=True,
-        method='GET',
-        path='/',
-        headers=(),
-        body=b'',
-        deadline=clock.SystemClock().now() + 10,
-    )
