--- a/sardineproxy/process/borrowing.py
+++ b/sardineproxy/process/borrowing.py
@@ -12,6 +12,9 @@
 #: Time for which a reported backlog counts as present, in seconds.
 BACKLOG_VALID_S = 1
 
+#: Longest wait for a grant before other lenders are asked, in seconds.
+ANSWER_S = 0.3
+
 #: Most slots to ask of a lender that has none free.
 MAX_PROBE = 64
 
@@ -81,6 +84,7 @@
 
     sent_at: float
     wants: dict[ids.CustomerId, int]
+    answered: bool = False
 
 
 class Backlog:
@@ -129,6 +133,10 @@
         self._table = table
         self._backlog = backlog
         self._asked: dict[ids.VmId, _Asked] = {}
+
+        #: Who last lent for each customer. Small holding limits have their
+        #: parts at few VMs, so the next request goes there first.
+        self._granters: dict[ids.CustomerId, ids.VmId] = {}
         self._last_number = 0
         self._ask_at: float = 0
 
@@ -172,9 +180,9 @@
         """Take the slots."""
         asked = self._asked.get(vm)
         if asked:
-            for customer, _, count in grant.lots:
-                left = asked.wants.get(customer, 0) - count
-                asked.wants[customer] = max(0, left)
+            asked.answered = True
+        for customer, _, _ in grant.lots:
+            self._granters[customer] = vm
         if grant.lots:
             self._borrowed.add(lender=vm, lots=grant.lots, now=now)
             self._table.changed.on_next(None)
@@ -205,10 +213,10 @@
         )
 
     def _needs(self, now: float) -> dict[ids.CustomerId, tuple[float, int]]:
-        """Return weight and slots wanted beyond those already asked for."""
+        """Return weight and slots wanted beyond those just asked for."""
         pending: dict[ids.CustomerId, int] = {}
         for asked in self._asked.values():
-            if now - asked.sent_at < self._cfg.pending_s:
+            if not asked.answered and now - asked.sent_at < ANSWER_S:
                 for customer, wanted in asked.wants.items():
                     pending[customer] = pending.get(customer, 0) + wanted
         return {
@@ -237,7 +245,14 @@
             if lender.free
             and now - self._asked_at(lender) >= self._cfg.ask_again_s
         ]
-        ready.sort(key=lambda each: (not each.near, -each.free))
+        known = {
+            self._granters.get(entry.customer)
+            for entry in self._backlog.customers(now)
+            if entry.waiting
+        }
+        ready.sort(
+            key=lambda each: (each.vm not in known, not each.near, -each.free)
+        )
         own_half = sum(self._table.owned.values()) // 2
         lot = min(total, self._cfg.min_lot, own_half)
         large = [lender for lender in ready if lender.free >= lot]
--- a/sardineproxy/process/views.py
+++ b/sardineproxy/process/views.py
@@ -81,6 +81,8 @@
         self._peers: dict[ids.VmId, _Peer] = {}
         self._absent: dict[ids.VmId, float] = {}
         self._departed: set[ids.VmId] = set()
+        self._winners: dict[str, ids.VmId | None] = {}
+        self._winners_for: dict[ids.VmId, float] = {}
         self._live: dict[ids.VmId, int] = {}
         self._stale = True
         self._leaving = False
@@ -257,6 +259,17 @@
             members.append(self._me)
         return tuple(sorted(members))
 
+    def _winner(
+        self, endpoint: str, sizes: dict[ids.VmId, float]
+    ) -> ids.VmId | None:
+        """Return the endpoint's owner; most changes move few endpoints."""
+        if self._winners_for != sizes:
+            self._winners_for = sizes
+            self._winners = {}
+        if endpoint not in self._winners:
+            self._winners[endpoint] = rendezvous.winner(endpoint, sizes)
+        return self._winners[endpoint]
+
     def _build(self, members: tuple[Member, ...]) -> Candidate:
         live = self._live
         sizes: dict[ids.VmId, float] = {vm: live[vm] for vm, _ in members}
@@ -271,7 +284,7 @@
             if endpoint.zone != self._zone:
                 continue
             digest.update(f'{endpoint.name} {endpoint.slots}\n'.encode())
-            owner = rendezvous.winner(endpoint.name, sizes)
+            owner = self._winner(endpoint.name, sizes)
             if owner:
                 vm_slots[owner] += endpoint.slots
             if owner == self._me[0]:
--- a/tests/process/test_lending.py
+++ b/tests/process/test_lending.py
@@ -269,6 +269,17 @@
         vms.now += CFG.lease_s
         self.assertFalse(vms.take('a', X))
 
+    def test_finds_the_only_part_of_a_small_limit(self) -> None:
+        """A customer that may hold one task may run it from any VM."""
+        for name in 'abcd':
+            vms = Vms('abcd', {X: 1})
+            for _ in range(8):
+                vms.report(name, x=1)
+                vms.now += CFG.patience_s
+                vms.tick(name)
+                vms.settle()
+            self.assertTrue(vms.take(name, X), name)
+
     def test_a_peer_cannot_return_more_than_it_has(self) -> None:
         vms = Vms('ab', {X: 100})
         vms.report('a', x=2)
