--- a/sardineproxy/process/borrowed.py
+++ b/sardineproxy/process/borrowed.py
@@ -6,6 +6,9 @@
 from sardineproxy import ids
 from sardineproxy.connection import frames
 
+#: Time for which recalled slots that come free are gathered, in seconds.
+RECALL_BATCH_S = 0.25
+
 
 @dataclasses.dataclass(kw_only=True, slots=True, eq=False)
 class Loan:
@@ -104,14 +107,16 @@
         """Remove idle slots that are due and return them for each lender.
 
         A lender's slots are due together once one of them was idle for
-        ``idle_s`` or is recalled; those that were just in use stay.
+        ``idle_s``, or for a moment if it is recalled; those that were just
+        in use stay.
         """
+        waits = (idle_s, min(idle_s, RECALL_BATCH_S))
         due = {
             loan.lender
             for loan in self._all()
             if loan.count > loan.used
             and only in {None, loan.lender}
-            and (loan.recalled or now - loan.idle_at >= idle_s)
+            and now - loan.idle_at >= waits[loan.recalled]
         }
         lots: dict[ids.VmId, tuple[frames.Lot, ...]] = {}
         for loan in self._all():
--- a/sardineproxy/process/lending.py
+++ b/sardineproxy/process/lending.py
@@ -24,7 +24,9 @@
     pending: dict[ids.CustomerId, int] = dataclasses.field(default_factory=dict)
     number: int = 0
     pending_until: float = 0
-    reclaimed_at: float = -math.inf
+
+    #: When idle slots were last granted or demanded back.
+    settled_at: float = -math.inf
     recalled: set[ids.EndpointId] = dataclasses.field(default_factory=set)
 
     def lent(self, customer: ids.CustomerId) -> int:
@@ -106,7 +108,7 @@
         self._end_lapsed(now)
         frames_out: borrowing.Outgoing = []
         for vm, book in self._books.items():
-            lots = self._grant(vm, book, now) if book.pending else ()
+            lots = self._grant_late(vm, book, now)
             if lots:
                 grant = frames.SlotGrant(number=book.number, lots=lots)
                 frames_out.append((vm, grant))
@@ -129,8 +131,6 @@
     def _grant(
         self, vm: ids.VmId, book: _Book, now: float
     ) -> tuple[frames.Lot, ...]:
-        if now >= book.pending_until:
-            book.pending = {}
         lots: list[frames.Lot] = []
         for customer, wanted in list(book.pending.items()):
             most = min(wanted, self._cap(vm, book, customer, now))
@@ -142,8 +142,33 @@
                 book.pending[customer] -= count
             if not book.pending[customer]:
                 book.pending.pop(customer)
+        if lots:
+            book.settled_at = now
         return tuple(lots)
 
+    def _grant_late(
+        self, vm: ids.VmId, book: _Book, now: float
+    ) -> tuple[frames.Lot, ...]:
+        """Grant a pending request once, when many slots are free or at last."""
+        if not book.pending:
+            return ()
+        if now < book.pending_until:
+            worth = min(self._wanted(vm, book, now), self._cfg.min_lot)
+            if self._table.free_slots < max(1, worth):
+                return ()
+        lots = self._grant(vm, book, now)
+        book.pending = {}
+        return lots
+
+    def _wanted(self, vm: ids.VmId, book: _Book, now: float) -> int:
+        """Return the pending slots, up to the fair part if tasks wait here."""
+        if not self._backlog.waits(now):
+            return sum(book.pending.values())
+        return sum(
+            min(wanted, self._cap(vm, book, customer, now))
+            for customer, wanted in book.pending.items()
+        )
+
     def _cap(
         self, vm: ids.VmId, book: _Book, customer: ids.CustomerId, now: float
     ) -> int:
@@ -191,14 +216,14 @@
         recall = self._recall(vm, book, now)
         reclaim = (
             bool(book.lots)
-            and now - book.reclaimed_at >= self._cfg.reclaim_s
+            and now - book.settled_at >= self._cfg.reclaim_s
             and self._is_short(vm, now)
         )
         if not recall and not reclaim:
             return None
         book.recalled.update(recall)
         if reclaim:
-            book.reclaimed_at = now
+            book.settled_at = now
         return frames.SlotRequest(
             number=0, wants=(), recall=recall, reclaim=reclaim
         )
@@ -238,9 +263,7 @@
         reserved = 0
         if self._backlog.waits(now):
             reserved = sum(
-                min(wanted, self._cap(vm, book, customer, now))
-                for vm, book in self._books.items()
-                for customer, wanted in book.pending.items()
+                self._wanted(vm, book, now) for vm, book in self._books.items()
             )
         fell = reserved < self._table.reserved
         self._table.reserved = reserved
--- a/sardineproxy/process/loans.py
+++ b/sardineproxy/process/loans.py
@@ -84,7 +84,7 @@
         """Return the peer's idle slots first, then grant what it wants."""
         self._table.borrowed.recall(vm, request.recall)
         replies: borrowing.Outgoing = []
-        if request.reclaim:
+        if request.reclaim or request.recall:
             replies.extend(self._borrowing.give_back(vm, now))
         elif request.wants:
             replies.extend(self._borrowing.give_many_back(vm, now))
