--- a/sardineproxy/process/borrowing.py
+++ b/sardineproxy/process/borrowing.py
@@ -51,8 +51,10 @@
     #: backlog with fewer messages.
     min_lot: int = 16
 
-    #: Time for which a lender keeps a request that it could not meet.
-    pending_s: float = 0.3
+    #: Time for which a lender keeps a request that it could not meet, and
+    #: slots that come free for it. With 0.3 a trial on 6 VMs that all had a
+    #: backlog kept 95 % of the slots busy, with 0.1 it kept 99 % busy.
+    pending_s: float = 0.1
 
     #: Shortest time between requests to a lender without free slots.
     probe_s: float = 4
--- a/sardineproxy/process/peer_events.py
+++ b/sardineproxy/process/peer_events.py
@@ -46,11 +46,16 @@
         self._send_all = send_all
         self._tasks: set[asyncio.Task[None]] = set()
 
+        #: True if the peers were told that this process ends.
+        self.said_goodbye = False
+
     def opened(self, stream: peer.Stream) -> None:
         """Use a new stream."""
         if stream.hello.zone == self._zone:
             self._views.joined(stream.hello.vm, stream.hello.incarnation)
         self._forwards.opened(stream)
+        if self.said_goodbye:
+            stream.send(frames.Goodbye())
         self._note_alive(stream)
         self.review()
 
--- a/sardineproxy/process/peers.py
+++ b/sardineproxy/process/peers.py
@@ -72,6 +72,7 @@
         """Start without streams; ``start`` opens the listener."""
         self._clock = clock
         self._cfg = cfg
+        self._size = size
         self._me = frames.Hello(
             vm=vm, incarnation=incarnation, zone=zone, version=0, revision=0
         )
@@ -148,6 +149,7 @@
         while not self._ownership.settled:
             await asyncio.sleep(self._cfg.tick_s)
             self._events.review()
+        self._events.said_goodbye = True
         self._send_all(self._loans.give_all_back())
         open_streams = list(self._streams.current.values())
         for stream in open_streams:
@@ -215,8 +217,12 @@
             self._live_vms.on_next(live)
 
     def state(self, *, now: float) -> dict[str, object]:
-        """Return streams, view and loans for the state dump."""
+        """Return streams, view and loans for the state dump.
+
+        Views use the sizes of the listing; ``size`` is what the settings say.
+        """
         return {
+            'size': self._size,
             'peers': [
                 {
                     'vm': vm,
--- a/tests/process/test_peers.py
+++ b/tests/process/test_peers.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import dataclasses
+import json
 import random
 from typing import AsyncIterator, Callable
 
@@ -119,8 +120,8 @@
         return len(self.table.free_endpoints(customer=X, now=now))
 
     def peer_names(self) -> list[str]:
-        state = self.peers.state(now=self.clock.now())
-        return [peer['vm'] for peer in state['peers']]  # type: ignore
+        state = json.dumps(self.peers.state(now=self.clock.now()))
+        return [each['vm'] for each in json.loads(state)['peers']]
 
     async def forward(self, to: str, incarnation: str, wait_s: float = 60):
         return await self.peers.forward(
@@ -202,6 +203,9 @@
                 process.peers._views._grace_s = NEVER_S
             await three.peers.goodbye()
             self.assertEqual([], owned(three))
+            await eventually(share_all(one, two))
+            three.peers._streams.abort_all('streams may fail after Goodbye')
+            await eventually(lambda: len(three.peer_names()) == 2)
             await three.peers.close()
             await eventually(share_all(one, two))
 
