--- a/tests/process/test_lending.py
+++ b/tests/process/test_lending.py
@@ -248,9 +248,13 @@
         vms.settle()
         for _ in range(20):
             vms.replace_task('b', Y)
-        self.assertEqual(
-            SLOTS * ENDPOINTS // 2, vms.tables['a'].borrowed.idle_slots('b')
-        )
+            vms.take_all('a', X)
+        at_b = [
+            ticket
+            for name, ticket in vms.tickets
+            if name == 'a' and ticket.endpoint.startswith('b')
+        ]
+        self.assertEqual(SLOTS * ENDPOINTS // 2, len(at_b))
 
     def test_lost_borrower_keeps_slots_until_its_tasks_ended(self) -> None:
         vms = _borrowing_all()
@@ -269,6 +273,17 @@
         vms.now += CFG.lease_s
         self.assertFalse(vms.take('a', X))
 
+    def test_finds_the_only_part_of_a_small_limit(self) -> None:
+        """A customer that may hold one task may run it from any VM."""
+        for name in 'abcd':
+            vms = Vms('abcd', {X: 1})
+            for _ in range(8):
+                vms.report(name, x=1)
+                vms.now += CFG.patience_s
+                vms.tick(name)
+                vms.settle()
+            self.assertTrue(vms.take(name, X), name)
+
     def test_a_peer_cannot_return_more_than_it_has(self) -> None:
         vms = Vms('ab', {X: 100})
         vms.report('a', x=2)
