--- a/sardineproxy/bench/phases.py
+++ b/sardineproxy/bench/phases.py
@@ -31,8 +31,12 @@
 
 SATURATED_LOAD = 1.3
 
+#: Part of the saturated phase whose arrivals all come at its start, so that
+#: a backlog exists for all of the rest.
+BURST = 0.1
+
 #: Part of the saturated phase before its slots are watched.
-WARM_UP = 0.25
+WARM_UP = 0.2
 
 #: Endpoint modes of the faults phase, by index of the endpoint.
 FAULTS = ((0, 'fail'), (7, 'close_idle'), (9, 'refuse'), (18, 'cut'))
@@ -54,6 +58,9 @@
     #: Longest wait for answers after the last arrival, in seconds.
     drain_s: float
 
+    #: Run times of the few long tasks, in milliseconds.
+    long_ms: tuple[int, int]
+
     def plan(self, name: str, *, load: float, **more: Any) -> workload.Plan:
         """Return a plan that offers ``load`` of the capacity."""
         return workload.Plan(
@@ -63,6 +70,7 @@
             entries=len(fleet.ZONES) * len(fleet.ENTRY_SIZES),
             **{
                 'duration_s': self.main_s,
+                'long_ms': self.long_ms,
                 'customers': dict(fleet.CUSTOMERS),
                 **more,
             },
@@ -75,10 +83,9 @@
     """Offer work to the entry processes."""
     sender = senders.EntrySender(run.fleet.connect())
     await sender.prepare(submissions)
-    load = driver.Driver(clock=clocks.SystemClock(), sender=sender)
-    samples = await load.drive(submissions, drain_limit_s=run.drain_s)
     await run.fleet.wait_idle()
-    return load, samples
+    load = driver.Driver(clock=clocks.SystemClock(), sender=sender)
+    return load, await load.drive(submissions, drain_limit_s=run.drain_s)
 
 
 async def measure_main(run: Run, bare: floor.Floor) -> None:
@@ -96,6 +103,7 @@
     late_ms = [1000 * one.late_s for one in samples]
     run.out.add('driver_lateness_p50_ms', measures.percentile(late_ms, 50))
     run.out.add('driver_lateness_p99_ms', measures.percentile(late_ms, 99))
+    await run.fleet.wait_idle()
     _add_cpu(run.out, submissions, cpu_s, bare)
     _add_starts(run.out, await run.fleet.read_starts(), '')
     _add_waste(run.out, counted, samples, 'wasted_messages_per_task')
@@ -152,8 +160,15 @@
     submissions = workload.generate(
         run.plan('saturated', load=SATURATED_LOAD, duration_s=run.short_s)
     )
+    submissions = [
+        dataclasses.replace(
+            one, arrival=max(0, one.arrival - BURST * run.short_s)
+        )
+        for one in submissions
+    ]
     await run.fleet.read_starts()
     load, _ = await _offer(run, submissions)
+    await run.fleet.wait_idle()
     window = (load.start + WARM_UP * run.short_s, load.start + run.short_s)
     starts = await run.fleet.read_starts()
     busy_s = _count_busy(_flatten(starts), window)
@@ -168,6 +183,7 @@
 ) -> None:
     """Offer the main load straight to the endpoints."""
     submissions = workload.generate(run.plan(name, load=run.load))
+    await run.fleet.wait_idle()
     load = driver.Driver(clock=clocks.SystemClock(), sender=sender)
     samples = await load.drive(submissions, drain_limit_s=run.drain_s)
     await sender.close()
@@ -230,6 +246,9 @@
     waste = measures.waste_by_kind(counted, useful)
     for kind, part in waste.items():
         out.add(f'{name}.{kind}', part)
+    absent = measures.find_absent(counted)
+    if absent:
+        raise LookupError(f'no process reports {", ".join(absent)}')
     out.add(name, sum(waste.values()))
 
 
