--- a/sardineproxy/demo/deployment.py
+++ b/sardineproxy/demo/deployment.py
@@ -36,6 +36,9 @@
         """Start with no process."""
         super().__init__(module=module)
         self._region = region
+
+        #: Whether settings name the entry VMs that already run as seeds.
+        self.seeded = True
         self._platform: child.Child | None = None
         self._states: dict[str, str] = {}
         self.endpoints: dict[str, parts.Endpoint] = {}
@@ -91,7 +94,7 @@
             spec,
             region=self._region,
             platform_port=self._platform_port(),
-            seeds=self.entries.values(),
+            seeds=self.entries.values() if self.seeded else (),
         )
         path.write_text(json.dumps({**settings, **more}), encoding='utf-8')
         process = await self.start_program('entry', '--settings', str(path))
--- a/sardineproxy/request/forwarding.py
+++ b/sardineproxy/request/forwarding.py
@@ -15,12 +15,12 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Gone:
-    """The minting incarnation has ended, or its VM is not known."""
+    """The minting incarnation has ended: another one answers for its VM."""
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Unreachable:
-    """The minting process could not be asked before the deadline."""
+    """The minting process could not be asked, or its VM is not listed."""
 
 
 Reply = Replied | Gone | Unreachable
--- a/tests/scenarios/world.py
+++ b/tests/scenarios/world.py
@@ -67,13 +67,24 @@
         self._runner.close()
 
     async def start(
-        self, *, zones: dict[str, tuple[int, int]], **contract: Any
+        self,
+        *,
+        zones: dict[str, tuple[int, int]],
+        relays: bool = False,
+        **contract: Any,
     ) -> None:
-        """Start entry VMs and endpoints, by zone, and apply a contract."""
+        """Start entry VMs and endpoints, by zone, and apply a contract.
+
+        With ``relays``, peers reach each entry VM through a relay of its own.
+        """
+        # Seeds name the entry VMs' own ports, which would bypass the relays.
+        self.deployment.seeded = not relays
         await self.deployment.__aenter__()
         await self.deployment.start_platform()
         for zone, (entries, endpoints) in zones.items():
             await self._start_zone(zone, entries, endpoints)
+        if relays:
+            await self._start_relays()
         await self.deployment.register()
         digest = await self.deployment.hash_credential(CREDENTIAL)
         await self.deployment.apply(
@@ -228,6 +239,17 @@
             ),
         )
 
+    async def _start_relays(self) -> None:
+        controls = []
+        for entry in self.deployment.entries.values():
+            target = f'{parts.HOST}:{entry.process.ports["peers"]}'
+            relay = await self.deployment.start_program(
+                'standin-relay', f'--target={target}'
+            )
+            entry.process.ports['peers'] = relay.ports['relay']
+            controls.append(relay.ports['control'])
+        self.notes['relay_controls'] = controls
+
     async def _owns_all_slots(self) -> bool:
         owned: set[str] = set()
         for name in self.deployment.entries:
