--- a/sardineproxy/connection/endpoint.py
+++ b/sardineproxy/connection/endpoint.py
@@ -14,7 +14,7 @@
 from aiohttp import http
 
 from sardineproxy import clock, ids, problems, verdicts
-from sardineproxy.connection import endpoint_pool
+from sardineproxy.connection import cutoff, endpoint_pool
 from sardineproxy.process import metrics, platform
 from sardineproxy.request import work
 
@@ -110,6 +110,7 @@
         self._metrics = metrics
         self._cfg = cfg or Config()
         self._session: aiohttp.ClientSession | None = None
+        self._cutoff = cutoff.Cutoff()
         self._gates: dict[tuple[str, int], endpoint_pool.Gate] = {}
 
     async def start(self) -> None:
@@ -132,6 +133,7 @@
 
     async def close(self) -> None:
         """Close all connections."""
+        self._cutoff.close()
         if self._session is not None:
             await self._session.close()
 
@@ -147,15 +149,17 @@
             return work.Refused(problem=_bad_task())
         exchange = endpoint_pool.Exchange()
         endpoint_pool.current_exchange.set(exchange)
+        watch = self._cutoff.enter(left_s=left_s)
         try:
-            async with asyncio.timeout(left_s):
-                return await self._pass_gate(task, vm, headers, exchange)
-        except TimeoutError as timeout:
-            if exchange.protocol is None and task.deadline <= self._clock.now():
-                return work.Refused(problem=deadline_passed())
-            outcome = _failed(vm, exchange, timeout)
+            return await self._pass_gate(task, vm, headers, exchange)
+        except asyncio.CancelledError:
+            if not self._cutoff.leave(watch):
+                raise
+            outcome = _cut_off(vm, exchange)
         except _ATTEMPT_ERRORS as exc:
             outcome = _failed(vm, exchange, exc)
+        finally:
+            self._cutoff.leave(watch)
         self._metrics.count(
             'endpoint_attempts_failed_total', code=outcome.problem.code
         )
@@ -331,6 +335,14 @@
     )
 
 
+def _cut_off(
+    vm: platform.Vm, exchange: endpoint_pool.Exchange
+) -> work.Refused | work.Unknown:
+    if exchange.protocol is None:
+        return work.Refused(problem=deadline_passed())
+    return _failed(vm, exchange, TimeoutError())
+
+
 def _failed(
     vm: platform.Vm, exchange: endpoint_pool.Exchange, exc: Exception
 ) -> work.Refused | work.Unknown:
--- a/sardineproxy/request/runner.py
+++ b/sardineproxy/request/runner.py
@@ -28,8 +28,11 @@
         self._rng = rng
         self._metrics = metrics
 
-        #: Set when the request is cancelled, by request in retries.
-        self._cancelled: dict[ids.RequestId, asyncio.Event] = {}
+        #: Requests that may be retried; cancelling one takes it out.
+        self._retriable: set[ids.RequestId] = set()
+
+        #: Set when a request is cancelled that waits for its back-off.
+        self._pauses: dict[ids.RequestId, asyncio.Event] = {}
 
     async def run_single(self, *, task: work.Task) -> work.Outcome:
         """Run a single request and return its outcome.
@@ -39,12 +42,11 @@
         """
         if not task.idempotent:
             return await self._run_once(task)
-        cancelled = asyncio.Event()
-        self._cancelled[task.request_id] = cancelled
+        self._retriable.add(task.request_id)
         try:
-            return await self._run_repeatedly(task, cancelled)
+            return await self._run_repeatedly(task)
         finally:
-            self._cancelled.pop(task.request_id, None)
+            self._retriable.discard(task.request_id)
 
     async def run_job_task(self, *, task: work.Task) -> work.Outcome:
         """Run a job's task at most once and return its outcome."""
@@ -52,9 +54,10 @@
 
     def cancel(self, *, request_id: ids.RequestId) -> None:
         """End the waiting tasks of a request as not run; start no retry."""
-        cancelled = self._cancelled.get(request_id)
-        if cancelled is not None:
-            cancelled.set()
+        self._retriable.discard(request_id)
+        pause = self._pauses.get(request_id)
+        if pause is not None:
+            pause.set()
         self._dispatcher.cancel(request_id=request_id)
 
     def waiting(self, *, customer: ids.CustomerId) -> int:
@@ -71,13 +74,13 @@
             self._budget.record_success()
         return outcome
 
-    async def _run_repeatedly(
-        self, task: work.Task, cancelled: asyncio.Event
-    ) -> work.Outcome:
+    async def _run_repeatedly(self, task: work.Task) -> work.Outcome:
         outcome = await self._run_once(task)
+        if retries.is_success(outcome):
+            return outcome
         tried = _endpoints_of(outcome)
         attempts = 1
-        while await self._may_retry(task, outcome, attempts, cancelled):
+        while await self._may_retry(task, outcome, attempts):
             self._metrics.count('retries_total')
             attempts += 1
             latest = await self._run_once(task, tried)
@@ -88,14 +91,12 @@
         return outcome
 
     async def _may_retry(
-        self,
-        task: work.Task,
-        outcome: work.Outcome,
-        attempts: int,
-        cancelled: asyncio.Event,
+        self, task: work.Task, outcome: work.Outcome, attempts: int
     ) -> bool:
         """Wait for the back-off; tell whether another attempt may start."""
-        if attempts >= self._budget.cfg.max_attempts or cancelled.is_set():
+        if attempts >= self._budget.cfg.max_attempts:
+            return False
+        if task.request_id not in self._retriable:
             return False
         if not retries.is_retriable(task, outcome):
             return False
@@ -105,11 +106,19 @@
         if not self._budget.try_spend():
             self._metrics.count('retries_denied_total')
             return False
+        await self._pause(task.request_id, pause_s)
+        return task.request_id in self._retriable
+
+    async def _pause(self, request_id: ids.RequestId, pause_s: float) -> None:
+        """Wait until the time has passed or the request is cancelled."""
+        cancelled = asyncio.Event()
+        self._pauses[request_id] = cancelled
         try:
             await asyncio.wait_for(cancelled.wait(), pause_s)
         except TimeoutError:
-            return True
-        return False
+            return
+        finally:
+            self._pauses.pop(request_id)
 
 
 def _endpoints_of(outcome: work.Outcome) -> frozenset[ids.EndpointId]:
