Endpoint client: let connections rest before they are used again

An endpoint that sends a second answer a few milliseconds late shifted all later answers on a busy connection by one.

--- a/sardineproxy/connection/endpoint.py
+++ b/sardineproxy/connection/endpoint.py
@@ -81,6 +81,11 @@
     #: close theirs after 5 s; a request must not meet that close.
     keepalive_s: float = 4
 
+    #: A connection is used again only after this time, in seconds, while the
+    #: endpoint takes further ones: an endpoint that answers twice would
+    #: otherwise shift all later answers on it by one.
+    rest_s: float = 0.01
+
     #: Most connections to an endpoint, whatever the list says.
     max_connections: int = 64
 
@@ -117,7 +122,9 @@
         """Open the session on the running event loop."""
         self._session = aiohttp.ClientSession(
             connector=endpoint_pool.Connector(
-                limit=0, keepalive_timeout=self._cfg.keepalive_s
+                rest_s=self._cfg.rest_s,
+                limit=0,
+                keepalive_timeout=self._cfg.keepalive_s,
             ),
             timeout=aiohttp.ClientTimeout(
                 total=None, sock_connect=self._cfg.connect_timeout_s
@@ -181,6 +188,7 @@
             self._gates[key] = gate
         if not gate.try_enter():
             await gate.wait()
+        exchange.idle_room = gate.most - gate.inside
         try:
             return await self._exchange(task, vm, headers, exchange)
         finally:
--- a/sardineproxy/connection/endpoint_pool.py
+++ b/sardineproxy/connection/endpoint_pool.py
@@ -6,6 +6,7 @@
 import dataclasses
 import functools
 import select
+import time
 from typing import Any
 
 import aiohttp
@@ -36,14 +37,14 @@
     def __init__(self, *, most: int) -> None:
         """Let ``most`` attempts in."""
         self.inside = 0
-        self._most = most
+        self.most = most
         self._waiters: collections.deque[asyncio.Future[None]] = (
             collections.deque()
         )
 
     def try_enter(self) -> bool:
         """Enter if there is room."""
-        if self.inside >= self._most:
+        if self.inside >= self.most:
             return False
         self.inside += 1
         return True
@@ -74,6 +75,9 @@
 
     def __init__(self) -> None:
         """Start without a connection."""
+        #: Idle connections that the endpoint's bound leaves room for.
+        self.idle_room = 0
+
         #: Set when a connection is handed over; bytes may leave from then on.
         self.protocol: Protocol | None = None
 
@@ -169,9 +173,10 @@
 class Connector(aiohttp.TCPConnector):
     """Hands out clean connections, one for each attempt."""
 
-    def __init__(self, **options: Any) -> None:
+    def __init__(self, *, rest_s: float, **options: Any) -> None:
         """Make connections that count what they receive."""
         super().__init__(**options)
+        self._rest_s = rest_s
         self._factory = functools.partial(  # type: ignore[assignment]
             Protocol, loop=self._loop
         )
@@ -194,3 +199,15 @@
                 raise aiohttp.ClientConnectionError(
                     'the endpoint closed a new connection'
                 )
+
+    async def _get(self, key: Any, traces: Any) -> Any:
+        """Return an idle connection that has rested, or None.
+
+        Bytes that follow an answer late are then seen before the next
+        request is written. Idle connections come oldest first.
+        """
+        idle = self._conns.get(key)
+        if idle and len(idle) <= current_exchange.get().idle_room:
+            if time.monotonic() - idle[0][1] < self._rest_s:
+                return None
+        return await super()._get(key, traces)
--- a/tests/connection/test_endpoint.py
+++ b/tests/connection/test_endpoint.py
@@ -90,7 +90,7 @@
 class AttemptTest(testtools.TestCase):
     """Each attempt writes its request at most once and tells what is known."""
 
-    def attempts(self, script: Script, use: Any) -> None:
+    def attempts(self, script: Script, use: Any, connections: int = 1) -> None:
         """Run ``use`` with a server and a function that makes attempts."""
 
         async def run() -> None:
@@ -105,7 +105,9 @@
                 async def attempt(**changes: Any) -> work.Outcome:
                     return await client.attempt(
                         task=samples.make_task(**changes),
-                        vm=samples.make_vm(port=server.port),
+                        vm=samples.make_vm(
+                            port=server.port, connections=connections
+                        ),
                     )
 
                 await asyncio.wait_for(use(server, attempt), samples.LONG_S)
@@ -181,6 +183,21 @@
 
             self.attempts(script, use)
 
+    def test_connection_rests_while_others_are_allowed(self) -> None:
+        """Guards against an extra answer that shifts all later ones by one."""
+
+        async def script(server: Server, number: int, writer: Any) -> None:
+            writer.write(WHOLE)
+            if number == 1:
+                await asyncio.sleep(0.002)
+                writer.write(OTHER)
+
+        async def use(server: Server, attempt: Any) -> None:
+            answers = [await attempt() for _ in range(4)]
+            self.assertEqual([answers[0] for _ in answers], answers)
+
+        self.attempts(script, use, connections=4)
+
     def test_connections_are_used_again(self) -> None:
         """Guards against a check that drops every connection."""
         for reply in (WHOLE, CHUNKED + b'5\r\nhello\r\n0\r\n\r\n'):
