--- a/sardineproxy/process/forwards.py
+++ b/sardineproxy/process/forwards.py
@@ -25,6 +25,9 @@
     def __init__(self) -> None:
         """Start without questions."""
         self._questions: dict[int, _Question] = {}
+
+        #: Questions to an incarnation other than that of the VM's stream.
+        self._suspects: dict[ids.VmId, list[_Question]] = {}
         self._last_number = 0
 
     def vms(self) -> set[ids.VmId]:
@@ -51,7 +54,7 @@
         )
         self._questions[question.number] = question
         if stream is not None:
-            _send(stream, question)
+            self._send(stream, question)
         try:
             async with asyncio.timeout(max(0, wait_s)):
                 return await question.fut
@@ -62,8 +65,10 @@
 
     def opened(self, stream: peer.Stream) -> None:
         """Ask what is outstanding for the VM on its new stream."""
-        for question in self._of(stream):
-            _send(stream, question)
+        self._suspects.pop(stream.hello.vm, None)
+        for question in list(self._questions.values()):
+            if question.vm == stream.hello.vm:
+                self._send(stream, question)
 
     def heard(self, stream: peer.Stream) -> None:
         """Settle questions to an incarnation that this one has replaced.
@@ -71,31 +76,24 @@
         A frame that arrives after the question was put proves that its
         sender is the VM's present incarnation.
         """
-        for question in self._of(stream):
-            if question.incarnation != stream.hello.incarnation:
-                _settle(question, forwarding.Gone())
+        for question in self._suspects.pop(stream.hello.vm, ()):
+            _settle(question, forwarding.Gone())
 
     def replied(self, stream: peer.Stream, reply: frames.ForwardReply) -> None:
         """Settle the question that was answered."""
         question = self._questions.get(reply.number)
-        if question and question.vm == stream.hello.vm:
+        sender = (stream.hello.vm, stream.hello.incarnation)
+        if question and (question.vm, question.incarnation) == sender:
             _settle(question, forwarding.Replied(payload=reply.payload))
 
-    def _of(self, stream: peer.Stream) -> list[_Question]:
-        return [
-            question
-            for question in self._questions.values()
-            if question.vm == stream.hello.vm
-        ]
-
-
-def _send(stream: peer.Stream, question: _Question) -> None:
-    """Put the question, or make a changed incarnation show that it lives."""
-    if stream.hello.incarnation == question.incarnation:
-        stream.send(
-            frames.Forward(number=question.number, payload=question.payload)
-        )
-    else:
+    def _send(self, stream: peer.Stream, question: _Question) -> None:
+        """Put the question, or make another incarnation show that it lives."""
+        if stream.hello.incarnation == question.incarnation:
+            stream.send(
+                frames.Forward(number=question.number, payload=question.payload)
+            )
+            return
+        self._suspects.setdefault(question.vm, []).append(question)
         stream.send(
             frames.ConfigFetch(version=stream.version, revision=stream.revision)
         )
--- a/tests/process/test_lending.py
+++ b/tests/process/test_lending.py
@@ -2,6 +2,7 @@
 
 import collections
 import random
+from typing import Callable
 
 import hypothesis
 import testtools
@@ -29,34 +30,28 @@
         self.links: dict[tuple[str, str], collections.deque] = {}
         self.tables: dict[str, slots.SlotTable] = {}
         self.loans: dict[str, loans.Loans] = {}
-        self.free = collections.Counter(
-            {name: SLOTS * ENDPOINTS for name in names}
-        )
+        self.free = dict.fromkeys(names, SLOTS * ENDPOINTS)
         self.tickets: list[tuple[str, slots.Ticket]] = []
         self.most_running = 0
         self.sent: collections.Counter = collections.Counter()
         for name in names:
-            self.tables[name] = slots.SlotTable()
-            self.tables[name].set_owned(
-                {f'{name}{number}': SLOTS for number in range(ENDPOINTS)}
-            )
-            self.tables[name].set_divisions(
-                [
-                    views.Division(
-                        vm=name,
-                        zone=ZONE,
-                        zone_slots={ZONE: 1},
-                        vm_slots={vm: SLOTS for vm in names},
-                    )
-                ]
+            division = views.Division(
+                vm=name,
+                zone=ZONE,
+                zone_slots={ZONE: 1},
+                vm_slots=dict.fromkeys(names, SLOTS),
             )
+            owned = [f'{name}{number}' for number in range(ENDPOINTS)]
+            self.tables[name] = slots.SlotTable()
+            self.tables[name].set_owned(dict.fromkeys(owned, SLOTS))
+            self.tables[name].set_divisions([division])
             self.tables[name].set_holds(limits)
             self.loans[name] = loans.Loans(cfg=CFG, table=self.tables[name])
             for other in names.replace(name, ''):
                 self.links[name, other] = collections.deque()
 
-    def lenders(self, name: str) -> list[borrowing.Lender]:
-        return [
+    def lenders(self, name: str) -> Callable[[], list[borrowing.Lender]]:
+        return lambda: [
             borrowing.Lender(vm=vm, near=True, free=self.free[vm])
             for vm in self.names.replace(name, '')
         ]
@@ -77,14 +72,12 @@
         )
         backlog = demand.Demand(customers=entries)
         self.loans[name].report(backlog, self.now)
-        self.send(
-            name, self.loans[name].ask(lambda: self.lenders(name), self.now)
-        )
+        requests = self.loans[name].ask(self.lenders(name), self.now)
+        self.send(name, requests)
 
     def tick(self, name: str) -> None:
-        self.send(
-            name, self.loans[name].tick(lambda: self.lenders(name), self.now)
-        )
+        due = self.loans[name].tick(self.lenders(name), self.now)
+        self.send(name, due)
 
     def deliver(self, one: str, other: str) -> bool:
         if not self.links[one, other]:
@@ -249,12 +242,11 @@
         for _ in range(20):
             vms.replace_task('b', Y)
             vms.take_all('a', X)
-        at_b = [
-            ticket
+        at_b = sum(
+            name == 'a' and ticket.endpoint.startswith('b')
             for name, ticket in vms.tickets
-            if name == 'a' and ticket.endpoint.startswith('b')
-        ]
-        self.assertEqual(SLOTS * ENDPOINTS // 2, len(at_b))
+        )
+        self.assertEqual(SLOTS * ENDPOINTS // 2, at_b)
 
     def test_lost_borrower_keeps_slots_until_its_tasks_ended(self) -> None:
         vms = _borrowing_all()
--- a/tests/process/test_peers.py
+++ b/tests/process/test_peers.py
@@ -5,6 +5,7 @@
 import dataclasses
 import json
 import random
+import types
 from typing import AsyncIterator, Callable
 
 import testtools
@@ -76,7 +77,12 @@
             directory=self.directory,
             slot_table=self.table,
             handler=self,
-            gossip=self,
+            gossip=types.SimpleNamespace(
+                number=lambda: self.version,
+                changes_since=lambda _: str(self.version).encode(),
+                offer=self.offer,
+                listing_revision=int,
+            ),
             metrics=self.metrics,
             cfg=cfg,
             connect=self.connect,
@@ -93,24 +99,9 @@
             await self.hold.wait()
         return b'reply to ' + payload
 
-    def number(self) -> int:
-        return self.version
-
-    def changes_since(self, number: int) -> bytes | None:
-        return str(self.version).encode()
-
     def offer(self, payload: bytes) -> None:
         self.version = int(payload)
 
-    def listing_revision(self) -> int:
-        return 0
-
-    def listing(self) -> bytes:
-        return b''
-
-    def offer_listing(self, payload: bytes) -> None:
-        raise AssertionError('no list is offered')
-
     def free_for_backlog(self) -> int:
         backlog = demand.CustomerDemand(
             customer=X, weight=1, waiting=200, running=0
@@ -297,12 +288,9 @@
             one.cut.update(ports.values())
             two.cut.update(ports.values())
             one.peers._streams.abort_all('cut by the test')
-            self.assertEqual(
-                forwarding.Unreachable(), await one.forward('b', '1', 0.2)
-            )
-            self.assertEqual(
-                forwarding.Unreachable(), await one.forward('unlisted', '1')
-            )
+            for to in ('b', 'unlisted'):
+                reply = await one.forward(to, '1', 0.2)
+                self.assertEqual(forwarding.Unreachable(), reply)
 
     @test_peer.asynchronous
     async def test_garbled_stream_changes_nothing(self) -> None:
@@ -354,27 +342,25 @@
     async def test_newer_versions_spread(self) -> None:
         processes = [Process(f'v{each}', f'z{each % 3}') for each in range(6)]
         async with running(*processes):
-            await eventually(
-                lambda: all(each.peer_names() for each in processes)
-            )
+            for each in processes:
+                await eventually(each.peer_names)
             processes[4].version = 7
-            await eventually(
-                lambda: all(each.version == 7 for each in processes)
-            )
+            await eventually(lambda: {p.version for p in processes} == {7})
 
 
 class NeighborsTest(testtools.TestCase):
     """Streams stay few at the target size, one for each pair."""
 
     def test_one_end_opens_each_stream(self) -> None:
-        zones = {f'vm-{each}': f'zone-{each % 13}' for each in range(104)}
-        entries = tuple((vm, zone, 1) for vm, zone in zones.items())
+        entries = tuple(
+            (f'vm-{each}', f'zone-{each % 13}', 1) for each in range(104)
+        )
         listing = test_views.listing(1, entries)
         chosen = {
             vm: neighbors.choose(
                 listing=listing, vm=vm, zone=zone, each_zone=2
             ).chosen
-            for vm, zone in zones.items()
+            for vm, zone, _ in entries
         }
         for vm, others in chosen.items():
             self.assertEqual(7 + 12 * 2, len(others))
--- a/tests/process/test_views.py
+++ b/tests/process/test_views.py
@@ -3,6 +3,7 @@
 import collections
 import dataclasses
 import functools
+import itertools
 
 import hypothesis
 import testtools
@@ -58,16 +59,17 @@
         self.tables: dict[str, slots.SlotTable] = {}
         self.owners: dict[str, ownership.Ownership] = {}
         for name in names:
-            self.views[name] = views.Views(
+            view = views.Views(
                 vm=name, incarnation='1', zone=ZONE, grace_s=GRACE_S
             )
-            self.tables[name] = slots.SlotTable()
+            table = slots.SlotTable()
+            self.views[name] = view
+            self.tables[name] = table
             self.owners[name] = ownership.Ownership(
-                views=self.views[name], table=self.tables[name], drain_s=DRAIN_S
+                views=view, table=table, drain_s=DRAIN_S
             )
-        for one in names:
-            for other in names.replace(one, ''):
-                self.connect(one, other)
+        for link in itertools.permutations(names, 2):
+            self.connect(*link)
 
     def connect(self, one: str, other: str) -> None:
         self.links[one, other] = collections.deque()
