--- a/sardineproxy/process/borrowing.py
+++ b/sardineproxy/process/borrowing.py
@@ -9,8 +9,13 @@
 from sardineproxy.process import demand as demand_module
 from sardineproxy.process import slots
 
-#: Time for which a reported backlog counts as present, in seconds.
-BACKLOG_VALID_S = 1
+#: Time for which a reported backlog counts as present, in seconds. The
+#: dispatcher reports at least every 0.25 s while tasks wait, and not when the
+#: last one stops waiting.
+BACKLOG_VALID_S = 0.5
+
+#: Age of a report up to which slots are asked for, in seconds.
+FRESH_S = 0.1
 
 #: Longest wait for a grant before other lenders are asked, in seconds.
 ANSWER_S = 0.3
@@ -97,15 +102,15 @@
         self._demand = _NO_DEMAND
         self._until: float = 0
         self._waits_since = math.inf
+        self.reported_at = -math.inf
 
     def report(self, demand: demand_module.Demand, now: float) -> None:
         """Keep the report while it is fresh."""
-        self._demand = demand
-        self._until = now + BACKLOG_VALID_S
         if not self.waits(now):
-            self._waits_since = math.inf
-        elif math.isinf(self._waits_since):
             self._waits_since = now
+        self._demand = demand
+        self.reported_at = now
+        self._until = now + BACKLOG_VALID_S
 
     def lasts(self, now: float, *, more_than: float, patience_s: float) -> bool:
         """Tell whether much waits, or something for a while."""
@@ -150,7 +155,9 @@
         A backlog that the own slots soon work off is not worth the messages,
         so a short one must last before it counts.
         """
-        if now < self._ask_at or not self._backlog.lasts(
+        if now < self._ask_at or now - self._backlog.reported_at > FRESH_S:
+            return []
+        if not self._backlog.lasts(
             now,
             more_than=sum(self._table.owned.values()) * self._cfg.short_part,
             patience_s=self._cfg.patience_s,
--- a/sardineproxy/process/peers.py
+++ b/sardineproxy/process/peers.py
@@ -194,8 +194,7 @@
     def on_backlog(self, demand: demand.Demand) -> None:
         """Borrow slots for waiting work.
 
-        A report counts for a second; report again while work waits, and once
-        when none waits any more.
+        A report counts for half a second; report again while work waits.
         """
         now = self._clock.now()
         self._loans.report(demand, now)
--- a/tests/process/test_lending.py
+++ b/tests/process/test_lending.py
@@ -265,6 +265,14 @@
         vms.now += CFG.lease_s
         self.assertFalse(vms.take('a', X))
 
+    def test_short_backlog_that_ends_soon_asks_nobody(self) -> None:
+        """An old backlog must not make a new short one look lasting."""
+        vms = Vms('ab', {X: 100})
+        for _ in range(3):
+            vms.report('a', x=1)
+            vms.now += 1
+        self.assertEqual(0, sum(vms.sent.values()))
+
     def test_finds_the_only_part_of_a_small_limit(self) -> None:
         """A customer that may hold one task may run it from any VM."""
         for name in 'abcd':
