--- a/sardineproxy/process/forwards.py
+++ b/sardineproxy/process/forwards.py
@@ -30,6 +30,9 @@
     def __init__(self) -> None:
         """Start without questions."""
         self._questions: dict[int, _Question] = {}
+
+        #: Questions to an incarnation other than that of the VM's stream.
+        self._suspects: dict[ids.VmId, list[_Question]] = {}
         self._last_number = 0
 
     def vms(self) -> set[ids.VmId]:
@@ -61,7 +64,7 @@
         self._questions[question.number] = question
         stream = streams.get(vm)
         if stream is not None:
-            _send(stream, question)
+            self._send(stream, question)
         try:
             async with asyncio.timeout(max(0, wait_s)):
                 return await _wait(question, streams)
@@ -72,8 +75,10 @@
 
     def opened(self, stream: peer.Stream) -> None:
         """Ask what is outstanding for the VM on its new stream."""
-        for question in self._of(stream):
-            _send(stream, question)
+        self._suspects.pop(stream.hello.vm, None)
+        for question in list(self._questions.values()):
+            if question.vm == stream.hello.vm:
+                self._send(stream, question)
 
     def heard(self, stream: peer.Stream) -> None:
         """Settle questions to an incarnation that this one has replaced.
@@ -81,22 +86,27 @@
         A frame that arrives after the question was put proves that its
         sender is the VM's present incarnation.
         """
-        for question in self._of(stream):
-            if question.incarnation != stream.hello.incarnation:
-                _settle(question, forwarding.Gone())
+        for question in self._suspects.pop(stream.hello.vm, ()):
+            _settle(question, forwarding.Gone())
 
     def replied(self, stream: peer.Stream, reply: frames.ForwardReply) -> None:
         """Settle the question that was answered."""
         question = self._questions.get(reply.number)
-        if question and question.vm == stream.hello.vm:
+        sender = (stream.hello.vm, stream.hello.incarnation)
+        if question and (question.vm, question.incarnation) == sender:
             _settle(question, forwarding.Replied(payload=reply.payload))
 
-    def _of(self, stream: peer.Stream) -> list[_Question]:
-        return [
-            question
-            for question in self._questions.values()
-            if question.vm == stream.hello.vm
-        ]
+    def _send(self, stream: peer.Stream, question: _Question) -> None:
+        """Put the question, or make another incarnation show that it lives."""
+        if stream.hello.incarnation == question.incarnation:
+            stream.send(
+                frames.Forward(number=question.number, payload=question.payload)
+            )
+            return
+        self._suspects.setdefault(question.vm, []).append(question)
+        stream.send(
+            frames.ConfigFetch(version=stream.version, revision=stream.revision)
+        )
 
 
 async def _wait(
@@ -114,18 +124,6 @@
         had_stream = has_stream
 
 
-def _send(stream: peer.Stream, question: _Question) -> None:
-    """Put the question, or make a changed incarnation show that it lives."""
-    if stream.hello.incarnation == question.incarnation:
-        stream.send(
-            frames.Forward(number=question.number, payload=question.payload)
-        )
-    else:
-        stream.send(
-            frames.ConfigFetch(version=stream.version, revision=stream.revision)
-        )
-
-
 def _settle(question: _Question, reply: forwarding.Reply) -> None:
     if not question.fut.done():
         question.fut.set_result(reply)
