--- a/sardineproxy/bench/core.py
+++ b/sardineproxy/bench/core.py
@@ -126,10 +126,6 @@
     async with deployment.Deployment(module=module) as dep:
         measured = fleet.Fleet(dep)
         await measured.start_endpoints()
-        bare = await floor.measure(dep, seconds=seconds.floor, rate=FLOOR_RATE)
-        out.add('round_trip_ms', 1000 * bare.round_trip_s)
-        out.add('floor_cpu_us_per_job_task', 1e6 * bare.job_task_cpu_s)
-        out.add('floor_cpu_us_per_single', 1e6 * bare.single_cpu_s)
         shared = phases.Run(
             fleet=measured,
             out=out,
@@ -140,10 +136,25 @@
             drain_s=seconds.drain,
             long_ms=seconds.long_ms,
         )
+        bare = await _measure_floor(shared, seconds.floor, 'baselines.')
         await _measure_baselines(shared, bare)
+        # Other load on the machine changes the floor within minutes, so it is
+        # measured again right before the figures that depend on it.
+        bare = await _measure_floor(shared, seconds.floor, '')
         await _measure_ours(shared, bare)
 
 
+async def _measure_floor(
+    run: phases.Run, seconds: float, prefix: str
+) -> floor.Floor:
+    await run.fleet.wait_idle()
+    bare = await floor.measure(run.fleet.dep, seconds=seconds, rate=FLOOR_RATE)
+    run.out.add(f'{prefix}round_trip_ms', 1000 * bare.round_trip_s)
+    run.out.add(f'{prefix}floor_cpu_us_per_job_task', 1e6 * bare.job_task_cpu_s)
+    run.out.add(f'{prefix}floor_cpu_us_per_single', 1e6 * bare.single_cpu_s)
+    return bare
+
+
 async def _measure_ours(run: phases.Run, bare: floor.Floor) -> None:
     out = run.out
     # Without entry processes all figures are missing, for one reason.
--- a/sardineproxy/bench/fleet.py
+++ b/sardineproxy/bench/fleet.py
@@ -5,7 +5,7 @@
 from typing import Any
 
 from sardineproxy.bench import measures
-from sardineproxy.demo import caller, deployment, parts, tasks
+from sardineproxy.demo import caller, deployment, parts, processes, tasks
 
 ZONES = ('sondrio', 'tirano', 'morbegno')
 
@@ -119,9 +119,14 @@
 
     async def wait_idle(self) -> None:
         """Wait until no endpoint runs a task."""
-        async with asyncio.timeout(IDLE_LIMIT_S):
-            while await self._count_running():
-                await asyncio.sleep(IDLE_POLL_S)
+        try:
+            async with asyncio.timeout(IDLE_LIMIT_S):
+                while await self._count_running():
+                    await asyncio.sleep(IDLE_POLL_S)
+        except TimeoutError as exc:
+            raise processes.DeploymentError(
+                f'endpoints still run tasks after {IDLE_LIMIT_S} s'
+            ) from exc
 
     async def read_starts(self) -> dict[str, list[dict[str, Any]]]:
         """Return and clear the starts of each endpoint."""
