Tests of dispatch: count held slots by tickets in the rig

LimitedSlots read the slot table's ticket map, which holds loans since slots can be borrowed, so two tests failed. The rig now counts the tickets that it handed out; the assertions are unchanged.

--- a/tests/process/test_dispatcher.py
+++ b/tests/process/test_dispatcher.py
@@ -59,11 +59,22 @@
         super().__init__()
         self.limits = limits
         self.searches = 0
+        self.held: dict[int, slots.Ticket] = {}
 
     def holding(self, customer: str | None = None) -> int:
-        held = self._tickets.values()
+        held = self.held.values()
         return sum(customer in {None, ticket.customer} for ticket in held)
 
+    def take(self, **place: Any) -> slots.Ticket | None:
+        ticket = super().take(**place)
+        if ticket is not None:
+            self.held[ticket.number] = ticket
+        return ticket
+
+    def release(self, *, ticket: slots.Ticket, now: float) -> None:
+        self.held.pop(ticket.number, None)
+        super().release(ticket=ticket, now=now)
+
     def free_endpoints(self, *, customer: Any, now: float) -> Any:
         self.searches += 1
         limit = self.limits.get(customer)
