--- a/sardineproxy/demo/processes.py
+++ b/sardineproxy/demo/processes.py
@@ -101,8 +101,11 @@
 
 
 def run(main: Coroutine[Any, Any, Outcome]) -> Outcome:
-    """Run ``main``; SIGTERM cancels it, so that it can end its processes."""
-    return asyncio.run(_run_until_signal(main))
+    """Run ``main``; a signal cancels it, so that it can end its processes."""
+    try:
+        return asyncio.run(_run_until_signal(main))
+    except (asyncio.CancelledError, KeyboardInterrupt) as exc:
+        raise DeploymentError('ended by a signal') from exc
 
 
 async def _run_until_signal(main: Coroutine[Any, Any, Outcome]) -> Outcome:
--- a/tests/bench/test_deployment.py
+++ b/tests/bench/test_deployment.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import os
+import signal
 
 import testtools
 from testtools import matchers
@@ -28,6 +29,14 @@
         await dep.start_program('standin-endpoint', '--no_such_flag')
 
 
+async def _terminate_after_start(pids: list[int]) -> None:
+    async with deployment.Deployment() as dep:
+        process = await dep.start_endpoints([URN])
+        pids.append(process.pid)
+        os.kill(os.getpid(), signal.SIGTERM)
+        await asyncio.Event().wait()
+
+
 class DeploymentTest(testtools.TestCase):
     """Failures reach the caller after everything was stopped."""
 
@@ -42,6 +51,19 @@
             [_is_running(pid) for pid in pids], matchers.Equals([False])
         )
 
+    def test_ends_all_processes_on_sigterm(self) -> None:
+        """Guards against processes that outlive a terminated harness."""
+        pids: list[int] = []
+        error = self.assertRaises(
+            processes.DeploymentError,
+            processes.run,
+            _terminate_after_start(pids),
+        )
+        self.assertThat(str(error), matchers.Contains('signal'))
+        self.assertThat(
+            [_is_running(pid) for pid in pids], matchers.Equals([False])
+        )
+
     def test_settings_are_what_the_entry_process_accepts(self) -> None:
         """Guards against settings that drift from their schema."""
         spec = parts.EntrySpec(name='sondrio-1', zone='sondrio', size=2)
