--- a/sardineproxy/connection/endpoint.py
+++ b/sardineproxy/connection/endpoint.py
@@ -14,7 +14,7 @@
 from aiohttp import http
 
 from sardineproxy import clock, ids, problems, verdicts
-from sardineproxy.connection import endpoint_pool
+from sardineproxy.connection import cutoff, endpoint_pool
 from sardineproxy.process import metrics, platform
 from sardineproxy.request import work
 
@@ -81,6 +81,11 @@
     #: close theirs after 5 s; a request must not meet that close.
     keepalive_s: float = 4
 
+    #: A connection is used again only after this time, in seconds, while the
+    #: endpoint takes further ones: an endpoint that answers twice would
+    #: otherwise shift all later answers on it by one.
+    rest_s: float = 0.01
+
     #: Most connections to an endpoint, whatever the list says.
     max_connections: int = 64
 
@@ -110,13 +115,16 @@
         self._metrics = metrics
         self._cfg = cfg or Config()
         self._session: aiohttp.ClientSession | None = None
+        self._cutoff = cutoff.Cutoff()
         self._gates: dict[tuple[str, int], endpoint_pool.Gate] = {}
 
     async def start(self) -> None:
         """Open the session on the running event loop."""
         self._session = aiohttp.ClientSession(
             connector=endpoint_pool.Connector(
-                limit=0, keepalive_timeout=self._cfg.keepalive_s
+                rest_s=self._cfg.rest_s,
+                limit=0,
+                keepalive_timeout=self._cfg.keepalive_s,
             ),
             timeout=aiohttp.ClientTimeout(
                 total=None, sock_connect=self._cfg.connect_timeout_s
@@ -132,6 +140,7 @@
 
     async def close(self) -> None:
         """Close all connections."""
+        self._cutoff.close()
         if self._session is not None:
             await self._session.close()
 
@@ -148,15 +157,17 @@
         self._metrics.count('endpoint_attempts_total', kind=task.kind.value)
         exchange = endpoint_pool.Exchange()
         endpoint_pool.current_exchange.set(exchange)
+        watch = self._cutoff.enter(left_s=left_s)
         try:
-            async with asyncio.timeout(left_s):
-                return await self._pass_gate(task, vm, headers, exchange)
-        except TimeoutError as timeout:
-            if exchange.protocol is None and task.deadline <= self._clock.now():
-                return work.Refused(problem=deadline_passed())
-            outcome = _failed(vm, exchange, timeout)
+            return await self._pass_gate(task, vm, headers, exchange)
+        except asyncio.CancelledError:
+            if not self._cutoff.leave(watch):
+                raise
+            outcome = _cut_off(vm, exchange)
         except _ATTEMPT_ERRORS as exc:
             outcome = _failed(vm, exchange, exc)
+        finally:
+            self._cutoff.leave(watch)
         self._metrics.count(
             'endpoint_attempts_failed_total', code=outcome.problem.code
         )
@@ -178,6 +189,7 @@
             self._gates[key] = gate
         if not gate.try_enter():
             await gate.wait()
+        exchange.idle_room = gate.most - gate.inside
         try:
             return await self._exchange(task, vm, headers, exchange)
         finally:
@@ -332,6 +344,14 @@
     )
 
 
+def _cut_off(
+    vm: platform.Vm, exchange: endpoint_pool.Exchange
+) -> work.Refused | work.Unknown:
+    if exchange.protocol is None:
+        return work.Refused(problem=deadline_passed())
+    return _failed(vm, exchange, TimeoutError())
+
+
 def _failed(
     vm: platform.Vm, exchange: endpoint_pool.Exchange, exc: Exception
 ) -> work.Refused | work.Unknown:
