--- /dev/null
+++ b/sardineproxy/bench/slopes_contract.py
@@ -0,0 +1,191 @@
+"""Slopes of a contract and of a change of the configuration."""
+
+import random
+
+from sardineproxy import ids
+from sardineproxy.bench import slopes_fit, slopes_samples
+from sardineproxy.connection import frames
+from sardineproxy.process import exchange, gossip, parts, slots, views
+from sardineproxy.version import codec, versions
+
+CONTRACTS = (100, 370, 1000)
+CHANGES = (16, 64, 128)
+PEERS = (2, 8, 32)
+TARGET = 370
+
+
+def measure(out: slopes_fit.Report) -> None:
+    """Print the slopes."""
+    out.add(
+        slopes_fit.measure(
+            'contract.memory', 'B/contract', _weigh, CONTRACTS, repeats=2
+        )
+    )
+    out.add(
+        slopes_fit.measure(
+            'contract.snapshot',
+            'B/contract',
+            lambda count: len(codec.encode_snapshot(_snapshot(count))),
+            CONTRACTS,
+            repeats=1,
+        )
+    )
+    out.add(
+        slopes_fit.measure(
+            'change.apply', 'us/contract', _time_change, CONTRACTS
+        )
+    )
+    out.add(
+        slopes_fit.measure(
+            'change.row',
+            'B/changed contract',
+            _weigh_row,
+            (1, 4, 16),
+            repeats=1,
+        )
+    )
+    out.add(
+        slopes_fit.measure(
+            'change.kept', 'B/change', _weigh_kept, CHANGES, repeats=1
+        )
+    )
+    _measure_passing(out)
+
+
+def _measure_passing(out: slopes_fit.Report) -> None:
+    """Print what it takes to bring peers to the next version."""
+    built, payload = _build_ahead()
+    passing = exchange.Exchange(
+        gossip=gossip.Gossip(versions=built.versions, vm_list=built.vm_list),
+        rng=random.Random(1),
+    )
+    fetch = frames.ConfigFetch(version=1, revision=0)
+    announce = frames.ConfigAnnounce(version=2, revision=0)
+
+    def pass_on(peers: int) -> None:  # noqa: WPS430
+        for _ in range(peers):
+            frames.encode(announce).unwrap()
+            frames.encode(passing.answer(fetch)).unwrap()
+
+    out.add(
+        slopes_fit.measure(
+            'change.pass_on',
+            'us/peer',
+            lambda peers: slopes_fit.cpu_us(lambda: pass_on(peers), times=20),
+            PEERS,
+        )
+    )
+    sent = [announce, fetch, passing.answer(fetch)]
+    out.add_figure(
+        'change.pass_on.bytes',
+        sum(len(frames.encode(one).unwrap()) for one in sent),
+        'B/peer',
+        f'announce, fetch and changes; the change itself {len(payload)}',
+    )
+
+
+def _snapshot(count: int) -> versions.Snapshot:
+    return slopes_samples.snapshot(slopes_samples.documents(count))
+
+
+def _weigh(count: int) -> float:
+    """Return the memory of a version in force in an entry process."""
+    payload = codec.encode_payload(
+        codec.Payload(snapshot=_snapshot(count), changes=())
+    )
+    built = _build_parts()
+
+    def take() -> parts.Parts:  # noqa: WPS430
+        built.versions.offer(payload)
+        return built
+
+    return slopes_fit.heap_bytes(take)
+
+
+def _time_change(count: int) -> float:
+    """Return the cost of one changed contract among ``count``.
+
+    Covers the follower and all that follow it: limits, weights and shares.
+    """
+    built = _build_parts()
+    first = _snapshot(count)
+    built.versions.offer(
+        codec.encode_payload(codec.Payload(snapshot=first, changes=()))
+    )
+    payload = codec.encode_payload(_change(first, 1))
+    took_us = slopes_fit.cpu_us(lambda: built.versions.offer(payload))
+    assert built.versions.number() == first.number + 1, 'the change is taken'
+    return took_us
+
+
+def _change(old: versions.Snapshot, changed: int) -> codec.Payload:
+    """Return a change of the first ``changed`` contracts' weights."""
+    wanted = {
+        **old.documents,
+        **slopes_samples.documents(changed, weight=old.number + 1),
+    }
+    return slopes_samples.change(old, wanted)
+
+
+def _weigh_row(changed: int) -> float:
+    return len(codec.encode_change(_change(_snapshot(20), changed).changes[0]))
+
+
+def _weigh_kept(changes: int) -> float:
+    """Return the memory of changes that are kept for peers."""
+    newest = _snapshot(TARGET)
+    payloads = []
+    for _ in range(changes):
+        payload = _change(newest, 1)
+        newest = versions.apply(newest, payload.changes[0]).unwrap()
+        payloads.append(codec.encode_payload(payload))
+    built = _build_parts()
+    built.versions.offer(
+        codec.encode_payload(
+            codec.Payload(snapshot=_snapshot(TARGET), changes=())
+        )
+    )
+
+    def take() -> parts.Parts:  # noqa: WPS430
+        for payload in payloads:
+            built.versions.offer(payload)
+        return built
+
+    return slopes_fit.heap_bytes(take)
+
+
+def _build_ahead() -> tuple[parts.Parts, bytes]:
+    """Return parts at version 2, and the change that leads there."""
+    built = _build_parts()
+    first = _snapshot(TARGET)
+    built.versions.offer(
+        codec.encode_payload(codec.Payload(snapshot=first, changes=()))
+    )
+    payload = codec.encode_payload(_change(first, 1))
+    built.versions.offer(payload)
+    return built, payload
+
+
+def _build_parts() -> parts.Parts:
+    """Return all parts of an entry process, with a zone's division."""
+    built = parts.build(
+        cfg=slopes_samples.entry_settings(),
+        outside=parts.Outside(
+            clock=slopes_samples.system_clock(),
+            rng=random.Random(1),
+            platform=slopes_samples.SteadyPlatform(
+                vm_list=slopes_samples.listing(), contracts={}
+            ),
+        ),
+    )
+    built.slots.set_divisions((_division(),))
+    return built
+
+
+def _division() -> slots.Division:
+    return views.Division(
+        vm=ids.VmId('entry-00000'),
+        zone=ids.ZoneId(slopes_samples.ZONE),
+        zone_slots={ids.ZoneId(f'zone-{zone}'): 6000 for zone in range(13)},
+        vm_slots={ids.VmId(f'entry-{vm:05d}'): 400 for vm in range(16)},
+    )
--- /dev/null
+++ b/sardineproxy/bench/slopes_http.py
@@ -0,0 +1,210 @@
+"""Slopes of a request through real aiohttp, bare and in an entry process.
+
+The endpoint and the caller run in other threads, whose processor time does
+not count.
+"""
+
+import asyncio
+import json
+import random
+import time
+from typing import Iterator
+
+import aiohttp
+from aiohttp import web
+
+from sardineproxy.bench import slopes_fit, slopes_net, slopes_samples
+from sardineproxy.process import entry, parts
+
+#: Requests on their way at once.
+AT_ONCE = 8
+REQUESTS = (200, 800)
+JOB_TASKS = (100, 800)
+JOBS = 3
+ENDPOINTS = 48
+ANSWER = slopes_net.render(b'{"task": "task", "endpoint": "endpoint"}')
+BODY = b'x' * 100
+
+
+def measure(out: slopes_fit.Report) -> None:
+    """Print the slopes."""
+    with slopes_net.FixedServer({b'/': ANSWER}) as endpoint:
+        for name, cost in (
+            ('http.floor_client', _call_bare),
+            ('http.floor_proxy', _proxy_bare),
+            ('http.single', _submit_singles),
+        ):
+            out.add(
+                slopes_fit.measure_async(
+                    name,
+                    'us/request',
+                    lambda count, cost=cost: cost(endpoint.port, count),
+                    REQUESTS,
+                    repeats=3,
+                )
+            )
+        out.add(
+            slopes_fit.measure_async(
+                'http.job_task',
+                'us/task',
+                lambda count: _submit_jobs(endpoint.port, count),
+                JOB_TASKS,
+                repeats=3,
+            )
+        )
+
+
+async def _call_bare(port: int, count: int) -> float:
+    """Return the cost of a bare client."""
+    async with _open_session() as session:
+        numbers = iter(range(count))
+        began_s = time.thread_time()
+        await asyncio.gather(
+            *(_post_each(session, port, numbers) for _ in range(AT_ONCE))
+        )
+        return (time.thread_time() - began_s) * slopes_fit.US_PER_S
+
+
+async def _post_each(
+    session: aiohttp.ClientSession, port: int, numbers: Iterator[int]
+) -> None:
+    for number in numbers:
+        await _post(session, port, str(number))
+
+
+async def _post(
+    session: aiohttp.ClientSession, port: int, task: str
+) -> bytes:
+    async with session.post(
+        f'http://{slopes_net.HOST}:{port}/tasks',
+        headers={'X-Task': task, 'X-Run-Ms': '0'},
+        data=BODY,
+    ) as reply:
+        return await reply.read()
+
+
+def _open_session() -> aiohttp.ClientSession:
+    return aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0))
+
+
+async def _proxy_bare(port: int, count: int) -> float:
+    """Return the cost of a bare server that asks a bare client."""
+    async with _open_session() as session:
+
+        async def handle(req: web.BaseRequest) -> web.Response:  # noqa: WPS430
+            await req.read()
+            return web.Response(body=await _post(session, port, 'task'))
+
+        server = web.Server(handle, access_log=None)  # type: ignore[arg-type]
+        listener = await asyncio.get_running_loop().create_server(
+            server, slopes_net.HOST, 0
+        )
+        cost = await _time_calls(
+            listener.sockets[0].getsockname()[1],
+            [slopes_net.request('/', BODY) for _ in range(count)],
+            AT_ONCE,
+        )
+        listener.close()
+        await server.shutdown()
+        return cost
+
+
+async def _time_calls(
+    port: int, requests: list[bytes], at_once: int
+) -> float:
+    """Return this thread's cost of serving what another one sends."""
+    with slopes_net.LoopThread() as caller:
+        began_s = time.thread_time()
+        await caller.begin(
+            slopes_net.call_many(port, requests, at_once=at_once)
+        )
+        return (time.thread_time() - began_s) * slopes_fit.US_PER_S
+
+
+async def _submit_singles(port: int, count: int) -> float:
+    """Return an entry process's cost of single requests."""
+    process, callers = await _start_entry(port)
+    body = json.dumps(_task_document(0)).encode()
+    cost = await _time_calls(
+        callers,
+        [_authorized('/v1/requests', body) for _ in range(count)],
+        AT_ONCE,
+    )
+    await _stop_entry(process)
+    return cost
+
+
+async def _submit_jobs(port: int, count: int) -> float:
+    """Return an entry process's cost of a job of ``count`` tasks."""
+    process, callers = await _start_entry(port)
+    with slopes_net.LoopThread() as caller:
+        minted = await caller.begin(
+            slopes_net.call_many(
+                callers,
+                [_authorized('/v1/keys', b'{"count": %d}' % JOBS)],
+                at_once=1,
+            )
+        )
+    body = json.dumps(
+        {'tasks': [_task_document(number) for number in range(count)]}
+    ).encode()
+    cost = await _time_calls(
+        callers,
+        [
+            _authorized('/v1/jobs', body, {'Idempotency-Key': key})
+            for key in json.loads(minted[0])['keys']
+        ],
+        1,
+    )
+    await _stop_entry(process)
+    return cost / JOBS
+
+
+async def _start_entry(port: int) -> tuple[entry.EntryProcess, int]:
+    """Start an entry process that owns all slots, and return its port."""
+    outside = parts.Outside(
+        clock=slopes_samples.system_clock(),
+        rng=random.Random(1),
+        platform=slopes_samples.SteadyPlatform(
+            vm_list=slopes_samples.listing(
+                *slopes_samples.entry_vms(1),
+                *slopes_samples.endpoints(ENDPOINTS, port=port),
+            ),
+            contracts=slopes_samples.documents(1),
+        ),
+    )
+    process = entry.EntryProcess(
+        cfg=slopes_samples.entry_settings(), outside=outside
+    )
+    ports = (await process.start()).unwrap()
+    built = process._parts  # noqa: SLF001
+    assert built is not None
+    while not (process.is_ready() and built.slots.owned):
+        await asyncio.sleep(0.01)
+    return process, ports['callers']
+
+
+async def _stop_entry(process: entry.EntryProcess) -> None:
+    # A graceful shutdown first waits for the balancer.
+    built = process._parts  # noqa: SLF001
+    assert built is not None
+    await process._close(built)  # noqa: SLF001
+
+
+def _authorized(
+    path: str, body: bytes, headers: dict[str, str] | None = None
+) -> bytes:
+    credential = f'Bearer {slopes_samples.CREDENTIAL}'
+    return slopes_net.request(
+        path, body, headers={'Authorization': credential, **(headers or {})}
+    )
+
+
+def _task_document(number: int) -> dict[str, object]:
+    return {
+        'method': 'POST',
+        'path': '/tasks',
+        'headers': {'X-Task': f'task-{number}', 'X-Run-Ms': '0'},
+        'idempotent': True,
+        'body_text': BODY.decode(),
+    }
--- /dev/null
+++ b/sardineproxy/bench/slopes_listing.py
@@ -0,0 +1,102 @@
+"""Slopes of a VM in the list: bytes, decoding, memory, and a change of it."""
+
+import json
+import random
+
+from sardineproxy import json_text
+from sardineproxy.bench import slopes_fit, slopes_samples
+from sardineproxy.process import listing, parts, platform
+
+#: The last one is the target's number of workers.
+VMS = (100, 1000, 9700)
+ZONES = 13
+
+
+def measure(out: slopes_fit.Report) -> None:
+    """Print the slopes."""
+    for name, cost in (
+        ('listing.json', lambda count: len(_render(count))),
+        ('listing.for_peers', lambda count: len(listing.encode(_make(count)))),
+    ):
+        out.add(slopes_fit.measure(name, 'B/VM', cost, VMS, repeats=1))
+    for name, cost in (
+        ('listing.decode', _time_decode),
+        ('listing.decode_from_peer', _time_decode_from_peer),
+        ('listing.encode_for_peers', _time_encode),
+        ('listing.use', _time_use),
+    ):
+        out.add(slopes_fit.measure(name, 'us/VM', cost, VMS, repeats=3))
+    out.add(
+        slopes_fit.measure('listing.memory', 'B/VM', _weigh, VMS, repeats=1)
+    )
+
+
+def _make(count: int) -> platform.VmList:
+    return slopes_samples.listing(
+        *slopes_samples.endpoints(count, zones=ZONES)
+    )
+
+
+def _render(count: int) -> str:
+    document = listing.to_document(_make(count))
+    return json.dumps(document, separators=(',', ':'))
+
+
+def _decode(text: str) -> platform.VmList:
+    """Do what the platform's client does with the list's text."""
+    return (
+        json_text.parse_object(
+            text, max_bytes=listing.MAX_LIST_BYTES, comments=False
+        )
+        .and_then(listing.from_document)
+        .unwrap()
+    )
+
+
+def _time_decode(count: int) -> float:
+    text = _render(count)
+    return slopes_fit.cpu_us(lambda: _decode(text))
+
+
+def _time_decode_from_peer(count: int) -> float:
+    payload = listing.encode(_make(count))
+    return slopes_fit.cpu_us(lambda: listing.decode(payload).unwrap())
+
+
+def _time_encode(count: int) -> float:
+    made = _make(count)
+    return slopes_fit.cpu_us(lambda: listing.encode(made))
+
+
+def _time_use(count: int) -> float:
+    """Return the cost for directory, routing and health estimates."""
+    built = _build_parts()
+    built.directory.offer(_make(count))
+    newer = _make(count)
+    return slopes_fit.cpu_us(lambda: built.directory.offer(newer))
+
+
+def _weigh(count: int) -> float:
+    """Return the memory of the list and of all that is kept for each VM."""
+    text = _render(count)
+    built = _build_parts()
+
+    def take() -> parts.Parts:  # noqa: WPS430
+        built.directory.offer(_decode(text))
+        return built
+
+    return slopes_fit.heap_bytes(take)
+
+
+def _build_parts() -> parts.Parts:
+    """Return all parts of an entry process, of which none runs."""
+    return parts.build(
+        cfg=slopes_samples.entry_settings(),
+        outside=parts.Outside(
+            clock=slopes_samples.system_clock(),
+            rng=random.Random(1),
+            platform=slopes_samples.SteadyPlatform(
+                vm_list=slopes_samples.listing(), contracts={}
+            ),
+        ),
+    )
