--- a/sardineproxy/bench/slopes_contract.py
+++ b/sardineproxy/bench/slopes_contract.py
@@ -1,5 +1,7 @@
 """Slopes of a contract and of a change of the configuration."""
 
+import functools
+import math
 import random
 
 from sardineproxy import ids
@@ -61,29 +63,37 @@
     )
     fetch = frames.ConfigFetch(version=1, revision=0)
     announce = frames.ConfigAnnounce(version=2, revision=0)
-
-    def pass_on(peers: int) -> None:  # noqa: WPS430
-        for _ in range(peers):
-            frames.encode(announce).unwrap()
-            frames.encode(passing.answer(fetch)).unwrap()
-
     out.add(
         slopes_fit.measure(
             'change.pass_on',
             'us/peer',
-            lambda peers: slopes_fit.cpu_us(lambda: pass_on(peers), times=20),
+            functools.partial(_time_passing, passing, announce, fetch),
             PEERS,
         )
     )
-    sent = [announce, fetch, passing.answer(fetch)]
+    sent: list[frames.Frame] = [announce, fetch, passing.answer(fetch)]
     out.add_figure(
         'change.pass_on.bytes',
-        sum(len(frames.encode(one).unwrap()) for one in sent),
+        math.fsum(len(frames.encode(one).unwrap()) for one in sent),
         'B/peer',
         f'announce, fetch and changes; the change itself {len(payload)}',
     )
 
 
+def _time_passing(
+    passing: exchange.Exchange,
+    announce: frames.ConfigAnnounce,
+    fetch: frames.ConfigFetch,
+    peers: int,
+) -> float:
+    def pass_on() -> None:  # noqa: WPS430
+        for _ in range(peers):
+            frames.encode(announce).unwrap()
+            frames.encode(passing.answer(fetch)).unwrap()
+
+    return slopes_fit.cpu_us(pass_on, times=20)
+
+
 def _snapshot(count: int) -> versions.Snapshot:
     return slopes_samples.snapshot(slopes_samples.documents(count))
 
@@ -105,7 +115,8 @@
 def _time_change(count: int) -> float:
     """Return the cost of one changed contract among ``count``.
 
-    Covers the follower and all that follow it: limits, weights and shares.
+    Covers the follower and all that follow it: limits, weights and shares,
+    and each customer's part of its holding limit, which is computed on use.
     """
     built = _build_parts()
     first = _snapshot(count)
@@ -113,7 +124,13 @@
         codec.encode_payload(codec.Payload(snapshot=first, changes=()))
     )
     payload = codec.encode_payload(_change(first, 1))
-    took_us = slopes_fit.cpu_us(lambda: built.versions.offer(payload))
+
+    def take() -> None:  # noqa: WPS430
+        built.versions.offer(payload)
+        for customer in first.documents:
+            built.slots.part(customer)
+
+    took_us = slopes_fit.cpu_us(take)
     assert built.versions.number() == first.number + 1, 'the change is taken'
     return took_us
 
--- a/sardineproxy/bench/slopes_http.py
+++ b/sardineproxy/bench/slopes_http.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import functools
 import json
 import random
 import time
@@ -38,7 +39,7 @@
                 slopes_fit.measure_async(
                     name,
                     'us/request',
-                    lambda count, cost=cost: cost(endpoint.port, count),
+                    functools.partial(cost, endpoint.port),
                     REQUESTS,
                     repeats=3,
                 )
@@ -72,9 +73,7 @@
         await _post(session, port, str(number))
 
 
-async def _post(
-    session: aiohttp.ClientSession, port: int, task: str
-) -> bytes:
+async def _post(session: aiohttp.ClientSession, port: int, task: str) -> bytes:
     async with session.post(
         f'http://{slopes_net.HOST}:{port}/tasks',
         headers={'X-Task': task, 'X-Run-Ms': '0'},
@@ -95,7 +94,7 @@
             await req.read()
             return web.Response(body=await _post(session, port, 'task'))
 
-        server = web.Server(handle, access_log=None)  # type: ignore[arg-type]
+        server = web.Server(handle, access_log=None)
         listener = await asyncio.get_running_loop().create_server(
             server, slopes_net.HOST, 0
         )
@@ -109,9 +108,7 @@
         return cost
 
 
-async def _time_calls(
-    port: int, requests: list[bytes], at_once: int
-) -> float:
+async def _time_calls(port: int, requests: list[bytes], at_once: int) -> float:
     """Return this thread's cost of serving what another one sends."""
     with slopes_net.LoopThread() as caller:
         began_s = time.thread_time()
--- a/sardineproxy/bench/slopes_listing.py
+++ b/sardineproxy/bench/slopes_listing.py
@@ -1,5 +1,6 @@
 """Slopes of a VM in the list: bytes, decoding, memory, and a change of it."""
 
+import dataclasses
 import json
 import random
 
@@ -14,11 +15,12 @@
 
 def measure(out: slopes_fit.Report) -> None:
     """Print the slopes."""
-    for name, cost in (
-        ('listing.json', lambda count: len(_render(count))),
-        ('listing.for_peers', lambda count: len(listing.encode(_make(count)))),
+    for name, weigh in (
+        ('listing.json', _weigh_json),
+        ('listing.for_peers', _weigh_for_peers),
+        ('listing.memory', _weigh),
     ):
-        out.add(slopes_fit.measure(name, 'B/VM', cost, VMS, repeats=1))
+        out.add(slopes_fit.measure(name, 'B/VM', weigh, VMS, repeats=1))
     for name, cost in (
         ('listing.decode', _time_decode),
         ('listing.decode_from_peer', _time_decode_from_peer),
@@ -26,14 +28,22 @@
         ('listing.use', _time_use),
     ):
         out.add(slopes_fit.measure(name, 'us/VM', cost, VMS, repeats=3))
-    out.add(
-        slopes_fit.measure('listing.memory', 'B/VM', _weigh, VMS, repeats=1)
-    )
 
 
 def _make(count: int) -> platform.VmList:
+    """Return a list whose names and addresses compress like real ones."""
+    rng = random.Random(count)
     return slopes_samples.listing(
-        *slopes_samples.endpoints(count, zones=ZONES)
+        *(
+            dataclasses.replace(
+                vm,
+                name=f'worker-{rng.randrange(16**8):08x}',
+                host=f'10.{rng.randrange(256)}.{rng.randrange(256)}.{number % 256}',
+            )
+            for number, vm in enumerate(
+                slopes_samples.endpoints(count, zones=ZONES)
+            )
+        )
     )
 
 
@@ -42,6 +52,14 @@
     return json.dumps(document, separators=(',', ':'))
 
 
+def _weigh_json(count: int) -> float:
+    return len(_render(count))
+
+
+def _weigh_for_peers(count: int) -> float:
+    return len(listing.encode(_make(count)))
+
+
 def _decode(text: str) -> platform.VmList:
     """Do what the platform's client does with the list's text."""
     return (
--- a/sardineproxy/bench/slopes_net.py
+++ b/sardineproxy/bench/slopes_net.py
@@ -115,7 +115,8 @@
         if head < 0:
             return None
         found = _LENGTH.search(self._buffer, 0, head)
-        end = head + len(_HEAD_END) + (int(found[1]) if found else 0)
+        size = int(found[1]) if found else 0
+        end = head + len(_HEAD_END) + size
         return end if len(self._buffer) >= end else None
 
 
@@ -161,4 +162,3 @@
     lines = [f'{name}: {text}' for name, text in fields.items()]
     head = '\r\n'.join((f'POST {path} HTTP/1.1', *lines, '', ''))
     return head.encode() + body
-
--- a/sardineproxy/bench/slopes_poll.py
+++ b/sardineproxy/bench/slopes_poll.py
@@ -1,6 +1,7 @@
 """Slopes of polls of the platform, through the real client."""
 
 import base64
+import functools
 import json
 import time
 from typing import Awaitable, Callable
@@ -29,7 +30,7 @@
                 slopes_fit.measure_async(
                     f'poll.{name}.cpu',
                     'us/poll',
-                    lambda count, poll=poll: _time_polls(server, poll, count),
+                    functools.partial(_time_polls, server, poll),
                     POLLS,
                 )
             )
@@ -37,7 +38,7 @@
                 slopes_fit.measure_async(
                     f'poll.{name}.bytes',
                     'B/poll',
-                    lambda count, poll=poll: _weigh_polls(server, poll, count),
+                    functools.partial(_weigh_polls, server, poll),
                     POLLS,
                     repeats=1,
                 )
