--- a/sardineproxy/bench/slopes.py
+++ b/sardineproxy/bench/slopes.py
@@ -27,6 +27,7 @@
         'peer': ('slopes_peer', 'measure'),
         'view': ('slopes_view', 'measure'),
         'contract': ('slopes_contract', 'measure'),
+        'start': ('slopes_start', 'measure'),
         'loan': ('slopes_loan', 'measure'),
     }
 )
--- a/sardineproxy/bench/slopes_http.py
+++ b/sardineproxy/bench/slopes_http.py
@@ -6,9 +6,12 @@
 
 import asyncio
 import functools
+import gc
 import json
 import random
+import socket
 import time
+import tracemalloc
 from typing import Iterator
 
 import aiohttp
@@ -22,6 +25,10 @@
 REQUESTS = (200, 800)
 JOB_TASKS = (100, 800)
 JOBS = 3
+CONNECTIONS = (50, 200)
+
+#: Longest answer to a single request, in bytes.
+MAX_ANSWER = 65_536
 ENDPOINTS = 48
 ANSWER = slopes_net.render(b'{"task": "task", "endpoint": "endpoint"}')
 BODY = b'x' * 100
@@ -53,6 +60,15 @@
                 repeats=3,
             )
         )
+        out.add(
+            slopes_fit.measure_async(
+                'http.caller_connection',
+                'B/connection',
+                lambda count: _weigh_connections(endpoint.port, count),
+                CONNECTIONS,
+                repeats=2,
+            )
+        )
 
 
 async def _call_bare(port: int, count: int) -> float:
@@ -157,12 +173,40 @@
     return cost / JOBS
 
 
+async def _weigh_connections(port: int, count: int) -> float:
+    """Return an entry process's memory of idle connections of callers."""
+    process, callers = await _start_entry(port)
+    tracemalloc.start()
+    sockets = await asyncio.to_thread(_call_and_stay, callers, count)
+    gc.collect()
+    size, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    for conn in sockets:
+        conn.close()
+    await _stop_entry(process)
+    return size
+
+
+def _call_and_stay(port: int, count: int) -> list[socket.socket]:
+    """Send one request over each of so many connections."""
+    request = _authorized(
+        '/v1/requests', json.dumps(_task_document(0)).encode()
+    )
+    sockets = []
+    for _ in range(count):
+        conn = socket.create_connection((slopes_net.HOST, port))
+        conn.sendall(request)
+        conn.recv(MAX_ANSWER)
+        sockets.append(conn)
+    return sockets
+
+
 async def _start_entry(port: int) -> tuple[entry.EntryProcess, int]:
     """Start an entry process that owns all slots, and return its port."""
     outside = parts.Outside(
         clock=slopes_samples.system_clock(),
         rng=random.Random(1),
-        platform=slopes_samples.SteadyPlatform(
+        platform=slopes_samples.MemoryPlatform(
             vm_list=slopes_samples.listing(
                 *slopes_samples.entry_vms(1),
                 *slopes_samples.endpoints(ENDPOINTS, port=port),
--- a/sardineproxy/bench/slopes_listing.py
+++ b/sardineproxy/bench/slopes_listing.py
@@ -113,7 +113,7 @@
         outside=parts.Outside(
             clock=slopes_samples.system_clock(),
             rng=random.Random(1),
-            platform=slopes_samples.SteadyPlatform(
+            platform=slopes_samples.MemoryPlatform(
                 vm_list=slopes_samples.listing(), contracts={}
             ),
         ),
--- a/sardineproxy/bench/slopes_view.py
+++ b/sardineproxy/bench/slopes_view.py
@@ -139,7 +139,7 @@
         self.clock = clocks.ManualClock()
         self.directory = directory.Directory()
         registry = metrics.Metrics()
-        steady = slopes_samples.SteadyPlatform(
+        store = slopes_samples.MemoryPlatform(
             vm_list=slopes_samples.listing(), contracts={}
         )
         rng = random.Random(1)
@@ -155,7 +155,7 @@
             handler=_NoHandler(),
             gossip=gossip.Gossip(
                 versions=follower.Follower(
-                    platform=steady,
+                    platform=store,
                     clock=self.clock,
                     rng=rng,
                     metrics=registry,
