--- a/sardineproxy/bench/slopes_http.py
+++ b/sardineproxy/bench/slopes_http.py
@@ -5,14 +5,15 @@
 """
 
 import asyncio
-import functools
 import gc
 import json
 import random
 import socket
+import statistics
 import time
 import tracemalloc
-from typing import Iterator
+import types
+from typing import Any, Callable, Coroutine, Iterator, Mapping
 
 import aiohttp
 from aiohttp import web
@@ -37,29 +38,7 @@
 def measure(out: slopes_fit.Report) -> None:
     """Print the slopes."""
     with slopes_net.FixedServer({b'/': ANSWER}) as endpoint:
-        for name, cost in (
-            ('http.floor_client', _call_bare),
-            ('http.floor_proxy', _proxy_bare),
-            ('http.single', _submit_singles),
-        ):
-            out.add(
-                slopes_fit.measure_async(
-                    name,
-                    'us/request',
-                    functools.partial(cost, endpoint.port),
-                    REQUESTS,
-                    repeats=3,
-                )
-            )
-        out.add(
-            slopes_fit.measure_async(
-                'http.job_task',
-                'us/task',
-                lambda count: _submit_jobs(endpoint.port, count),
-                JOB_TASKS,
-                repeats=3,
-            )
-        )
+        _measure_costs(out, endpoint.port)
         out.add(
             slopes_fit.measure_async(
                 'http.caller_connection',
@@ -71,6 +50,37 @@
         )
 
 
+def _measure_costs(out: slopes_fit.Report, port: int) -> None:
+    """Print the costs, and those of the entry process over the floors.
+
+    A cost and its floor are read right after each other, because the speed
+    of a shared machine changes between readings.
+    """
+    readings: dict[str, list[slopes_fit.Reading]] = {}
+    for _ in range(slopes_fit.REPEATS):
+        for name, (cost, counts) in _COSTS.items():
+            reading = {
+                count: asyncio.run(cost(port, count)) for count in counts
+            }
+            readings.setdefault(name, []).append(reading)
+    for name, found in readings.items():
+        out.add(slopes_fit.summarize(name, 'us/request', found))
+    for name, floor in (
+        ('http.job_task', 'http.floor_client'),
+        ('http.single', 'http.floor_proxy'),
+    ):
+        ratios = [
+            slopes_fit.fit(ours)[0] / slopes_fit.fit(bare)[0]
+            for ours, bare in zip(readings[name], readings[floor])
+        ]
+        out.add_figure(
+            f'{name}_over_floor',
+            statistics.median(ratios),
+            f'times {floor}',
+            f'{min(ratios):.3g} to {max(ratios):.3g} in {len(ratios)} runs',
+        )
+
+
 async def _call_bare(port: int, count: int) -> float:
     """Return the cost of a bare client."""
     async with _open_session() as session:
@@ -249,3 +259,16 @@
         'idempotent': True,
         'body_text': BODY.decode(),
     }
+
+
+_Cost = Callable[[int, int], Coroutine[Any, Any, float]]
+
+#: What is read, each next to its floor, and for which numbers of requests.
+_COSTS: Mapping[str, tuple[_Cost, tuple[int, int]]] = types.MappingProxyType(
+    {
+        'http.floor_client': (_call_bare, REQUESTS),
+        'http.job_task': (_submit_jobs, JOB_TASKS),
+        'http.floor_proxy': (_proxy_bare, REQUESTS),
+        'http.single': (_submit_singles, REQUESTS),
+    }
+)
--- a/sardineproxy/bench/slopes_samples.py
+++ b/sardineproxy/bench/slopes_samples.py
@@ -191,9 +191,9 @@
         writes: tuple[platform.Write, ...],
     ) -> result.Result[None, platform.PlatformError]:
         """Write all rows; the conditions hold, as there is one writer."""
-        for row in writes:
-            self._write(row.key, row.body)
-        self._count_write(sum(len(row.body) for row in writes))
+        for write in writes:
+            self._write(write.key, write.body)
+        self._count_write(sum(len(each.body) for each in writes))
         return result.Ok(None)
 
     async def get_object(
