--- a/sardineproxy/bench/slopes_fit.py
+++ b/sardineproxy/bench/slopes_fit.py
@@ -157,3 +157,15 @@
     tracemalloc.stop()
     assert kept is not None, 'what is measured must be kept'
     return after - before
+
+
+def heap_peak_bytes(act: Callable[[], object]) -> float:
+    """Return the most bytes that were allocated at once during ``act``."""
+    gc.collect()
+    tracemalloc.start()
+    before, _ = tracemalloc.get_traced_memory()
+    tracemalloc.reset_peak()
+    act()
+    _, peak = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    return peak - before
--- a/sardineproxy/bench/slopes_listing.py
+++ b/sardineproxy/bench/slopes_listing.py
@@ -19,6 +19,7 @@
         ('listing.json', _weigh_json),
         ('listing.for_peers', _weigh_for_peers),
         ('listing.memory', _weigh),
+        ('listing.decode_peak', _weigh_decode),
     ):
         out.add(slopes_fit.measure(name, 'B/VM', weigh, VMS, repeats=1))
     for name, cost in (
@@ -106,6 +107,12 @@
     return slopes_fit.heap_bytes(take)
 
 
+def _weigh_decode(count: int) -> float:
+    """Return the most memory at once while the list's text is decoded."""
+    text = _render(count)
+    return slopes_fit.heap_peak_bytes(lambda: _decode(text))
+
+
 def _build_parts() -> parts.Parts:
     """Return all parts of an entry process, of which none runs."""
     return parts.build(
