--- a/sardineproxy/process/parts.py
+++ b/sardineproxy/process/parts.py
@@ -39,7 +39,9 @@
     clock: clock.Clock
     rng: random.Random
     platform: platform.Platform
-    metrics: metrics.Metrics
+    metrics: metrics.Metrics = dataclasses.field(
+        default_factory=metrics.Metrics
+    )
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
