--- a/sardineproxy/process/entry.py
+++ b/sardineproxy/process/entry.py
@@ -112,7 +112,7 @@
         self._session = aiohttp.ClientSession(trust_env=False)
         registry = metrics.Metrics()
         return parts.Outside(
-            metrics=registry,
+            registry=registry,
             clock=self._clock,
             rng=clock.new_random(),
             platform=parts.connect_platform(
--- a/sardineproxy/process/parts.py
+++ b/sardineproxy/process/parts.py
@@ -39,7 +39,7 @@
     clock: clock.Clock
     rng: random.Random
     platform: platform.Platform
-    metrics: metrics.Metrics = dataclasses.field(
+    registry: metrics.Metrics = dataclasses.field(
         default_factory=metrics.Metrics
     )
 
@@ -103,7 +103,7 @@
 def build(*, cfg: settings.Settings, outside: Outside) -> Parts:
     """Build all parts; nothing runs and no port is open yet."""
     incarnation = ids.Incarnation(secrets.token_hex(INCARNATION_BYTES))
-    registry = outside.metrics
+    registry = outside.registry
     vm_directory = directory.Directory(seeds=_seeds(cfg))
     vm_list = listing.ListFollower(
         platform=outside.platform,
--- a/sardineproxy/standin/relay_core.py
+++ b/sardineproxy/standin/relay_core.py
@@ -30,6 +30,9 @@
     status = endpoint_flags.parse(cfg, argv, __doc__ or '')
     if status is not None:
         return status
+    if not cfg.target:
+        sys.stderr.write('--target IP:PORT is required; see --help.\n')
+        return exit_status.ExitStatus.USAGE
     try:
         targets = [_parse_target(text) for text in cfg.target]
     except ValueError as exc:
@@ -52,7 +55,6 @@
         None,
         'IP number and port to relay to, such as 127.0.0.1:4711; with several '
         'the relays are named relay-1, relay-2 ...',
-        required=True,
         flag_values=cfg,
     )
     return cfg
--- /dev/null
+++ b/tests/test_main.py
@@ -0,0 +1,49 @@
+"""Each program starts and explains itself."""
+
+import contextlib
+import io
+
+import testtools
+from testtools import matchers
+
+from sardineproxy import __main__ as program
+from sardineproxy import exit_status
+
+
+def run(*argv: str) -> tuple[int, str, str]:
+    out, err = io.StringIO(), io.StringIO()
+    with contextlib.redirect_stdout(out), contextlib.redirect_stderr(err):
+        status = program.main(['sardineproxy', *argv])
+    return status, out.getvalue(), err.getvalue()
+
+
+class MainTest(testtools.TestCase):
+    """A person can find out what each program does and accepts."""
+
+    def test_every_program_has_help(self) -> None:
+        for name in program.PROGRAMS:
+            status, out, _ = run(name, '--help')
+            self.assertThat(
+                status, matchers.Equals(exit_status.ExitStatus.SUCCESS), name
+            )
+            self.assertThat(out, matchers.Contains('--'), name)
+
+    def test_every_program_refuses_an_unknown_flag(self) -> None:
+        for name in program.PROGRAMS:
+            status, _, err = run(name, '--no-such-flag')
+            self.assertThat(
+                status, matchers.Equals(exit_status.ExitStatus.USAGE), name
+            )
+            self.assertThat(err, matchers.Contains('no-such-flag'), name)
+
+    def test_unknown_program_names_the_known_ones(self) -> None:
+        status, _, err = run('nope')
+        self.assertThat(status, matchers.Equals(exit_status.ExitStatus.USAGE))
+        self.assertThat(err, matchers.Contains('expected one of: entry'))
+
+    def test_unreadable_settings_stop_the_entry_program(self) -> None:
+        status, _, err = run('entry', '--settings', 'does-not-exist.jsonc')
+        self.assertThat(
+            status, matchers.Equals(exit_status.ExitStatus.INVALID_INPUT)
+        )
+        self.assertThat(err, matchers.Contains('does-not-exist.jsonc'))
