--- a/sardineproxy/demo/deployment.py
+++ b/sardineproxy/demo/deployment.py
@@ -39,17 +39,17 @@
 
         #: Whether settings name the entry VMs that already run as seeds.
         self.seeded = True
-        self._platform: child.Child | None = None
+        self.platform: child.Child | None = None
         self._states: dict[str, str] = {}
         self.endpoints: dict[str, parts.Endpoint] = {}
         self.entries: dict[str, parts.Entry] = {}
 
     async def start_platform(self) -> child.Child:
         """Start the stand-in platform."""
-        self._platform = await self.start_program(
+        self.platform = await self.start_program(
             'standin-platform', '--host', HOST, '--port', '0'
         )
-        return self._platform
+        return self.platform
 
     async def start_endpoints(
         self,
@@ -199,9 +199,9 @@
         return True
 
     def _platform_port(self) -> int:
-        if self._platform is None:
+        if self.platform is None:
             raise processes.DeploymentError('the platform is not started')
-        return self._platform.ports['http']
+        return self.platform.ports['http']
 
     def _platform_url(self, name: str) -> str:
         return f'http://{HOST}:{self._platform_port()}/control/{name}'
--- a/tests/scenarios/conftest.py
+++ b/tests/scenarios/conftest.py
@@ -56,6 +56,24 @@
     world.run(world.submit(label, entry, kind=kind, run_ms=run_ms))
 
 
+@when(parsers.parse('{count:d} lookups of {run_ms:d} ms are sent to entry-1'))
+def send_in_turn(world: worlds.World, count: int, run_ms: int) -> None:
+    async def send() -> None:
+        for number in range(count):
+            label = f'lookup-{number}'
+            await world.submit(label, 'entry-1', kind='lookup', run_ms=run_ms)
+            await world.last_reply(label)
+
+    world.run(send())
+
+
+@when('every lookup has run')
+def check_lookups(world: worlds.World) -> None:
+    for label in world.submissions:
+        reply = world.run(world.last_reply(label))
+        check(reply.document.get('verdict'), matchers.Equals('ran'))
+
+
 @when(parsers.parse('"{label}" is sent again to {entry}'))
 def send_again(world: worlds.World, label: str, entry: str) -> None:
     async def send() -> None:
--- a/tests/scenarios/features/leaving.feature
+++ b/tests/scenarios/features/leaving.feature
@@ -31,5 +31,6 @@
     When the platform is down
     And the endpoint endpoint-1 shows the fault refuse
     And 8 lookups of 50 ms are sent to entry-1
+    And every lookup has run
     And a job "reprints" of 60 tasks of 50 ms is sent to entry-1
     Then "reprints" is complete with 60 answers
