Bound a shutdown, closing included, by limit_s

Cause: the drain, the hand-over of slots (10 s) and the close of connections (10 s) each had their own bound, so a process could outlive limit_s. After: everything ends within limit_s; the exit status is an error only if work was still in progress.

--- a/sardineproxy/process/entry.py
+++ b/sardineproxy/process/entry.py
@@ -33,6 +33,9 @@
         self._admin: web.AppRunner | None = None
         self._tasks: list[asyncio.Task[None]] = []
         self._draining = False
+
+        #: True once all work in progress has ended during a shutdown.
+        self._idle = False
         self._clock = outside.clock if outside else clock.SystemClock()
         self._started = self._clock.now()
 
@@ -86,25 +89,35 @@
         """Refuse new work, let work in progress end, and close.
 
         Readiness turns first, so that the balancer stops sending callers
-        before any is refused.
+        before any is refused. Ends within the settings' ``limit_s``.
         """
-        self._draining = True
-        _LOG.info('Shutting down: not ready any more.')
-        await asyncio.sleep(self._cfg.shutdown.notice_s)
         assert self._parts is not None
-        self._parts.submissions.drain()
-        left_s = self._cfg.shutdown.limit_s - self._cfg.shutdown.notice_s
+        status = exit_status.ExitStatus.SUCCESS
+        try:
+            async with asyncio.timeout(
+                self._cfg.shutdown.limit_s - settings.CLOSE_S
+            ):
+                await self._drain(self._parts)
+        except TimeoutError:
+            _LOG.warning('Shutdown limit reached.')
+            if not self._idle:
+                status = exit_status.ExitStatus.ERROR
         try:
-            async with asyncio.timeout(left_s):
-                await self._parts.submissions.idle()
+            async with asyncio.timeout(settings.CLOSE_S):
+                await self._close(self._parts)
         except TimeoutError:
-            _LOG.error('Shutdown limit reached with work in progress.')
-            await self._close(self._parts)
-            return exit_status.ExitStatus.ERROR
-        await self._parts.peers.goodbye()
-        await self._close(self._parts)
+            _LOG.warning('Connections were still open at the end.')
         _LOG.info('Ended.')
-        return exit_status.ExitStatus.SUCCESS
+        return status
+
+    async def _drain(self, own: parts.Parts) -> None:
+        self._draining = True
+        _LOG.info('Shutting down: not ready any more.')
+        await asyncio.sleep(self._cfg.shutdown.notice_s)
+        own.submissions.drain()
+        await own.submissions.idle()
+        self._idle = True
+        await own.peers.goodbye()
 
     def _connect(self) -> parts.Outside:
         if self._outside is not None:
--- a/sardineproxy/process/settings.py
+++ b/sardineproxy/process/settings.py
@@ -15,6 +15,12 @@
 SECONDS_PER_DAY = 86_400
 MAX_PORT = 65_535
 
+#: Seconds of a shutdown that are kept for closing connections.
+CLOSE_S = 2
+
+#: Least time between the notice and the limit of a shutdown, in seconds.
+LEAST_SHUTDOWN_S = 3
+
 
 def _check_ip_number(text: str) -> str:
     try:
@@ -68,9 +74,11 @@
 
     @pydantic.model_validator(mode='after')
     def check_order(self) -> Self:
-        """Refuse a limit that leaves no time after the notice."""
-        if self.limit_s <= self.notice_s:
-            raise ValueError('limit_s must be greater than notice_s')
+        """Refuse a limit that leaves no time for work and for closing."""
+        if self.limit_s < self.notice_s + LEAST_SHUTDOWN_S:
+            raise ValueError(
+                f'limit_s must exceed notice_s by at least {LEAST_SHUTDOWN_S} s'
+            )
         return self
 
 
--- a/tests/process/test_settings.py
+++ b/tests/process/test_settings.py
@@ -44,7 +44,7 @@
             ),
             (
                 {'shutdown': {'notice_s': 5.0, 'limit_s': 4.0}},
-                'shutdown: limit_s must be greater than notice_s',
+                'shutdown: limit_s must exceed notice_s by at least 3 s',
             ),
             (
                 {'retention': {'key_ttl_s': 900.0, 'record_ttl_s': 60.0}},
