Learn speeds as geometric means with a gain that falls to 2 %

The estimates were an arithmetic EWMA with gain 0.1 over run times that spread over a factor of 20, so an endpoint of speed 1 was learned as 0.3 to 1.1 of the fleet's and ranked behind one of speed 0.5. Ruled out as larger causes, from the endpoints' records: waiting for a slot is 18 % of the excess response of single requests; overhead after the task's end is 3 ms at the median.

--- a/sardineproxy/process/health.py
+++ b/sardineproxy/process/health.py
@@ -16,6 +16,9 @@
 #: Bounds of ejection and learning.
 Config = health_estimates.Config
 
+#: Shorter run times count as this, in seconds.
+LEAST_RUN_S = 1e-6
+
 _log = logs.get_logger('dispatch')
 
 
@@ -34,6 +37,9 @@
         )
         self._ejected: dict[ids.EndpointId, health_estimates.Estimate] = {}
         self._fleet_run_s: dict[ids.CustomerId, float] = {}
+
+        #: Geometric means of the customers' run times, in seconds.
+        self._typical_run_s: dict[ids.CustomerId, float] = {}
         self._requests = health_estimates.RequestFailures()
 
         #: Place of the expected run time of each endpoint that is listed and
@@ -132,8 +138,7 @@
         if estimate is None:
             return
         estimate.failure_rate -= cfg.gain * estimate.failure_rate
-        relative = run_s / fleet_s if fleet_s > 0 else 1
-        estimate.slowness += cfg.gain * (relative - estimate.slowness)
+        estimate.learn_slowness(self._compare(customer, run_s), cfg)
         estimate.last_change = now
         if not estimate.is_ejected:
             self.ranks[endpoint] = estimate.rank(cfg)
@@ -250,6 +255,16 @@
             for endpoint, estimate in sorted(self._estimates.items())
         }
 
+    def _compare(self, customer: ids.CustomerId, run_s: float) -> float:
+        """Return a run time relative to the customer's, and learn from it."""
+        run_s = max(run_s, LEAST_RUN_S)
+        typical_s = self._typical_run_s.get(customer, run_s)
+        relative = run_s / typical_s
+        self._typical_run_s[customer] = typical_s * math.pow(
+            relative, self._cfg.fleet_gain
+        )
+        return relative
+
     def _count_failure(
         self,
         endpoint: ids.EndpointId,
--- a/sardineproxy/process/health_estimates.py
+++ b/sardineproxy/process/health_estimates.py
@@ -45,9 +45,14 @@
     #: Time in service after which ejections start short again, in seconds.
     forgive_s: float = 120
 
-    #: Part of a new observation in a learned speed or failure rate.
+    #: Part of a new observation in a learned failure rate.
     gain: float = 0.1
 
+    #: Least part of a new observation in a learned speed. Run times of equal
+    #: tasks spread over a factor of 20, so at 0.1 the noise of an estimate
+    #: was as large as the differences between endpoints.
+    speed_gain: float = 0.02
+
     #: Part of a new observation in the fleet's run time of a workload.
     fleet_gain: float = 0.02
 
@@ -73,8 +78,11 @@
 
     zone: ids.ZoneId
 
-    #: Run time relative to the fleet.
+    #: Run time relative to the fleet, as a geometric mean.
     slowness: float = 1
+
+    #: Successes that the slowness was learned from.
+    observations: int = 0
     failure_rate: float = 0
     failures_in_row: int = 0
 
@@ -90,6 +98,17 @@
     last_success: float = -math.inf
     last_change: float = 0
 
+    def learn_slowness(self, relative: float, cfg: Config) -> None:
+        """Move the slowness towards a task's; the first ones count most.
+
+        The mean is geometric, so that one long task does not outweigh many.
+        """
+        self.observations += 1
+        gain = max(cfg.speed_gain, 1 / (self.observations + 1))
+        self.slowness = math.pow(self.slowness, 1 - gain) * math.pow(
+            relative, gain
+        )
+
     def is_on_probation(self, now: float) -> bool:
         """Tell whether the ejection has passed and no probe is running."""
         return not self.probes and now >= self.ejected_until
