--- a/sardineproxy/process/borrowing.py
+++ b/sardineproxy/process/borrowing.py
@@ -38,7 +38,7 @@
 
     #: Idle time after which borrowed slots are returned unasked. The lender
     #: asks for idle slots when it needs them, so this may be long.
-    idle_return_s: float = 0.2
+    idle_return_s: float = 2
 
     #: Shortest time between two rounds of requests.
     ask_interval_s: float = 0.02
--- a/sardineproxy/process/dispatcher.py
+++ b/sardineproxy/process/dispatcher.py
@@ -118,7 +118,6 @@
         if placement is None:
             self._prepare_wait(entry, now)
             self._queue.wait(entry)
-            self._matcher.use_spare(now=now)
         outcome: work.Outcome | None = None
         while outcome is None:
             if placement is None:
--- a/sardineproxy/process/health.py
+++ b/sardineproxy/process/health.py
@@ -196,11 +196,6 @@
         if estimate is not None and estimate.probes:
             estimate.probes -= 1
 
-    def score(self, endpoint: ids.EndpointId) -> float:
-        """Return the expected run time relative to the fleet."""
-        estimate = self._estimates.get(endpoint)
-        return 1 if estimate is None else estimate.score(self._cfg)
-
     def usual_run_s(self, customer: ids.CustomerId) -> float:
         """Return the fleet's mean run time of the customer's tasks, or 0."""
         return self._fleet_run_s.get(customer, 0)
--- a/sardineproxy/process/health_estimates.py
+++ b/sardineproxy/process/health_estimates.py
@@ -132,13 +132,9 @@
             1 - cfg.jitter, 1 + cfg.jitter
         )
 
-    def score(self, cfg: Config) -> float:
-        """Return the expected run time relative to the fleet."""
-        return self.slowness * (1 + cfg.failure_weight * self.failure_rate)
-
     def rank(self, cfg: Config) -> int:
         """Return the logarithm of the score in steps of ``SCORE_STEP``."""
-        score = self.score(cfg)
+        score = self.slowness * (1 + cfg.failure_weight * self.failure_rate)
         if score <= 0:
             return self.base_rank
         return self.base_rank + round(math.log(score) * _RANKS_PER_E)
--- a/sardineproxy/process/matching.py
+++ b/sardineproxy/process/matching.py
@@ -4,22 +4,13 @@
 slot therefore needs a search for one start, not for all that are possible.
 """
 
-import collections
 import dataclasses
 import random
 from typing import Protocol
 
 from sardineproxy import ids
 from sardineproxy.process import health, platform, routing, slots
-from sardineproxy.request import fair_queue, flows, work
-
-
-#: Longest wait for a faster slot while a slow one is free, in seconds. Bounds
-#: the harm of an endpoint that hangs.
-PATIENCE_S = 0.2
-
-#: Least ratio of two expected run times for which waiting is considered.
-WORTHWHILE = 1.2
+from sardineproxy.request import fair_queue, flows
 
 
 class SlotSource(Protocol):
@@ -78,18 +69,6 @@
         #: Started tasks by number; only the matcher changes it.
         self.running: dict[int, Placement] = {}
 
-        #: Numbers of started tasks of each endpoint.
-        self._counts: collections.Counter[ids.EndpointId] = (
-            collections.Counter()
-        )
-
-        #: Customers of which a task was left waiting for a faster slot in the
-        #: newest search. They are not held, or they would miss that slot.
-        self._patient: set[ids.CustomerId] = set()
-
-        #: True if a task was left waiting although a slow slot was free.
-        self.spares = False
-
         #: Flows that could use no free slot while others could.
         self.held: dict[ids.CustomerId, flows.Flow] = {}
 
@@ -107,7 +86,6 @@
     def release(self, placement: Placement, *, now: float) -> None:
         """Give a slot back and start the next task on it."""
         self.running.pop(placement.entry.number)
-        self._counts[placement.ticket.endpoint] -= 1
         self._slots.release(ticket=placement.ticket, now=now)
         if not self._queue.waiting:
             return
@@ -125,13 +103,6 @@
             if self._start_next(flow, now):
                 self._queue.offer(flow)
 
-    def use_spare(self, *, now: float) -> None:
-        """Start a task on a slow slot if the queue became too long."""
-        if self.spares:
-            self.spares = False
-            if self._match_one(now) is None:
-                self.spares = True
-
     def match_all(self, *, now: float) -> None:
         """Start all tasks that fit a free slot."""
         self._unhold_all()
@@ -168,13 +139,12 @@
         own; they are held, so that the next release does not try them all.
         """
         misfits = []
-        self._patient.clear()
         flow = self._queue.pop_flow()
         while flow is not None and not self._start_next(flow, now):
             misfits.append(flow)
             flow = self._queue.pop_flow()
         for misfit in misfits:
-            if flow is None or misfit.customer in self._patient:
+            if flow is None:
                 self._queue.offer(misfit)
             else:
                 self.held[misfit.customer] = misfit
@@ -211,10 +181,6 @@
             endpoint = self.router.choose(entry, free, now=now)
             if endpoint is None:
                 return None
-            if self._is_better_later(entry, endpoint, now):
-                self.spares = True
-                self._patient.add(customer)
-                return None
             ticket = self._slots.take(
                 endpoint=endpoint, customer=customer, now=now
             )
@@ -223,34 +189,6 @@
             free = tuple(other for other in free if other != endpoint)
         return None
 
-    def _is_better_later(
-        self, entry: flows.Entry, endpoint: ids.EndpointId, now: float
-    ) -> bool:
-        """Tell whether faster slots that are in use serve the queue sooner.
-
-        Run times count in multiples of the fleet's. The tasks running at
-        faster endpoints end at the sum of their rates; the last waiting task
-        starts after as many ends as there are tasks, and then runs.
-        """
-        slow = self._health.score(endpoint)
-        busy = 0
-        rate = 0.0
-        for other, count in self._counts.items():
-            if count and other in self._health.ranks:
-                score = self._health.score(other)
-                if score * WORTHWHILE < slow:
-                    busy += count
-                    rate += count / score
-        ahead = self._queue.waiting
-        if entry.task.kind is work.Kind.SINGLE and not entry.flow.jobs:
-            ahead = len(entry.flow.singles)
-        ahead += entry.state is flows.State.NEW
-        if not busy or ahead + busy >= slow * rate:
-            return False
-        if entry.spare_until is None:
-            entry.spare_until = now + PATIENCE_S
-        return now < entry.spare_until
-
     def _start(
         self, entry: flows.Entry, ticket: slots.Ticket, now: float
     ) -> Placement:
@@ -263,7 +201,6 @@
             started=now,
         )
         self.running[entry.number] = placement
-        self._counts[ticket.endpoint] += 1
         return placement
 
     def _unhold_all(self) -> None:
--- a/sardineproxy/request/flows.py
+++ b/sardineproxy/request/flows.py
@@ -92,10 +92,6 @@
     #: Attempts that did not reach their endpoint.
     refusals: int = 0
 
-    #: Monotonic seconds until which it may wait for a faster slot; None
-    #: before it first does.
-    spare_until: float | None = None
-
     #: Future of the coroutine that waits for the start.
     waiter: 'asyncio.Future[Any] | None' = None
 
