--- a/tests/process/test_health.py
+++ b/tests/process/test_health.py
@@ -46,6 +46,18 @@
         self.assertEqual(sorted(ranks), ranks)
         self.assertGreater(ranks[2] - ranks[0], 12)
 
+    def test_spread_of_run_times_does_not_hide_speeds(self) -> None:
+        """Guards against noise that ranks a slow endpoint before a fast one."""
+        rng = random.Random(1)
+        estimates = Estimates(2)
+        wrong = 0
+        for count in range(1000):
+            for endpoint, speed in zip(NAMES, (1, 0.7)):
+                estimates.succeed(endpoint, 0.05 * 20 ** rng.random() / speed)
+            if count >= 100:
+                wrong += estimates.ranks[FIRST] >= estimates.ranks[SECOND]
+        self.assertLess(wrong, 20)
+
     def test_fast_failures_do_not_attract(self) -> None:
         """Guards against an endpoint that fails at once looking fast."""
         estimates = Estimates(1)
