--- a/sardineproxy/process/borrowing.py
+++ b/sardineproxy/process/borrowing.py
@@ -9,10 +9,8 @@
 from sardineproxy.process import demand as demand_module
 from sardineproxy.process import slots
 
-#: Time for which a reported backlog counts as present, in seconds. The
-#: dispatcher reports a lasting one every 0.25 s at least, and none that ended;
-#: with 1 s, lenders refused and recalled loans for backlogs long gone.
-BACKLOG_VALID_S = 0.3
+#: Time for which a reported backlog counts as present, in seconds.
+BACKLOG_VALID_S = 1
 
 #: Longest wait for a grant before other lenders are asked, in seconds.
 ANSWER_S = 0.3
