--- a/sardineproxy/process/borrowing.py
+++ b/sardineproxy/process/borrowing.py
@@ -46,10 +46,6 @@
     #: Shortest time between two requests to one lender.
     ask_again_s: float = 1
 
-    #: Shortest time between two requests to one lender that last told of
-    #: fewer free slots than are worth a message.
-    ask_small_s: float = 3
-
     #: Slots that are worth a message where as many or more are wanted, or
     #: half the own slots if that is less. Fewer and larger loans serve a
     #: backlog with fewer messages.
@@ -262,14 +258,8 @@
         own_half = sum(self._table.owned.values()) // 2
         lot = min(total, self._cfg.min_lot, own_half)
         large = [lender for lender in ready if lender.free >= lot]
-        small = [
-            lender
-            for lender in ready
-            if now - self._asked_at(lender) >= self._cfg.ask_small_s
-        ]
-        # What a lender last told may be old, so it is asked for a whole lot.
         return [
-            *((lender, max(lender.free, lot)) for lender in large or small[:1]),
+            *((lender, lender.free) for lender in large or ready[:1]),
             *((lender, MAX_PROBE) for lender in self._full(lenders, now)),
         ]
 
