Name the right line in errors of settings files

Cause: jsonc removes comments with their line ends, so a syntax error after a comment named an earlier line. The contract checks blanked comments already; settings now share that code.

--- a/sardineproxy/json_text.py
+++ b/sardineproxy/json_text.py
@@ -1,14 +1,19 @@
 """Bounded parser of JSON with comments, for files and requests."""
 
+import json
+import re
 from typing import Any
 
-import json
 import jsonc
 import result
 
 #: Deepest nesting of arrays and objects that is accepted.
 MAX_DEPTH = 16
 
+_STRING = r'("(?:\\.|[^"\\])*")'
+_COMMENT = re.compile(rf'{_STRING}|//[^\r\n]*|/\*.*?\*/', re.DOTALL)
+_TRAILING_COMMA = re.compile(rf'{_STRING}|,(?=\s*[\]}}])', re.DOTALL)
+
 Document = dict[str, Any]
 
 
@@ -26,7 +31,7 @@
     load = jsonc.loads if comments else json.loads
     try:
         parsed = load(
-            text,
+            blank_comments(text) if comments else text,
             object_pairs_hook=_without_duplicates,
             parse_constant=_refuse_constant,
         )
@@ -41,6 +46,20 @@
     return result.Ok(parsed)
 
 
+def blank_comments(text: str) -> str:
+    """Replace comments by spaces.
+
+    ``jsonc`` removes them with their line ends, so its errors would name
+    another line than the one in the file.
+    """
+    without = _COMMENT.sub(_blank, text)
+    return _TRAILING_COMMA.sub(_blank, without)
+
+
+def _blank(match: re.Match[str]) -> str:
+    return match.group(1) or re.sub(r'[^\r\n]', ' ', match.group())
+
+
 def _is_too_deep(document: Any) -> bool:
     """Tell whether arrays and objects nest deeper than ``MAX_DEPTH``."""
     level = [document]
--- a/sardineproxy/version/contract_files.py
+++ b/sardineproxy/version/contract_files.py
@@ -3,13 +3,13 @@
 import difflib
 import json
 import pathlib
-import re
 from typing import Any, Mapping
 
 import jsonc
 import pydantic
 import result
 
+from sardineproxy import json_text
 from sardineproxy.version import contracts
 
 #: Largest contract file, in bytes.
@@ -29,10 +29,6 @@
     'hash-credential prints them'
 )
 
-_STRING = r'("(?:\\.|[^"\\])*")'
-_COMMENT = re.compile(rf'{_STRING}|//[^\r\n]*|/\*.*?\*/', re.DOTALL)
-_TRAILING_COMMA = re.compile(rf'{_STRING}|,(?=\s*[\]}}])', re.DOTALL)
-
 Faults = tuple[str, ...]
 Contracts = Mapping[str, contracts.Contract]
 
@@ -70,7 +66,7 @@
     repeated: list[str] = []
     try:
         document = jsonc.loads(
-            _blank_comments(text),
+            json_text.blank_comments(text),
             object_pairs_hook=lambda pairs: _collect(pairs, repeated),
         )
     except json.JSONDecodeError as exc:
@@ -136,20 +132,6 @@
     return parse_text(path.name, text)
 
 
-def _blank_comments(text: str) -> str:
-    """Replace comments by spaces.
-
-    ``jsonc`` removes them with their line ends, so its errors would name
-    another line than the one in the file.
-    """
-    without = _COMMENT.sub(_blank, text)
-    return _TRAILING_COMMA.sub(_blank, without)
-
-
-def _blank(match: re.Match[str]) -> str:
-    return match.group(1) or re.sub(r'[^\r\n]', ' ', match.group())
-
-
 def _collect(
     pairs: list[tuple[str, Any]], repeated: list[str]
 ) -> dict[str, Any]:
--- a/tests/test_json_text.py
+++ b/tests/test_json_text.py
@@ -17,6 +17,12 @@
         )
         self.assertThat(parsed.unwrap(), matchers.Equals({'a': 1}))
 
+    def test_errors_name_the_line_of_the_file(self) -> None:
+        """Guards against comments that shift the lines of errors."""
+        text = '{\n// one\n/* two\n */ "a": 1\n"b": 2}'
+        parsed = json_text.parse_object(text, max_bytes=MAX_BYTES)
+        self.assertThat(parsed.unwrap_err(), matchers.Contains('line 5'))
+
     def test_refuses_what_parsers_read_differently(self) -> None:
         for text, expected in (
             ('{"a": 1, "a": 2}', 'key "a" occurs twice'),
