--- a/sardineproxy/process/parts.py
+++ b/sardineproxy/process/parts.py
@@ -1,5 +1,6 @@
 """Builds the parts of an entry process and connects them."""
 
+import asyncio
 import dataclasses
 import random
 import secrets
@@ -7,7 +8,7 @@
 import aiohttp
 
 from sardineproxy import clock, ids
-from sardineproxy.connection import endpoint
+from sardineproxy.connection import endpoint, peer
 from sardineproxy.process import (
     directory,
     dispatcher,
@@ -43,6 +44,10 @@
         default_factory=metrics.Metrics
     )
 
+    #: Transport between entry processes.
+    connect: peer.Connect = asyncio.open_connection
+    listen: streams.Listen = asyncio.start_server
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Parts:
@@ -165,6 +170,8 @@
         gossip=gossip.Gossip(versions=version_follower, vm_list=vm_list),
         metrics=registry,
         cfg=_peers_config(cfg.peering),
+        connect=outside.connect,
+        listen=outside.listen,
     )
     forwarder.target = peer_streams
     parts = Parts(
