--- a/sardineproxy/bench/core.py
+++ b/sardineproxy/bench/core.py
@@ -13,7 +13,7 @@
 
 from absl import flags
 
-from sardineproxy import clock as clocks
+from sardineproxy import clock as clocks, command_line
 from sardineproxy import exit_status
 from sardineproxy.bench import (
     fleet,
@@ -25,7 +25,6 @@
     workload,
 )
 from sardineproxy.demo import deployment, parts, processes
-from sardineproxy.standin import endpoint_flags
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -75,7 +74,7 @@
 def main(argv: list[str]) -> exit_status.ExitStatus:
     """Run all phases; succeed if every figure was measured."""
     cfg = _define_flags()
-    status = endpoint_flags.parse(cfg, argv, __doc__ or '')
+    status = command_line.parse(cfg, argv, __doc__ or '')
     if status is not None:
         return status
     out = report.Report(clock=clocks.SystemClock())
@@ -97,7 +96,7 @@
 
 
 def _define_flags() -> flags.FlagValues:
-    cfg = endpoint_flags.new_flags()
+    cfg = command_line.new_flags()
     flags.DEFINE_bool(
         'quick', False, 'Run for about one minute.', flag_values=cfg
     )
--- a/sardineproxy/standin/endpoint_flags.py
+++ b/sardineproxy/command_line.py
@@ -1,4 +1,4 @@
-"""Command lines of the stand-ins, the demo and the load driver."""
+"""Flags and their parsing, shared by the programs for developers."""
 
 import sys
 
--- a/sardineproxy/demo/core.py
+++ b/sardineproxy/demo/core.py
@@ -13,10 +13,9 @@
 import aiohttp
 from absl import flags
 
-from sardineproxy import clock as clocks
+from sardineproxy import clock as clocks, command_line
 from sardineproxy import exit_status
 from sardineproxy.demo import caller, deployment, parts, processes, tasks
-from sardineproxy.standin import endpoint_flags
 
 CREDENTIAL = 'reprint-desk-demo-credential'
 CUSTOMER = 'reprint-desk'
@@ -46,12 +45,12 @@
 
 def main(argv: list[str]) -> exit_status.ExitStatus:
     """Run the demo; succeed only if everything was right."""
-    cfg = endpoint_flags.new_flags()
+    cfg = command_line.new_flags()
     flags.DEFINE_integer(
         'tasks', 200, 'Tasks of the job.', 1, 1700, flag_values=cfg
     )
     flags.DEFINE_integer('seed', 1, 'Seed of the run times.', flag_values=cfg)
-    status = endpoint_flags.parse(cfg, argv, __doc__ or '')
+    status = command_line.parse(cfg, argv, __doc__ or '')
     if status is not None:
         return status
     try:
--- a/sardineproxy/standin/endpoint_core.py
+++ b/sardineproxy/standin/endpoint_core.py
@@ -13,10 +13,10 @@
 from absl import flags
 from aiohttp import web
 
-from sardineproxy import clock as clocks
+from sardineproxy import clock as clocks, command_line
 from sardineproxy import exit_status
 from sardineproxy.process import ready
-from sardineproxy.standin import endpoint_flags, endpoint_server
+from sardineproxy.standin import endpoint_server
 
 #: Endpoints that one process serves at most.
 MAX_COUNT = 256
@@ -26,7 +26,7 @@
 def main(argv: list[str]) -> exit_status.ExitStatus:
     """Serve endpoints until a signal to end arrives."""
     cfg = _define_flags()
-    status = endpoint_flags.parse(cfg, argv, __doc__ or '')
+    status = command_line.parse(cfg, argv, __doc__ or '')
     if status is not None:
         return status
     speeds = _parse_speeds(cfg)
@@ -40,7 +40,7 @@
 
 
 def _define_flags() -> flags.FlagValues:
-    cfg = endpoint_flags.new_flags()
+    cfg = command_line.new_flags()
     flags.DEFINE_string(
         'host', '127.0.0.1', 'IP number to listen on.', flag_values=cfg
     )
--- a/sardineproxy/standin/relay_core.py
+++ b/sardineproxy/standin/relay_core.py
@@ -14,9 +14,9 @@
 from absl import flags
 from aiohttp import web
 
-from sardineproxy import exit_status
+from sardineproxy import command_line, exit_status
 from sardineproxy.process import ready
-from sardineproxy.standin import endpoint_flags, relay_modes, relay_server
+from sardineproxy.standin import relay_modes, relay_server
 
 Target = tuple[str, int]
 Relays = dict[str, relay_server.Relay]
@@ -27,7 +27,7 @@
 def main(argv: list[str]) -> exit_status.ExitStatus:
     """Relay connections until a signal to end arrives."""
     cfg = _define_flags()
-    status = endpoint_flags.parse(cfg, argv, __doc__ or '')
+    status = command_line.parse(cfg, argv, __doc__ or '')
     if status is not None:
         return status
     if not cfg.target:
@@ -43,7 +43,7 @@
 
 
 def _define_flags() -> flags.FlagValues:
-    cfg = endpoint_flags.new_flags()
+    cfg = command_line.new_flags()
     flags.DEFINE_string(
         'host', '127.0.0.1', 'IP number to listen on.', flag_values=cfg
     )
