--- a/tests/scenarios/test_leaving.py
+++ b/tests/scenarios/test_leaving.py
@@ -53,6 +53,11 @@
     world.run(asyncio.sleep(seconds))
 
 
+@when(parsers.parse("the platform's list lags by {seconds:d} seconds"))
+def lag_list(world: worlds.World, seconds: int) -> None:
+    world.run(world.deployment.set_faults(list_lag_s=seconds))
+
+
 @when('the platform is down')
 def stop_platform(world: worlds.World) -> None:
     world.run(world.deployment.set_faults(down=True))
