Give problem constructors one home; make the baseline's sender abstract

Change: problems.refusal and problems.doubt everywhere; an abstract method; an exit stack in place of a broad except when an answer is not read whole. Ruled out: narrowing the two broad excepts of request/job; they are the boundary where a fault must become an answer of may_have_run, and they log it.

--- a/sardineproxy/bench/senders.py
+++ b/sardineproxy/bench/senders.py
@@ -1,5 +1,6 @@
 """How submissions reach the endpoints: by entry processes, or directly."""
 
+import abc
 import asyncio
 import collections
 import json
@@ -78,7 +79,7 @@
         self._keys[place] = [key for batch in batches for key in batch]
 
 
-class DirectSender:
+class DirectSender(abc.ABC):
     """Sends each task straight to an endpoint that a baseline chooses."""
 
     def __init__(self, endpoints: Sequence[parts.Endpoint]) -> None:
@@ -104,8 +105,9 @@
             fault=next((fault for fault in faults if fault), None),
         )
 
+    @abc.abstractmethod
     async def _run(self, entry: int, task: tasks.Task) -> str:
-        raise NotImplementedError
+        """Run one task and return the answer's body, or what went wrong."""
 
     async def _post(
         self,
--- a/sardineproxy/connection/caller.py
+++ b/sardineproxy/connection/caller.py
@@ -177,7 +177,7 @@
 
 
 def _malformed_wait() -> problems.Problem:
-    return documents.refusal(
+    return problems.refusal(
         code='malformed_request',
         status=400,
         detail='wait must be "true" or "false".',
--- a/sardineproxy/connection/edge.py
+++ b/sardineproxy/connection/edge.py
@@ -35,37 +35,37 @@
 #: Seconds for which an unread body is skipped after a refusal.
 LINGER_S = 2
 
-_HEAD_TOO_LARGE = documents.refusal(
+_HEAD_TOO_LARGE = problems.refusal(
     code='head_too_large',
     status=431,
     detail='The request line and headers are too large.',
 )
-_BODY_TOO_LARGE = documents.refusal(
+_BODY_TOO_LARGE = problems.refusal(
     code='body_too_large',
     status=413,
     detail='The body is too large.',
 )
-_READ_TIMEOUT = documents.refusal(
+_READ_TIMEOUT = problems.refusal(
     code='read_timeout',
     status=408,
     detail='The request did not arrive whole in time.',
 )
-_MALFORMED_HTTP = documents.refusal(
+_MALFORMED_HTTP = problems.refusal(
     code='malformed_http',
     status=400,
     detail='The request is not well-formed HTTP/1.1.',
 )
-_REPEATED_HEADER = documents.doubt(
+_REPEATED_HEADER = problems.doubt(
     code='repeated_header',
     status=400,
     detail=f'Only one each is allowed of {", ".join(SINGLE_HEADERS)}.',
 )
-_ENCODED_BODY = documents.refusal(
+_ENCODED_BODY = problems.refusal(
     code='encoded_body',
     status=415,
     detail='Content-Encoding is not supported.',
 )
-_INTERNAL_ERROR = documents.doubt(
+_INTERNAL_ERROR = problems.doubt(
     code='internal_error',
     status=500,
     detail='The request failed inside this VM.',
@@ -373,7 +373,7 @@
     req: web.BaseRequest, exc: web.HTTPException
 ) -> web.Response:
     """Return aiohttp's own refusal, such as 404, as a problem document."""
-    problem = documents.refusal(
+    problem = problems.refusal(
         code='no_such_resource',
         status=exc.status,
         detail='There is no such resource, method or expectation.',
--- a/sardineproxy/connection/endpoint.py
+++ b/sardineproxy/connection/endpoint.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import contextlib
 import dataclasses
 import functools
 import re
@@ -13,7 +14,7 @@
 import yarl
 from aiohttp import http
 
-from sardineproxy import clock, ids, problems, verdicts
+from sardineproxy import clock, ids, problems
 from sardineproxy.connection import cutoff, endpoint_pool
 from sardineproxy.process import metrics, platform
 from sardineproxy.request import work
@@ -213,12 +214,12 @@
             data=task.body or None,
             allow_redirects=False,
         )
-        try:
+        with contextlib.ExitStack() as on_failure:
+            # A cancelled task must not leave its answer on the connection.
+            on_failure.callback(reply.close)
             kept, framing = _read_headers(reply, task.method)
             body = await self._read_body(reply, framing)
-        except BaseException:
-            reply.close()
-            raise
+            on_failure.pop_all()
         assert exchange.protocol is not None
         exchange.protocol.approve(framing)
         return work.Answer(
@@ -251,9 +252,8 @@
 
 def deadline_passed() -> problems.Problem:
     """Describe a task whose deadline passed before it was sent."""
-    return problems.Problem(
+    return problems.refusal(
         code='deadline_passed',
-        verdict=verdicts.Verdict.NOT_RUN,
         status=504,
         detail='The deadline passed before the task started.',
         retry_after_s=1,
@@ -336,9 +336,8 @@
 
 
 def _bad_task() -> problems.Problem:
-    return problems.Problem(
+    return problems.refusal(
         code='bad_task',
-        verdict=verdicts.Verdict.NOT_RUN,
         status=400,
         detail='The method, path or headers are not valid in HTTP/1.1.',
     )
@@ -357,9 +356,8 @@
 ) -> work.Refused | work.Unknown:
     if exchange.protocol is None:
         return work.Refused(
-            problem=problems.Problem(
+            problem=problems.refusal(
                 code=UNREACHABLE,
-                verdict=verdicts.Verdict.NOT_RUN,
                 status=503,
                 detail=f'Endpoint {vm.name} could not be reached.',
                 retry_after_s=1,
@@ -372,9 +370,8 @@
     )
     return Lost(
         endpoint=ids.EndpointId(vm.name),
-        problem=problems.Problem(
+        problem=problems.doubt(
             code='no_whole_answer',
-            verdict=verdicts.Verdict.MAY_HAVE_RUN,
             status=504 if isinstance(exc, TimeoutError) else 502,
             detail=f'Endpoint {vm.name} gave no whole answer ({cause}).',
         ),
--- a/sardineproxy/problems.py
+++ b/sardineproxy/problems.py
@@ -28,3 +28,39 @@
 
     #: False if asking again with the same key may give a better verdict.
     final: bool = True
+
+
+def refusal(
+    *,
+    code: str,
+    status: int,
+    detail: str,
+    retry_after_s: float | None = None,
+) -> Problem:
+    """Return a problem that says for certain that nothing was run."""
+    return Problem(
+        code=code,
+        verdict=verdicts.Verdict.NOT_RUN,
+        status=status,
+        detail=detail,
+        retry_after_s=retry_after_s,
+    )
+
+
+def doubt(
+    *,
+    code: str,
+    status: int,
+    detail: str,
+    retry_after_s: float | None = None,
+    final: bool = True,
+) -> Problem:
+    """Return a problem that leaves open whether the request ran."""
+    return Problem(
+        code=code,
+        verdict=verdicts.Verdict.MAY_HAVE_RUN,
+        status=status,
+        detail=detail,
+        retry_after_s=retry_after_s,
+        final=final,
+    )
--- a/sardineproxy/process/dispatcher.py
+++ b/sardineproxy/process/dispatcher.py
@@ -12,7 +12,7 @@
 
 import reactivex
 
-from sardineproxy import clock, ids, problems, verdicts
+from sardineproxy import clock, ids, problems
 from sardineproxy.connection import endpoint as endpoint_conn
 from sardineproxy.process import (
     demand,
@@ -350,9 +350,8 @@
 
 
 def _shutting_down() -> problems.Problem:
-    return problems.Problem(
+    return problems.refusal(
         code='shutting_down',
-        verdict=verdicts.Verdict.NOT_RUN,
         status=503,
         detail='The entry process shuts down.',
         retry_after_s=1,
@@ -360,9 +359,8 @@
 
 
 def _cancelled() -> problems.Problem:
-    return problems.Problem(
+    return problems.refusal(
         code='cancelled',
-        verdict=verdicts.Verdict.NOT_RUN,
         status=409,
         detail='The request was cancelled before the task started.',
     )
--- a/sardineproxy/request/admission.py
+++ b/sardineproxy/request/admission.py
@@ -183,7 +183,7 @@
         never has to wait forever. The bucket then goes into debt.
         """
         if waiting and waiting + tasks > contract.queue:
-            return documents.refusal(
+            return problems.refusal(
                 code='queue_full',
                 status=429,
                 detail=(
@@ -194,7 +194,7 @@
             )
         wait_s = self._take(contract, tasks, now)
         if wait_s > 0:
-            return documents.refusal(
+            return problems.refusal(
                 code='rate_limited',
                 status=429,
                 detail=(
@@ -232,7 +232,7 @@
         return key_required()
     tasks = len(document.tasks)
     if tasks > contract.max_job_tasks:
-        return documents.refusal(
+        return problems.refusal(
             code='job_too_large',
             status=413,
             detail=(
@@ -246,7 +246,7 @@
     ]
     longest = max(deadline_ms or 0 for deadline_ms in asked)
     if longest > contract.max_deadline_ms:
-        return documents.refusal(
+        return problems.refusal(
             code='deadline_too_long',
             status=400,
             detail=(
@@ -270,7 +270,7 @@
 
 def unauthorized() -> problems.Problem:
     """Return the refusal of a credential that no contract has."""
-    return documents.refusal(
+    return problems.refusal(
         code='unauthorized',
         status=401,
         detail='The Authorization header holds no known credential.',
@@ -279,7 +279,7 @@
 
 def overloaded() -> problems.Problem:
     """Return the refusal of what there is no room for."""
-    return documents.refusal(
+    return problems.refusal(
         code='overloaded',
         status=503,
         detail=(
@@ -291,7 +291,7 @@
 
 
 def _shutting_down() -> problems.Problem:
-    return documents.refusal(
+    return problems.refusal(
         code='shutting_down',
         status=503,
         detail='This VM is shutting down and takes no new work.',
@@ -300,7 +300,7 @@
 
 
 def _not_ready() -> problems.Problem:
-    return documents.refusal(
+    return problems.refusal(
         code='not_ready',
         status=503,
         detail='This VM has no configuration version yet.',
@@ -309,7 +309,7 @@
 
 
 def _no_contract() -> problems.Problem:
-    return documents.refusal(
+    return problems.refusal(
         code='no_contract',
         status=403,
         detail='The customer has no contract in the version in force.',
@@ -318,7 +318,7 @@
 
 def key_required() -> problems.Problem:
     """Return the refusal of what needs a key and has none."""
-    return documents.refusal(
+    return problems.refusal(
         code='key_required',
         status=400,
         detail='Only an idempotent single request may omit its key.',
--- a/sardineproxy/request/documents.py
+++ b/sardineproxy/request/documents.py
@@ -267,43 +267,7 @@
         detail = f'{place}: {first["msg"]}' if place else first['msg']
     elif isinstance(exc, UnicodeDecodeError):
         detail = 'The body is not valid UTF-8.'
-    return refusal(code='malformed_request', status=400, detail=detail)
-
-
-def refusal(
-    *,
-    code: str,
-    status: int,
-    detail: str,
-    retry_after_s: float | None = None,
-) -> problems.Problem:
-    """Return a problem that says for certain that nothing was run."""
-    return problems.Problem(
-        code=code,
-        verdict=verdicts.Verdict.NOT_RUN,
-        status=status,
-        detail=detail,
-        retry_after_s=retry_after_s,
-    )
-
-
-def doubt(
-    *,
-    code: str,
-    status: int,
-    detail: str,
-    retry_after_s: float | None = None,
-    final: bool = True,
-) -> problems.Problem:
-    """Return a problem that leaves open whether the request ran."""
-    return problems.Problem(
-        code=code,
-        verdict=verdicts.Verdict.MAY_HAVE_RUN,
-        status=status,
-        detail=detail,
-        retry_after_s=retry_after_s,
-        final=final,
-    )
+    return problems.refusal(code='malformed_request', status=400, detail=detail)
 
 
 @functools.cache  # Notes by the ten thousand share the few that there are.
--- a/sardineproxy/request/job.py
+++ b/sardineproxy/request/job.py
@@ -217,7 +217,7 @@
 
 def cancelled() -> problems.Problem:
     """Return the refusal of a task that was cancelled before it started."""
-    return documents.refusal(
+    return problems.refusal(
         code='cancelled',
         status=409,
         detail='The request was cancelled before it started.',
@@ -225,7 +225,7 @@
 
 
 def _internal_error() -> problems.Problem:
-    return documents.doubt(
+    return problems.doubt(
         code='internal_error',
         status=500,
         detail='The dispatcher failed while it ran the request.',
--- a/sardineproxy/request/keys.py
+++ b/sardineproxy/request/keys.py
@@ -13,7 +13,6 @@
 import re
 
 from sardineproxy import ids, problems, verdicts
-from sardineproxy.request import documents
 
 #: Characters of the hexadecimal MAC: 128 bits of HMAC-SHA256.
 MAC_CHARACTERS = 32
@@ -116,7 +115,7 @@
 
 def malformed() -> problems.Problem:
     """Return the refusal of a text that no process can have minted."""
-    return documents.refusal(
+    return problems.refusal(
         code='malformed_key',
         status=400,
         detail='Idempotency keys are minted by POST /v1/keys.',
@@ -125,7 +124,7 @@
 
 def unknown() -> problems.Problem:
     """Return the refusal of a key that was not minted for the customer."""
-    return documents.refusal(
+    return problems.refusal(
         code='unknown_key',
         status=404,
         detail='This VM minted no such key for the customer.',
@@ -134,7 +133,7 @@
 
 def expired() -> problems.Problem:
     """Return the answer to a key whose record may have been dropped."""
-    return documents.doubt(
+    return problems.doubt(
         code='key_expired',
         status=410,
         detail='The key has expired and never starts work again.',
@@ -147,7 +146,7 @@
     The verdict is the key's: a caller that rendered the same work in other
     bytes must not take it for work that did not run.
     """
-    return documents.doubt(
+    return problems.doubt(
         code='key_reused',
         status=422,
         detail=(
@@ -159,7 +158,7 @@
 
 def not_submitted() -> problems.Problem:
     """Return the status of a key with which nothing has arrived so far."""
-    return documents.doubt(
+    return problems.doubt(
         code='not_submitted',
         status=404,
         detail=(
@@ -172,7 +171,7 @@
 
 def minter_gone() -> problems.Problem:
     """Return the answer to a key whose incarnation has ended."""
-    return documents.doubt(
+    return problems.doubt(
         code='minter_gone',
         status=410,
         detail='The process that minted the key has ended.',
@@ -181,7 +180,7 @@
 
 def minter_unreachable() -> problems.Problem:
     """Return the answer to a key whose minter could not be asked."""
-    return documents.doubt(
+    return problems.doubt(
         code='minter_unreachable',
         status=503,
         detail='The process that minted the key cannot be reached now.',
@@ -192,7 +191,7 @@
 
 def too_large_to_forward() -> problems.Problem:
     """Return the refusal of a submission that fits into no peer message."""
-    return documents.doubt(
+    return problems.doubt(
         code='too_large_to_forward',
         status=413,
         detail='Submit this body at the VM that minted the key.',
@@ -202,7 +201,7 @@
 
 def malformed_forward() -> problems.Problem:
     """Return the answer to a forward that could not be read."""
-    return documents.doubt(
+    return problems.doubt(
         code='malformed_forward',
         status=502,
         detail='The process that minted the key could not read the forward.',
--- a/tests/request/test_documents.py
+++ b/tests/request/test_documents.py
@@ -9,6 +9,7 @@
 from hypothesis import strategies
 from testtools import matchers
 
+from sardineproxy import problems
 from sardineproxy.request import documents, work
 from tests import examples
 from tests.request import test_submissions as fakes
@@ -92,7 +93,7 @@
     """Problem documents carry what a program branches on."""
 
     def test_problem(self) -> None:
-        problem = documents.refusal(
+        problem = problems.refusal(
             code='rate_limited', status=429, detail='Wait.', retry_after_s=0.2
         )
         reply = documents.render_problem(problem)
--- a/tests/request/test_job.py
+++ b/tests/request/test_job.py
@@ -5,12 +5,13 @@
 
 from testtools import matchers
 
-from sardineproxy.request import documents, job, work
+from sardineproxy import problems
+from sardineproxy.request import job, work
 from tests.request import test_submissions as fakes
 
 REFUSED = work.Refused(problem=job.cancelled())
 UNKNOWN = work.Unknown(
-    problem=documents.doubt(code='reset', status=504, detail='Reset.')
+    problem=problems.doubt(code='reset', status=504, detail='Reset.')
 )
 
 
