--- a/sardineproxy/__main__.py
+++ b/sardineproxy/__main__.py
@@ -10,6 +10,7 @@
 PROGRAMS = types.MappingProxyType(
     {
         'entry': 'sardineproxy.process.core',
+        'node': 'sardineproxy.process.node.core',
         'ctl': 'sardineproxy.operator.core',
         'standin-platform': 'sardineproxy.standin.platform_core',
         'standin-endpoint': 'sardineproxy.standin.endpoint_core',
--- a/sardineproxy/clock.py
+++ b/sardineproxy/clock.py
@@ -27,6 +27,18 @@
         return time.time()
 
 
+class BootClock:
+    """Clock that also counts the time in which the machine was suspended."""
+
+    def now(self) -> float:
+        """Return seconds since the machine started."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+    def wall(self) -> float:
+        """Return seconds since the epoch."""
+        return time.time()
+
+
 class ManualClock:
     """Clock that moves only when a test moves it."""
 
--- /dev/null
+++ b/sardineproxy/connection/messages.py
@@ -0,0 +1,184 @@
+"""Messages between the entry VMs that accept jobs and those that own cells."""
+
+import dataclasses
+
+from sardineproxy import ids
+from sardineproxy.connection import codec
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Greeting:
+    """First message each way: who is at this end."""
+
+    vm: ids.VmId = codec.checked(codec.text)
+    incarnation: ids.Incarnation = codec.checked(codec.text)
+    zone: ids.ZoneId = codec.checked(codec.text)
+
+
+#: Cell, its epoch, the rank of the claim, and how many more average tasks
+#: the cell could start now.
+Offer = tuple[ids.CellId, int, int, int]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Beat:
+    """Sign of life: newest configuration, and the cells that are owned."""
+
+    version: int = codec.checked(codec.count)
+    cells: tuple[Offer, ...] = codec.checked(
+        codec.rows(codec.text, codec.count, codec.count, codec.count)
+    )
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Submit:
+    """Asks the owner of a cell to run tasks of one step of a job.
+
+    Sent again to a new owner of the cell, it takes over what still runs.
+    """
+
+    cell: ids.CellId = codec.checked(codec.text)
+    job: ids.JobId = codec.checked(codec.text)
+    step: int = codec.checked(codec.count)
+    route: ids.RouteId = codec.checked(codec.text)
+    service: ids.ServiceId = codec.checked(codec.text)
+    priority: int = codec.checked(codec.count)
+    payload: str = codec.checked(codec.payload_text)
+
+    #: Index of each task, and the number of its next run.
+    tasks: tuple[tuple[int, int], ...] = codec.checked(
+        codec.rows(codec.count, codec.count)
+    )
+    millicores: int = codec.checked(codec.count)
+    memory_mb: int = codec.checked(codec.count)
+    gpus: int = codec.checked(codec.count)
+
+    #: Label that a worker must have, empty for none.
+    requires: str = codec.checked(codec.text)
+
+    #: The client's estimate of a task's run time, in seconds.
+    estimate_s: float = codec.checked(codec.seconds)
+
+    #: Time since the job arrived, in seconds.
+    age_s: float = codec.checked(codec.seconds)
+
+    #: Time until the client stops waiting, in seconds.
+    left_s: float = codec.checked(codec.seconds)
+
+    #: The job is on time within ``stretch`` times its longest task and
+    #: ``slack_s`` seconds more.
+    stretch: float = codec.checked(codec.seconds)
+    slack_s: float = codec.checked(codec.seconds)
+
+    #: True if runs of these tasks may exist in the cell.
+    resumed: bool = codec.checked(codec.flag)
+
+    #: True if the tasks may not be sent on to another cell.
+    firm: bool = codec.checked(codec.flag)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Withdraw:
+    """The sender no longer wants anything of a job in a cell."""
+
+    cell: ids.CellId = codec.checked(codec.text)
+    job: ids.JobId = codec.checked(codec.text)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Ended:
+    """A run of a task ended, or can no longer exist."""
+
+    cell: ids.CellId = codec.checked(codec.text)
+    job: ids.JobId = codec.checked(codec.text)
+    step: int = codec.checked(codec.count)
+    index: int = codec.checked(codec.count)
+    run: int = codec.checked(codec.count)
+
+    #: A ``TaskEnd`` value.
+    how: str = codec.checked(codec.text)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Declined:
+    """Tasks that were not started and will not be."""
+
+    cell: ids.CellId = codec.checked(codec.text)
+    job: ids.JobId = codec.checked(codec.text)
+    step: int = codec.checked(codec.count)
+    indices: tuple[int, ...] = codec.checked(codec.counts)
+
+    #: Cell that may have room for them, empty for none.
+    other: str = codec.checked(codec.text)
+
+    #: Why, in a few words.
+    cause: str = codec.checked(codec.text)
+
+    #: Seconds after which there may be room again.
+    retry_s: float = codec.checked(codec.seconds)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Disowned:
+    """The sender no longer owns the cell."""
+
+    cell: ids.CellId = codec.checked(codec.text)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class TakeOver:
+    """Asks the receiver to claim a cell: its owner shuts down."""
+
+    cell: ids.CellId = codec.checked(codec.text)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class StateAsk:
+    """Asks for a newer configuration, and for the directory of VMs."""
+
+    version: int = codec.checked(codec.count)
+
+
+#: Key, revision and body of a row of the directory.
+DirectoryRow = tuple[str, int, bytes]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class StateGive:
+    """A newer configuration, None if there is none, and the directory."""
+
+    version: int = codec.checked(codec.count)
+    configuration: bytes | None = codec.checked(codec.blob_or_none)
+    directory: tuple[DirectoryRow, ...] = codec.checked(
+        codec.rows(codec.text, codec.count, codec.blob)
+    )
+
+
+Message = (
+    Greeting
+    | Beat
+    | Submit
+    | Withdraw
+    | Ended
+    | Declined
+    | Disowned
+    | TakeOver
+    | StateAsk
+    | StateGive
+)
+
+#: The position is the type number on the wire; append only.
+KINDS: tuple[type, ...] = (
+    Greeting,
+    Beat,
+    Submit,
+    Withdraw,
+    Ended,
+    Declined,
+    Disowned,
+    TakeOver,
+    StateAsk,
+    StateGive,
+)
+
+CODEC = codec.Codec(*KINDS)
--- /dev/null
+++ b/sardineproxy/deployment.py
@@ -0,0 +1,78 @@
+"""Where a dispatch process runs: its addresses, limits and time bounds."""
+
+import dataclasses
+
+from sardineproxy import ids
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Address:
+    """An IP number and a port."""
+
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        """Return ``host:port``."""
+        return f'{self.host}:{self.port}'
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class StoreLimits:
+    """Rates of the platform's store, shared by all entry VMs."""
+
+    writes_per_s: float
+    reads_per_s: float
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Bounds:
+    """Times that the platform grants, in seconds."""
+
+    #: Longest lease that a worker accepts for what runs on it.
+    lease_s: float
+
+    #: Longest time that a worker takes to stop a run.
+    stop_s: float
+
+    #: Time from SIGTERM to SIGKILL.
+    grace_s: float
+
+    #: Time within which a configuration version must be in force.
+    version_s: float
+
+    #: Time after a failed answer until the client sends the job again.
+    resend_s: float
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Deployment:
+    """What the settings say about this entry VM and its surroundings."""
+
+    vm: ids.VmId
+    zone: ids.ZoneId
+
+    #: All availability zones of the deployment, in a fixed order.
+    zones: tuple[ids.ZoneId, ...]
+
+    #: Listener for clients.
+    front: Address
+
+    #: Listener for the balancer's readiness checks.
+    ready: Address
+
+    #: Listener for other entry VMs.
+    peers: Address
+
+    #: Peer listeners that may answer while the store cannot be read.
+    seeds: tuple[Address, ...]
+
+    store: Address
+    store_limits: StoreLimits
+    bounds: Bounds
+
+    #: Processor share of this VM, in cores.
+    cores: float
+
+    #: Longest time between two signs of life of a worker in the store.
+    worker_beat_s: float
--- a/sardineproxy/ids.py
+++ b/sardineproxy/ids.py
@@ -16,3 +16,18 @@
 
 #: Number of a configuration version; the first is 1.
 VersionNumber = NewType('VersionNumber', int)
+
+#: A client's name of a job.
+JobId = NewType('JobId', str)
+
+#: Name of one life of a worker in the platform's list.
+WorkerId = NewType('WorkerId', str)
+
+#: The workers of one availability zone that one entry VM dispatches to.
+CellId = NewType('CellId', str)
+
+#: Name of a service, a pool of workers that run the same tasks.
+ServiceId = NewType('ServiceId', str)
+
+#: Name of a route in the configuration.
+RouteId = NewType('RouteId', str)
--- /dev/null
+++ b/sardineproxy/platform/configuration.py
@@ -0,0 +1,59 @@
+"""Decodes the operator's configuration."""
+
+import json
+from typing import Any, Mapping
+
+import result
+
+from sardineproxy import ids
+from sardineproxy.platform import fields
+from sardineproxy.version import routes
+
+#: Table of what the operator writes, and the row of the newest version.
+TABLE = 'op'
+ROW = 'op/config'
+
+_MS_PER_S = 1000
+
+
+def decode(body: bytes) -> result.Result[routes.RoutingTable, str]:
+    """Decode a version; the error is one sentence."""
+    try:
+        document = json.loads(body)
+    except ValueError as exc:
+        return result.Err(f'configuration is not JSON: {exc}')
+    if not isinstance(document, dict):
+        return result.Err('configuration is not a JSON object')
+    try:
+        return result.Ok(
+            routes.RoutingTable(
+                number=fields.whole(document, 'version'),
+                routes=tuple(map(_to_route, fields.rows(document, 'routes'))),
+            )
+        )
+    except fields.FormatError as exc:
+        return result.Err(f'configuration: {exc}')
+
+
+def _to_route(document: Any) -> routes.Route:
+    if not isinstance(document, dict):
+        raise fields.FormatError('route: expected a table')
+    name = fields.text(document, 'name')
+    try:
+        return _read_route(name, document)
+    except fields.FormatError as exc:
+        raise fields.FormatError(f'route {name}: {exc}') from exc
+
+
+def _read_route(name: str, document: Mapping[str, Any]) -> routes.Route:
+    return routes.Route(
+        route=ids.RouteId(name),
+        host=fields.text(document, 'host'),
+        path_prefix=fields.text(document, 'path_prefix'),
+        service=ids.ServiceId(fields.text(document, 'service')),
+        timeout_s=fields.number(document, 'timeout_ms') / _MS_PER_S,
+        stretch=fields.number(document, 'stretch', 1),
+        slack_s=fields.number(document, 'target_latency_ms', 0) / _MS_PER_S,
+        priority=fields.whole(document, 'priority', 0),
+        max_attempts=fields.whole(document, 'max_attempts', 1),
+    )
--- /dev/null
+++ b/sardineproxy/platform/fields.py
@@ -0,0 +1,72 @@
+"""Checked access to the fields of decoded documents."""
+
+from typing import Any, Mapping
+
+from sardineproxy import deployment
+
+MAX_PORT = 65_535
+
+
+class FormatError(ValueError):
+    """A document of the platform is not of the expected form."""
+
+
+def text(document: Mapping[str, Any], name: str) -> str:
+    """Return a field that must be a text."""
+    found = document.get(name)
+    if not isinstance(found, str):
+        raise FormatError(f'{name}: expected a text, found {found!r:.60}')
+    return found
+
+
+def number(
+    document: Mapping[str, Any], name: str, default: float | None = None
+) -> float:
+    """Return a field that must be a number of at least 0."""
+    found = document.get(name, default)
+    is_number = isinstance(found, (int, float)) and not isinstance(found, bool)
+    if not is_number or not 0 <= found < float('inf'):
+        raise FormatError(f'{name}: expected a number, found {found!r:.60}')
+    return found
+
+
+def whole(
+    document: Mapping[str, Any], name: str, default: int | None = None
+) -> int:
+    """Return a field that must be a whole number of at least 0."""
+    found = number(document, name, default)
+    if not isinstance(found, int):
+        raise FormatError(f'{name}: expected a whole number, found {found}')
+    return found
+
+
+def flag(document: Mapping[str, Any], name: str) -> bool:
+    """Return a field that must be true or false; false if it is missing."""
+    found = document.get(name, False)
+    if not isinstance(found, bool):
+        raise FormatError(f'{name}: expected a boolean, found {found!r:.60}')
+    return found
+
+
+def table(document: Mapping[str, Any], name: str) -> Mapping[str, Any]:
+    """Return a field that must be a table."""
+    found = document.get(name)
+    if not isinstance(found, dict):
+        raise FormatError(f'{name}: expected a table, found {found!r:.60}')
+    return found
+
+
+def rows(document: Mapping[str, Any], name: str) -> list[Any]:
+    """Return a field that must be a list."""
+    found = document.get(name)
+    if not isinstance(found, list):
+        raise FormatError(f'{name}: expected a list, found {found!r:.60}')
+    return found
+
+
+def address(found: str) -> deployment.Address:
+    """Decode ``host:port``."""
+    host, colon, port = found.rpartition(':')
+    if not colon or not port.isdecimal() or not 0 < int(port) <= MAX_PORT:
+        raise FormatError(f'expected host:port, found {found!r:.60}')
+    return deployment.Address(host=host, port=int(port))
--- /dev/null
+++ b/sardineproxy/platform/front_http.py
@@ -0,0 +1,163 @@
+"""HTTP listeners for clients and for the balancer's readiness checks."""
+
+import asyncio
+from typing import Awaitable, Callable, Protocol
+
+import result
+from aiohttp import web
+
+from sardineproxy import deployment, logs
+from sardineproxy.platform import submissions
+from sardineproxy.request import jobs
+from sardineproxy.version import routes
+
+#: Time to read a request's body, in seconds; the sheets say 3 s.
+READ_TIMEOUT_S = 3
+
+#: Wait of a client that does not say how long it waits, in seconds.
+DEFAULT_WAIT_S = 30.0
+
+#: When to come back after a refusal for want of a configuration, in seconds.
+NO_CONFIGURATION_RETRY_S = 1.0
+
+#: Answers to clients that have gone; nobody reads them.
+_CLIENT_GONE = 499
+
+Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
+
+_LOG = logs.get_logger('front')
+
+
+class Acceptor(Protocol):
+    """What the front needs of its process."""
+
+    @property
+    def table(self) -> routes.RoutingTable | None:
+        """Return the routes in force."""
+
+    @property
+    def draining(self) -> bool:
+        """Tell whether the process shuts down."""
+
+    def is_ready(self) -> bool:
+        """Tell whether the balancer may send new connections."""
+
+    def is_recovering(self) -> bool:
+        """Tell whether requests must be refused for the moment."""
+
+    async def run_job(
+        self, job: jobs.Job, route: routes.Route, wait_s: float
+    ) -> jobs.Outcome:
+        """Run a job for a client that waits ``wait_s`` seconds."""
+
+    def waiting_for(self, route: routes.Route) -> int:
+        """Return how many jobs of a route wait for their first start."""
+
+
+class Front:
+    """Answers clients."""
+
+    def __init__(self, *, acceptor: Acceptor) -> None:
+        """Hand jobs to ``acceptor``."""
+        self._acceptor = acceptor
+        self._runners: list[web.ServerRunner] = []
+
+        #: Requests that are being answered.
+        self.busy = 0
+
+    async def start(
+        self, front: deployment.Address, ready: deployment.Address
+    ) -> None:
+        """Open both listeners."""
+        await self._listen(self._handle, front)
+        await self._listen(self._check, ready)
+
+    async def close(self) -> None:
+        """Close both listeners and all connections."""
+        await asyncio.gather(*(runner.cleanup() for runner in self._runners))
+
+    async def _listen(
+        self, handler: Handler, address: deployment.Address
+    ) -> None:
+        server = web.Server(handler, handler_cancellation=True, access_log=None)
+        runner = web.ServerRunner(server, shutdown_timeout=0)
+        await runner.setup()
+        site = web.TCPSite(runner, address.host, address.port, backlog=1024)
+        await site.start()
+        self._runners.append(runner)
+
+    async def _check(self, _: web.BaseRequest) -> web.StreamResponse:
+        status = 200 if self._acceptor.is_ready() else 503
+        return web.Response(status=status)
+
+    async def _handle(self, req: web.BaseRequest) -> web.StreamResponse:
+        self.busy += 1
+        try:
+            reply = await self._answer(req)
+        finally:
+            self.busy -= 1
+        response = web.Response(
+            status=reply.status,
+            body=reply.body,
+            headers=dict(reply.headers),
+            content_type='application/json' if reply.body else None,
+        )
+        if self._acceptor.draining:
+            response.force_close()
+        return response
+
+    async def _answer(self, req: web.BaseRequest) -> submissions.Reply:
+        table = self._acceptor.table
+        if table is None:
+            return submissions.refusal(NO_CONFIGURATION_RETRY_S)
+        route = table.find(req.host, req.path)
+        if route is None:
+            self._log(req, 'No route.', version=table.number)
+            return submissions.NO_ROUTE
+        name = req.path[len(route.path_prefix) :]
+        if req.method == 'POST':
+            return await self._submit(req, route, name)
+        if req.method == 'GET' and not name:
+            return submissions.encode_pending(self._acceptor.waiting_for(route))
+        self._log(req, 'No such job.', method=req.method)
+        return submissions.NO_JOB
+
+    async def _submit(
+        self, req: web.BaseRequest, route: routes.Route, name: str
+    ) -> submissions.Reply:
+        if self._acceptor.is_recovering():
+            self._log(req, 'Refused after standing still.')
+            return submissions.refusal(NO_CONFIGURATION_RETRY_S)
+        body = await _read_body(req)
+        if body is None:
+            self._log(req, 'Body too large or too slow.')
+            return submissions.MALFORMED
+        decoded = submissions.decode_job(name, body)
+        if isinstance(decoded, result.Err):
+            self._log(req, 'Refused.', cause=str(decoded.err_value))
+            if isinstance(decoded.err_value, submissions.Unsupported):
+                return submissions.refusal(NO_CONFIGURATION_RETRY_S)
+            return submissions.MALFORMED
+        header = req.headers.get(submissions.DEADLINE_HEADER)
+        wait_s = submissions.decode_wait_s(header) or DEFAULT_WAIT_S
+        outcome = await self._acceptor.run_job(decoded.ok_value, route, wait_s)
+        return submissions.encode_outcome(outcome)
+
+    def _log(self, req: web.BaseRequest, text: str, **extra: object) -> None:
+        _LOG.info(text, extra={'path': req.path, 'host': req.host, **extra})
+
+
+async def _read_body(req: web.BaseRequest) -> bytes | None:
+    """Return the body, None if it is too large or comes too slowly."""
+    parts = []
+    size = 0
+    try:
+        async with asyncio.timeout(READ_TIMEOUT_S):
+            async for part in req.content.iter_any():
+                parts.append(part)
+                size += len(part)
+                if size > submissions.MAX_BODY_BYTES:
+                    return None
+    except TimeoutError:
+        return None
+    return b''.join(parts)
--- /dev/null
+++ b/sardineproxy/platform/roster.py
@@ -0,0 +1,64 @@
+"""Decodes the workers' entries in the platform's store."""
+
+import json
+from typing import Any, Mapping
+
+import result
+
+from sardineproxy import ids
+from sardineproxy.platform import fields
+from sardineproxy.process import store
+from sardineproxy.process.cells import workers
+from sardineproxy.request import jobs
+
+#: Table in which workers register themselves, one row each under its id.
+TABLE = 'servers'
+
+_STATES = {  # noqa: WPS407
+    'ready': workers.WorkerState.READY,
+    'draining': workers.WorkerState.DRAINING,
+}
+
+
+def worker_id(row: store.Row) -> ids.WorkerId:
+    """Return whose entry a row of the table is."""
+    return ids.WorkerId(row.key.partition('/')[2])
+
+
+def decode(row: store.Row) -> result.Result[workers.Worker, str]:
+    """Decode an entry; other writers may have left malformed ones."""
+    try:
+        document = json.loads(row.body or b'')
+    except ValueError as exc:
+        return result.Err(f'entry {row.key}: not JSON: {exc}')
+    if not isinstance(document, dict):
+        return result.Err(f'entry {row.key}: not a JSON object')
+    try:
+        return result.Ok(_to_worker(worker_id(row), document))
+    except (fields.FormatError, KeyError) as exc:
+        return result.Err(f'entry {row.key}: {exc}')
+
+
+def _to_worker(
+    worker: ids.WorkerId, document: Mapping[str, Any]
+) -> workers.Worker:
+    labels = fields.rows(document, 'labels')
+    return workers.Worker(
+        worker=worker,
+        service=ids.ServiceId(fields.text(document, 'service')),
+        address=fields.address(fields.text(document, 'address')),
+        zone=ids.ZoneId(fields.text(document, 'zone')),
+        state=_STATES[fields.text(document, 'state')],
+        born_ms=fields.whole(document, 'born', 0),
+        capacity=shape(fields.table(document, 'capacity')),
+        labels=tuple(label for label in labels if isinstance(label, str)),
+    )
+
+
+def shape(document: Mapping[str, Any]) -> jobs.Shape:
+    """Decode resources; ``cpu`` is in thousandths of a core."""
+    return jobs.Shape(
+        millicores=fields.whole(document, 'cpu', 0),
+        memory_mb=fields.whole(document, 'mem_mb', 0),
+        gpus=fields.whole(document, 'gpu', 0),
+    )
--- /dev/null
+++ b/sardineproxy/platform/settings.py
@@ -0,0 +1,95 @@
+"""Decodes the settings file that the platform writes (TOML)."""
+
+import pathlib
+import tomllib
+from typing import Any, Mapping
+
+import result
+
+from sardineproxy import deployment, ids
+from sardineproxy.platform import fields
+
+#: Variable that holds the path of the settings file.
+PATH_VARIABLE = 'SARDINEPROXY_CONFIG'
+
+MAX_SETTINGS_BYTES = 262_144
+
+_MS_PER_S = 1000
+
+
+def load(path: pathlib.Path) -> result.Result[deployment.Deployment, str]:
+    """Read and decode the settings file; the error is one sentence."""
+    try:
+        body = path.read_bytes()
+    except OSError as exc:
+        return result.Err(f'cannot read settings {path}: {exc.strerror}')
+    if len(body) > MAX_SETTINGS_BYTES:
+        return result.Err(f'settings {path} have {len(body)} bytes')
+    return decode(body)
+
+
+def decode(body: bytes) -> result.Result[deployment.Deployment, str]:
+    """Decode the text of a settings file; unknown fields are ignored."""
+    try:
+        document = tomllib.loads(body.decode())
+    except ValueError as exc:
+        return result.Err(f'settings are not valid TOML: {exc}')
+    try:
+        return result.Ok(_to_deployment(document))
+    except fields.FormatError as exc:
+        return result.Err(f'settings: {exc}')
+
+
+def _to_deployment(document: Mapping[str, Any]) -> deployment.Deployment:
+    listeners = fields.table(document, 'listen_addrs')
+    limits = fields.table(document, 'limits')
+    store = fields.table(document, 'platform')
+    ready = fields.address(fields.text(listeners, 'ready'))
+    return deployment.Deployment(
+        vm=ids.VmId(fields.text(document, 'node')),
+        zone=ids.ZoneId(fields.text(document, 'zone')),
+        zones=tuple(map(ids.ZoneId, fields.table(document, 'zones'))),
+        front=fields.address(fields.text(listeners, 'front')),
+        ready=ready,
+        peers=_peer_listener(document, listeners, ready.host),
+        seeds=_seeds(document),
+        store=fields.address(fields.text(store, 'address')),
+        store_limits=deployment.StoreLimits(
+            writes_per_s=fields.number(store, 'writes_per_s'),
+            reads_per_s=fields.number(store, 'reads_per_s'),
+        ),
+        bounds=_bounds(fields.table(document, 'bounds')),
+        # The share is of one core, which runs ``cores`` times as fast.
+        cores=fields.number(limits, 'cpu_share')
+        * fields.number(limits, 'cores'),
+        worker_beat_s=fields.number(document, 'heartbeat_ms') / _MS_PER_S,
+    )
+
+
+def _peer_listener(
+    document: Mapping[str, Any], listeners: Mapping[str, Any], host: str
+) -> deployment.Address:
+    """Return the control listener, whose peers the seeds name, if served."""
+    if 'control' in listeners:
+        return fields.address(fields.text(listeners, 'control'))
+    ports = fields.rows(document, 'port_range')
+    if not ports or not isinstance(ports[0], int):
+        raise fields.FormatError('port_range: expected two ports')
+    return deployment.Address(host=host, port=ports[0])
+
+
+def _seeds(document: Mapping[str, Any]) -> tuple[deployment.Address, ...]:
+    found = document.get('seeds', [])
+    if not isinstance(found, list):
+        raise fields.FormatError('seeds: expected a list')
+    return tuple(fields.address(str(seed)) for seed in found)
+
+
+def _bounds(document: Mapping[str, Any]) -> deployment.Bounds:
+    return deployment.Bounds(
+        lease_s=fields.number(document, 'max_hold_ms') / _MS_PER_S,
+        stop_s=fields.number(document, 'stop_timeout_ms') / _MS_PER_S,
+        grace_s=fields.number(document, 'grace_s'),
+        version_s=fields.number(document, 'config_apply_ms') / _MS_PER_S,
+        resend_s=fields.number(document, 'retransmit_ms') / _MS_PER_S,
+    )
--- /dev/null
+++ b/sardineproxy/process/cells/cell.py
@@ -0,0 +1,574 @@
+"""A cell that this process owns: queue, placement, and ends of tasks."""
+
+import collections
+import dataclasses
+from typing import Iterable, Mapping, Protocol
+
+from sardineproxy import clock, ids, logs
+from sardineproxy.connection import link, messages
+from sardineproxy.process import metrics
+from sardineproxy.process.cells import (
+    agent,
+    fences,
+    placement,
+    runs,
+    workers,
+)
+from sardineproxy.request import jobs
+
+_LOG = logs.get_logger('cell')
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Config:
+    """Times of a cell, in seconds."""
+
+    agent: agent.Config = agent.Config()
+
+    #: A new owner waits this long for reports of all workers before it
+    #: answers coordinators that resume their jobs.
+    sync_s: float = 0.3
+
+    #: Runs of a former owner that no coordinator asks for are stopped after
+    #: this time.
+    adopt_s: float = 0.5
+
+    #: Runs of a coordinator whose link is lost are stopped after this time.
+    orphan_s: float = 0.3
+
+    #: Time for which ends are kept for coordinators that ask again.
+    recall_s: float = 1.5
+
+    #: Multiple of the time in which a job is on time after which it is worth
+    #: nothing.
+    late_factor: float = 3.0
+
+
+class Events(Protocol):
+    """Hears of the cell's end."""
+
+    def superseded(self, cell: 'Cell') -> None:
+        """Another process has taken the cell over."""
+
+
+BatchKey = tuple[ids.JobId, int]
+
+
+class Cell:  # noqa: WPS214
+    """The workers of one cell and the tasks for them."""
+
+    def __init__(
+        self,
+        *,
+        cell: ids.CellId,
+        right: fences.Right,
+        api: workers.WorkerApi,
+        clock: clock.Clock,
+        metrics: metrics.Metrics,
+        events: Events,
+        others: Mapping[ids.CellId, int],
+        cfg: Config,
+    ) -> None:
+        """Own a cell; ``others`` tells how much room other cells have."""
+        self.cell = cell
+        self.right = right
+        self._api = api
+        self._clock = clock
+        self._metrics = metrics
+        self._events = events
+        self._others = others
+        self._cfg = cfg
+        self._opened_at = clock.now()
+        self._agents: dict[ids.WorkerId, agent.Agent] = {}
+        self._batches: dict[BatchKey, runs.Batch] = {}
+        self._resumes: list[tuple[link.Link, messages.Submit]] = []
+        self._recent: collections.deque[tuple[float, workers.TaskName]] = (
+            collections.deque()
+        )
+
+        #: Last run and end of tasks that ended a short while ago.
+        self._recent_ends: dict[workers.TaskName, tuple[int, jobs.TaskEnd]] = {}
+        self._typical_millicores = 14_000.0
+        self._is_adopting = True
+
+    async def close(self) -> None:
+        """Stop all calls to workers; what runs there runs on."""
+        for each in self._agents.values():
+            await each.close()
+
+    def set_workers(self, listed: Iterable[workers.Worker]) -> None:
+        """Use the newest list of the cell's workers."""
+        by_id = {worker.worker: worker for worker in listed}
+        for worker_id, worker in by_id.items():
+            known = self._agents.get(worker_id)
+            if known is None:
+                self._add(worker)
+            elif known.worker != worker:
+                known.update(worker)
+        for worker_id, gone in list(self._agents.items()):
+            if worker_id not in by_id:
+                gone.leave()
+
+    def submit(
+        self, source: link.Link, asked: messages.Submit, now: float
+    ) -> None:
+        """Take tasks from a coordinator."""
+        known = self._batches.get((asked.job, asked.step))
+        if known is not None:
+            self._rejoin(known, source, asked)
+        elif asked.resumed and self._is_syncing(now):
+            self._resumes.append((source, asked))
+        elif asked.resumed:
+            self._resume(source, asked, now)
+        else:
+            self._take(source, asked, dict(asked.tasks), now)
+
+    def withdraw(self, source: link.Link, job: ids.JobId) -> None:
+        """Drop all tasks of a job."""
+        for batch in list(self._batches.values()):
+            if batch.job == job and batch.link is source:
+                self._drop(batch, 'withdrawn')
+        self._resumes = [
+            (asker, asked)
+            for asker, asked in self._resumes
+            if asked.job != job or asker is not source
+        ]
+
+    def link_lost(self, lost: link.Link, now: float) -> None:
+        """Keep the tasks of a coordinator for a short while."""
+        for batch in self._batches.values():
+            if batch.link is lost:
+                batch.link = None
+                batch.orphaned_at = now
+        self._resumes = [
+            resume for resume in self._resumes if resume[0] is not lost
+        ]
+
+    def free_tasks(self, now: float) -> int:
+        """Return how many more average tasks could start now."""
+        free = placement.count_free(
+            int(self._typical_millicores), self._agents.values(), now
+        )
+        waiting = sum(len(batch.waiting()) for batch in self._batches.values())
+        return max(0, free - waiting)
+
+    def doubt_all(self, why: str) -> None:
+        """Order nothing from a worker until it has reported anew."""
+        for each in self._agents.values():
+            each.doubt(why)
+
+    def tick(self, now: float) -> None:
+        """Do what is due."""
+        if self._resumes and not self._is_syncing(now):
+            resumes, self._resumes = self._resumes, []
+            for source, asked in resumes:
+                self._resume(source, asked, now)
+        if self._is_adopting and now >= self._opened_at + self._cfg.adopt_s:
+            self._is_adopting = False
+            for each in self._agents.values():
+                each.stop_unknown()
+        for batch in list(self._batches.values()):
+            if batch.link is None and (
+                now >= batch.orphaned_at + self._cfg.orphan_s
+            ):
+                self._drop(batch, 'coordinator lost')
+        while self._recent and now - self._recent[0][0] > self._cfg.recall_s:
+            self._recent_ends.pop(self._recent.popleft()[1], None)
+        self.dispatch(now)
+
+    def dispatch(self, now: float) -> None:
+        """Order runs of waiting tasks as far as there is room."""
+        waiting = [batch for batch in self._batches.values() if batch.waiting()]
+        waiting.sort(key=_latest_start)
+        for batch in waiting:
+            self._place(batch, now)
+            if batch.waiting():
+                self._review(batch, now)
+
+    def state(self, now: float) -> dict[str, object]:
+        """Return workers and queue for the state dump."""
+        return {
+            'cell': self.cell,
+            'epoch': self.right.epoch,
+            'rank': self.right.rank,
+            'workers': [each.state(now) for each in self._agents.values()],
+            'batches': len(self._batches),
+            'waiting': sum(
+                len(batch.waiting()) for batch in self._batches.values()
+            ),
+        }
+
+    # Events of agents.
+
+    def ended(self, run: runs.Run, how: workers.Ending) -> None:
+        """Note the end of a run as its worker says."""
+        owner = self._agents[run.worker]
+        _LOG.info(
+            'Run ended.',
+            extra={
+                'job': run.batch.job,
+                'task': run.task,
+                'run': run.number,
+                'worker': run.worker,
+                'how': how.value,
+                'took_s': round(self._clock.now() - run.ordered_at, 4),
+                'work_s': round(run.batch.work_s, 4),
+            },
+        )
+        self._metrics.count('runs_ended_total', how=how.value)
+        if run.index not in run.batch.tasks:
+            _LOG.info('End of a dropped task.', extra={'task': run.task})
+        elif how is workers.Ending.DONE:
+            self._tell(run.batch, run.index, run.number, jobs.TaskEnd.DONE)
+        elif how is workers.Ending.FAILED and not owner.health.is_suspect:
+            self._tell(run.batch, run.index, run.number, jobs.TaskEnd.FAILED)
+        else:
+            self._requeue(run)
+        self.dispatch(self._clock.now())
+
+    def lost(self, run: runs.Run, cause: str) -> None:
+        """Queue a task again whose run does not exist."""
+        _LOG.info(
+            'Run lost.',
+            extra={
+                'job': run.batch.job,
+                'task': run.task,
+                'run': run.number,
+                'worker': run.worker,
+                'cause': cause,
+            },
+        )
+        self._metrics.count('runs_lost_total')
+        self._requeue(run)
+        self.dispatch(self._clock.now())
+
+    def has_room(self) -> None:
+        """Use room that became free."""
+        self.dispatch(self._clock.now())
+
+    def superseded(self, source: agent.Agent) -> None:
+        """Give the cell up: a worker knows a newer owner."""
+        self._events.superseded(self)
+
+    def strays(self, source: agent.Agent, found: list[workers.Running]) -> None:
+        """Stop runs that nobody asked for, unless they may be adopted."""
+        if not self._is_adopting:
+            source.stop_unknown()
+
+    # Life of a batch.
+
+    def _add(self, worker: workers.Worker) -> None:
+        added = agent.Agent(
+            worker=worker,
+            right=self.right,
+            api=self._api,
+            clock=self._clock,
+            metrics=self._metrics,
+            events=self,
+            cfg=self._cfg.agent,
+        )
+        self._agents[worker.worker] = added
+        added.open()
+
+    def _is_syncing(self, now: float) -> bool:
+        if now >= self._opened_at + self._cfg.sync_s:
+            return False
+        return not self._agents or not all(
+            each.is_synced for each in self._agents.values()
+        )
+
+    def _rejoin(
+        self, known: runs.Batch, source: link.Link, asked: messages.Submit
+    ) -> None:
+        """Give a batch that exists to the coordinator that asks now."""
+        if known.link is not None and known.link is not source:
+            for index, task in known.tasks.items():
+                self._send_end(known, index, task.number, jobs.TaskEnd.REPLACED)
+        known.link = source
+        for index, number in asked.tasks:
+            if index in known.tasks:
+                continue
+            name = runs.task_name(asked.job, asked.step, index)
+            last, end = self._recent_ends.get(name, (0, None))
+            if end is None or number > last:
+                known.tasks[index] = runs.Task(number=number)
+            else:
+                self._send_end(known, index, last, end)
+        self.dispatch(self._clock.now())
+
+    def _resume(
+        self, source: link.Link, asked: messages.Submit, now: float
+    ) -> None:
+        """Take over what a former owner ordered for a coordinator."""
+        is_sure = all(each.is_synced for each in self._agents.values())
+        batch = self._new_batch(source, asked, now)
+        fresh: dict[int, int] = {}
+        for index, number in asked.tasks:
+            if not self._adopt(batch, index, now):
+                fresh[index] = number
+        if batch.tasks:
+            self._batches[(asked.job, asked.step)] = batch
+        _LOG.info(
+            'Job resumed.',
+            extra={
+                'job': asked.job,
+                'adopted': sorted(batch.tasks),
+                'missing': sorted(fresh),
+                'all_workers_known': is_sure,
+            },
+        )
+        if fresh and not is_sure:
+            # They may run on a worker that has not reported.
+            for index, number in fresh.items():
+                self._send_end(batch, index, number, jobs.TaskEnd.LATE)
+        elif fresh:
+            self._take(source, asked, fresh, now)
+
+    def _adopt(self, batch: runs.Batch, index: int, now: float) -> bool:
+        name = runs.task_name(batch.job, batch.step, index)
+        for each in self._agents.values():
+            if name in each.unknown:
+                found = each.unknown[name]
+                run = runs.Run(
+                    task=name,
+                    number=found.run,
+                    batch=batch,
+                    index=index,
+                    worker=each.worker.worker,
+                    ordered_at=now,
+                )
+                each.adopt(run, now)
+                batch.tasks[index] = runs.Task(number=found.run + 1, run=run)
+                batch.started = True
+                return True
+            end = each.foreign_ends.get(name)
+            if end is not None and end.how is workers.Ending.DONE:
+                self._send_end(batch, index, end.run, jobs.TaskEnd.DONE)
+                return True
+        return False
+
+    def _new_batch(
+        self, source: link.Link, asked: messages.Submit, now: float
+    ) -> runs.Batch:
+        arrived_at = now - asked.age_s
+        bound_s = asked.estimate_s * asked.stretch + asked.slack_s
+        return runs.Batch(
+            job=asked.job,
+            step=asked.step,
+            route=asked.route,
+            service=asked.service,
+            payload=asked.payload,
+            shape=jobs.Shape(
+                millicores=asked.millicores,
+                memory_mb=asked.memory_mb,
+                gpus=asked.gpus,
+            ),
+            requires=asked.requires,
+            link=source,
+            work_s=asked.estimate_s,
+            arrived_at=arrived_at,
+            due_at=arrived_at + bound_s,
+            late_at=arrived_at + bound_s * self._cfg.late_factor,
+            deadline=now + asked.left_s,
+            firm=asked.firm,
+            started=asked.resumed,
+        )
+
+    def _take(
+        self,
+        source: link.Link,
+        asked: messages.Submit,
+        tasks: dict[int, int],
+        now: float,
+    ) -> None:
+        key = (asked.job, asked.step)
+        batch = self._batches.get(key)
+        if batch is None:
+            batch = self._new_batch(source, asked, now)
+            self._batches[key] = batch
+        for index, number in tasks.items():
+            batch.tasks[index] = runs.Task(number=number)
+        self._typical_millicores += 0.05 * (
+            asked.millicores - self._typical_millicores
+        )
+        self._move_overflow(batch, now)
+        self.dispatch(now)
+
+    def _move_overflow(self, batch: runs.Batch, now: float) -> None:
+        """Send tasks that find no room here to cells that have some."""
+        if batch.firm:
+            return
+        mine = len(batch.waiting())
+        queued = sum(
+            len(other.waiting())
+            for other in self._batches.values()
+            if other is not batch
+        )
+        free = placement.count_free(
+            batch.shape.millicores, self._agents.values(), now
+        )
+        excess = min(mine, mine + queued - free)
+        for cell, room in sorted(
+            self._others.items(), key=lambda offered: -offered[1]
+        ):
+            if cell == self.cell:
+                continue
+            count = min(excess, room)
+            if count > 0:
+                self._decline(
+                    batch,
+                    batch.waiting()[-count:],
+                    cause='more room there',
+                    other=cell,
+                )
+                excess -= count
+
+    def _place(self, batch: runs.Batch, now: float) -> None:
+        placed: dict[int, ids.WorkerId] = {}
+        for index in batch.waiting():
+            chosen = placement.choose(batch, self._agents.values(), now)
+            if chosen is None:
+                break
+            self._start(batch, index, chosen, now)
+            placed[index] = chosen.worker.worker
+        if placed:
+            _LOG.info(
+                'Tasks ordered.',
+                extra={
+                    'job': batch.job,
+                    'step': batch.step,
+                    'placed': placed,
+                    'waiting': len(batch.waiting()),
+                    'age_s': round(now - batch.arrived_at, 4),
+                    'due_s': round(batch.due_at - now, 4),
+                    'epoch': self.right.epoch,
+                },
+            )
+
+    def _start(
+        self, batch: runs.Batch, index: int, chosen: agent.Agent, now: float
+    ) -> None:
+        task = batch.tasks[index]
+        run = runs.Run(
+            task=runs.task_name(batch.job, batch.step, index),
+            number=task.number,
+            batch=batch,
+            index=index,
+            worker=chosen.worker.worker,
+            ordered_at=now,
+        )
+        task.number += 1
+        task.run = run
+        batch.started = True
+        self._metrics.count('runs_ordered_total')
+        chosen.start(run, now)
+
+    def _review(self, batch: runs.Batch, now: float) -> None:
+        """Give a batch up whose tasks wait too long."""
+        if not batch.started and now > _latest_start(batch):
+            self._decline(batch, batch.waiting(), cause='no room in time')
+        elif now + batch.work_s > min(batch.late_at, batch.deadline):
+            self._give_up(batch)
+
+    def _decline(
+        self,
+        batch: runs.Batch,
+        indices: list[int],
+        *,
+        cause: str,
+        other: str = '',
+    ) -> None:
+        """Tell the coordinator that tasks will not start here."""
+        for index in indices:
+            batch.tasks.pop(index)
+        self._forget_if_empty(batch)
+        _LOG.info(
+            'Tasks declined.',
+            extra={
+                'job': batch.job,
+                'indices': indices,
+                'cause': cause,
+                'other': other,
+                'age_s': round(self._clock.now() - batch.arrived_at, 4),
+                'batches': len(self._batches),
+            },
+        )
+        self._metrics.count('tasks_declined_total', len(indices))
+        if batch.link is not None:
+            batch.link.send(
+                messages.Declined(
+                    cell=self.cell,
+                    job=batch.job,
+                    step=batch.step,
+                    indices=tuple(indices),
+                    other=other,
+                    cause=cause,
+                    retry_s=1.0,
+                )
+            )
+
+    def _give_up(self, batch: runs.Batch) -> None:
+        for index in list(batch.tasks):
+            self._send_end(
+                batch, index, batch.tasks[index].number, jobs.TaskEnd.LATE
+            )
+        self._drop(batch, 'too late')
+
+    def _drop(self, batch: runs.Batch, cause: str) -> None:
+        """Forget a batch and stop what runs of it."""
+        _LOG.info(
+            'Batch dropped.',
+            extra={
+                'job': batch.job,
+                'step': batch.step,
+                'cause': cause,
+                'tasks': len(batch.tasks),
+            },
+        )
+        tasks = list(batch.tasks.values())
+        batch.tasks.clear()
+        self._forget_if_empty(batch)
+        for task in tasks:
+            if task.run is not None:
+                self._agents[task.run.worker].stop(task.run)
+
+    def _requeue(self, run: runs.Run) -> None:
+        task = run.batch.tasks.get(run.index)
+        if task is not None and task.run is run:
+            task.run = None
+
+    def _tell(
+        self, batch: runs.Batch, index: int, number: int, how: jobs.TaskEnd
+    ) -> None:
+        """End a task and tell its coordinator."""
+        batch.tasks.pop(index)
+        self._forget_if_empty(batch)
+        self._send_end(batch, index, number, how)
+
+    def _send_end(
+        self, batch: runs.Batch, index: int, number: int, how: jobs.TaskEnd
+    ) -> None:
+        name = runs.task_name(batch.job, batch.step, index)
+        self._recent.append((self._clock.now(), name))
+        self._recent_ends[name] = (number, how)
+        if batch.link is not None:
+            batch.link.send(
+                messages.Ended(
+                    cell=self.cell,
+                    job=batch.job,
+                    step=batch.step,
+                    index=index,
+                    run=number,
+                    how=how.value,
+                )
+            )
+
+    def _forget_if_empty(self, batch: runs.Batch) -> None:
+        key = (batch.job, batch.step)
+        if not batch.tasks and self._batches.get(key) is batch:
+            self._batches.pop(key)
+
+
+def _latest_start(batch: runs.Batch) -> float:
+    """Return when a task must start to be on time, in local seconds."""
+    return batch.due_at - batch.work_s
--- /dev/null
+++ b/sardineproxy/process/cells/runs.py
@@ -0,0 +1,113 @@
+"""Tasks that a cell holds for its coordinators, and runs of them."""
+
+import dataclasses
+import enum
+
+from sardineproxy import ids
+from sardineproxy.connection import link
+from sardineproxy.process.cells import workers
+from sardineproxy.request import jobs
+
+
+class RunState(enum.Enum):
+    """What is known of a run at its worker."""
+
+    #: The order is on its way.
+    ORDERED = 'ordered'
+
+    #: The order got no answer; the run may exist, now or later.
+    DOUBTFUL = 'doubtful'
+
+    RUNNING = 'running'
+
+    #: A stop is on its way; the run still takes its room.
+    STOPPING = 'stopping'
+
+
+@dataclasses.dataclass(kw_only=True, slots=True, eq=False)
+class Run:
+    """One run of a task, ordered from a worker."""
+
+    task: workers.TaskName
+    number: int
+    batch: 'Batch'
+    index: int
+    worker: ids.WorkerId
+    state: RunState = RunState.ORDERED
+
+    #: Local time of the order, in seconds.
+    ordered_at: float
+
+    #: Fence and end of the lease of the order.
+    fence: int = 0
+    expires_ms: int = 0
+
+    #: Worker's clock when it was first known to run, 0 if not known.
+    clock_ms: int = 0
+
+    #: Local time when it was first known to run, in seconds.
+    started_at: float = 0
+
+    #: Newest progress that the worker reported, in percent.
+    percent: float = 0
+
+    #: Local time of the newest stop, and the worker's clock when it
+    #: accepted one, 0 for none.
+    stop_at: float = 0
+    stopped_ms: int = 0
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class Task:
+    """A task of a batch that has not ended."""
+
+    #: Number of its next run.
+    number: int
+    run: Run | None = None
+
+
+@dataclasses.dataclass(kw_only=True, slots=True, eq=False)
+class Batch:
+    """Tasks of one step of a job."""
+
+    job: ids.JobId
+    step: int
+    route: ids.RouteId
+    service: ids.ServiceId
+    payload: str
+    shape: jobs.Shape
+    requires: str
+
+    #: Where to tell how tasks end, None while the coordinator's link is lost.
+    link: link.Link | None
+
+    #: Local time when the link was lost.
+    orphaned_at: float = 0
+
+    #: Expected run time on a worker of speed 1, in seconds.
+    work_s: float
+
+    #: Local times, in seconds: arrival of the job at its coordinator, end of
+    #: the time in which it is on time, end of the time in which it is worth
+    #: anything, end of the client's wait.
+    arrived_at: float
+    due_at: float
+    late_at: float
+    deadline: float
+
+    #: True if the tasks may not be sent on to another cell.
+    firm: bool
+
+    #: True once a run of one of the tasks may have started.
+    started: bool = False
+
+    tasks: dict[int, Task] = dataclasses.field(default_factory=dict)
+
+    def waiting(self) -> list[int]:
+        """Return the tasks without a run."""
+        return [index for index, task in self.tasks.items() if not task.run]
+
+
+def task_name(job: ids.JobId, step: int, index: int) -> workers.TaskName:
+    """Return the name of a task of a job without occurrences."""
+    return workers.TaskName(f'{job}.0.{step}.{index}')
--- /dev/null
+++ b/sardineproxy/process/membership/following.py
@@ -0,0 +1,178 @@
+"""Follows a table of the store through its feed of changes."""
+
+import asyncio
+import dataclasses
+import random
+from typing import Callable, Mapping
+
+import result
+
+from sardineproxy import clock, logs
+from sardineproxy.process import metrics, store
+
+#: Shortest and longest pause after a failed call, in seconds. The store's
+#: rates are shared by all entry VMs, so that pauses must grow.
+BACK_OFF_MIN_S = 0.1
+BACK_OFF_MAX_S = 1.0
+
+_LOG = logs.get_logger('store')
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Pace:
+    """How often a table is asked for, in seconds."""
+
+    #: Longest wait of the store for a change.
+    wait_s: float
+
+    #: Pause after each answer, for tables that change all the time.
+    pause_s: float
+
+
+class TableFollower:
+    """Keeps a copy of a table up to date."""
+
+    def __init__(
+        self,
+        *,
+        table: str,
+        source: store.Store,
+        pace: Callable[[], Pace],
+        clock: clock.Clock,
+        rng: random.Random,
+        metrics: metrics.Metrics,
+        on_rows: Callable[[tuple[store.Row, ...]], None],
+    ) -> None:
+        """Call ``on_rows`` with each batch of changed rows."""
+        self._table = table
+        self._store = source
+        self._pace = pace
+        self._clock = clock
+        self._rng = rng
+        self._metrics = metrics
+        self._on_rows = on_rows
+        self._rows: dict[str, store.Row] = {}
+        self._revision: int | None = None
+        self._failures = 0
+        self._lost_at: float | None = None
+
+        #: Start of the present time without failed calls, None in a failure.
+        self.sound_since: float | None = None
+        self._poked = asyncio.Event()
+
+    @property
+    def rows(self) -> Mapping[str, store.Row]:
+        """Return the rows by key."""
+        return self._rows
+
+    @property
+    def is_known(self) -> bool:
+        """Tell whether the table was read at least once."""
+        return self._revision is not None
+
+    def poke(self) -> None:
+        """End the present pause."""
+        self._poked.set()
+
+    async def run(self) -> None:
+        """Follow the table until cancelled."""
+        while True:
+            answer = await self._ask()
+            self._note(answer)
+            if isinstance(answer, result.Ok):
+                self._take(answer.ok_value)
+            await self._rest(answer)
+
+    async def _ask(self) -> result.Result[store.Rows, store.StoreError]:
+        self._metrics.count('store_calls_total', table=self._table)
+        if self._revision is None:
+            return await self._read()
+        answer = await self._store.changes(
+            self._table,
+            after=self._revision,
+            wait_s=self._pace().wait_s,
+        )
+        if isinstance(answer, result.Err):
+            if answer.err_value.kind is store.ErrorKind.HISTORY_LOST:
+                _LOG.info(
+                    'History lost, reading all.', extra={'table': self._table}
+                )
+                return await self._read()
+        return answer
+
+    async def _read(self) -> result.Result[store.Rows, store.StoreError]:
+        """Read the whole table; what is missing from it was removed."""
+        answer = await self._store.read(self._table)
+        if isinstance(answer, result.Err):
+            return answer
+        present = {row.key for row in answer.ok_value.rows}
+        removed = tuple(
+            store.Row(key=key, revision=answer.ok_value.revision, body=None)
+            for key in self._rows
+            if key not in present
+        )
+        return result.Ok(
+            dataclasses.replace(
+                answer.ok_value, rows=answer.ok_value.rows + removed
+            )
+        )
+
+    def _take(self, changed: store.Rows) -> None:
+        for row in changed.rows:
+            if row.body is None:
+                self._rows.pop(row.key, None)
+            else:
+                self._rows[row.key] = row
+        is_first = self._revision is None
+        self._revision = changed.revision
+        if changed.rows or is_first:
+            self._on_rows(changed.rows)
+
+    def _note(
+        self, answer: result.Result[store.Rows, store.StoreError]
+    ) -> None:
+        """Log when the store is lost and when it is back."""
+        now = self._clock.now()
+        if isinstance(answer, result.Ok):
+            self._failures = 0
+            if self.sound_since is None:
+                self.sound_since = now
+            if self._lost_at is not None:
+                _LOG.info(
+                    'Store regained.',
+                    extra={
+                        'table': self._table,
+                        'away_s': round(now - self._lost_at, 3),
+                    },
+                )
+                self._lost_at = None
+            return
+        self._failures += 1
+        self.sound_since = None
+        if self._lost_at is None:
+            self._lost_at = now
+            _LOG.warning(
+                'Store lost.',
+                extra={
+                    'table': self._table,
+                    'cause': answer.err_value.detail,
+                },
+            )
+
+    async def _rest(
+        self, answer: result.Result[store.Rows, store.StoreError]
+    ) -> None:
+        pause_s = self._pace().pause_s
+        if isinstance(answer, result.Err):
+            longest = min(
+                BACK_OFF_MIN_S * 2 ** min(self._failures, 8), BACK_OFF_MAX_S
+            )
+            pause_s = longest * self._rng.uniform(0.5, 1)
+        if not pause_s:
+            return
+        self._poked.clear()
+        try:
+            async with asyncio.timeout(pause_s):
+                await self._poked.wait()
+        except TimeoutError:
+            return
--- /dev/null
+++ b/sardineproxy/process/membership/links.py
@@ -0,0 +1,263 @@
+"""Opens, accepts and closes the links to other entry VMs."""
+
+import asyncio
+import dataclasses
+import random
+from typing import Awaitable, Callable, Coroutine, Mapping, Protocol
+
+import result
+
+from sardineproxy import clock, deployment, ids, logs
+from sardineproxy.connection import link, messages
+
+Accept = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
+Listen = Callable[[Accept, str, int], Awaitable[asyncio.Server]]
+
+#: Time without sending after which a beat is sent, in seconds.
+BEAT_S = 0.1
+
+#: Silence after which a link is closed, in seconds. Three lost beats; a
+#: client sends a job again no sooner than 1.3 s after a failure, and what
+#: ran for a silent VM must have ended by then.
+SILENT_S = 0.4
+
+#: Longest wait for a connection, in seconds.
+CONNECT_TIMEOUT_S = 0.3
+
+#: Shortest and longest wait before a link is opened again, in seconds.
+BACK_OFF_MIN_S = 0.05
+BACK_OFF_MAX_S = 1.0
+
+_LOG = logs.get_logger('link')
+
+
+class Events(Protocol):
+    """Hears of links."""
+
+    def opened(self, opened: link.Link) -> None:
+        """Use a new link."""
+
+    def closed(self, closed: link.Link) -> None:
+        """Forget a link."""
+
+    def received(self, source: link.Link, message: messages.Message) -> None:
+        """Act on a message."""
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class _Target:
+    """An address to keep a link to."""
+
+    retry_at: float = 0
+    failures: int = 0
+    is_dialing: bool = False
+    vm: ids.VmId | None = None
+
+
+class Links:
+    """All open links of a process."""
+
+    def __init__(
+        self,
+        *,
+        clock: clock.Clock,
+        rng: random.Random,
+        me: messages.Greeting,
+        events: Events,
+        connect: link.Connect = asyncio.open_connection,
+        listen: Listen = asyncio.start_server,
+    ) -> None:
+        """Start without links."""
+        self._clock = clock
+        self._rng = rng
+        self._me = me
+        self._events = events
+        self._connect = connect
+        self._listen = listen
+        self._server: asyncio.Server | None = None
+        self._targets: dict[deployment.Address, _Target] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+        self.open: dict[ids.VmId, list[link.Link]] = {}
+
+    async def start(self, address: deployment.Address) -> None:
+        """Open the listener."""
+        self._server = await self._listen(
+            self._accept, address.host, address.port
+        )
+
+    async def close(self) -> None:
+        """Close the listener and all links."""
+        if self._server is not None:
+            self._server.close()
+        tasks = list(self._tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def use(self, waits_s: Mapping[deployment.Address, float]) -> None:
+        """Keep links to these addresses from now on.
+
+        A new address is called after its wait, so that of two VMs one calls.
+        """
+        now = self._clock.now()
+        self._targets = {
+            address: self._targets.get(address, _Target(retry_at=now + wait_s))
+            for address, wait_s in waits_s.items()
+        }
+
+    def to(self, vm: ids.VmId) -> link.Link | None:
+        """Return an open link to a VM."""
+        for candidate in self.open.get(vm, ()):
+            if not candidate.is_closing():
+                return candidate
+        return None
+
+    def tick(self, now: float, beat: messages.Beat) -> None:
+        """Close silent links, send beats, open missing links."""
+        for candidate in self._all():
+            if now - candidate.heard_at >= SILENT_S:
+                _LOG.warning(
+                    'Link silent, closed.',
+                    extra={
+                        'vm': candidate.peer.vm,
+                        'silent_s': round(now - candidate.heard_at, 3),
+                    },
+                )
+                candidate.abort()
+                self._forget(candidate)
+            elif now - candidate.sent_at >= BEAT_S:
+                candidate.send(beat)
+        for address, target in self._targets.items():
+            if self._is_missing(target) and now >= target.retry_at:
+                target.is_dialing = True
+                self._spawn(self._dial(address, target))
+
+    def send_all(self, message: messages.Message) -> None:
+        """Send a message on one link to each VM."""
+        for vm in list(self.open):
+            open_link = self.to(vm)
+            if open_link is not None:
+                open_link.send(message)
+
+    def abort_all(self) -> None:
+        """Close all links at once."""
+        for candidate in self._all():
+            candidate.abort()
+            self._forget(candidate)
+
+    def _all(self) -> list[link.Link]:
+        return [each for of_vm in self.open.values() for each in of_vm]
+
+    def known(self, address: deployment.Address, vm: ids.VmId) -> None:
+        """Note which VM listens at an address."""
+        if address in self._targets:
+            self._targets[address].vm = vm
+
+    def _is_missing(self, target: _Target) -> bool:
+        if target.is_dialing:
+            return False
+        return target.vm is None or self.to(target.vm) is None
+
+    def _spawn(self, work: Coroutine[None, None, None]) -> None:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _accept(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self._spawn(
+            self._run(
+                link.Link(
+                    clock=self._clock,
+                    reader=reader,
+                    writer=writer,
+                    dialed=False,
+                )
+            )
+        )
+
+    async def _dial(self, address: deployment.Address, target: _Target) -> None:
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                reader, writer = await self._connect(address.host, address.port)
+        except (OSError, TimeoutError) as exc:
+            if not target.failures:
+                _LOG.info(
+                    'No link.',
+                    extra={'address': str(address), 'cause': repr(exc)},
+                )
+            self._back_off(target)
+            return
+        dialed = link.Link(
+            clock=self._clock, reader=reader, writer=writer, dialed=True
+        )
+        await self._run(dialed, target)
+        self._back_off(target)
+
+    def _back_off(self, target: _Target) -> None:
+        longest = min(
+            BACK_OFF_MIN_S * 2 ** min(target.failures, 8), BACK_OFF_MAX_S
+        )
+        target.retry_at = self._clock.now() + longest * self._rng.uniform(
+            0.5, 1
+        )
+        target.failures += 1
+        target.is_dialing = False
+
+    async def _run(
+        self, opened: link.Link, target: _Target | None = None
+    ) -> None:
+        """Run a link to its end."""
+        try:
+            greeting = await opened.handshake(self._me)
+            if isinstance(greeting, result.Err):
+                _LOG.info('Link refused.', extra={'cause': greeting.err_value})
+                return
+            if target is not None:
+                target.vm = greeting.ok_value.vm
+                target.failures = 0
+            if greeting.ok_value.vm == self._me.vm:
+                return
+            self._adopt(opened)
+            await self._read(opened)
+        finally:
+            opened.abort()
+            self._forget(opened)
+
+    def _adopt(self, opened: link.Link) -> None:
+        peer = opened.peer
+        for old in list(self.open.get(peer.vm, ())):
+            if old.peer.incarnation != peer.incarnation:
+                old.abort()
+                self._forget(old)
+        self.open.setdefault(peer.vm, []).append(opened)
+        _LOG.info('Link open.', extra={'vm': peer.vm, 'dialed': opened.dialed})
+        self._events.opened(opened)
+
+    async def _read(self, opened: link.Link) -> None:
+        while True:
+            received = await opened.receive()
+            if opened not in self.open.get(opened.peer.vm, ()):
+                return
+            if isinstance(received, result.Err):
+                if not link.is_regular_end(received.err_value):
+                    _LOG.info(
+                        'Link broken.',
+                        extra={
+                            'vm': opened.peer.vm,
+                            'cause': received.err_value,
+                        },
+                    )
+                return
+            self._events.received(opened, received.ok_value)
+
+    def _forget(self, closed: link.Link) -> None:
+        peer = getattr(closed, 'peer', None)
+        if peer is None or closed not in self.open.get(peer.vm, ()):
+            return
+        self.open[peer.vm].remove(closed)
+        if not self.open[peer.vm]:
+            self.open.pop(peer.vm)
+        _LOG.info('Link closed.', extra={'vm': peer.vm})
+        self._events.closed(closed)
--- /dev/null
+++ b/sardineproxy/process/node/__init__.py
@@ -0,0 +1,1 @@
+"""The entry process on the users' platform."""
--- /dev/null
+++ b/sardineproxy/process/node/claiming.py
@@ -0,0 +1,185 @@
+"""Decides which cells this process should own, and claims them."""
+
+import dataclasses
+from typing import Callable, Mapping
+
+import result
+
+from sardineproxy import ids, logs
+from sardineproxy.process import store
+from sardineproxy.process.cells import fences
+from sardineproxy.process.membership import registry
+
+#: Time without an owner after which the first candidate claims a cell, in
+#: seconds. The first directory and the first links take about 0.3 s.
+FIRST_CLAIM_S = 0.5
+NEXT_CLAIM_S = 0.05
+
+#: Each further candidate waits this much longer, in seconds.
+CANDIDATE_STEP_S = 0.25
+
+#: Time without an owner after which VMs of other zones claim a cell, in
+#: seconds. A zone whose only VM restarts needs about 2 s.
+FOREIGN_CLAIM_S = 1.5
+
+#: Pause after a claim that failed, in seconds.
+RETRY_S = 0.2
+
+_LOG = logs.get_logger('claim')
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Owner:
+    """A VM that says that it owns a cell."""
+
+    vm: ids.VmId
+    right: fences.Right
+
+
+class Claiming:
+    """Claims cells that have no owner in reach."""
+
+    def __init__(
+        self,
+        *,
+        store: store.Store,
+        directory: registry.Registry,
+        me: registry.Member,
+        on_right: Callable[[ids.CellId, fences.Right], None],
+        now: float,
+    ) -> None:
+        """Call ``on_right`` with each right that this process wins."""
+        self._store = store
+        self._directory = directory
+        self._me = me
+        self._on_right = on_right
+        self._absent_since: dict[ids.CellId, float] = {}
+        self._retry_at: dict[ids.CellId, float] = {}
+        self._seen_owner: set[ids.CellId] = set()
+        self._started_at = now
+
+    def due(
+        self,
+        cell: ids.CellId,
+        *,
+        owner: Owner | None,
+        in_reach: frozenset[ids.VmId],
+        now: float,
+    ) -> bool:
+        """Tell whether this process should claim a cell now."""
+        if owner is not None:
+            self._seen_owner.add(cell)
+            self._absent_since.pop(cell, None)
+            return False
+        since = self._absent_since.setdefault(cell, now)
+        if now < self._retry_at.get(cell, 0):
+            return False
+        return now - since >= self._patience_s(cell, in_reach)
+
+    async def claim(self, cell: ids.CellId, now: float) -> None:
+        """Write a claim; take the right of an heir if that is impossible."""
+        self._retry_at[cell] = now + RETRY_S
+        old = self._directory.claims.get(cell)
+        claim = registry.Claim(
+            cell=cell,
+            epoch=old.epoch + 1 if old else 1,
+            owner=self._process(),
+            heirs=self.heirs(cell),
+            revision=old.revision if old else 0,
+        )
+        write = registry.claim_write(claim)
+        answer = await self._store.transact(
+            conditions=(
+                store.Condition(key=write.key, revision=claim.revision),
+            ),
+            writes=(write,),
+        )
+        if isinstance(answer, result.Ok):
+            self._directory.offer(
+                (
+                    store.Row(
+                        key=write.key,
+                        revision=answer.ok_value,
+                        body=write.body,
+                    ),
+                )
+            )
+            self._log('Cell claimed.', cell, claim.epoch, 0, '')
+            self._on_right(cell, fences.Right(epoch=claim.epoch, rank=0))
+            return
+        self._log(
+            'Claim failed.', cell, claim.epoch, 0, answer.err_value.detail
+        )
+        if answer.err_value.kind is not store.ErrorKind.CONFLICT:
+            self._inherit(cell, old)
+
+    def heirs(self, cell: ids.CellId) -> tuple[registry.Process, ...]:
+        """Return who may follow this process as owner, in order."""
+        return tuple(
+            (member.vm, member.incarnation)
+            for member in self._candidates(cell)
+            if member.vm != self._me.vm
+        )[: fences.MAX_HEIRS]
+
+    def own_claim(self, cell: ids.CellId) -> registry.Claim | None:
+        """Return the cell's claim if it names this process."""
+        claim = self._directory.claims.get(cell)
+        if claim is not None and claim.owner == self._process():
+            return claim
+        return None
+
+    def _process(self) -> registry.Process:
+        return self._me.vm, self._me.incarnation
+
+    def _candidates(self, cell: ids.CellId) -> list[registry.Member]:
+        """Return the VMs of the cell's zone, the largest first."""
+        members = [
+            member
+            for member in self._directory.members.values()
+            if member.zone == cell
+        ]
+        return sorted(members, key=lambda each: (-each.cores, each.vm))
+
+    def _patience_s(
+        self, cell: ids.CellId, in_reach: frozenset[ids.VmId]
+    ) -> float:
+        first_s = FIRST_CLAIM_S
+        if cell in self._seen_owner or cell in self._directory.claims:
+            first_s = NEXT_CLAIM_S
+        living = [
+            member.vm
+            for member in self._candidates(cell)
+            if member.vm in in_reach or member.vm == self._me.vm
+        ]
+        if self._me.vm in living:
+            return first_s + CANDIDATE_STEP_S * living.index(self._me.vm)
+        if living:
+            return float('inf')
+        others = sorted({*in_reach, self._me.vm})
+        return FOREIGN_CLAIM_S + CANDIDATE_STEP_S * others.index(self._me.vm)
+
+    def _inherit(self, cell: ids.CellId, old: registry.Claim | None) -> None:
+        """Use the right that the former owner's claim gives this process."""
+        if old is None or self._process() not in old.heirs:
+            return
+        rank = old.heirs.index(self._process()) + 1
+        self._log('Cell inherited.', cell, old.epoch, rank, 'store away')
+        self._on_right(cell, fences.Right(epoch=old.epoch, rank=rank))
+
+    def _log(
+        self, text: str, cell: ids.CellId, epoch: int, rank: int, cause: str
+    ) -> None:
+        _LOG.info(
+            text,
+            extra={
+                'cell': cell,
+                'epoch': epoch,
+                'rank': rank,
+                'cause': cause,
+            },
+        )
+
+
+def best_owner(owners: Mapping[ids.VmId, Owner]) -> Owner | None:
+    """Return the owner with the highest right."""
+    return max(owners.values(), key=lambda owner: owner.right, default=None)
--- /dev/null
+++ b/sardineproxy/request/jobs.py
@@ -0,0 +1,125 @@
+"""Jobs of clients, their tasks, and how they end."""
+
+import dataclasses
+import enum
+
+from sardineproxy import ids
+
+_MILLICORES_PER_CORE = 1000
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Shape:
+    """Resources that a task needs, or that a worker has."""
+
+    millicores: int
+    memory_mb: int
+    gpus: int
+
+    def fits(self, room: 'Shape') -> bool:
+        """Tell whether ``room`` is enough."""
+        return (
+            self.millicores <= room.millicores
+            and self.memory_mb <= room.memory_mb
+            and self.gpus <= room.gpus
+        )
+
+    def plus(self, other: 'Shape') -> 'Shape':
+        """Return the sum."""
+        return Shape(
+            millicores=self.millicores + other.millicores,
+            memory_mb=self.memory_mb + other.memory_mb,
+            gpus=self.gpus + other.gpus,
+        )
+
+    def minus(self, other: 'Shape') -> 'Shape':
+        """Return the difference."""
+        return Shape(
+            millicores=self.millicores - other.millicores,
+            memory_mb=self.memory_mb - other.memory_mb,
+            gpus=self.gpus - other.gpus,
+        )
+
+    @property
+    def cores(self) -> float:
+        """Return the processor share in cores."""
+        return self.millicores / _MILLICORES_PER_CORE
+
+
+#: Nothing at all.
+NOTHING = Shape(millicores=0, memory_mb=0, gpus=0)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Step:
+    """Tasks of one job that are alike."""
+
+    count: int
+    shape: Shape
+
+    #: The client's rough estimate of a task's run time, in seconds.
+    estimate_s: float
+
+    #: Earlier steps whose tasks must all be done first.
+    after: tuple[int, ...] = ()
+
+    #: Label that a worker must have, empty for none.
+    requires: str = ''
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Job:
+    """A job that is answered when it has ended, and that is not stored."""
+
+    job: ids.JobId
+
+    #: What the tasks are to do; workers read it.
+    payload: str
+    steps: tuple[Step, ...]
+
+
+class TaskEnd(enum.Enum):
+    """What a coordinator is told of a task."""
+
+    DONE = 'done'
+
+    #: A run failed, and a sound worker was not the cause.
+    FAILED = 'failed'
+
+    #: The task cannot end in time any more and is given up.
+    LATE = 'late'
+
+    #: Another coordinator submitted the same job.
+    REPLACED = 'replaced'
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Completed:
+    """All tasks ended well."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Failed:
+    """A task failed as often as its route allows."""
+
+    detail: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class NotRun:
+    """No task of the job was started, nor will one be."""
+
+    detail: str
+
+    #: Seconds after which the client may try again.
+    retry_after_s: float
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class GivenUp:
+    """Tasks may have run; the job does not go on."""
+
+    detail: str
+
+
+Outcome = Completed | Failed | NotRun | GivenUp
--- /dev/null
+++ b/sardineproxy/version/routes.py
@@ -0,0 +1,53 @@
+"""One configuration version: routes from requests to services."""
+
+import dataclasses
+from typing import Mapping
+
+from sardineproxy import ids
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Route:
+    """Jobs with this host and path prefix go to this service."""
+
+    route: ids.RouteId
+    host: str
+    path_prefix: str
+    service: ids.ServiceId
+
+    #: Longest time from request to answer, in seconds.
+    timeout_s: float
+
+    #: A job is on time within ``stretch`` times its longest task and
+    #: ``slack_s`` seconds more.
+    stretch: float
+    slack_s: float
+
+    #: Lower numbers come first.
+    priority: int
+
+    #: Runs of a task that may fail before its job fails.
+    max_attempts: int
+
+
+class RoutingTable:
+    """The routes of one version."""
+
+    def __init__(self, *, number: int, routes: tuple[Route, ...]) -> None:
+        """Index the routes by host, longest prefix first."""
+        self.number = number
+        self._by_host: dict[str, list[Route]] = {}
+        for route in routes:
+            self._by_host.setdefault(route.host, []).append(route)
+        for of_host in self._by_host.values():
+            of_host.sort(key=lambda route: -len(route.path_prefix))
+        self.services: Mapping[ids.RouteId, ids.ServiceId] = {
+            route.route: route.service for route in routes
+        }
+
+    def find(self, host: str, path: str) -> Route | None:
+        """Return the route with the longest prefix of ``path``."""
+        for route in self._by_host.get(host, ()):
+            if path.startswith(route.path_prefix):
+                return route
+        return None
--- a/tests/connection/test_frames.py
+++ b/tests/connection/test_frames.py
@@ -9,11 +9,11 @@
 from hypothesis import strategies
 from testtools import matchers
 
-from sardineproxy.connection import frames
+from sardineproxy.connection import codec, frames
 from tests import examples
 
 _text = strategies.text(max_size=20)
-_count = strategies.integers(min_value=0, max_value=frames.MAX_NUMBER)
+_count = strategies.integers(min_value=0, max_value=codec.MAX_NUMBER)
 _blob = strategies.binary(max_size=50)
 _weight = strategies.floats(min_value=0.01, max_value=100)
 _lots = strategies.lists(strategies.tuples(_text, _text, _count)).map(tuple)
@@ -41,7 +41,7 @@
                 for field in dataclasses.fields(kind)
             },
         )
-        for kind in frames._TYPES
+        for kind in frames.KINDS
     )
 )
 _values = strategies.recursive(
