--- a/sardineproxy/process/cells/cell.py
+++ b/sardineproxy/process/cells/cell.py
@@ -23,7 +23,7 @@
 class Config:
     """Times of a cell, in seconds."""
 
-    agent: agent.Config = agent.Config()
+    calls: agent.Config = agent.Config()
 
     #: A new owner waits this long for reports of all workers before it
     #: answers coordinators that resume their jobs.
@@ -265,7 +265,7 @@
             clock=self._clock,
             metrics=self._metrics,
             events=self,
-            cfg=self._cfg.agent,
+            cfg=self._cfg.calls,
         )
         self._agents[worker.worker] = added
         added.open()
