Agent: give an order its fence before it can be stopped

Cause: a run that was ordered and stopped in the same turn had no fence yet, so the report being read counted it as never started; its room was given out twice. Also: absence from a report counts only for what was known before the look was sent; a cell without a complete list of workers resumes nothing as absent; a task has at most one live run in a cell; cells of other zones are claimed only if their workers can be reached.

--- a/sardineproxy/process/cells/agent.py
+++ b/sardineproxy/process/cells/agent.py
@@ -194,6 +194,8 @@
     def start(self, run: runs.Run, now: float) -> None:
         """Order a run; its room is taken from now on."""
         run.ordered_at = now
+        run.fence = self.fence
+        run.expires_ms = self._lease_end(now)
         self._hold(run)
         self._spawn(self._order(run))
         self._wake.set()
@@ -204,7 +206,8 @@
             return
         run.state = _State.STOPPING
         run.stop_at = self._clock.now()
-        self._spawn(self._order_stop(run.task, run.number, run))
+        if run.sent:
+            self._spawn(self._order_stop(run.task, run.number, run))
         self._wake.set()
 
     def stop_unknown(self) -> None:
@@ -221,7 +224,7 @@
         run.state = _State.RUNNING
         run.started_at = now
         run.percent = found.percent
-        run.clock_ms = self._clock_ms
+        run.sent = True
         self._hold(run)
         self._wake.set()
 
@@ -288,8 +291,10 @@
         return self._worker_clock_ms(now) + int(self._cfg.lease_s * _MS_PER_S)
 
     async def _order(self, run: runs.Run) -> None:
-        run.fence = self.fence
-        run.expires_ms = self._lease_end(run.ordered_at)
+        if run.state is _State.STOPPING:
+            self._never_started(run, 'withdrawn before its order was sent')
+            return
+        run.sent = True
         answer = await self._api.start(
             self.worker,
             workers.Order(
@@ -306,24 +311,30 @@
         if self.runs.get(run.task) is not run:
             return
         match answer:
-            case workers.Accepted(clock_ms=clock_ms):
-                self._note_running(run, clock_ms, now)
+            case workers.Accepted():
+                self._note_running(run, now)
             case workers.Refused():
                 self._note_refused(run, answer, now)
             case workers.Unanswered(unsent=True):
                 self._never_started(run, answer.cause)
                 self._note_silent(answer.cause, now)
             case workers.Unanswered():
-                if run.state is _State.ORDERED:
-                    run.state = _State.DOUBTFUL
+                self._note_doubtful(run)
                 self.doubt(f'order of {run.task} not answered: {answer.cause}')
 
-    def _note_running(self, run: runs.Run, clock_ms: int, now: float) -> None:
+    def _note_running(self, run: runs.Run, now: float) -> None:
         if run.state in {_State.ORDERED, _State.DOUBTFUL}:
             run.state = _State.RUNNING
         if not run.started_at:
             run.started_at = now
-            run.clock_ms = clock_ms
+
+    def _note_doubtful(self, run: runs.Run) -> None:
+        if run.state is _State.ORDERED:
+            run.state = _State.DOUBTFUL
+        elif run.state is _State.STOPPING:
+            # The stop is sent again under a higher fence, if it runs.
+            run.state = _State.DOUBTFUL
+            run.withdrawn = True
 
     def _note_refused(
         self, run: runs.Run, refused: workers.Refused, now: float
@@ -372,8 +383,8 @@
             timeout_s=self._cfg.order_timeout_s,
         )
         match answer:
-            case workers.Accepted(clock_ms=clock_ms) if run is not None:
-                run.stopped_ms = clock_ms
+            case workers.Accepted() if run is not None:
+                run.stopped_at = self._clock.now()
             case workers.Unanswered():
                 self.doubt(f'stop of {task} not answered: {answer.cause}')
             case _:
@@ -401,7 +412,7 @@
                 continue
             finally:
                 self._look = None
-            await self._take(look, answer)
+            await self._take(look, answer, now)
 
     async def _until_needed(self) -> None:
         while not self._is_needed():
@@ -442,13 +453,14 @@
         self,
         look: workers.Look,
         answer: workers.Report | workers.Refused | workers.Unanswered,
+        asked_at: float,
     ) -> None:
         now = self._clock.now()
         match answer:
             case workers.Report():
                 self._note_heard(now)
                 self._ack_sent = max(self._ack_sent, look.acked)
-                self._take_report(look, answer, now)
+                self._take_report(look, answer, asked_at, now)
             case workers.Refused(why=workers.Refusal.FENCED):
                 if look.fence >= self.fence:
                     self._events.superseded(self)
@@ -505,7 +517,11 @@
             self._events.lost(run, 'lease expired on a silent worker')
 
     def _take_report(
-        self, look: workers.Look, report: workers.Report, now: float
+        self,
+        look: workers.Look,
+        report: workers.Report,
+        asked_at: float,
+        now: float,
     ) -> None:
         if report.born_ms != self._born_ms:
             self._start_anew(report)
@@ -522,7 +538,7 @@
         self._take_ends(report, now)
         listed = {found.task: found for found in report.running}
         self._take_running(listed, now)
-        self._drop_absent(look, listed, report.clock_ms)
+        self._drop_absent(look, listed, asked_at)
         self._note_unknown(listed)
         if was_in_doubt and not self._in_doubt:
             self._events.has_room()
@@ -546,8 +562,6 @@
         self._clock_ms = 0
         self.unknown.clear()
         self.health = health.Health()
-        for run in self.runs.values():
-            run.clock_ms = 0
 
     def _take_ends(self, report: workers.Report, now: float) -> None:
         for end in report.ended:
@@ -570,8 +584,11 @@
         for task, found in listed.items():
             run = self.runs.get(task)
             if run is not None and run.number == found.run:
-                self._note_running(run, self._clock_ms, now)
+                self._note_running(run, now)
                 run.percent = found.percent
+                if run.withdrawn:
+                    run.withdrawn = False
+                    self.stop(run)
                 self._stop_again(run, now)
 
     def _stop_again(self, run: runs.Run, now: float) -> None:
@@ -585,17 +602,20 @@
         self,
         look: workers.Look,
         listed: dict[workers.TaskName, workers.Running],
-        clock_ms: int,
+        asked_at: float,
     ) -> None:
-        """Give up runs that are not listed and cannot start any more."""
+        """Give up runs that are not listed and cannot start any more.
+
+        What was known before the look was sent must show in its answer.
+        """
         for run in list(self.runs.values()):
             found = listed.get(run.task)
             if found is not None and found.run == run.number:
                 continue
-            was_running = 0 < run.clock_ms < clock_ms
-            was_stopped = 0 < run.stopped_ms < clock_ms
-            cannot_start = run.fence < look.fence and (
-                run.state is not _State.ORDERED
+            was_running = 0 < run.started_at < asked_at
+            was_stopped = 0 < run.stopped_at < asked_at
+            cannot_start = (
+                run.state is _State.DOUBTFUL and run.fence < look.fence
             )
             if was_running or was_stopped or cannot_start:
                 self._release(run)
--- a/sardineproxy/process/cells/cell.py
+++ b/sardineproxy/process/cells/cell.py
@@ -89,6 +89,12 @@
         #: Last run and end of tasks that ended a short while ago.
         self._recent_ends: dict[workers.TaskName, tuple[int, jobs.TaskEnd]] = {}
         self._typical_millicores = 14_000.0
+
+        #: Runs that may exist, also of tasks that are no longer wanted.
+        self._live: dict[workers.TaskName, runs.Run] = {}
+
+        #: True once all workers are known that a former owner may have used.
+        self._knows_workers = False
         self._is_adopting = True
 
     async def close(self) -> None:
@@ -96,8 +102,14 @@
         for each in self._agents.values():
             await each.close()
 
-    def set_workers(self, listed: Iterable[workers.Worker]) -> None:
-        """Use the newest list of the cell's workers."""
+    def set_workers(
+        self, listed: Iterable[workers.Worker], *, complete: bool
+    ) -> None:
+        """Use the newest list of the cell's workers.
+
+        It is ``complete`` if it is no older than a former owner's.
+        """
+        self._knows_workers = self._knows_workers or complete
         by_id = {worker.worker: worker for worker in listed}
         for worker_id, worker in by_id.items():
             known = self._agents.get(worker_id)
@@ -203,6 +215,7 @@
     def ended(self, run: runs.Run, how: workers.Ending) -> None:
         """Note the end of a run as its worker says."""
         owner = self._agents[run.worker]
+        self._release(run)
         _LOG.info(
             'Run ended.',
             extra={
@@ -228,6 +241,7 @@
 
     def lost(self, run: runs.Run, cause: str) -> None:
         """Queue a task again whose run does not exist."""
+        self._release(run)
         _LOG.info(
             'Run lost.',
             extra={
@@ -271,9 +285,12 @@
         added.open()
 
     def _is_syncing(self, now: float) -> bool:
-        if now >= self._opened_at + self._cfg.sync_s:
-            return False
-        return not self._agents or not all(
+        waited = now >= self._opened_at + self._cfg.sync_s
+        return not waited and not self._knows_all_runs()
+
+    def _knows_all_runs(self) -> bool:
+        """Tell whether all workers have reported to this owner."""
+        return self._knows_workers and all(
             each.is_synced for each in self._agents.values()
         )
 
@@ -300,7 +317,7 @@
         self, source: link.Link, asked: messages.Submit, now: float
     ) -> None:
         """Take over what a former owner ordered for a coordinator."""
-        is_sure = all(each.is_synced for each in self._agents.values())
+        is_sure = self._knows_all_runs()
         batch = self._new_batch(source, asked, now)
         fresh: dict[int, int] = {}
         for index, number in asked.tasks:
@@ -338,6 +355,7 @@
                     ordered_at=now,
                 )
                 each.adopt(run, now)
+                self._live[name] = run
                 batch.tasks[index] = runs.Task(number=found.run + 1, run=run)
                 batch.started = True
                 return True
@@ -426,6 +444,9 @@
     def _place(self, batch: runs.Batch, now: float) -> None:
         placed: dict[int, ids.WorkerId] = {}
         for index in batch.waiting():
+            name = runs.task_name(batch.job, batch.step, index)
+            if name in self._live:
+                continue
             chosen = placement.choose(batch, self._agents.values(), now)
             if chosen is None:
                 break
@@ -460,6 +481,7 @@
         task.number += 1
         task.run = run
         batch.started = True
+        self._live[run.task] = run
         self._metrics.count('runs_ordered_total')
         chosen.start(run, now)
 
@@ -532,6 +554,15 @@
             if task.run is not None:
                 self._agents[task.run.worker].stop(task.run)
 
+    def _release(self, run: runs.Run) -> None:
+        """Note that a run does not exist any more."""
+        if self._live.get(run.task) is run:
+            self._live.pop(run.task)
+        batch = self._batches.get((run.batch.job, run.batch.step))
+        if batch is not None and run.index in batch.tasks:
+            task = batch.tasks[run.index]
+            task.number = max(task.number, run.number + 1)
+
     def _requeue(self, run: runs.Run) -> None:
         task = run.batch.tasks.get(run.index)
         if task is not None and task.run is run:
--- a/sardineproxy/process/cells/runs.py
+++ b/sardineproxy/process/cells/runs.py
@@ -42,19 +42,21 @@
     fence: int = 0
     expires_ms: int = 0
 
-    #: Worker's clock when it was first known to run, 0 if not known.
-    clock_ms: int = 0
+    #: True once the order was handed to the connection.
+    sent: bool = False
 
-    #: Local time when it was first known to run, in seconds.
+    #: Local time when it was first known to run, in seconds, 0 if not known.
     started_at: float = 0
 
+    #: True if it is to be stopped once it is known to run.
+    withdrawn: bool = False
+
     #: Newest progress that the worker reported, in percent.
     percent: float = 0
 
-    #: Local time of the newest stop, and the worker's clock when it
-    #: accepted one, 0 for none.
+    #: Local times of the newest stop and of its acceptance, 0 for none.
     stop_at: float = 0
-    stopped_ms: int = 0
+    stopped_at: float = 0
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
--- a/sardineproxy/process/membership/following.py
+++ b/sardineproxy/process/membership/following.py
@@ -56,8 +56,8 @@
         self._failures = 0
         self._lost_at: float | None = None
 
-        #: Start of the present time without failed calls, None in a failure.
-        self.sound_since: float | None = None
+        #: Time of the newest answer, None before the first one.
+        self.answered_at: float | None = None
         self._poked = asyncio.Event()
 
     @property
@@ -135,8 +135,7 @@
         now = self._clock.now()
         if isinstance(answer, result.Ok):
             self._failures = 0
-            if self.sound_since is None:
-                self.sound_since = now
+            self.answered_at = now
             if self._lost_at is not None:
                 _LOG.info(
                     'Store regained.',
@@ -148,7 +147,6 @@
                 self._lost_at = None
             return
         self._failures += 1
-        self.sound_since = None
         if self._lost_at is None:
             self._lost_at = now
             _LOG.warning(
--- a/sardineproxy/process/node/claiming.py
+++ b/sardineproxy/process/node/claiming.py
@@ -76,9 +76,13 @@
             return False
         return now - since >= self._patience_s(cell, in_reach)
 
+    def postpone(self, cell: ids.CellId, now: float) -> None:
+        """Do not try a claim again at once."""
+        self._retry_at[cell] = now + RETRY_S
+
     async def claim(self, cell: ids.CellId, now: float) -> None:
         """Write a claim; take the right of an heir if that is impossible."""
-        self._retry_at[cell] = now + RETRY_S
+        self.postpone(cell, now)
         old = self._directory.claims.get(cell)
         claim = registry.Claim(
             cell=cell,
--- a/sardineproxy/process/node/node.py
+++ b/sardineproxy/process/node/node.py
@@ -39,6 +39,15 @@
 ROSTER_PACE = following.Pace(wait_s=0, pause_s=1.5)
 OWNER_ROSTER_PACE = following.Pace(wait_s=0, pause_s=0.6)
 
+#: Age up to which the list of workers counts as complete, in seconds: two
+#: of its intervals and an answer.
+ROSTER_FRESH_S = 4.0
+
+#: Workers that are asked before another zone's cell is claimed, and the
+#: longest wait for their answers, in seconds.
+REACH_SAMPLE = 3
+REACH_TIMEOUT_S = 0.2
+
 INCARNATION_BYTES = 6
 
 #: Of two VMs the one with the lower name opens their link; the other one
@@ -504,9 +513,21 @@
 
     def _give_workers(self, owned: cells.Cell) -> None:
         owned.set_workers(
-            worker
-            for worker in self._workers.values()
-            if worker.zone == owned.cell
+            self._workers_of(owned.cell), complete=self._knows_roster()
+        )
+
+    def _workers_of(self, cell: ids.CellId) -> list[workers.Worker]:
+        return [
+            worker for worker in self._workers.values() if worker.zone == cell
+        ]
+
+    def _knows_roster(self) -> bool:
+        """Tell whether the list of workers is as new as it can be."""
+        follower = self._followers[self._formats.roster_table]
+        answered_at = follower.answered_at
+        return (
+            answered_at is not None
+            and self._clock.now() - answered_at < ROSTER_FRESH_S
         )
 
     def _review_claims(self, now: float) -> None:
@@ -534,10 +555,37 @@
 
     async def _claim(self, cell: ids.CellId, now: float) -> None:
         try:
-            await self._claiming.claim(cell, now)
+            if cell == self.cfg.zone or await self._reaches(cell):
+                await self._claiming.claim(cell, now)
         finally:
             self._claims_under_way.discard(cell)
 
+    async def _reaches(self, cell: ids.CellId) -> bool:
+        """Tell whether most workers of another zone's cell can be reached.
+
+        If not, this VM and not the cell's owner may be cut off.
+        """
+        self._claiming.postpone(cell, self._clock.now())
+        asked = self._workers_of(cell)[:REACH_SAMPLE]
+        answers = await asyncio.gather(
+            *(
+                self._api.look(
+                    worker,
+                    workers.Look(fence=0, acked=0, expires_ms=None, wait_s=0),
+                    timeout_s=REACH_TIMEOUT_S,
+                )
+                for worker in asked
+            )
+        )
+        reached = sum(
+            not isinstance(answer, workers.Unanswered) for answer in answers
+        )
+        _LOG.info(
+            'Workers asked.',
+            extra={'cell': cell, 'asked': len(asked), 'reached': reached},
+        )
+        return reached * 2 > len(asked)
+
     def _won(self, cell: ids.CellId, right: fences.Right) -> None:
         """Own a cell from now on."""
         if cell in self._cells:
