Claims and rosters after a partition

Change: a foreign cell is claimed only after its workers were in reach for 1.5 s without an owner; entries linger for 2.5 s after they are gone or the store is back, and a list counts as complete only after that time; links are dialed again after at most 0.4 s.

--- a/sardineproxy/process/membership/following.py
+++ b/sardineproxy/process/membership/following.py
@@ -56,8 +56,10 @@
         self._failures = 0
         self._lost_at: float | None = None
 
-        #: Time of the newest answer, None before the first one.
+        #: Time of the newest answer, and since when no call has failed; None
+        #: before the first answer and during a failure.
         self.answered_at: float | None = None
+        self.sound_since: float | None = None
         self._poked = asyncio.Event()
 
     @property
@@ -136,6 +138,8 @@
         if isinstance(answer, result.Ok):
             self._failures = 0
             self.answered_at = now
+            if self.sound_since is None:
+                self.sound_since = now
             if self._lost_at is not None:
                 _LOG.info(
                     'Store regained.',
@@ -147,6 +151,7 @@
                 self._lost_at = None
             return
         self._failures += 1
+        self.sound_since = None
         if self._lost_at is None:
             self._lost_at = now
             _LOG.warning(
--- a/sardineproxy/process/membership/links.py
+++ b/sardineproxy/process/membership/links.py
@@ -26,7 +26,7 @@
 
 #: Shortest and longest wait before a link is opened again, in seconds.
 BACK_OFF_MIN_S = 0.05
-BACK_OFF_MAX_S = 1.0
+BACK_OFF_MAX_S = 0.4
 
 _LOG = logs.get_logger('link')
 
--- a/sardineproxy/process/node/claiming.py
+++ b/sardineproxy/process/node/claiming.py
@@ -18,8 +18,9 @@
 #: Each further candidate waits this much longer, in seconds.
 CANDIDATE_STEP_S = 0.25
 
-#: Time without an owner after which VMs of other zones claim a cell, in
-#: seconds. A zone whose only VM restarts needs about 2 s.
+#: Time without an owner, but with its workers in reach, after which VMs of
+#: other zones claim a cell, in seconds. After a partition the workers are in
+#: reach up to 0.5 s before the links are open again.
 FOREIGN_CLAIM_S = 1.5
 
 #: Pause after a claim that failed, in seconds.
@@ -46,7 +47,6 @@
         directory: registry.Registry,
         me: registry.Member,
         on_right: Callable[[ids.CellId, fences.Right], None],
-        now: float,
     ) -> None:
         """Call ``on_right`` with each right that this process wins."""
         self._store = store
@@ -56,7 +56,7 @@
         self._absent_since: dict[ids.CellId, float] = {}
         self._retry_at: dict[ids.CellId, float] = {}
         self._seen_owner: set[ids.CellId] = set()
-        self._started_at = now
+        self._reached_since: dict[ids.CellId, float] = {}
 
     def due(
         self,
@@ -70,6 +70,7 @@
         if owner is not None:
             self._seen_owner.add(cell)
             self._absent_since.pop(cell, None)
+            self._reached_since.pop(cell, None)
             return False
         since = self._absent_since.setdefault(cell, now)
         if now < self._retry_at.get(cell, 0):
@@ -80,6 +81,19 @@
         """Do not try a claim again at once."""
         self._retry_at[cell] = now + RETRY_S
 
+    def note_reach(
+        self, cell: ids.CellId, *, reached: bool, now: float
+    ) -> bool:
+        """Note whether workers of another zone's cell can be reached.
+
+        Returns whether they could for long enough to claim it.
+        """
+        if not reached:
+            self._reached_since.pop(cell, None)
+            return False
+        since = self._reached_since.setdefault(cell, now)
+        return now - since >= FOREIGN_CLAIM_S
+
     async def claim(self, cell: ids.CellId, now: float) -> None:
         """Write a claim; take the right of an heir if that is impossible."""
         self.postpone(cell, now)
@@ -160,7 +174,7 @@
         if living:
             return float('inf')
         others = sorted({*in_reach, self._me.vm})
-        return FOREIGN_CLAIM_S + CANDIDATE_STEP_S * others.index(self._me.vm)
+        return first_s + CANDIDATE_STEP_S * others.index(self._me.vm)
 
     def _inherit(self, cell: ids.CellId, old: registry.Claim | None) -> None:
         """Use the right that the former owner's claim gives this process."""
--- a/sardineproxy/process/node/node.py
+++ b/sardineproxy/process/node/node.py
@@ -39,9 +39,10 @@
 ROSTER_PACE = following.Pace(wait_s=0, pause_s=1.5)
 OWNER_ROSTER_PACE = following.Pace(wait_s=0, pause_s=0.6)
 
-#: Age up to which the list of workers counts as complete, in seconds: two
-#: of its intervals and an answer.
-ROSTER_FRESH_S = 4.0
+#: Time for which a worker stays listed here after its entry is gone, and for
+#: which the store must have answered before its list counts as complete, in
+#: seconds. Entries that lapsed in an outage are back within 2 s of its end.
+ROSTER_LINGER_S = 2.5
 
 #: Workers that are asked before another zone's cell is claimed, and the
 #: longest wait for their answers, in seconds.
@@ -120,7 +121,6 @@
             directory=self.directory,
             me=self.member,
             on_right=self._won,
-            now=now,
         )
         self._cells: dict[ids.CellId, cells.Cell] = {}
         self._offers: dict[
@@ -128,6 +128,7 @@
         ] = {}
         self._owners: dict[ids.CellId, ids.VmId] = {}
         self._workers: dict[ids.WorkerId, workers.Worker] = {}
+        self._gone_at: dict[ids.WorkerId, float] = {}
         self._followers = self._make_followers()
         self._tasks: set[asyncio.Task[None]] = set()
         self._claims_under_way: set[ids.CellId] = set()
@@ -261,7 +262,7 @@
                 self._choose_owners()
                 self.board.owner_lost(cell, source)
             case messages.TakeOver(cell=cell):
-                self._start_claim(cell, now)
+                self._start_claim(cell)
             case messages.StateAsk(version=version):
                 self._give_state(source, version)
             case messages.StateGive():
@@ -493,10 +494,11 @@
             self.links.known(member.address, member.vm)
 
     def _take_roster(self, rows: tuple[store.Row, ...]) -> None:
+        now = self._clock.now()
         for row in rows:
             worker_id = self._formats.worker_id(row)
             if row.body is None:
-                self._workers.pop(worker_id, None)
+                self._gone_at.setdefault(worker_id, now)
                 continue
             decoded = self._formats.decode_worker(row)
             if isinstance(decoded, result.Err):
@@ -505,12 +507,24 @@
                         'Entry not understood.',
                         extra={'cause': decoded.err_value},
                     )
-                self._workers.pop(worker_id, None)
+                self._gone_at.setdefault(worker_id, now)
             else:
+                self._gone_at.pop(worker_id, None)
                 self._workers[worker_id] = decoded.ok_value
+        self._drop_gone(now)
         for owned in self._cells.values():
             self._give_workers(owned)
 
+    def _drop_gone(self, now: float) -> None:
+        """Forget workers whose entries have been gone for long."""
+        sound_since = self._roster.sound_since
+        if sound_since is None:
+            return
+        for worker_id, gone_at in list(self._gone_at.items()):
+            if now - max(gone_at, sound_since) >= ROSTER_LINGER_S:
+                self._gone_at.pop(worker_id)
+                self._workers.pop(worker_id, None)
+
     def _give_workers(self, owned: cells.Cell) -> None:
         owned.set_workers(
             self._workers_of(owned.cell), complete=self._knows_roster()
@@ -522,14 +536,17 @@
         ]
 
     def _knows_roster(self) -> bool:
-        """Tell whether the list of workers is as new as it can be."""
-        follower = self._followers[self._formats.roster_table]
-        answered_at = follower.answered_at
+        """Tell whether no worker can be missing from the list."""
+        sound_since = self._roster.sound_since
         return (
-            answered_at is not None
-            and self._clock.now() - answered_at < ROSTER_FRESH_S
+            sound_since is not None
+            and self._clock.now() - sound_since >= ROSTER_LINGER_S
         )
 
+    @property
+    def _roster(self) -> following.TableFollower:
+        return self._followers[self._formats.roster_table]
+
     def _review_claims(self, now: float) -> None:
         if self.draining:
             return
@@ -545,25 +562,26 @@
             if self._claiming.due(
                 cell, owner=owner, in_reach=in_reach, now=now
             ):
-                self._start_claim(cell, now)
+                self._start_claim(cell)
 
-    def _start_claim(self, cell: ids.CellId, now: float) -> None:
+    def _start_claim(self, cell: ids.CellId) -> None:
         if cell in self._claims_under_way or cell in self._cells:
             return
         self._claims_under_way.add(cell)
-        self._spawn(self._claim(cell, now))
+        self._spawn(self._claim(cell))
 
-    async def _claim(self, cell: ids.CellId, now: float) -> None:
+    async def _claim(self, cell: ids.CellId) -> None:
         try:
-            if cell == self.cfg.zone or await self._reaches(cell):
-                await self._claiming.claim(cell, now)
+            if cell == self.cfg.zone or await self._may_claim(cell):
+                await self._claiming.claim(cell, self._clock.now())
         finally:
             self._claims_under_way.discard(cell)
 
-    async def _reaches(self, cell: ids.CellId) -> bool:
-        """Tell whether most workers of another zone's cell can be reached.
+    async def _may_claim(self, cell: ids.CellId) -> bool:
+        """Tell whether another zone's cell may be claimed.
 
-        If not, this VM and not the cell's owner may be cut off.
+        If its workers cannot be reached, this VM and not the cell's owner may
+        be cut off.
         """
         self._claiming.postpone(cell, self._clock.now())
         asked = self._workers_of(cell)[:REACH_SAMPLE]
@@ -584,7 +602,9 @@
             'Workers asked.',
             extra={'cell': cell, 'asked': len(asked), 'reached': reached},
         )
-        return reached * 2 > len(asked)
+        return self._claiming.note_reach(
+            cell, reached=reached * 2 > len(asked), now=self._clock.now()
+        )
 
     def _won(self, cell: ids.CellId, right: fences.Right) -> None:
         """Own a cell from now on."""
@@ -602,7 +622,7 @@
         )
         self._cells[cell] = owned
         self._give_workers(owned)
-        self._followers[self._formats.roster_table].poke()
+        self._roster.poke()
         self._choose_owners()
         self.links.send_all(self._beat(self._clock.now()))
 
