Fewer links and cheaper placement in large deployments; refresh of claims

Change: above 10 VMs each is linked with the owners and three candidates of its zone; room is kept, not computed; normal ends of runs are counted, not logged. Owners write their claim anew when its heirs have changed, after an inheritance, and as a sign of life while no VM is in reach; cells of other zones are given back.

--- a/sardineproxy/connection/link.py
+++ b/sardineproxy/connection/link.py
@@ -42,7 +42,8 @@
         self._reader = reader
         self._writer = writer
         self.dialed = dialed
-        self.heard_at = clock.now()
+        self.opened_at = clock.now()
+        self.heard_at = self.opened_at
         self.sent_at = self.heard_at
 
         #: Who is at the other end, set by ``handshake``.
--- a/sardineproxy/platform/http_calls.py
+++ b/sardineproxy/platform/http_calls.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import functools
 import json
 from typing import Any, Mapping
 
@@ -62,10 +63,11 @@
     )
 
 
+@functools.lru_cache(maxsize=4096)
 def make_url(
     address: deployment.Address, path: str, **query: str | int
 ) -> yarl.URL:
-    """Return the URL of a call."""
+    """Return the URL of a call; those of workers are used again and again."""
     return yarl.URL.build(
         scheme='http',
         host=address.host,
--- a/sardineproxy/process/cells/agent.py
+++ b/sardineproxy/process/cells/agent.py
@@ -11,7 +11,6 @@
 from sardineproxy import clock, logs
 from sardineproxy.process import metrics
 from sardineproxy.process.cells import fences, health, runs, workers
-from sardineproxy.request import jobs
 
 _LOG = logs.get_logger('worker')
 
@@ -102,7 +101,8 @@
         #: Ends of such runs, kept while coordinators may ask for them.
         self.foreign_ends: dict[workers.TaskName, workers.End] = {}
         self.keeps_foreign_ends = True
-        self.used = jobs.NOTHING
+        #: Room that nothing takes.
+        self.free = worker.capacity
         self._api = api
         self._clock = clock
         self._metrics = metrics
@@ -139,11 +139,6 @@
         """Return the fence of orders from now on."""
         return self.right.fence(self._count)
 
-    @property
-    def free(self) -> jobs.Shape:
-        """Return the room that nothing takes."""
-        return self.worker.capacity.minus(self.used)
-
     @property
     def is_synced(self) -> bool:
         """Tell whether a report under the present fence is known."""
@@ -177,6 +172,8 @@
                 },
             )
         reborn = worker.born_ms != self.worker.born_ms
+        taken = self.worker.capacity.minus(self.free)
+        self.free = worker.capacity.minus(taken)
         self.worker = worker
         self._leaving = False
         if reborn and worker.born_ms != self._born_ms:
@@ -191,6 +188,11 @@
             )
             self.doubt('not listed')
 
+    def renew(self, right: fences.Right) -> None:
+        """Use a higher right of the same owner from now on."""
+        self.right = right
+        self._count = 0
+
     def start(self, run: runs.Run, now: float) -> None:
         """Order a run; its room is taken from now on."""
         run.ordered_at = now
@@ -271,11 +273,11 @@
 
     def _hold(self, run: runs.Run) -> None:
         self.runs[run.task] = run
-        self.used = self.used.plus(run.batch.shape)
+        self.free = self.free.minus(run.batch.shape)
 
     def _release(self, run: runs.Run) -> None:
         self.runs.pop(run.task)
-        self.used = self.used.minus(run.batch.shape)
+        self.free = self.free.plus(run.batch.shape)
 
     def _worker_clock_ms(self, now: float) -> int:
         """Return about what the worker's clock shows."""
--- a/sardineproxy/process/cells/cell.py
+++ b/sardineproxy/process/cells/cell.py
@@ -159,10 +159,16 @@
     def free_tasks(self, now: float) -> int:
         """Return how many more average tasks could start now."""
         free = placement.count_free(
-            int(self._typical_millicores), self._agents.values(), now
+            int(self._typical_millicores),
+            placement.usable(self._agents.values(), now),
         )
-        waiting = sum(len(batch.waiting()) for batch in self._batches.values())
-        return max(0, free - waiting)
+        return max(0, free - self._count_waiting())
+
+    def renew(self, right: fences.Right) -> None:
+        """Use a higher right of this owner from now on."""
+        self.right = right
+        for each in self._agents.values():
+            each.renew(right)
 
     def doubt_all(self, why: str) -> None:
         """Order nothing from a worker until it has reported anew."""
@@ -191,9 +197,12 @@
     def dispatch(self, now: float) -> None:
         """Order runs of waiting tasks as far as there is room."""
         waiting = [batch for batch in self._batches.values() if batch.waiting()]
+        if not waiting:
+            return
         waiting.sort(key=_latest_start)
+        candidates = placement.usable(self._agents.values(), now)
         for batch in waiting:
-            self._place(batch, now)
+            self._place(batch, candidates, now)
             if batch.waiting():
                 self._review(batch, now)
 
@@ -205,9 +214,7 @@
             'rank': self.right.rank,
             'workers': [each.state(now) for each in self._agents.values()],
             'batches': len(self._batches),
-            'waiting': sum(
-                len(batch.waiting()) for batch in self._batches.values()
-            ),
+            'waiting': self._count_waiting(),
         }
 
     # Events of agents.
@@ -216,19 +223,22 @@
         """Note the end of a run as its worker says."""
         owner = self._agents[run.worker]
         self._release(run)
-        _LOG.info(
-            'Run ended.',
-            extra={
-                'job': run.batch.job,
-                'task': run.task,
-                'run': run.number,
-                'worker': run.worker,
-                'how': how.value,
-                'took_s': round(self._clock.now() - run.ordered_at, 4),
-                'work_s': round(run.batch.work_s, 4),
-            },
-        )
+        took_s = self._clock.now() - run.ordered_at
         self._metrics.count('runs_ended_total', how=how.value)
+        self._metrics.observe('run_seconds', took_s, how=how.value)
+        if how is not workers.Ending.DONE:
+            _LOG.info(
+                'Run ended.',
+                extra={
+                    'job': run.batch.job,
+                    'task': run.task,
+                    'run': run.number,
+                    'worker': run.worker,
+                    'how': how.value,
+                    'took_s': round(took_s, 4),
+                    'suspect': owner.health.is_suspect,
+                },
+            )
         if run.index not in run.batch.tasks:
             _LOG.info('End of a dropped task.', extra={'task': run.task})
         elif how is workers.Ending.DONE:
@@ -423,7 +433,8 @@
             if other is not batch
         )
         free = placement.count_free(
-            batch.shape.millicores, self._agents.values(), now
+            batch.shape.millicores,
+            placement.usable(self._agents.values(), now),
         )
         excess = min(mine, mine + queued - free)
         for cell, room in sorted(
@@ -441,13 +452,18 @@
                 )
                 excess -= count
 
-    def _place(self, batch: runs.Batch, now: float) -> None:
+    def _count_waiting(self) -> int:
+        return sum(len(batch.waiting()) for batch in self._batches.values())
+
+    def _place(
+        self, batch: runs.Batch, candidates: list[agent.Agent], now: float
+    ) -> None:
         placed: dict[int, ids.WorkerId] = {}
         for index in batch.waiting():
             name = runs.task_name(batch.job, batch.step, index)
             if name in self._live:
                 continue
-            chosen = placement.choose(batch, self._agents.values(), now)
+            chosen = placement.choose(batch, candidates)
             if chosen is None:
                 break
             self._start(batch, index, chosen, now)
--- a/sardineproxy/process/cells/health.py
+++ b/sardineproxy/process/cells/health.py
@@ -27,10 +27,8 @@
         self._log_speed = 0.0
         self.seen = 0
 
-    @property
-    def speed(self) -> float:
-        """Return how many seconds of estimated work end in a second."""
-        return math.exp(self._log_speed)
+        #: How many seconds of estimated work end in a second.
+        self.speed = 1.0
 
     @property
     def is_suspect(self) -> bool:
@@ -79,3 +77,4 @@
         weight = max(SPEED_WEIGHT, 1 / (self.seen + 4))
         ratio = math.log(run.batch.work_s / took_s)
         self._log_speed += weight * (ratio - self._log_speed)
+        self.speed = math.exp(self._log_speed)
--- a/sardineproxy/process/cells/placement.py
+++ b/sardineproxy/process/cells/placement.py
@@ -9,14 +9,9 @@
 OPEN_ROOM_COST = 0.15
 
 
-def can_run(batch: runs.Batch, candidate: agent.Agent, now: float) -> bool:
-    """Tell whether a worker may be given a task of a batch now."""
-    return (
-        candidate.worker.service == batch.service
-        and batch.shape.fits(candidate.free)
-        and (not batch.requires or batch.requires in candidate.worker.labels)
-        and candidate.takes_work(now)
-    )
+def usable(agents: Iterable[agent.Agent], now: float) -> list[agent.Agent]:
+    """Return the workers that may be given work now."""
+    return [candidate for candidate in agents if candidate.takes_work(now)]
 
 
 def expected_s(batch: runs.Batch, candidate: agent.Agent) -> float:
@@ -25,13 +20,13 @@
 
 
 def choose(
-    batch: runs.Batch, agents: Iterable[agent.Agent], now: float
+    batch: runs.Batch, candidates: Iterable[agent.Agent]
 ) -> agent.Agent | None:
-    """Return the worker where a task ends soonest, or None."""
+    """Return the usable worker where a task ends soonest, or None."""
     best: agent.Agent | None = None
     best_cost = 0.0
-    for candidate in agents:
-        if not can_run(batch, candidate, now):
+    for candidate in candidates:
+        if not _has_room(batch, candidate):
             continue
         cost = _cost(batch, candidate)
         if best is None or cost < best_cost:
@@ -39,20 +34,26 @@
     return best
 
 
-def _cost(batch: runs.Batch, candidate: agent.Agent) -> float:
-    capacity = candidate.worker.capacity.millicores or 1
-    left = (candidate.free.millicores - batch.shape.millicores) / capacity
-    return expected_s(batch, candidate) * (1 + OPEN_ROOM_COST * left)
-
-
-def count_free(
-    batch_shape_millicores: int, agents: Iterable[agent.Agent], now: float
-) -> int:
-    """Return how many tasks of a size could start now."""
-    if not batch_shape_millicores:
+def count_free(millicores: int, candidates: Iterable[agent.Agent]) -> int:
+    """Return how many tasks of a size could start on usable workers."""
+    if not millicores:
         return 0
     return sum(
-        max(0, candidate.free.millicores) // batch_shape_millicores
-        for candidate in agents
-        if candidate.takes_work(now)
+        max(0, candidate.free.millicores // millicores)
+        for candidate in candidates
+    )
+
+
+def _has_room(batch: runs.Batch, candidate: agent.Agent) -> bool:
+    return (
+        batch.shape.millicores <= candidate.free.millicores
+        and batch.shape.fits(candidate.free)
+        and candidate.worker.service == batch.service
+        and (not batch.requires or batch.requires in candidate.worker.labels)
     )
+
+
+def _cost(batch: runs.Batch, candidate: agent.Agent) -> float:
+    capacity = candidate.worker.capacity.millicores or 1
+    left = (candidate.free.millicores - batch.shape.millicores) / capacity
+    return (1 + OPEN_ROOM_COST * left) / candidate.health.speed
--- a/sardineproxy/process/membership/links.py
+++ b/sardineproxy/process/membership/links.py
@@ -3,7 +3,7 @@
 import asyncio
 import dataclasses
 import random
-from typing import Awaitable, Callable, Coroutine, Mapping, Protocol
+from typing import Awaitable, Callable, Collection, Coroutine, Mapping, Protocol
 
 import result
 
@@ -28,6 +28,10 @@
 BACK_OFF_MIN_S = 0.05
 BACK_OFF_MAX_S = 0.4
 
+#: Age at which a link that is not needed is closed, in seconds. The other
+#: end may have learned of a new owner a moment earlier.
+UNUSED_S = 5.0
+
 _LOG = logs.get_logger('link')
 
 
@@ -77,6 +81,7 @@
         self._server: asyncio.Server | None = None
         self._targets: dict[deployment.Address, _Target] = {}
         self._tasks: set[asyncio.Task[None]] = set()
+        self._kept: Collection[ids.VmId] | None = None
         self.open: dict[ids.VmId, list[link.Link]] = {}
 
     async def start(self, address: deployment.Address) -> None:
@@ -125,6 +130,9 @@
                 )
                 candidate.abort()
                 self._forget(candidate)
+            elif self._is_unused(candidate, now):
+                candidate.abort()
+                self._forget(candidate)
             elif now - candidate.sent_at >= BEAT_S:
                 candidate.send(beat)
         for address, target in self._targets.items():
@@ -148,11 +156,22 @@
     def _all(self) -> list[link.Link]:
         return [each for of_vm in self.open.values() for each in of_vm]
 
+    def keep(self, vms: Collection[ids.VmId]) -> None:
+        """Close links to other VMs after a while."""
+        self._kept = vms
+
     def known(self, address: deployment.Address, vm: ids.VmId) -> None:
         """Note which VM listens at an address."""
         if address in self._targets:
             self._targets[address].vm = vm
 
+    def _is_unused(self, candidate: link.Link, now: float) -> bool:
+        return (
+            self._kept is not None
+            and candidate.peer.vm not in self._kept
+            and now - candidate.opened_at >= UNUSED_S
+        )
+
     def _is_missing(self, target: _Target) -> bool:
         if target.is_dialing:
             return False
--- a/sardineproxy/process/node/claiming.py
+++ b/sardineproxy/process/node/claiming.py
@@ -23,6 +23,15 @@
 #: reach up to 0.5 s before the links are open again.
 FOREIGN_CLAIM_S = 1.5
 
+#: Time for which a cell's row differs from what its owner would write now
+#: before the owner writes it anew, in seconds.
+REFRESH_S = 1.0
+
+#: Up to this number of VMs all are linked with each other. Above it, each is
+#: linked with the owners and with this many candidates of its own zone.
+FULL_MESH = 10
+LINKED_CANDIDATES = 3
+
 #: Pause after a claim that failed, in seconds.
 RETRY_S = 0.2
 
@@ -55,7 +64,9 @@
         self._on_right = on_right
         self._absent_since: dict[ids.CellId, float] = {}
         self._retry_at: dict[ids.CellId, float] = {}
+        self._stale_since: dict[ids.CellId, float] = {}
         self._seen_owner: set[ids.CellId] = set()
+        self._seen_revision: dict[ids.CellId, int] = {}
         self._reached_since: dict[ids.CellId, float] = {}
 
     def due(
@@ -72,6 +83,13 @@
             self._absent_since.pop(cell, None)
             self._reached_since.pop(cell, None)
             return False
+        claim = self._directory.claims.get(cell)
+        revision = claim.revision if claim else 0
+        if self._seen_revision.setdefault(cell, revision) != revision:
+            # Its owner wrote its row: it lives, though not in reach.
+            self._seen_revision[cell] = revision
+            self._absent_since.pop(cell, None)
+            self._reached_since.pop(cell, None)
         since = self._absent_since.setdefault(cell, now)
         if now < self._retry_at.get(cell, 0):
             return False
@@ -139,12 +157,51 @@
             if member.vm != self._me.vm
         )[: fences.MAX_HEIRS]
 
-    def own_claim(self, cell: ids.CellId) -> registry.Claim | None:
-        """Return the cell's claim if it names this process."""
+    def needs_link(self, one: ids.VmId, other: ids.VmId) -> bool:
+        """Tell whether two VMs should be linked; the same for both."""
+        if len(self._directory.members) <= FULL_MESH:
+            return True
+        return self._serves(one, other) or self._serves(other, one)
+
+    def _serves(self, one: ids.VmId, other: ids.VmId) -> bool:
+        """Tell whether a VM owns a cell or may soon own the other's."""
+        if any(
+            claim.owner[0] == one for claim in self._directory.claims.values()
+        ):
+            return True
+        member = self._directory.members.get(other)
+        if member is None:
+            return False
+        first = self._candidates(ids.CellId(member.zone))[:LINKED_CANDIDATES]
+        return any(candidate.vm == one for candidate in first)
+
+    def is_stale(
+        self,
+        cell: ids.CellId,
+        right: fences.Right,
+        *,
+        isolated: bool,
+        now: float,
+    ) -> bool:
+        """Tell whether an own cell's row should be written anew.
+
+        It should after an inheritance, when its heirs have changed, and as a
+        sign of life to other zones while no other VM is in reach.
+        """
         claim = self._directory.claims.get(cell)
-        if claim is not None and claim.owner == self._process():
-            return claim
-        return None
+        is_current = (
+            not isolated
+            and claim is not None
+            and claim.owner == self._process()
+            and claim.epoch == right.epoch
+            and not right.rank
+            and set(claim.heirs) == set(self.heirs(cell))
+        )
+        if is_current:
+            self._stale_since.pop(cell, None)
+            return False
+        since = self._stale_since.setdefault(cell, now)
+        return now - since >= REFRESH_S and now >= self._retry_at.get(cell, 0)
 
     def _process(self) -> registry.Process:
         return self._me.vm, self._me.incarnation
--- a/sardineproxy/process/node/node.py
+++ b/sardineproxy/process/node/node.py
@@ -44,6 +44,10 @@
 #: seconds. Entries that lapsed in an outage are back within 2 s of its end.
 ROSTER_LINGER_S = 2.5
 
+#: Age of the link to a VM of another zone after which its cell is given back,
+#: in seconds.
+RETURN_AFTER_S = 1.0
+
 #: Workers that are asked before another zone's cell is claimed, and the
 #: longest wait for their answers, in seconds.
 REACH_SAMPLE = 3
@@ -123,9 +127,7 @@
             on_right=self._won,
         )
         self._cells: dict[ids.CellId, cells.Cell] = {}
-        self._offers: dict[
-            ids.VmId, dict[ids.CellId, tuple[fences.Right, int]]
-        ] = {}
+        self._offers: dict[ids.VmId, dict[ids.CellId, fences.Right]] = {}
         self._owners: dict[ids.CellId, ids.VmId] = {}
         self._workers: dict[ids.WorkerId, workers.Worker] = {}
         self._gone_at: dict[ids.WorkerId, float] = {}
@@ -134,6 +136,7 @@
         self._claims_under_way: set[ids.CellId] = set()
         self._ticked_at = now
         self._refuse_until = 0.0
+        self._return_at = 0.0
         self.draining = False
         self._rooms: dict[ids.CellId, int] = {}
 
@@ -395,10 +398,12 @@
             cell: (fences.Right(epoch=epoch, rank=rank), free)
             for cell, epoch, rank, free in beat.cells
         }
-        self._offers[source.peer.vm] = offers
         for cell, (_, free) in offers.items():
             self._rooms[cell] = free
-        self._choose_owners()
+        rights = {cell: right for cell, (right, _) in offers.items()}
+        if self._offers.get(source.peer.vm) != rights:
+            self._offers[source.peer.vm] = rights
+            self._choose_owners()
         if beat.version > self.versions.number:
             source.send(messages.StateAsk(version=self.versions.number))
 
@@ -406,7 +411,7 @@
         """Use the owner with the highest right for each cell."""
         best: dict[ids.CellId, tuple[fences.Right, ids.VmId]] = {}
         for vm, offers in self._offers.items():
-            for cell, (right, _) in offers.items():
+            for cell, right in offers.items():
                 if cell not in best or right > best[cell][0]:
                     best[cell] = (right, vm)
         for cell, owned in list(self._cells.items()):
@@ -480,6 +485,7 @@
             member
             for member in self.directory.members.values()
             if member.vm != self.cfg.vm
+            and self._claiming.needs_link(self.cfg.vm, member.vm)
         ]
         waits_s = {
             member.address: 0 if self.cfg.vm < member.vm else CALL_WAIT_S
@@ -490,6 +496,8 @@
                 seed: 0 for seed in self.cfg.seeds if seed != self.cfg.peers
             }
         self.links.use(waits_s)
+        if others:
+            self.links.keep({member.vm for member in others})
         for member in others:
             self.links.known(member.address, member.vm)
 
@@ -550,6 +558,8 @@
     def _review_claims(self, now: float) -> None:
         if self.draining:
             return
+        self._refresh_claims(now)
+        self._return_cells(now)
         in_reach = frozenset(self.links.open)
         for zone in self.cfg.zones:
             cell = ids.CellId(zone)
@@ -564,15 +574,40 @@
             ):
                 self._start_claim(cell)
 
+    def _refresh_claims(self, now: float) -> None:
+        """Write the rows of own cells anew where that is due."""
+        isolated = not self.links.open and len(self.directory.members) > 1
+        for cell, owned in self._cells.items():
+            if self._claiming.is_stale(
+                cell, owned.right, isolated=isolated, now=now
+            ):
+                self._start_claim(cell)
+
+    def _return_cells(self, now: float) -> None:
+        """Give cells of other zones back to VMs of those zones."""
+        for cell in self._cells:
+            if cell == self.cfg.zone or now < self._return_at:
+                continue
+            for vm, _ in self._claiming.heirs(cell):
+                own = self.links.to(vm)
+                if own is not None and now - own.opened_at > RETURN_AFTER_S:
+                    self._return_at = now + RETURN_AFTER_S
+                    own.send(messages.TakeOver(cell=cell))
+                    break
+
     def _start_claim(self, cell: ids.CellId) -> None:
-        if cell in self._claims_under_way or cell in self._cells:
+        if cell in self._claims_under_way:
             return
         self._claims_under_way.add(cell)
         self._spawn(self._claim(cell))
 
     async def _claim(self, cell: ids.CellId) -> None:
         try:
-            if cell == self.cfg.zone or await self._may_claim(cell):
+            if (
+                cell == self.cfg.zone
+                or cell in self._cells
+                or await self._may_claim(cell)
+            ):
                 await self._claiming.claim(cell, self._clock.now())
         finally:
             self._claims_under_way.discard(cell)
@@ -609,6 +644,8 @@
     def _won(self, cell: ids.CellId, right: fences.Right) -> None:
         """Own a cell from now on."""
         if cell in self._cells:
+            if right > self._cells[cell].right:
+                self._cells[cell].renew(right)
             return
         owned = cells.Cell(
             cell=cell,
