--- a/sardineproxy/process/cells/agent.py
+++ b/sardineproxy/process/cells/agent.py
@@ -52,6 +52,12 @@
     #: platform's bound of a stop is 0.05 s.
     stop_retry_s: float = 0.15
 
+    #: A run without progress for ``standstill_s`` and this share of its
+    #: expected time is started elsewhere. Progress is told in percent, at
+    #: least every ``look_wait_s``.
+    standstill_s: float = 0.4
+    standstill_share: float = 0.05
+
     #: Pause before a look that only acknowledges ends.
     ack_pause_s: float = 0.2
 
@@ -158,6 +164,7 @@
             and not self.unknown
             and self.worker.state is workers.WorkerState.READY
             and self.health.is_open(now)
+            and not (self.health.on_probation and self.runs)
         )
 
     def update(self, worker: workers.Worker) -> None:
@@ -587,12 +594,38 @@
             run = self.runs.get(task)
             if run is not None and run.number == found.run:
                 self._note_running(run, now)
-                run.percent = found.percent
+                self._note_progress(run, found.percent, now)
                 if run.withdrawn:
                     run.withdrawn = False
                     self.stop(run)
                 self._stop_again(run, now)
 
+    def _note_progress(self, run: runs.Run, percent: float, now: float) -> None:
+        """Stop a run that stands still, so that it starts elsewhere."""
+        if percent > run.percent or not run.progress_at:
+            run.percent = percent
+            run.progress_at = now
+            self.health.progressed(run, now)
+            return
+        still_s = now - run.progress_at
+        bound_s = self._cfg.standstill_s + (
+            self._cfg.standstill_share * run.batch.work_s / self.health.speed
+        )
+        if run.state is not _State.RUNNING or still_s < bound_s:
+            return
+        _LOG.warning(
+            'Run stands still.',
+            extra={
+                'worker': self.worker.worker,
+                'task': run.task,
+                'run': run.number,
+                'percent': percent,
+                'still_s': round(still_s, 3),
+            },
+        )
+        self.health.stood_still(now)
+        self.stop(run)
+
     def _stop_again(self, run: runs.Run, now: float) -> None:
         """Repeat a stop that had no effect."""
         is_due = now - run.stop_at > self._cfg.stop_retry_s
--- a/sardineproxy/process/cells/cell.py
+++ b/sardineproxy/process/cells/cell.py
@@ -89,6 +89,7 @@
         #: Last run and end of tasks that ended a short while ago.
         self._recent_ends: dict[workers.TaskName, tuple[int, jobs.TaskEnd]] = {}
         self._typical_millicores = 14_000.0
+        self._best_speed = 1.0
 
         #: Runs that may exist, also of tasks that are no longer wanted.
         self._live: dict[workers.TaskName, runs.Run] = {}
@@ -199,8 +200,10 @@
         waiting = [batch for batch in self._batches.values() if batch.waiting()]
         if not waiting:
             return
-        waiting.sort(key=_latest_start)
         candidates = placement.usable(self._agents.values(), now)
+        if candidates:
+            self._best_speed = placement.best_speed(candidates)
+        waiting.sort(key=self._latest_start)
         for batch in waiting:
             self._place(batch, candidates, now)
             if batch.waiting():
@@ -463,7 +466,9 @@
             name = runs.task_name(batch.job, batch.step, index)
             if name in self._live:
                 continue
-            chosen = placement.choose(batch, candidates)
+            chosen = placement.choose(
+                batch, candidates, best=self._best_speed, now=now
+            )
             if chosen is None:
                 break
             self._start(batch, index, chosen, now)
@@ -503,11 +508,15 @@
 
     def _review(self, batch: runs.Batch, now: float) -> None:
         """Give a batch up whose tasks wait too long."""
-        if not batch.started and now > _latest_start(batch):
+        if not batch.started and now > self._latest_start(batch):
             self._decline(batch, batch.waiting(), cause='no room in time')
         elif now + batch.work_s > min(batch.late_at, batch.deadline):
             self._give_up(batch)
 
+    def _latest_start(self, batch: runs.Batch) -> float:
+        """Return when a task must start to be on time, in local seconds."""
+        return batch.due_at - batch.work_s / self._best_speed
+
     def _decline(
         self,
         batch: runs.Batch,
@@ -614,8 +623,3 @@
         key = (batch.job, batch.step)
         if not batch.tasks and self._batches.get(key) is batch:
             self._batches.pop(key)
-
-
-def _latest_start(batch: runs.Batch) -> float:
-    """Return when a task must start to be on time, in local seconds."""
-    return batch.due_at - batch.work_s
--- a/sardineproxy/process/cells/placement.py
+++ b/sardineproxy/process/cells/placement.py
@@ -19,19 +19,44 @@
     return batch.work_s / candidate.health.speed
 
 
+def best_speed(candidates: Iterable[agent.Agent]) -> float:
+    """Return the speed of the fastest worker."""
+    return max((each.health.speed for each in candidates), default=1.0)
+
+
 def choose(
-    batch: runs.Batch, candidates: Iterable[agent.Agent]
+    batch: runs.Batch,
+    candidates: Iterable[agent.Agent],
+    *,
+    best: float,
+    now: float,
 ) -> agent.Agent | None:
-    """Return the usable worker where a task ends soonest, or None."""
-    best: agent.Agent | None = None
-    best_cost = 0.0
+    """Return the usable worker where a task ends soonest, or None.
+
+    A task that would be late on a slow worker waits for a faster one as long
+    as that one could still be in time; ``best`` is the fastest one's speed.
+    """
+    least_speed = _least_speed(batch, best, now)
+    chosen: agent.Agent | None = None
+    least_cost = 0.0
     for candidate in candidates:
+        if candidate.health.speed < least_speed:
+            continue
         if not _has_room(batch, candidate):
             continue
         cost = _cost(batch, candidate)
-        if best is None or cost < best_cost:
-            best, best_cost = candidate, cost
-    return best
+        if chosen is None or cost < least_cost:
+            chosen, least_cost = candidate, cost
+    return chosen
+
+
+def _least_speed(batch: runs.Batch, best: float, now: float) -> float:
+    """Return the speed from which a worker ends a task in time."""
+    left_s = batch.due_at - now
+    if left_s <= 0:
+        return 0
+    least = batch.work_s / left_s
+    return least if least <= best else 0
 
 
 def count_free(millicores: int, candidates: Iterable[agent.Agent]) -> int:
--- a/sardineproxy/process/cells/runs.py
+++ b/sardineproxy/process/cells/runs.py
@@ -51,8 +51,13 @@
     #: True if it is to be stopped once it is known to run.
     withdrawn: bool = False
 
-    #: Newest progress that the worker reported, in percent.
+    #: Newest progress that the worker reported, in percent, and the local
+    #: time when it last changed, in seconds.
     percent: float = 0
+    progress_at: float = 0
+
+    #: True if it has shown that its worker is slow.
+    slow: bool = False
 
     #: Local times of the newest stop and of its acceptance, 0 for none.
     stop_at: float = 0
--- a/sardineproxy/request/coordinator.py
+++ b/sardineproxy/request/coordinator.py
@@ -17,6 +17,9 @@
 #: Longest wait for a new owner of a cell that lost its own, in seconds.
 OWNER_WAIT_S = 1.0
 
+#: Time that is kept for the way of the answer to the client, in seconds.
+ANSWER_S = 0.05
+
 #: When to come back after a refusal for want of an owner, in seconds.
 NO_OWNER_RETRY_S = 1.0
 
@@ -93,7 +96,7 @@
         self.arrived_at = arrived_at
         self._router = router
         self._clock = clock
-        self._deadline = deadline
+        self._deadline = deadline - ANSWER_S
         self._inbox: asyncio.Queue[Event] = asyncio.Queue()
         self._open: dict[tuple[int, int], _Task] = {}
         self._todo = set(range(len(job.steps)))
