Node: command line, policy file, settings read again, metrics address, bounded logs

Cause: logs could block on a slow reader, there was no metrics address, and changed settings were not read.

--- a/sardineproxy/platform/store_http.py
+++ b/sardineproxy/platform/store_http.py
@@ -43,6 +43,10 @@
         self._session = session
         self._address = address
 
+    def use(self, address: deployment.Address) -> None:
+        """Send calls to another address from now on."""
+        self._address = address
+
     async def read(self, table: str) -> result.Result[store.Rows, _Error]:
         """Return all rows of a table, read page by page."""
         found: list[store.Row] = []
--- a/sardineproxy/process/node/core.py
+++ b/sardineproxy/process/node/core.py
@@ -1,146 +1,122 @@
-"""One run of the entry process on the users' platform."""
+"""One run of the node program, from arguments to exit status."""
 
 import asyncio
 import os
 import pathlib
 import signal
 import sys
+from typing import Mapping, TextIO
 
 import result
 
 from sardineproxy import clock, deployment, exit_status, logs
-from sardineproxy.platform import (
-    configuration,
-    front_http,
-    http_calls,
-    roster,
-    settings,
-    store_http,
-    worker_http,
-)
-from sardineproxy.process import metrics
-from sardineproxy.process.node import node
-from sardineproxy.request import jobs
-from sardineproxy.version import routes
-
-#: Least time from SIGTERM until the listeners close, in seconds. The
-#: balancer takes two failed checks, one each second, to notice.
-NOTICE_S = 2.6
-
-#: Time of the grace that is kept for closing, in seconds.
-CLOSE_S = 0.5
-
-#: Time between two looks at whether all requests are answered, in seconds.
-DRAIN_STEP_S = 0.05
+from sardineproxy.platform import settings
+from sardineproxy.process.node import cli, policy, service
 
 _STATUS = exit_status.ExitStatus
 _LOG = logs.get_logger('node')
 
 
-class _Acceptor:
-    """Joins the front to the node."""
-
-    def __init__(self, *, own: node.Node) -> None:
-        self._own = own
-
-    @property
-    def table(self) -> routes.RoutingTable | None:
-        """Return the routes in force."""
-        return self._own.versions.table
-
-    @property
-    def draining(self) -> bool:
-        """Tell whether the process shuts down."""
-        return self._own.draining
-
-    def is_ready(self) -> bool:
-        """Tell whether the balancer may send new connections."""
-        return self._own.is_ready()
-
-    def is_recovering(self) -> bool:
-        """Tell whether requests must be refused for the moment."""
-        return self._own.is_recovering()
-
-    async def run_job(
-        self, job: jobs.Job, route: routes.Route, wait_s: float
-    ) -> jobs.Outcome:
-        """Run a job for a client that waits ``wait_s`` seconds."""
-        return await self._own.run_job(job, route, wait_s)
-
-    def waiting_for(self, route: routes.Route) -> int:
-        """Return how many jobs of a route wait for their first start."""
-        return self._own.board.waiting_for(route.route)
-
-
-def main(argv: list[str]) -> exit_status.ExitStatus:
-    """Read the settings, then serve until SIGTERM."""
-    path = os.environ.get(settings.PATH_VARIABLE)
-    if path is None:
-        return _fail(f'{settings.PATH_VARIABLE} is not set', _STATUS.USAGE)
-    loaded = settings.load(pathlib.Path(path))
+def main(
+    argv: list[str],
+    *,
+    environ: Mapping[str, str] = os.environ,
+    out: TextIO = sys.stdout,
+) -> exit_status.ExitStatus:
+    """Check arguments and settings, then serve until SIGTERM or SIGINT."""
+    parsed = cli.parse(argv)
+    if isinstance(parsed, result.Err):
+        return _fail(parsed.err_value, _STATUS.USAGE)
+    args = parsed.ok_value
+    if isinstance(args, cli.Help):
+        out.write(args.text)
+        return _STATUS.SUCCESS
+    if settings.PATH_VARIABLE not in environ:
+        return _fail(f'{settings.PATH_VARIABLE} is not set.', _STATUS.USAGE)
+    path = pathlib.Path(environ[settings.PATH_VARIABLE])
+    loaded = settings.load(path)
     if isinstance(loaded, result.Err):
-        return _fail(loaded.err_value, _STATUS.INVALID_INPUT)
-    logs.configure(stream=sys.stdout)
-    return asyncio.run(_serve(loaded.ok_value))
-
-
-async def _serve(cfg: deployment.Deployment) -> exit_status.ExitStatus:
-    stop = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stop.set)
-    loop.add_signal_handler(signal.SIGHUP, lambda: None)
-    session = http_calls.new_session()
-    own = node.Node(
-        cfg=cfg,
-        outside=node.Outside(
+        return _fail(f'{loaded.err_value}.', _STATUS.INVALID_INPUT)
+    rules = _load_policy(args)
+    if isinstance(rules, result.Err):
+        return _fail(f'{rules.err_value}.', _STATUS.INVALID_INPUT)
+    if args.check:
+        out.write(f'{path}: settings are valid.\n')
+        return _STATUS.SUCCESS
+    run = _Run(path=path, args=args, rules=rules.ok_value)
+    return asyncio.run(run.serve(loaded.ok_value))
+
+
+def _load_policy(args: cli.Arguments) -> result.Result[policy.Policy, str]:
+    if args.policy is None:
+        return result.Ok(policy.Policy())
+    return policy.load(args.policy)
+
+
+class _Run:
+    """One process from its settings to its end."""
+
+    def __init__(
+        self, *, path: pathlib.Path, args: cli.Arguments, rules: policy.Policy
+    ) -> None:
+        self._path = path
+        self._args = args
+        self._rules = rules
+
+    async def serve(self, cfg: deployment.Deployment) -> exit_status.ExitStatus:
+        """Serve until a signal to stop."""
+        loop = asyncio.get_running_loop()
+        handler = logs.configure_bounded(fd=sys.stdout.fileno(), loop=loop)
+        stop = asyncio.Event()
+        hang_up = asyncio.Event()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, stop.set)
+        loop.add_signal_handler(signal.SIGHUP, hang_up.set)
+        own = service.Service(
+            cfg=cfg,
+            rules=self._rules,
+            metrics_port=self._args.metrics_port,
             clock=clock.BootClock(),
-            rng=clock.new_random(),
-            store=store_http.HttpStore(session=session, address=cfg.store),
-            workers=worker_http.HttpWorkerApi(session=session),
-            formats=node.Formats(
-                configuration_table=configuration.TABLE,
-                configuration_row=configuration.ROW,
-                roster_table=roster.TABLE,
-                decode_configuration=configuration.decode,
-                worker_id=roster.worker_id,
-                decode_worker=roster.decode,
-            ),
-            registry=metrics.Metrics(),
-        ),
-    )
-    front = front_http.Front(acceptor=_Acceptor(own=own))
-    await own.start()
-    await front.start(cfg.front, cfg.ready)
-    _LOG.info(
-        'Started.', extra={'vm': cfg.vm, 'incarnation': own.me.incarnation}
-    )
-    await stop.wait()
-    await _drain(own, front, cfg)
-    await front.close()
-    await own.close()
-    await session.close()
-    _LOG.info('Stopped.', extra={'vm': cfg.vm})
-    return _STATUS.SUCCESS
-
-
-async def _drain(
-    own: node.Node, front: front_http.Front, cfg: deployment.Deployment
-) -> None:
-    """Answer what is in progress before the grace ends."""
-    loop = asyncio.get_running_loop()
-    started = loop.time()
-    _LOG.info('Stopping.', extra={'busy': front.busy})
-    own.hand_over()
-    while loop.time() - started < cfg.bounds.grace_s - CLOSE_S:
-        await asyncio.sleep(DRAIN_STEP_S)
-        if loop.time() - started > NOTICE_S and not front.busy:
-            return
-    _LOG.warning('Grace ends with work.', extra={'busy': front.busy})
+        )
+        started = await own.start()
+        if isinstance(started, result.Err):
+            return _fail(f'{started.err_value}.', _STATUS.UNAVAILABLE)
+        watcher = asyncio.create_task(self._watch_settings(own, hang_up))
+        await stop.wait()
+        watcher.cancel()
+        await own.shut_down()
+        handler.close()
+        return _STATUS.SUCCESS
+
+    async def _watch_settings(
+        self, own: service.Service, hang_up: asyncio.Event
+    ) -> None:
+        """Read the settings on SIGHUP, and now and then without it."""
+        while True:
+            try:
+                async with asyncio.timeout(SETTINGS_PERIOD_S):
+                    await hang_up.wait()
+                _LOG.info('Settings are read again: SIGHUP.')
+            except TimeoutError:
+                pass  # noqa: WPS420
+            hang_up.clear()
+            loaded = settings.load(self._path)
+            if isinstance(loaded, result.Err):
+                _LOG.error(
+                    'Settings refused, the former ones stay.',
+                    extra={'cause': loaded.err_value},
+                )
+            else:
+                own.use(loaded.ok_value)
+
+
+#: Time between two readings of the settings without a signal, in seconds.
+#: They may change without one.
+SETTINGS_PERIOD_S = 5.0
 
 
 def _fail(
     sentence: str, status: exit_status.ExitStatus
 ) -> exit_status.ExitStatus:
-    sys.stderr.write(f'sardineproxy-node: {sentence}.\n')
+    sys.stderr.write(f'sardineproxy-node: {sentence}\n')
     return status
--- a/sardineproxy/process/node/node.py
+++ b/sardineproxy/process/node/node.py
@@ -14,7 +14,7 @@
 from sardineproxy.process.cells import cell as cells
 from sardineproxy.process.cells import fences, workers
 from sardineproxy.process.membership import following, links, registry
-from sardineproxy.process.node import claiming, local_link
+from sardineproxy.process.node import claiming, local_link, policy
 from sardineproxy.request import board, coordinator, jobs
 from sardineproxy.version import in_force, routes
 
@@ -89,9 +89,16 @@
 class Node:  # noqa: WPS214, WPS230
     """All parts of one entry process."""
 
-    def __init__(self, *, cfg: deployment.Deployment, outside: Outside) -> None:
+    def __init__(
+        self,
+        *,
+        cfg: deployment.Deployment,
+        rules: policy.Policy,
+        outside: Outside,
+    ) -> None:
         """Prepare the process; ``start`` opens its listener for links."""
         self.cfg = cfg
+        self._rules = rules
         self._clock = outside.clock
         self._rng = outside.rng
         self._store = outside.store
@@ -150,6 +157,11 @@
         self._spawn(self._register())
         self._spawn(self._keep_ticking())
 
+    def use(self, cfg: deployment.Deployment) -> None:
+        """Use changed settings."""
+        self.cfg = cfg
+        self._call_others()
+
     async def close(self) -> None:
         """Stop everything."""
         tasks = list(self._tasks)
@@ -286,7 +298,10 @@
         return {
             'vm': self.cfg.vm,
             'incarnation': self.me.incarnation,
-            'version': self.versions.number,
+            'config': {
+                'number': self.versions.number,
+                'digest': self.versions.digest,
+            },
             'ready': self.is_ready(),
             'draining': self.draining,
             'owners': dict(self._owners),
@@ -655,7 +670,7 @@
             metrics=self.metrics,
             events=self,
             others=self._others(cell),
-            cfg=cells.Config(),
+            cfg=self._rules.cell,
         )
         self._cells[cell] = owned
         self._give_workers(owned)
--- /dev/null
+++ b/sardineproxy/process/node/policy.py
@@ -0,0 +1,92 @@
+"""Settings of the node's own policy, JSON with comments, checked whole."""
+
+import dataclasses
+import pathlib
+import types
+from typing import Any, Mapping
+
+import result
+
+from sardineproxy import json_text
+from sardineproxy.process.cells import agent
+from sardineproxy.process.cells import cell as cells
+
+#: Largest settings file, in bytes.
+MAX_SETTINGS_BYTES = 65_536
+
+#: Longest time that a setting may name, in seconds.
+MAX_SECONDS = 3600
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Policy:
+    """Times of cells and of calls to workers."""
+
+    cell: cells.Config = cells.Config()
+
+
+def load(path: pathlib.Path) -> result.Result[Policy, str]:
+    """Read and check a settings file; the error is one sentence."""
+    try:
+        text = path.read_text(encoding='utf-8')
+    except (OSError, UnicodeDecodeError) as exc:
+        return result.Err(f'cannot read settings {path}: {exc}')
+    return parse(text)
+
+
+def parse(text: str) -> result.Result[Policy, str]:
+    """Check the text of a settings file."""
+    parsed = json_text.parse_object(text, max_bytes=MAX_SETTINGS_BYTES)
+    if isinstance(parsed, result.Err):
+        return parsed
+    document = parsed.ok_value
+    unknown = set(document).difference(_SECTIONS)
+    if unknown:
+        return result.Err(f'{min(unknown)}: unknown section')
+    workers = _section(agent.Config, document.get('workers', {}), 'workers')
+    if isinstance(workers, result.Err):
+        return workers
+    of_cell = _section(cells.Config, document.get('cell', {}), 'cell')
+    if isinstance(of_cell, result.Err):
+        return of_cell
+    cell_cfg = dataclasses.replace(of_cell.ok_value, calls=workers.ok_value)
+    return result.Ok(Policy(cell=cell_cfg))
+
+
+_SECTIONS = types.MappingProxyType(
+    {'cell': 'times of a cell', 'workers': 'times of calls to workers'}
+)
+
+
+def _section(
+    kind: type[Any], document: Any, name: str
+) -> result.Result[Any, str]:
+    """Build a data class of numbers from a section."""
+    if not isinstance(document, dict):
+        return result.Err(f'{name}: expected an object')
+    known = {
+        field.name
+        for field in dataclasses.fields(kind)
+        if field.type in {float, 'float'}
+    }
+    for key, found in document.items():
+        error = _check(f'{name}.{key}', found, known=key in known)
+        if error is not None:
+            return result.Err(error)
+    return result.Ok(kind(**_to_floats(document)))
+
+
+def _check(place: str, found: object, *, known: bool) -> str | None:
+    if not known:
+        return f'{place}: unknown setting'
+    is_number = isinstance(found, (int, float)) and not isinstance(found, bool)
+    if not is_number or not 0 < float(found) <= MAX_SECONDS:  # type: ignore[arg-type]
+        return (
+            f'{place}: expected a number over 0 and up to {MAX_SECONDS}, '
+            f'found {found!r:.60}'
+        )
+    return None
+
+
+def _to_floats(document: Mapping[str, Any]) -> dict[str, float]:
+    return {key: float(found) for key, found in document.items()}
--- a/sardineproxy/version/in_force.py
+++ b/sardineproxy/version/in_force.py
@@ -1,5 +1,6 @@
 """The configuration version that is in force at this process."""
 
+import hashlib
 from typing import Callable
 
 import reactivex
@@ -9,6 +10,9 @@
 from sardineproxy import logs
 from sardineproxy.version import routes
 
+#: Characters of a digest that are shown.
+DIGEST_CHARS = 16
+
 Decode = Callable[[bytes], result.Result[routes.RoutingTable, str]]
 
 _LOG = logs.get_logger('config')
@@ -39,6 +43,13 @@
         table = self.table
         return table.number if table else 0
 
+    @property
+    def digest(self) -> str:
+        """Return a digest of the version in force, empty for none."""
+        if not self.body:
+            return ''
+        return hashlib.sha256(self.body).hexdigest()[:DIGEST_CHARS]
+
     def offer(self, body: bytes, source: str) -> None:
         """Put a version in force if it is newer and well formed."""
         if body == self.body:
