Do not extend leases on a silent worker; model of a worker and tests of orders

Cause: each look at a silent worker asked for a longer lease, so its tasks were never given up (found by a new test). Change: looks at a silent worker leave the lease alone.

--- a/sardineproxy/process/cells/agent.py
+++ b/sardineproxy/process/cells/agent.py
@@ -448,7 +448,9 @@
             run.state is not _State.STOPPING for run in self.runs.values()
         )
         expires_ms = None
-        if (wanted or self.unknown) and self._clock_ms:
+        # The runs of a silent worker must end some time, heard or not.
+        extends = (wanted or self.unknown) and self._silent_since is None
+        if extends and self._clock_ms:
             expires_ms = self._lease_end(now)
         at_once = self._in_doubt or not (self.runs or self.unknown)
         return workers.Look(
--- a/sardineproxy/process/membership/following.py
+++ b/sardineproxy/process/membership/following.py
@@ -89,10 +89,11 @@
         self._metrics.count('store_calls_total', table=self._table)
         if self._revision is None:
             return await self._read()
+        # After a failure an answer is wanted at once: it shows the store back.
         answer = await self._store.changes(
             self._table,
             after=self._revision,
-            wait_s=self._pace().wait_s,
+            wait_s=0 if self._failures else self._pace().wait_s,
         )
         if isinstance(answer, result.Err):
             if answer.err_value.kind is store.ErrorKind.HISTORY_LOST:
--- /dev/null
+++ b/sardineproxy/standin/worker_model.py
@@ -0,0 +1,286 @@
+"""A worker as its callers see it: fences, leases, lists, and what it ran.
+
+Time is an argument, in seconds of the caller's clock. The worker's own clock
+starts at another value and may be slow.
+"""
+
+import dataclasses
+from typing import Callable
+
+from sardineproxy.process.cells import workers
+from sardineproxy.request import jobs
+
+_MS_PER_S = 1000
+
+#: Most ends in one report.
+MAX_ENDS = 500
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class Record:
+    """One run that a worker started, as an observer notes it."""
+
+    task: workers.TaskName
+    run: int
+    worker: str
+    started_at: float
+    shape: jobs.Shape
+    ended_at: float | None = None
+    how: workers.Ending | None = None
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class _Running:
+    record: Record
+
+    #: Time at which its work is done, None if it never is.
+    done_at: float | None
+    how: workers.Ending
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Work:
+    """What a task turns out to need."""
+
+    shape: jobs.Shape
+    work_s: float
+
+    #: How its run ends if nothing stops it; None if it never ends.
+    how: workers.Ending | None = workers.Ending.DONE
+
+
+#: Returns what one run of a task needs.
+WorkOf = Callable[[workers.TaskName, int], Work]
+
+
+class WorkerModel:
+    """One worker with its lives."""
+
+    def __init__(
+        self,
+        *,
+        worker: workers.Worker,
+        work_of: WorkOf,
+        lease_s: float = 1.0,
+        speed: float = 1.0,
+        clock_rate: float = 1.0,
+        clock_start_ms: int = 1_000_000,
+    ) -> None:
+        """Start the first life at time 0."""
+        self.worker = worker
+        self.records: list[Record] = []
+
+        #: Sentences about starts that the worker should never have seen.
+        self.complaints: list[str] = []
+        self.is_up = True
+        self._work_of = work_of
+        self._lease_ms = int(lease_s * _MS_PER_S)
+        self._speed = speed
+        self._clock_rate = clock_rate
+        self._clock_start_ms = clock_start_ms
+        self._born_at = 0.0
+        self._reset()
+
+    def clock_ms(self, now: float) -> int:
+        """Return what the worker's clock shows."""
+        elapsed_s = (now - self._born_at) * self._clock_rate
+        return self._clock_start_ms + int(elapsed_s * _MS_PER_S)
+
+    def crash(self, now: float) -> None:
+        """End everything; nothing is listed afterwards."""
+        self.advance(now)
+        for running in list(self._running.values()):
+            running.record.ended_at = now
+        self.is_up = False
+        self._reset()
+
+    def restart(self, now: float) -> None:
+        """Begin a new life under the same id."""
+        self._born_at = now
+        self.is_up = True
+        self.worker = dataclasses.replace(
+            self.worker, born_ms=self.worker.born_ms + int(now * _MS_PER_S) + 1
+        )
+        self._reset()
+
+    def advance(self, now: float) -> None:
+        """End what is done or has lost its lease by ``now``."""
+        lapse_at = self._lapse_at()
+        for running in sorted(
+            list(self._running.values()), key=lambda each: each.done_at or now
+        ):
+            done_at = running.done_at
+            if done_at is not None and done_at <= min(now, lapse_at):
+                self._end(running, running.how, done_at)
+        if lapse_at <= now:
+            for running in list(self._running.values()):
+                self._end(running, workers.Ending.LAPSED, lapse_at)
+
+    def start(
+        self, order: workers.Order, now: float
+    ) -> workers.Accepted | workers.Refused:
+        """Carry out an order to start a run."""
+        self.advance(now)
+        if not self._passes(order.fence):
+            return _refused(workers.Refusal.FENCED)
+        if order.run <= self._barred.get(order.task, 0):
+            return _refused(workers.Refusal.OLD_RUN)
+        if order.expires_ms <= self.clock_ms(now):
+            return _refused(workers.Refusal.EXPIRED)
+        self._extend(order.expires_ms, now)
+        running = self._running.get(order.task)
+        if running is not None:
+            if running.record.run == order.run:
+                return workers.Accepted(clock_ms=self.clock_ms(now))
+            return _refused(workers.Refusal.OLD_RUN)
+        self._begin(order, now)
+        return workers.Accepted(clock_ms=self.clock_ms(now))
+
+    def stop(
+        self, task: workers.TaskName, run: int, fence: int, now: float
+    ) -> workers.Accepted | workers.Refused:
+        """Stop a run; it never starts here afterwards."""
+        self.advance(now)
+        if not self._passes(fence):
+            return _refused(workers.Refusal.FENCED)
+        self._barred[task] = max(run, self._barred.get(task, 0))
+        running = self._running.get(task)
+        if running is not None and running.record.run <= run:
+            self._end(running, workers.Ending.STOPPED, now)
+        return workers.Accepted(clock_ms=self.clock_ms(now))
+
+    def look(
+        self, look: workers.Look, now: float
+    ) -> workers.Report | workers.Refused:
+        """Report, after an extension of the lease."""
+        self.advance(now)
+        if not self._passes(look.fence):
+            return _refused(workers.Refusal.FENCED)
+        if look.expires_ms is not None:
+            self._extend(look.expires_ms, now)
+        self._ends = [end for end in self._ends if end.number > look.acked]
+        return workers.Report(
+            clock_ms=self.clock_ms(now),
+            born_ms=self.worker.born_ms,
+            running=tuple(
+                workers.Running(
+                    task=task,
+                    run=running.record.run,
+                    percent=self._percent(running, now),
+                )
+                for task, running in self._running.items()
+            ),
+            ended=tuple(self._ends[:MAX_ENDS]),
+        )
+
+    def has_ends(self, acked: int) -> bool:
+        """Tell whether there are ends that were not acknowledged."""
+        return any(end.number > acked for end in self._ends)
+
+    def next_event_at(self) -> float:
+        """Return when something ends next, infinity if nothing runs."""
+        times = [
+            running.done_at
+            for running in self._running.values()
+            if running.done_at is not None
+        ]
+        return min([*times, self._lapse_at()])
+
+    def _reset(self) -> None:
+        self._fence = 0
+        self._lease_end_ms = 0
+        self._running: dict[workers.TaskName, _Running] = {}
+        self._barred: dict[workers.TaskName, int] = {}
+        self._ends: list[workers.End] = []
+        self._end_count = 0
+
+    def _passes(self, fence: int) -> bool:
+        if fence < self._fence:
+            return False
+        self._fence = fence
+        return True
+
+    def _extend(self, expires_ms: int, now: float) -> None:
+        longest = self.clock_ms(now) + self._lease_ms
+        self._lease_end_ms = max(self._lease_end_ms, min(expires_ms, longest))
+
+    def _lapse_at(self) -> float:
+        if not self._running:
+            return float('inf')
+        elapsed_ms = self._lease_end_ms - self._clock_start_ms
+        return self._born_at + elapsed_ms / _MS_PER_S / self._clock_rate
+
+    def _begin(self, order: workers.Order, now: float) -> None:
+        work = self._work_of(order.task, order.run)
+        taken = sum(
+            running.record.shape.millicores
+            for running in self._running.values()
+        )
+        if taken + work.shape.millicores > self.worker.capacity.millicores:
+            self.complaints.append(
+                f'{order.task} run {order.run} at {now:.3f} goes over the '
+                f'capacity of {self.worker.worker}'
+            )
+        record = Record(
+            task=order.task,
+            run=order.run,
+            worker=self.worker.worker,
+            started_at=now,
+            shape=work.shape,
+        )
+        self.records.append(record)
+        self._running[order.task] = _Running(
+            record=record,
+            done_at=None
+            if work.how is None
+            else now + work.work_s * self._speed,
+            how=work.how or workers.Ending.DONE,
+        )
+
+    def _end(self, running: _Running, how: workers.Ending, now: float) -> None:
+        record = running.record
+        record.ended_at = now
+        record.how = how
+        self._running.pop(record.task)
+        self._barred[record.task] = max(
+            record.run, self._barred.get(record.task, 0)
+        )
+        self._end_count += 1
+        self._ends.append(
+            workers.End(
+                number=self._end_count,
+                task=record.task,
+                run=record.run,
+                how=how,
+            )
+        )
+
+    def _percent(self, running: _Running, now: float) -> float:
+        if running.done_at is None:
+            return 0
+        started_at = running.record.started_at
+        whole_s = running.done_at - started_at
+        return (
+            min(99, int(100 * (now - started_at) / whole_s)) if whole_s else 99
+        )
+
+
+def _refused(why: workers.Refusal) -> workers.Refused:
+    return workers.Refused(why=why)
+
+
+def find_doubles(records: list[Record]) -> list[str]:
+    """Return a sentence for each two runs of a task at the same time."""
+    found = []
+    by_task: dict[workers.TaskName, list[Record]] = {}
+    for record in records:
+        by_task.setdefault(record.task, []).append(record)
+    for task, of_task in by_task.items():
+        of_task.sort(key=lambda record: record.started_at)
+        for first, second in zip(of_task, of_task[1:]):
+            if first.ended_at is None or second.started_at < first.ended_at:
+                found.append(
+                    f'{task}: run {first.run} on {first.worker} and run '
+                    f'{second.run} on {second.worker} at the same time'
+                )
+    return found
--- /dev/null
+++ b/tests/process/cells/samples.py
@@ -0,0 +1,192 @@
+"""Workers, links and submissions for tests of cells."""
+
+import asyncio
+from typing import Any, Callable
+
+from sardineproxy import deployment, ids
+from sardineproxy.connection import messages
+from sardineproxy.process import metrics
+from sardineproxy.process.cells import cell as cells
+from sardineproxy.process.cells import fences, workers
+from sardineproxy.request import jobs
+from sardineproxy.standin import worker_model
+from tests import virtual_time
+from tests.process.cells import wire
+
+CELL = ids.CellId('zone-a')
+SERVICE = ids.ServiceId('print')
+
+#: Millicores of a usual task; two fit on a usual worker.
+TASK_MILLICORES = 14_000
+
+
+def make_worker(name: str = 'w0', **changes: Any) -> workers.Worker:
+    fields: dict[str, Any] = {
+        'worker': ids.WorkerId(name),
+        'service': SERVICE,
+        'address': deployment.Address(host='10.0.0.1', port=80),
+        'zone': ids.ZoneId('zone-a'),
+        'state': workers.WorkerState.READY,
+        'born_ms': 1,
+        'capacity': jobs.Shape(millicores=32_000, memory_mb=65_536, gpus=0),
+        'labels': ('a', 'r1'),
+    }
+    return workers.Worker(**{**fields, **changes})
+
+
+class FakeLink:
+    """Keeps what a cell sends to a coordinator."""
+
+    def __init__(self, vm: str = 'vm-1') -> None:
+        self.peer = messages.Greeting(
+            vm=ids.VmId(vm),
+            incarnation=ids.Incarnation('1'),
+            zone=ids.ZoneId('zone-a'),
+        )
+        self.sent: list[Any] = []
+
+    def send(self, message: Any) -> bool:
+        self.sent.append(message)
+        return True
+
+    def is_closing(self) -> bool:
+        return False
+
+    def ends(self) -> dict[int, str]:
+        return {
+            message.index: message.how
+            for message in self.sent
+            if isinstance(message, messages.Ended)
+        }
+
+    def declined(self) -> list[messages.Declined]:
+        return [
+            message
+            for message in self.sent
+            if isinstance(message, messages.Declined)
+        ]
+
+
+def make_submit(job: str = 'j1', count: int = 1, **changes: Any) -> Any:
+    fields: dict[str, Any] = {
+        'cell': CELL,
+        'job': ids.JobId(job),
+        'step': 0,
+        'route': ids.RouteId('r'),
+        'service': SERVICE,
+        'priority': 0,
+        'payload': 'text',
+        'tasks': tuple((index, 1) for index in range(count)),
+        'millicores': TASK_MILLICORES,
+        'memory_mb': 64,
+        'gpus': 0,
+        'requires': '',
+        'estimate_s': 0.2,
+        'age_s': 0.0,
+        'left_s': 3.0,
+        'stretch': 1.6,
+        'slack_s': 0.06,
+        'resumed': False,
+        'firm': False,
+    }
+    return messages.Submit(**{**fields, **changes})
+
+
+def usual_work(
+    task: workers.TaskName, run: int, work_s: float = 0.2
+) -> worker_model.Work:
+    return worker_model.Work(
+        shape=jobs.Shape(millicores=TASK_MILLICORES, memory_mb=64, gpus=0),
+        work_s=work_s,
+    )
+
+
+class Rig:
+    """Modelled workers and owners of one cell."""
+
+    def __init__(
+        self,
+        *,
+        count: int = 1,
+        work_of: worker_model.WorkOf = usual_work,
+        cfg: cells.Config | None = None,
+        **changes: Any,
+    ) -> None:
+        self.clock = virtual_time.LoopClock()
+        self.cfg = cfg or cells.Config()
+        self.models = {
+            f'w{number}': worker_model.WorkerModel(
+                worker=make_worker(f'w{number}', **changes), work_of=work_of
+            )
+            for number in range(count)
+        }
+        self.wire = wire.Wire(models=self.models, clock=self.clock)
+        self.superseded_cells: list[cells.Cell] = []
+        self.others: dict[ids.CellId, int] = {}
+        self.cells: list[cells.Cell] = []
+        self._tickers: list[asyncio.Task[None]] = []
+
+    def superseded(self, lost: cells.Cell) -> None:
+        self.superseded_cells.append(lost)
+
+    def own(
+        self,
+        epoch: int = 1,
+        *,
+        api: Any = None,
+        complete: bool = True,
+        ticks: bool = True,
+    ) -> cells.Cell:
+        owned = cells.Cell(
+            cell=CELL,
+            right=fences.Right(epoch=epoch, rank=0),
+            api=api or self.wire,
+            clock=self.clock,
+            metrics=metrics.Metrics(),
+            events=self,
+            others=self.others,
+            cfg=self.cfg,
+        )
+        owned.set_workers(
+            [model.worker for model in self.models.values()],
+            complete=complete,
+        )
+        self.cells.append(owned)
+        if ticks:
+            self._tickers.append(asyncio.create_task(self._tick(owned)))
+        return owned
+
+    async def ready(self, **kwargs: Any) -> cells.Cell:
+        """Own the cell and wait for the first reports."""
+        owned = self.own(**kwargs)
+        await asyncio.sleep(0.01)
+        return owned
+
+    def records(self) -> list[worker_model.Record]:
+        for model in self.models.values():
+            model.advance(self.clock.now())
+        return [
+            record for model in self.models.values() for record in model.records
+        ]
+
+    def complaints(self) -> list[str]:
+        found = [
+            complaint
+            for model in self.models.values()
+            for complaint in model.complaints
+        ]
+        return found + worker_model.find_doubles(self.records())
+
+    async def _tick(self, owned: cells.Cell) -> None:
+        while owned not in self.superseded_cells:
+            owned.tick(self.clock.now())
+            await asyncio.sleep(0.025)
+
+
+def with_rig(test: Callable[..., Any], **settings: Any) -> Any:
+    """Run ``test(rig)`` in virtual time."""
+
+    async def main() -> Any:
+        return await test(Rig(**settings))
+
+    return virtual_time.run(main)
--- /dev/null
+++ b/tests/process/cells/test_agent.py
@@ -0,0 +1,223 @@
+"""Orders to one worker: lost answers, late orders, silence, new lives."""
+
+import asyncio
+
+import testtools
+from testtools import matchers
+
+from sardineproxy.process.cells import workers
+from sardineproxy.request import jobs
+from sardineproxy.standin import worker_model
+from tests.process.cells import samples, wire
+
+
+def _fates(*fates: wire.Fate, kind: str = 'start'):
+    """Return a function that gives the first calls of a kind these fates."""
+    left = list(fates)
+
+    def fate_of(called: str) -> wire.Fate:
+        return left.pop(0) if called == kind and left else wire.Fate.DONE
+
+    return fate_of
+
+
+def _never_ends(task: workers.TaskName, run: int) -> worker_model.Work:
+    usual = samples.usual_work(task, run)
+    return worker_model.Work(shape=usual.shape, work_s=0.2, how=None)
+
+
+class TestAgent(testtools.TestCase):
+    def test_unanswered_order_is_not_carried_out_later(self) -> None:
+        """Guards against a run that starts seconds after its replacement."""
+
+        async def scenario(rig: samples.Rig) -> None:
+            rig.wire.fate_of = _fates(wire.Fate.LATE)
+            rig.wire.late_s = 0.2
+            link = samples.FakeLink()
+            owned = await rig.ready()
+            owned.submit(link, samples.make_submit(), rig.clock.now())
+            await asyncio.sleep(3)
+            self.assertEqual({0: 'done'}, link.ends())
+            self.assertEqual([], rig.complaints())
+            self.assertEqual([2], [record.run for record in rig.records()])
+
+        samples.with_rig(scenario)
+
+    def test_lost_answer_does_not_start_a_second_run(self) -> None:
+        """Guards against a repeat of an order that was carried out."""
+
+        async def scenario(rig: samples.Rig) -> None:
+            rig.wire.fate_of = _fates(wire.Fate.ANSWER_LOST)
+            link = samples.FakeLink()
+            owned = await rig.ready()
+            owned.submit(link, samples.make_submit(), rig.clock.now())
+            await asyncio.sleep(1)
+            self.assertEqual({0: 'done'}, link.ends())
+            self.assertEqual(1, len(rig.records()))
+
+        samples.with_rig(scenario, count=2)
+
+    def test_run_stopped_before_its_order_left_takes_no_room(self) -> None:
+        """Guards the bug by which a withdrawn order still went out."""
+
+        async def scenario(rig: samples.Rig) -> None:
+            link = samples.FakeLink()
+            owned = await rig.ready()
+            now = rig.clock.now()
+            owned.submit(link, samples.make_submit('j1', 2), now)
+            owned.withdraw(link, samples.make_submit('j1').job)
+            owned.submit(link, samples.make_submit('j2', 2), now)
+            await asyncio.sleep(1)
+            self.assertEqual([], rig.complaints())
+            self.assertEqual(
+                {'j2'}, {record.task[:2] for record in rig.records()}
+            )
+
+        samples.with_rig(scenario)
+
+    def test_capacity_counts_orders_on_their_way(self) -> None:
+        """Guards against orders beyond a worker's capacity."""
+
+        async def scenario(rig: samples.Rig) -> None:
+            link = samples.FakeLink()
+            owned = await rig.ready()
+            now = rig.clock.now()
+            for number in range(6):
+                owned.submit(
+                    link,
+                    samples.make_submit(f'j{number}', estimate_s=2.0),
+                    now,
+                )
+            await asyncio.sleep(2)
+            self.assertEqual([], rig.complaints())
+            self.assertEqual(6, len(rig.records()))
+
+        samples.with_rig(scenario)
+
+    def test_silent_worker_keeps_its_runs_until_their_lease_ends(self) -> None:
+        """Guards against a second run beside one on a worker cut off."""
+
+        async def scenario(rig: samples.Rig) -> None:
+            link = samples.FakeLink()
+            owned = await rig.ready()
+            submit = samples.make_submit(estimate_s=2.0, left_s=9.0)
+            owned.submit(link, submit, rig.clock.now())
+            await asyncio.sleep(0.1)
+            [first] = rig.records()
+            cut = wire.Wire(
+                models=rig.models,
+                clock=rig.clock,
+                fate_of=lambda _: wire.Fate.REQUEST_LOST,
+            )
+            silent = rig.models[first.worker].worker.worker
+
+            async def look(worker, asked, *, timeout_s):
+                api = cut if worker.worker == silent else rig.wire
+                return await wire.Wire.look(
+                    api, worker, asked, timeout_s=timeout_s
+                )
+
+            rig.wire.look = look
+            await asyncio.sleep(4)
+            self.assertEqual({0: 'done'}, link.ends())
+            self.assertEqual([], rig.complaints())
+            self.assertEqual(2, len(rig.records()))
+
+        samples.with_rig(
+            scenario,
+            count=2,
+            work_of=lambda task, run: samples.usual_work(task, run, 1.5),
+        )
+
+    def test_new_life_of_a_worker_knows_nothing(self) -> None:
+        """Guards against waiting for runs that ended with a former life."""
+
+        async def scenario(rig: samples.Rig) -> None:
+            link = samples.FakeLink()
+            owned = await rig.ready()
+            submit = samples.make_submit(estimate_s=2.0, left_s=9.0)
+            owned.submit(link, submit, rig.clock.now())
+            await asyncio.sleep(0.1)
+            rig.models['w0'].crash(rig.clock.now())
+            rig.models['w0'].restart(rig.clock.now())
+            await asyncio.sleep(2)
+            self.assertEqual({0: 'done'}, link.ends())
+            self.assertEqual([], rig.complaints())
+
+        samples.with_rig(scenario)
+
+    def test_run_that_stands_still_starts_elsewhere(self) -> None:
+        """Guards against tasks held on a hung worker to the deadline."""
+
+        async def scenario(rig: samples.Rig) -> None:
+            link = samples.FakeLink()
+            owned = await rig.ready()
+            owned.submit(link, samples.make_submit(), rig.clock.now())
+            await asyncio.sleep(0.01)
+            [first] = rig.records()
+            await asyncio.sleep(2)
+            how = {record.how for record in rig.records()}
+            self.assertIn(workers.Ending.STOPPED, how)
+            self.assertNotEqual(first.worker, rig.records()[-1].worker)
+
+        samples.with_rig(scenario, count=2, work_of=_never_ends)
+
+    def test_ends_are_acknowledged_when_nothing_runs_any_more(self) -> None:
+        """Guards against ends that a worker has to list for good."""
+
+        async def scenario(rig: samples.Rig) -> None:
+            owned = await rig.ready()
+            owned.submit(
+                samples.FakeLink(), samples.make_submit(), rig.clock.now()
+            )
+            await asyncio.sleep(2)
+            self.assertFalse(rig.models['w0'].has_ends(0))
+
+        samples.with_rig(scenario)
+
+    def test_idle_worker_is_not_looked_at(self) -> None:
+        """Guards against looks that nothing needs; each is priced."""
+
+        async def scenario(rig: samples.Rig) -> None:
+            await rig.ready()
+            before = len(rig.wire.calls)
+            await asyncio.sleep(5)
+            self.assertEqual(before, len(rig.wire.calls))
+
+        samples.with_rig(scenario)
+
+    def test_draining_worker_gets_no_orders(self) -> None:
+        """Guards against work for workers that are about to leave."""
+
+        async def scenario(rig: samples.Rig) -> None:
+            owned = await rig.ready()
+            owned.submit(
+                samples.FakeLink(), samples.make_submit(), rig.clock.now()
+            )
+            await asyncio.sleep(0.5)
+            self.assertEqual([], rig.records())
+
+        samples.with_rig(scenario, state=workers.WorkerState.DRAINING)
+
+    def test_failing_worker_is_closed_and_then_tried_with_one_run(self) -> None:
+        """Guards against failing many tasks on a worker that fails all."""
+
+        def work_of(task: workers.TaskName, run: int) -> worker_model.Work:
+            return worker_model.Work(
+                shape=jobs.Shape(millicores=1000, memory_mb=1, gpus=0),
+                work_s=0.05,
+                how=workers.Ending.FAILED,
+            )
+
+        async def scenario(rig: samples.Rig) -> None:
+            owned = await rig.ready()
+            for number in range(30):
+                owned.submit(
+                    samples.FakeLink(),
+                    samples.make_submit(f'j{number}', millicores=1000),
+                    rig.clock.now(),
+                )
+                await asyncio.sleep(0.1)
+            self.assertThat(len(rig.records()), matchers.LessThan(12))
+
+        samples.with_rig(scenario, work_of=work_of)
--- /dev/null
+++ b/tests/process/cells/wire.py
@@ -0,0 +1,145 @@
+"""Calls from owners to modelled workers, over a network that a test breaks."""
+
+import asyncio
+import enum
+from typing import Any, Callable
+
+from sardineproxy.process.cells import workers
+from sardineproxy.standin import worker_model
+
+#: Step in which a waiting look checks for new ends, in seconds.
+_LOOK_STEP_S = 0.002
+
+
+class Fate(enum.Enum):
+    """What becomes of one call."""
+
+    DONE = 'done'
+    REQUEST_LOST = 'request_lost'
+    ANSWER_LOST = 'answer_lost'
+
+    #: No answer; carried out seconds later.
+    LATE = 'late'
+    REFUSED = 'refused'
+
+
+class Wire:
+    """Implements ``workers.WorkerApi`` for one owner."""
+
+    def __init__(
+        self,
+        *,
+        models: dict[str, worker_model.WorkerModel],
+        clock: Any,
+        fate_of: Callable[[str], Fate] = lambda _: Fate.DONE,
+        delay_s: Callable[[], float] = lambda: 0.0005,
+    ) -> None:
+        self.models = models
+        self.clock = clock
+        self.fate_of = fate_of
+        self.delay_s = delay_s
+        self.late_s = 3.0
+        self.calls: list[tuple[str, Any]] = []
+        self.background: set[asyncio.Task[Any]] = set()
+
+    async def start(
+        self, worker: workers.Worker, order: workers.Order, *, timeout_s: float
+    ) -> Any:
+        self.calls.append(('start', order))
+        return await self._call(
+            'start',
+            worker,
+            lambda model, now: model.start(order, now),
+            timeout_s,
+        )
+
+    async def stop(
+        self,
+        worker: workers.Worker,
+        *,
+        task: workers.TaskName,
+        run: int,
+        fence: int,
+        timeout_s: float,
+    ) -> Any:
+        self.calls.append(('stop', task))
+        return await self._call(
+            'stop',
+            worker,
+            lambda model, now: model.stop(task, run, fence, now),
+            timeout_s,
+        )
+
+    async def look(
+        self, worker: workers.Worker, look: workers.Look, *, timeout_s: float
+    ) -> Any:
+        self.calls.append(('look', look))
+        return await self._call(
+            'look',
+            worker,
+            lambda model, now: model.look(look, now),
+            timeout_s,
+            wait_s=look.wait_s,
+            acked=look.acked,
+        )
+
+    async def _call(
+        self,
+        kind: str,
+        worker: workers.Worker,
+        act: Callable[[worker_model.WorkerModel, float], Any],
+        timeout_s: float,
+        wait_s: float = 0,
+        acked: int = 0,
+    ) -> Any:
+        model = self.models[worker.worker]
+        fate = self.fate_of(kind)
+        if fate is Fate.REFUSED:
+            return workers.Unanswered(unsent=True, cause='refused')
+        try:
+            async with asyncio.timeout(timeout_s):
+                await asyncio.sleep(self.delay_s())
+                if not model.is_up or fate is Fate.REQUEST_LOST:
+                    await asyncio.sleep(timeout_s)
+                if fate is Fate.LATE:
+                    self._act_later(model, act)
+                    await asyncio.sleep(timeout_s)
+                answer = act(model, self.clock.now())
+                if fate is Fate.ANSWER_LOST:
+                    await asyncio.sleep(timeout_s)
+                if wait_s and isinstance(answer, workers.Report):
+                    answer = await self._wait(model, act, wait_s, acked)
+                await asyncio.sleep(self.delay_s())
+                return answer
+        except TimeoutError:
+            return workers.Unanswered(unsent=False, cause='no answer')
+
+    async def _wait(
+        self,
+        model: worker_model.WorkerModel,
+        act: Callable[[worker_model.WorkerModel, float], Any],
+        wait_s: float,
+        acked: int,
+    ) -> Any:
+        """Wait for an end as a worker does; the fence counts on arrival."""
+        until = self.clock.now() + wait_s
+        while self.clock.now() < until and model.is_up:
+            model.advance(self.clock.now())
+            if model.has_ends(acked):
+                break
+            await asyncio.sleep(_LOOK_STEP_S)
+        return act(model, self.clock.now())
+
+    def _act_later(
+        self,
+        model: worker_model.WorkerModel,
+        act: Callable[[worker_model.WorkerModel, float], Any],
+    ) -> None:
+        async def later() -> None:
+            await asyncio.sleep(self.late_s)
+            if model.is_up:
+                act(model, self.clock.now())
+
+        task = asyncio.create_task(later())
+        self.background.add(task)
+        task.add_done_callback(self.background.discard)
--- /dev/null
+++ b/tests/virtual_time.py
@@ -0,0 +1,70 @@
+"""An event loop whose time moves only when nothing else is left to do."""
+
+import asyncio
+import selectors
+from typing import Any, Callable, Coroutine, TypeVar
+
+_Result = TypeVar('_Result')
+
+
+class _InstantSelector(selectors.DefaultSelector):
+    """Moves the loop's time forward instead of waiting."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.loop: 'VirtualLoop | None' = None
+
+    def select(self, timeout: float | None = None) -> Any:
+        events = super().select(0)
+        if events or timeout == 0:
+            return events
+        if timeout is None:
+            raise RuntimeError('nothing is left to wait for')
+        assert self.loop is not None
+        self.loop.now += timeout
+        return events
+
+
+class VirtualLoop(asyncio.SelectorEventLoop):
+    """Runs timers in order, at once."""
+
+    def __init__(self) -> None:
+        selector = _InstantSelector()
+        super().__init__(selector)
+        selector.loop = self
+        self.now = 0.0
+
+    def time(self) -> float:
+        return self.now
+
+
+class LoopClock:
+    """The time of the running loop, which starts well after 0."""
+
+    START_S = 1000.0
+
+    def now(self) -> float:
+        return self.START_S + asyncio.get_running_loop().time()
+
+    def wall(self) -> float:
+        return self.now()
+
+
+def run(
+    main: Callable[[], Coroutine[Any, Any, _Result]],
+) -> _Result:
+    """Run a coroutine function to its end in virtual time."""
+    loop = VirtualLoop()
+    try:
+        return loop.run_until_complete(main())
+    finally:
+        _cancel_all(loop)
+        loop.close()
+
+
+def _cancel_all(loop: VirtualLoop) -> None:
+    tasks = asyncio.all_tasks(loop)
+    for task in tasks:
+        task.cancel()
+    if tasks:
+        loop.run_until_complete(asyncio.gather(*tasks, return_exceptions=True))
