Less work in idle VMs; frames are read a chunk at a time; tests of cells

Change: only owners and candidates follow the list of workers closely; other VMs tick half as often; frames are read from chunks.

--- a/sardineproxy/connection/codec.py
+++ b/sardineproxy/connection/codec.py
@@ -28,6 +28,8 @@
 #: Error of a stream that ended between two frames.
 CLOSED = 'closed'
 
+_CHUNK_BYTES = 65_536
+
 _LENGTH = struct.Struct('>I')
 
 Check = Callable[[Any], bool]
@@ -124,10 +126,13 @@
         """Use the position of a class as its type number; append only."""
         self._kinds = kinds
         self._numbers = {kind: number for number, kind in enumerate(kinds)}
-        self._fields = {
+        self._names = {
+            kind: tuple(field.name for field in dataclasses.fields(kind))
+            for kind in kinds
+        }
+        self._checks = {
             kind: tuple(
-                (field.name, field.metadata['check'])
-                for field in dataclasses.fields(kind)
+                field.metadata['check'] for field in dataclasses.fields(kind)
             )
             for kind in kinds
         }
@@ -135,7 +140,7 @@
     def encode(self, message: Any, *, note: int) -> result.Result[bytes, str]:
         """Return a frame with its length prefix, or why it is too large."""
         kind = type(message)
-        fields = [getattr(message, name) for name, _ in self._fields[kind]]
+        fields = [getattr(message, name) for name in self._names[kind]]
         body = msgpack.packb([self._numbers[kind], note, *fields])
         if len(body) > MAX_FRAME_BYTES:
             return result.Err(f'{kind.__name__} has {len(body)} bytes')
@@ -158,33 +163,47 @@
             return result.Err(f'not msgpack: {type(exc).__name__}')
         if not isinstance(parts, tuple) or len(parts) < 2:
             return result.Err('not an array of type, note and fields')
-        number, note, *fields = parts
+        number, note = parts[:2]
         if not (count(number) and number < len(self._kinds) and count(note)):
             return result.Err('unknown frame type')
-        return self._build(self._kinds[number], note, tuple(fields))
+        kind = self._kinds[number]
+        fields = parts[2:]
+        if not _matches(fields, self._checks[kind]):
+            return result.Err(f'malformed fields of {kind.__name__}')
+        message = kind(**dict(zip(self._names[kind], fields)))
+        return result.Ok(Envelope(message=message, note=note))
+
 
-    async def read(
-        self, reader: asyncio.StreamReader
-    ) -> result.Result[Envelope, str]:
+class FrameReader:
+    """Reads the frames of one stream, as many as one chunk holds."""
+
+    def __init__(self, *, codec: Codec, reader: asyncio.StreamReader) -> None:
+        """Read from the start of a stream."""
+        self._codec = codec
+        self._reader = reader
+        self._pending = bytearray()
+
+    async def read(self) -> result.Result[Envelope, str]:
         """Wait for a message; Err if the stream ended or broke the rules."""
-        try:
-            prefix = await reader.readexactly(_LENGTH.size)
-            size = _LENGTH.unpack(prefix)[0]
+        while True:
+            size = self._size()
             if size > MAX_FRAME_BYTES:
                 return result.Err(f'frame of {size} bytes is too large')
-            return self.decode(await reader.readexactly(size))
-        except asyncio.IncompleteReadError as exc:
-            return result.Err('truncated' if exc.partial else CLOSED)
-        except OSError as exc:
-            return result.Err(f'stream failed: {exc.strerror}')
-
-    def _build(
-        self, kind: type, note: int, fields: tuple[Any, ...]
-    ) -> result.Result[Envelope, str]:
-        names = tuple(name for name, _ in self._fields[kind])
-        checks = tuple(check for _, check in self._fields[kind])
-        if not _matches(fields, checks):
-            return result.Err(f'malformed fields of {kind.__name__}')
-        return result.Ok(
-            Envelope(message=kind(**dict(zip(names, fields))), note=note)
-        )
+            end = _LENGTH.size + size
+            if len(self._pending) >= end:
+                body = bytes(self._pending[_LENGTH.size : end])
+                del self._pending[:end]
+                return self._codec.decode(body)
+            try:
+                chunk = await self._reader.read(_CHUNK_BYTES)
+            except OSError as exc:
+                return result.Err(f'stream failed: {exc.strerror}')
+            if not chunk:
+                return result.Err('truncated' if self._pending else CLOSED)
+            self._pending += chunk
+
+    def _size(self) -> int:
+        """Return the size of the next frame, 0 if it is not known yet."""
+        if len(self._pending) < _LENGTH.size:
+            return 0
+        return int(_LENGTH.unpack_from(self._pending)[0])
--- a/sardineproxy/connection/frames.py
+++ b/sardineproxy/connection/frames.py
@@ -201,10 +201,17 @@
     return _CODEC.decode(body).map(_to_envelope)
 
 
-async def read(reader: asyncio.StreamReader) -> result.Result[Envelope, str]:
-    """Wait for the next frame; Err if the stream ended or broke the rules."""
-    received = await _CODEC.read(reader)
-    return received.map(_to_envelope)
+class Reader:
+    """Reads the frames of one stream."""
+
+    def __init__(self, *, reader: asyncio.StreamReader) -> None:
+        """Read from the start of a stream."""
+        self._frames = codec.FrameReader(codec=_CODEC, reader=reader)
+
+    async def read(self) -> result.Result[Envelope, str]:
+        """Wait for a frame; Err if the stream ended or broke the rules."""
+        received = await self._frames.read()
+        return received.map(_to_envelope)
 
 
 def _to_envelope(received: codec.Envelope) -> Envelope:
--- a/sardineproxy/connection/link.py
+++ b/sardineproxy/connection/link.py
@@ -39,7 +39,7 @@
     ) -> None:
         """Use an open connection; ``dialed`` if this process opened it."""
         self._clock = clock
-        self._reader = reader
+        self._frames = codec.FrameReader(codec=messages.CODEC, reader=reader)
         self._writer = writer
         self.dialed = dialed
         self.opened_at = clock.now()
@@ -68,7 +68,7 @@
 
     async def receive(self) -> result.Result[messages.Message, str]:
         """Wait for a message."""
-        received = await messages.CODEC.read(self._reader)
+        received = await self._frames.read()
         if isinstance(received, result.Err):
             return received
         self.heard_at = self._clock.now()
--- a/sardineproxy/connection/peer.py
+++ b/sardineproxy/connection/peer.py
@@ -55,7 +55,7 @@
     ) -> None:
         """Use an open connection; ``dialed`` if this process opened it."""
         self._ctx = ctx
-        self._reader = reader
+        self._reader = frames.Reader(reader=reader)
         self._writer = writer
         self.dialed = dialed
         self.since = ctx.clock.now()
@@ -87,7 +87,7 @@
 
     async def receive(self) -> result.Result[frames.Frame, str]:
         """Wait for a frame and note what rides on it."""
-        received = await frames.read(self._reader)
+        received = await self._reader.read()
         if isinstance(received, result.Err):
             return received
         envelope = received.ok_value
--- a/sardineproxy/process/cells/agent.py
+++ b/sardineproxy/process/cells/agent.py
@@ -395,6 +395,9 @@
             case workers.Accepted() if run is not None:
                 run.stopped_at = self._clock.now()
             case workers.Unanswered():
+                if run is not None:
+                    # It is stopped again as soon as it is seen to run.
+                    run.stop_at = 0
                 self.doubt(f'stop of {task} not answered: {answer.cause}')
             case _:
                 pass
--- a/sardineproxy/process/node/claiming.py
+++ b/sardineproxy/process/node/claiming.py
@@ -157,6 +157,11 @@
             if member.vm != self._me.vm
         )[: fences.MAX_HEIRS]
 
+    def is_heir(self) -> bool:
+        """Tell whether this VM is among the first to own its zone's cell."""
+        first = self._candidates(ids.CellId(self._me.zone))[:LINKED_CANDIDATES]
+        return any(candidate.vm == self._me.vm for candidate in first)
+
     def needs_link(self, one: ids.VmId, other: ids.VmId) -> bool:
         """Tell whether two VMs should be linked; the same for both."""
         if len(self._directory.members) <= FULL_MESH:
--- a/sardineproxy/process/node/node.py
+++ b/sardineproxy/process/node/node.py
@@ -18,8 +18,10 @@
 from sardineproxy.request import board, coordinator, jobs
 from sardineproxy.version import in_force, routes
 
-#: Time between two rounds of what is due, in seconds.
-TICK_S = 0.025
+#: Time between two rounds of what is due, in seconds: half a beat, and less
+#: for owners of cells, whose queues move on with time.
+TICK_S = 0.05
+OWNER_TICK_S = 0.025
 
 #: A gap between two rounds that shows that the process stood still, in
 #: seconds. Links are given up after a silence of 0.4 s.
@@ -36,8 +38,11 @@
 
 #: The list of workers changes with each of their beats, so that it is asked
 #: for at intervals; a leaving worker must get no orders after 2 s.
-ROSTER_PACE = following.Pace(wait_s=0, pause_s=1.5)
-OWNER_ROSTER_PACE = following.Pace(wait_s=0, pause_s=0.6)
+OWNER_ROSTER_PACE = following.Pace(wait_s=0, pause_s=0.8)
+HEIR_ROSTER_PACE = following.Pace(wait_s=0, pause_s=1.5)
+
+#: Pace of VMs that will not own a cell soon.
+ROSTER_PACE = following.Pace(wait_s=0, pause_s=15)
 
 #: Time for which a worker stays listed here after its entry is gone, and for
 #: which the store must have answered before its list counts as complete, in
@@ -352,7 +357,11 @@
         }
 
     def _roster_pace(self) -> following.Pace:
-        return OWNER_ROSTER_PACE if self._cells else ROSTER_PACE
+        if self._cells:
+            return OWNER_ROSTER_PACE
+        if self._claiming.is_heir():
+            return HEIR_ROSTER_PACE
+        return ROSTER_PACE
 
     async def _register(self) -> None:
         """Write this process's member row; repeat until it is there."""
@@ -371,7 +380,7 @@
     async def _keep_ticking(self) -> None:
         while True:
             self._tick(self._clock.now())
-            await asyncio.sleep(TICK_S)
+            await asyncio.sleep(OWNER_TICK_S if self._cells else TICK_S)
 
     def _tick(self, now: float) -> None:
         self._check_stall(now)
@@ -560,10 +569,14 @@
 
     def _knows_roster(self) -> bool:
         """Tell whether no worker can be missing from the list."""
+        now = self._clock.now()
+        answered_at = self._roster.answered_at
         sound_since = self._roster.sound_since
         return (
-            sound_since is not None
-            and self._clock.now() - sound_since >= ROSTER_LINGER_S
+            answered_at is not None
+            and sound_since is not None
+            and now - answered_at < ROSTER_LINGER_S
+            and now - sound_since >= ROSTER_LINGER_S
         )
 
     @property
--- a/sardineproxy/standin/worker_model.py
+++ b/sardineproxy/standin/worker_model.py
@@ -79,7 +79,12 @@
         self._clock_rate = clock_rate
         self._clock_start_ms = clock_start_ms
         self._born_at = 0.0
-        self._reset()
+        self._fence = 0
+        self._lease_end_ms = 0
+        self._running: dict[workers.TaskName, _Running] = {}
+        self._barred: dict[workers.TaskName, int] = {}
+        self._ends: list[workers.End] = []
+        self._end_count = 0
 
     def clock_ms(self, now: float) -> int:
         """Return what the worker's clock shows."""
@@ -189,9 +194,9 @@
     def _reset(self) -> None:
         self._fence = 0
         self._lease_end_ms = 0
-        self._running: dict[workers.TaskName, _Running] = {}
-        self._barred: dict[workers.TaskName, int] = {}
-        self._ends: list[workers.End] = []
+        self._running = {}
+        self._barred = {}
+        self._ends = []
         self._end_count = 0
 
     def _passes(self, fence: int) -> bool:
--- a/tests/connection/test_frames.py
+++ b/tests/connection/test_frames.py
@@ -65,7 +65,7 @@
         reader = asyncio.StreamReader()
         reader.feed_data(raw)
         reader.feed_eof()
-        return await frames.read(reader)
+        return await frames.Reader(reader=reader).read()
 
     return asyncio.run(feed())
 
--- a/tests/connection/test_peer.py
+++ b/tests/connection/test_peer.py
@@ -78,7 +78,7 @@
         async with self.connect() as (stream, reader, writer):
             writer.write(_encode(HELLO))
             self.assertEqual(HELLO, (await stream.handshake()).unwrap())
-            received = (await frames.read(reader)).unwrap()
+            received = (await frames.Reader(reader=reader).read()).unwrap()
             self.assertEqual(frames.Envelope(frame=HELLO, free=7), received)
             self.assertEqual((3, 4), (stream.version, stream.revision))
 
--- /dev/null
+++ b/tests/process/cells/test_cell.py
@@ -0,0 +1,303 @@
+"""Queue, placement, hand-over and takeover of a cell."""
+
+import asyncio
+
+import testtools
+from testtools import matchers
+
+from sardineproxy import ids
+from sardineproxy.process.cells import workers
+from sardineproxy.standin import worker_model
+from tests.process.cells import samples, wire
+
+
+def _long(task: workers.TaskName, run: int) -> worker_model.Work:
+    return samples.usual_work(task, run, 1.0)
+
+
+class TestQueue(testtools.TestCase):
+    def test_job_that_cannot_be_in_time_is_declined_unstarted(self) -> None:
+        """Guards against work for a job whose client gains nothing."""
+
+        async def scenario(rig: samples.Rig) -> None:
+            owned = await rig.ready()
+            now = rig.clock.now()
+            first, second = samples.FakeLink(), samples.FakeLink()
+            owned.submit(
+                first, samples.make_submit('j1', 2, estimate_s=1.0), now
+            )
+            owned.submit(second, samples.make_submit('j2', 1), now)
+            await asyncio.sleep(0.6)
+            [declined] = second.declined()
+            self.assertEqual((0,), declined.indices)
+            self.assertEqual('', declined.other)
+            self.assertEqual(
+                {'j1'}, {record.task[:2] for record in rig.records()}
+            )
+
+        samples.with_rig(scenario, work_of=_long)
+
+    def test_task_with_less_time_left_goes_first(self) -> None:
+        """Guards against short jobs late behind long ones."""
+
+        async def scenario(rig: samples.Rig) -> None:
+            owned = await rig.ready()
+            now = rig.clock.now()
+            link = samples.FakeLink()
+            owned.submit(link, samples.make_submit('first', 2), now)
+            owned.submit(
+                link, samples.make_submit('long', 2, estimate_s=2.0), now
+            )
+            owned.submit(
+                link, samples.make_submit('short', 2, slack_s=0.2), now
+            )
+            await asyncio.sleep(2)
+            started = [record.task[:4] for record in rig.records()]
+            self.assertEqual(
+                ['firs', 'firs', 'shor', 'shor', 'long', 'long'], started
+            )
+
+        samples.with_rig(scenario)
+
+    def test_tasks_without_room_go_to_a_cell_that_has_some(self) -> None:
+        """Guards against waiting while another cell is idle."""
+
+        async def scenario(rig: samples.Rig) -> None:
+            rig.others[ids.CellId('zone-b')] = 5
+            owned = await rig.ready()
+            link = samples.FakeLink()
+            owned.submit(link, samples.make_submit('j1', 5), rig.clock.now())
+            [declined] = link.declined()
+            self.assertEqual('zone-b', declined.other)
+            self.assertThat(declined.indices, matchers.HasLength(3))
+
+        samples.with_rig(scenario)
+
+    def test_firm_tasks_stay(self) -> None:
+        """Guards against tasks that are sent to and fro between cells."""
+
+        async def scenario(rig: samples.Rig) -> None:
+            rig.others[ids.CellId('zone-b')] = 5
+            owned = await rig.ready()
+            link = samples.FakeLink()
+            owned.submit(
+                link, samples.make_submit('j1', 5, firm=True), rig.clock.now()
+            )
+            self.assertEqual([], link.declined())
+
+        samples.with_rig(scenario)
+
+    def test_required_label_is_kept(self) -> None:
+        """Guards against starts on workers of another kind."""
+
+        async def scenario(rig: samples.Rig) -> None:
+            owned = await rig.ready()
+            owned.submit(
+                samples.FakeLink(),
+                samples.make_submit(requires='b'),
+                rig.clock.now(),
+            )
+            await asyncio.sleep(0.1)
+            self.assertEqual([], rig.records())
+
+        samples.with_rig(scenario)
+
+    def test_failed_run_is_told(self) -> None:
+        """Guards against jobs that never fail."""
+
+        async def scenario(rig: samples.Rig) -> None:
+            owned = await rig.ready()
+            link = samples.FakeLink()
+            owned.submit(link, samples.make_submit(), rig.clock.now())
+            await asyncio.sleep(1)
+            self.assertEqual({0: 'failed'}, link.ends())
+
+        samples.with_rig(
+            scenario,
+            work_of=lambda task, run: worker_model.Work(
+                shape=samples.usual_work(task, run).shape,
+                work_s=0.1,
+                how=workers.Ending.FAILED,
+            ),
+        )
+
+    def test_lost_coordinator_s_runs_are_stopped(self) -> None:
+        """Guards against work for a client whose VM is gone."""
+
+        async def scenario(rig: samples.Rig) -> None:
+            owned = await rig.ready()
+            link = samples.FakeLink()
+            owned.submit(link, samples.make_submit(), rig.clock.now())
+            await asyncio.sleep(0.1)
+            owned.link_lost(link, rig.clock.now())
+            await asyncio.sleep(0.6)
+            [record] = rig.records()
+            self.assertEqual(workers.Ending.STOPPED, record.how)
+
+        samples.with_rig(scenario, work_of=_long)
+
+    def test_coordinator_back_in_time_keeps_its_runs(self) -> None:
+        """Guards against repeated work after a reset of a link."""
+
+        async def scenario(rig: samples.Rig) -> None:
+            owned = await rig.ready()
+            link, again = samples.FakeLink(), samples.FakeLink()
+            owned.submit(link, samples.make_submit(), rig.clock.now())
+            await asyncio.sleep(0.1)
+            owned.link_lost(link, rig.clock.now())
+            await asyncio.sleep(0.1)
+            owned.submit(
+                again, samples.make_submit(resumed=True), rig.clock.now()
+            )
+            await asyncio.sleep(1.5)
+            self.assertEqual({0: 'done'}, again.ends())
+            self.assertEqual(1, len(rig.records()))
+
+        samples.with_rig(scenario, work_of=_long)
+
+
+class TestTakeover(testtools.TestCase):
+    def test_new_owner_takes_over_what_runs(self) -> None:
+        """Guards against lost work when an owner dies."""
+
+        async def scenario(rig: samples.Rig) -> None:
+            old = await rig.ready()
+            old.submit(
+                samples.FakeLink(),
+                samples.make_submit('j1', 2),
+                rig.clock.now(),
+            )
+            await asyncio.sleep(0.2)
+            await old.close()
+            new, link = await rig.ready(epoch=2), samples.FakeLink()
+            new.submit(
+                link,
+                samples.make_submit('j1', 2, resumed=True),
+                rig.clock.now(),
+            )
+            await asyncio.sleep(1.5)
+            self.assertEqual({0: 'done', 1: 'done'}, link.ends())
+            self.assertEqual(2, len(rig.records()))
+
+        samples.with_rig(scenario, work_of=_long)
+
+    def test_old_owner_is_fenced(self) -> None:
+        """Guards against two owners that order on one worker."""
+
+        async def scenario(rig: samples.Rig) -> None:
+            old = await rig.ready()
+            await rig.ready(epoch=2)
+            old.submit(
+                samples.FakeLink(),
+                samples.make_submit('j1', 2),
+                rig.clock.now(),
+            )
+            await asyncio.sleep(0.5)
+            self.assertIn(old, rig.superseded_cells)
+            self.assertEqual([], rig.records())
+
+        samples.with_rig(scenario)
+
+    def test_run_on_an_unknown_worker_is_not_started_again(self) -> None:
+        """Guards the bug by which an incomplete list hid running tasks."""
+
+        async def scenario(rig: samples.Rig) -> None:
+            old = await rig.ready()
+            old.submit(
+                samples.FakeLink(), samples.make_submit(), rig.clock.now()
+            )
+            await asyncio.sleep(0.1)
+            await old.close()
+            hidden = rig.models.pop('w0')
+            new = await rig.ready(epoch=2, complete=False)
+            link = samples.FakeLink()
+            new.submit(link, samples.make_submit(resumed=True), rig.clock.now())
+            await asyncio.sleep(1.0)
+            rig.models['w0'] = hidden
+            self.assertEqual({0: 'late'}, link.ends())
+            self.assertEqual(1, len(rig.records()))
+
+        samples.with_rig(scenario, count=2, work_of=_long)
+
+    def test_resumed_task_waits_for_a_worker_that_does_not_report(self) -> None:
+        """Guards against a second run beside one on a worker cut off."""
+
+        async def scenario(rig: samples.Rig) -> None:
+            old = await rig.ready()
+            old.submit(
+                samples.FakeLink(), samples.make_submit(), rig.clock.now()
+            )
+            await asyncio.sleep(0.1)
+            await old.close()
+            api = wire.Wire(
+                models=rig.models,
+                clock=rig.clock,
+                fate_of=lambda _: wire.Fate.REQUEST_LOST,
+            )
+            new, link = rig.own(epoch=2, api=api), samples.FakeLink()
+            new.submit(link, samples.make_submit(resumed=True), rig.clock.now())
+            await asyncio.sleep(0.4)
+            self.assertEqual({0: 'late'}, link.ends())
+
+        samples.with_rig(scenario, work_of=_long)
+
+    def test_runs_that_nobody_resumes_are_stopped(self) -> None:
+        """Guards against room that is lost to runs of a dead coordinator."""
+
+        async def scenario(rig: samples.Rig) -> None:
+            old = await rig.ready()
+            old.submit(
+                samples.FakeLink(),
+                samples.make_submit('j1', 2),
+                rig.clock.now(),
+            )
+            await asyncio.sleep(0.1)
+            await old.close()
+            await rig.ready(epoch=2)
+            await asyncio.sleep(0.8)
+            self.assertEqual(
+                {workers.Ending.STOPPED},
+                {record.how for record in rig.records()},
+            )
+
+        samples.with_rig(
+            scenario, work_of=lambda task, run: samples.usual_work(task, run, 5)
+        )
+
+    def test_same_job_from_another_vm_replaces_the_first(self) -> None:
+        """Guards against two runs when a client sends a job again."""
+
+        async def scenario(rig: samples.Rig) -> None:
+            owned = await rig.ready()
+            first, second = samples.FakeLink('vm-1'), samples.FakeLink('vm-2')
+            owned.submit(first, samples.make_submit(), rig.clock.now())
+            await asyncio.sleep(0.1)
+            owned.submit(second, samples.make_submit(), rig.clock.now())
+            await asyncio.sleep(1.5)
+            self.assertEqual({0: 'replaced'}, first.ends())
+            self.assertEqual({0: 'done'}, second.ends())
+            self.assertEqual(1, len(rig.records()))
+
+        samples.with_rig(scenario, work_of=_long)
+
+    def test_task_waits_for_the_end_of_its_withdrawn_run(self) -> None:
+        """Guards against two runs of a job that is withdrawn and sent again."""
+
+        async def scenario(rig: samples.Rig) -> None:
+            owned = await rig.ready()
+            link = samples.FakeLink()
+            submit = samples.make_submit()
+            owned.submit(link, submit, rig.clock.now())
+            await asyncio.sleep(0.1)
+            stops = [wire.Fate.REQUEST_LOST]
+            rig.wire.fate_of = lambda kind: (
+                stops.pop() if kind == 'stop' and stops else wire.Fate.DONE
+            )
+            owned.withdraw(link, submit.job)
+            owned.submit(link, submit, rig.clock.now())
+            await asyncio.sleep(2)
+            self.assertEqual({0: 'done'}, link.ends())
+            self.assertEqual([], rig.complaints())
+            self.assertEqual(2, len(rig.records()))
+
+        samples.with_rig(scenario, count=2, work_of=_long)
--- /dev/null
+++ b/tests/process/cells/test_model.py
@@ -0,0 +1,308 @@
+"""Owners, coordinators and workers under random faults.
+
+Owners replace each other, links and answers are lost, orders are carried out
+late, workers crash and start anew. The modelled workers note what they ran.
+"""
+
+import asyncio
+import random
+from typing import Any
+
+import hypothesis
+import testtools
+from hypothesis import strategies
+
+from sardineproxy import ids
+from sardineproxy.connection import messages
+from sardineproxy.process.cells import cell as cells
+from sardineproxy.process.cells import workers
+from sardineproxy.request import board, coordinator, jobs
+from sardineproxy.standin import worker_model
+from sardineproxy.version import routes
+from tests import examples, virtual_time
+from tests.process.cells import samples, wire
+
+#: Time from a failed answer until a client sends its job again, in seconds.
+RESEND_S = 1.3
+
+#: Longest time until one end of a cut link notices, in seconds.
+NOTICE_S = 0.45
+
+ROUTE = routes.Route(
+    route=ids.RouteId('r'),
+    host='a.example',
+    path_prefix='/r/',
+    service=samples.SERVICE,
+    timeout_s=1.5,
+    stretch=1.6,
+    slack_s=0.06,
+    priority=0,
+    max_attempts=2,
+)
+
+
+class _End:
+    """One end of a link between a coordinator's VM and an owner."""
+
+    def __init__(self, world: 'World', deliver: Any) -> None:
+        self.world = world
+        self.deliver = deliver
+        self.other: '_End'
+        self.is_cut = False
+        self.peer = messages.Greeting(
+            vm=ids.VmId('vm'),
+            incarnation=ids.Incarnation('1'),
+            zone=ids.ZoneId('zone-a'),
+        )
+
+    def send(self, message: Any) -> bool:
+        if self.is_cut:
+            return False
+        delay_s = self.world.rng.uniform(0.0001, 0.003)
+        asyncio.get_running_loop().call_later(delay_s, self._arrive, message)
+        return True
+
+    def is_closing(self) -> bool:
+        return self.is_cut
+
+    def _arrive(self, message: Any) -> None:
+        if not self.is_cut:
+            self.deliver(self.other, message)
+
+
+class Vm:
+    """An accepting VM: a board, and links to owners."""
+
+    def __init__(self, world: 'World') -> None:
+        self.world = world
+        self.board = board.Board()
+        self.ends: dict[cells.Cell, _End] = {}
+
+    def home(self) -> ids.CellId | None:
+        return samples.CELL if self.world.owner in self.ends else None
+
+    def owner(self, cell: ids.CellId) -> Any:
+        return self.ends.get(self.world.owner)
+
+    def connect(self, owned: cells.Cell) -> None:
+        near = _End(
+            self.world, lambda end, message: self._to_owner(owned, end, message)
+        )
+        far = _End(self.world, lambda _, message: self.board.tell(message))
+        near.other, far.other = far, near
+        self.ends[owned] = near
+        self.board.owner_found(samples.CELL)
+
+    def cut(self, owned: cells.Cell) -> None:
+        """Cut a link; both ends notice some time later."""
+        near = self.ends.pop(owned, None)
+        if near is None:
+            return
+        near.is_cut = near.other.is_cut = True
+        loop = asyncio.get_running_loop()
+        rng = self.world.rng
+        loop.call_later(
+            rng.uniform(0, NOTICE_S),
+            self.board.owner_lost,
+            samples.CELL,
+            near,
+        )
+        loop.call_later(
+            rng.uniform(0, NOTICE_S), self._notice, owned, near.other
+        )
+
+    def _notice(self, owned: cells.Cell, far: Any) -> None:
+        owned.link_lost(far, self.world.rig.clock.now())
+
+    def _to_owner(self, owned: cells.Cell, end: Any, message: Any) -> None:
+        now = self.world.rig.clock.now()
+        if owned in self.world.rig.superseded_cells:
+            end.send(messages.Disowned(cell=samples.CELL))
+        elif isinstance(message, messages.Submit):
+            owned.submit(end, message, now)
+        elif isinstance(message, messages.Withdraw):
+            owned.withdraw(end, message.job)
+
+
+class World:
+    """A cell, its owners in turn, two accepting VMs and their clients."""
+
+    def __init__(self, seed: int, fault_share: float) -> None:
+        self.rng = random.Random(seed)
+        self.fault_share = fault_share
+        self.rig = samples.Rig(count=4, work_of=self.work_of)
+        self.vms = [Vm(self), Vm(self)]
+        self.owner: cells.Cell
+        self.epoch = 0
+        self.outcomes: list[jobs.Outcome] = []
+        self.clients: set[asyncio.Task[None]] = set()
+
+    def work_of(self, task: workers.TaskName, run: int) -> worker_model.Work:
+        draw = random.Random(f'{task}.{run}').random()
+        how = workers.Ending.DONE
+        if draw < 0.03:
+            how = workers.Ending.FAILED
+        return worker_model.Work(
+            shape=samples.usual_work(task, run).shape,
+            work_s=random.Random(task).choice((0.06, 0.2, 0.9)),
+            how=how,
+        )
+
+    def fate_of(self, kind: str) -> wire.Fate:
+        if self.rng.random() >= self.fault_share:
+            return wire.Fate.DONE
+        return self.rng.choice(
+            (
+                wire.Fate.REQUEST_LOST,
+                wire.Fate.ANSWER_LOST,
+                wire.Fate.LATE,
+                wire.Fate.REFUSED,
+            )
+        )
+
+    def take_over(self) -> None:
+        self.epoch += 1
+        api = wire.Wire(
+            models=self.rig.models,
+            clock=self.rig.clock,
+            fate_of=self.fate_of,
+            delay_s=lambda: self.rng.uniform(0.0001, 0.003),
+        )
+        api.late_s = self.rng.uniform(0.5, 4)
+        self.owner = self.rig.own(epoch=self.epoch, api=api)
+        for vm in self.vms:
+            vm.connect(self.owner)
+
+    def happen(self, kind: str) -> None:
+        now = self.rig.clock.now()
+        model = self.rng.choice(list(self.rig.models.values()))
+        match kind:
+            case 'takeover':
+                old = self.owner
+                self.take_over()
+                for vm in self.vms:
+                    vm.cut(old)
+            case 'silent takeover':
+                self.take_over()
+            case 'cut':
+                self.rng.choice(self.vms).cut(self.owner)
+            case 'reconnect':
+                for vm in self.vms:
+                    if self.owner not in vm.ends:
+                        vm.connect(self.owner)
+            case 'crash':
+                model.crash(now)
+            case 'restart':
+                for each in self.rig.models.values():
+                    if not each.is_up:
+                        each.restart(now)
+                self.owner.set_workers(
+                    [each.worker for each in self.rig.models.values()],
+                    complete=True,
+                )
+            case 'stall':
+                self.owner.doubt_all('test')
+
+    async def client(self, number: int) -> None:
+        """Send a job, and send it again to another VM after a failure."""
+        job = jobs.Job(
+            job=ids.JobId(f'{number:016x}'),
+            payload='text',
+            steps=(
+                jobs.Step(
+                    count=self.rng.randint(1, 4),
+                    shape=samples.usual_work('', 1).shape,
+                    estimate_s=0.3,
+                ),
+            ),
+        )
+        for vm in self.rng.sample(self.vms, 2):
+            now = self.rig.clock.now()
+            outcome = await vm.board.run(
+                coordinator.Coordinator(
+                    job=job,
+                    route=ROUTE,
+                    router=vm,
+                    clock=self.rig.clock,
+                    arrived_at=now,
+                    deadline=now + 2.5,
+                )
+            )
+            self.outcomes.append(outcome)
+            if not isinstance(outcome, jobs.GivenUp):
+                return
+            await asyncio.sleep(RESEND_S)
+
+    def start_client(self, number: int) -> None:
+        task = asyncio.create_task(self.client(number))
+        self.clients.add(task)
+        task.add_done_callback(self.clients.discard)
+
+
+_events = strategies.lists(
+    strategies.tuples(
+        strategies.floats(min_value=0, max_value=6),
+        strategies.sampled_from(
+            (
+                'takeover',
+                'silent takeover',
+                'cut',
+                'reconnect',
+                'crash',
+                'restart',
+                'stall',
+            )
+        ),
+    ),
+    max_size=12,
+)
+
+
+async def play(
+    seed: int, fault_share: float, events: list[tuple[float, str]]
+) -> World:
+    """Play six seconds of jobs and faults, and what follows from them."""
+    world = World(seed, fault_share)
+    world.take_over()
+    loop = asyncio.get_running_loop()
+    for at, kind in events:
+        loop.call_later(at, world.happen, kind)
+    for number in range(60):
+        loop.call_later(number * 0.1, world.start_client, number)
+    await asyncio.sleep(14)
+    return world
+
+
+class TestModel(testtools.TestCase):
+    @hypothesis.given(
+        strategies.integers(min_value=0, max_value=2**32),
+        strategies.sampled_from((0.0, 0.02, 0.1)),
+        _events,
+    )
+    @examples.settings(40)
+    def test_no_double_run_and_no_run_over_capacity(
+        self, seed: int, fault_share: float, events: list[tuple[float, str]]
+    ) -> None:
+        """Guards what must hold whatever is lost, late or replaced."""
+
+        async def main() -> tuple[list[str], World]:
+            world = await play(seed, fault_share, events)
+            return world.rig.complaints(), world
+
+        complaints, world = virtual_time.run(main)
+        self.assertEqual([], complaints)
+        self.assertFalse(world.clients, 'a client got no answer')
+
+    def test_most_jobs_complete_without_faults(self) -> None:
+        """Guards against a model in which nothing happens."""
+
+        async def main() -> World:
+            return await play(1, 0, [])
+
+        world = virtual_time.run(main)
+        completed = [
+            outcome
+            for outcome in world.outcomes
+            if isinstance(outcome, jobs.Completed)
+        ]
+        self.assertGreater(len(completed), 50)
--- a/tests/process/cells/wire.py
+++ b/tests/process/cells/wire.py
@@ -135,9 +135,12 @@
         model: worker_model.WorkerModel,
         act: Callable[[worker_model.WorkerModel, float], Any],
     ) -> None:
+        # A worker that holds an order back loses it with its life.
+        life = model.worker.born_ms
+
         async def later() -> None:
             await asyncio.sleep(self.late_s)
-            if model.is_up:
+            if model.is_up and model.worker.born_ms == life:
                 act(model, self.clock.now())
 
         task = asyncio.create_task(later())
