Job tasks do not probe endpoints that refused while others serve

Cause: test_a_lagging_list_sends_no_work_to_an_endpoint_that_leaves_and_refuses failed once in a full run of make test. The first ejection lasts 0.75 to 1.25 s. When it passed before the job's tasks were placed, one of them became the probe, the endpoint answered 503, and the job was marked failed. Ruled out: too few refusals before the job (one refusal ejects). Change: a task that may not be sent again probes only if no endpoint is in service, or after 10 s in which no harmless task came.

--- a/sardineproxy/process/health.py
+++ b/sardineproxy/process/health.py
@@ -22,7 +22,7 @@
 _log = logs.get_logger('dispatch')
 
 
-class Health:
+class Health:  # noqa: WPS214
     """Health estimates of all listed endpoints."""
 
     def __init__(
@@ -94,12 +94,27 @@
             and self._ejected[endpoint].is_on_probation(now)
         ]
 
+    def for_unsafe_probes(
+        self, probes: list[ids.EndpointId], *, now: float
+    ) -> list[ids.EndpointId]:
+        """Return those of ``probes`` that any task may probe.
+
+        While other endpoints are in service these are only the ones that no
+        harmless task has probed for long.
+        """
+        if not self.ranks:
+            return probes
+        return self.on_probation(
+            probes, now=now - self._cfg.unsafe_probe_after_s
+        )
+
     def next_return(self, *, now: float) -> float | None:
-        """Return when the next ejection ends, or None if there is none."""
+        """Return when more tasks may probe an endpoint, None if never."""
         ends = [
-            estimate.ejected_until
+            estimate.ejected_until + wait_s
             for estimate in self._ejected.values()
-            if estimate.ejected_until > now
+            for wait_s in (0, self._cfg.unsafe_probe_after_s)
+            if estimate.ejected_until + wait_s > now
         ]
         return min(ends, default=None)
 
--- a/sardineproxy/process/health_estimates.py
+++ b/sardineproxy/process/health_estimates.py
@@ -42,6 +42,11 @@
     #: Part of an ejection that is random, either way.
     jitter: float = 0.25
 
+    #: Time on probation after which a task that may not be sent again may be
+    #: the probe, in seconds. A refused probe fails such a task for good, so
+    #: that a harmless one is awaited while other endpoints are in service.
+    unsafe_probe_after_s: float = 10
+
     #: Time in service after which ejections start short again, in seconds.
     forgive_s: float = 120
 
--- a/sardineproxy/process/routing.py
+++ b/sardineproxy/process/routing.py
@@ -60,7 +60,7 @@
 
         The own zone goes first; ties are broken at random. A probe of an
         endpoint on probation goes first with a task that may be retried, and
-        last with any other.
+        last, or not at all, with any other.
         """
         if entry.exclude or entry.refused:
             free = self._without(free, entry.exclude | entry.refused)
@@ -71,6 +71,7 @@
         ranks = [rank_of(endpoint, _NO_RANK) for endpoint in free]
         least = min(ranks, default=_NO_RANK)
         if least == _NO_RANK:
+            probes = self._health.for_unsafe_probes(probes, now=now)
             return self._rng.choice(probes) if probes else None
         if ranks.count(least) == 1:
             return free[ranks.index(least)]
--- a/tests/process/test_health.py
+++ b/tests/process/test_health.py
@@ -102,6 +102,21 @@
         estimates.succeed(FIRST, now=1)
         self.assertIn(FIRST, estimates.ranks)
 
+    def test_tasks_that_cannot_be_repeated_wait_to_probe(self) -> None:
+        """Guards against a job that fails as the probe of a bad endpoint."""
+        estimates = Estimates(2)
+        estimates.record_refusal(FIRST, request_id=ids.RequestId('r'), now=0)
+        self.assertEqual([], estimates.for_unsafe_probes([FIRST], now=2))
+        self.assertEqual(11, estimates.next_return(now=2))
+        self.assertEqual([FIRST], estimates.for_unsafe_probes([FIRST], now=11))
+
+    def test_any_task_may_probe_the_only_endpoint(self) -> None:
+        """Guards against jobs that wait while no endpoint is in service."""
+        estimates = Estimates(2)
+        estimates.record_refusal(FIRST, request_id=ids.RequestId('r'), now=0)
+        estimates.ranks.clear()
+        self.assertEqual([FIRST], estimates.for_unsafe_probes([FIRST], now=2))
+
     def test_half_of_a_zone_stays(self) -> None:
         """Guards against a zone without endpoints when all seem to fail."""
         estimates = Estimates(5)
--- a/tests/scenarios/features/leaving.feature
+++ b/tests/scenarios/features/leaving.feature
@@ -45,3 +45,15 @@
     And a job "reprints" of 60 tasks of 50 ms is sent to entry-1
     Then "reprints" is complete with 60 answers
     And the endpoint endpoint-1 has started no task of "reprints"
+
+  Scenario: A job does not probe an endpoint that refused a while ago
+    Given a zone with 1 entry VMs and 3 endpoints
+    When the platform's list lags by 60 seconds
+    And the endpoint endpoint-1 is listed as leaving
+    And the endpoint endpoint-1 shows the fault refuse
+    And 8 lookups of 50 ms are sent to entry-1
+    And every lookup has run
+    And 2 seconds have passed for the list to be read
+    And a job "reprints" of 60 tasks of 50 ms is sent to entry-1
+    Then "reprints" is complete with 60 answers
+    And the endpoint endpoint-1 has started no task of "reprints"
