Do not repeat done tasks of a job that is sent again

Cause: a client whose answer was lost sends its job again 1.3 s later, and late copies come after seconds. The cell's owner ran all tasks a second time, though it knew that they had ended well; it kept ends for 1.5 s and asked them only for jobs still in progress. Change: ends are kept for 10 s, also those of tasks that ended after their job was dropped, and are answered from there.

--- a/sardineproxy/process/cells/cell.py
+++ b/sardineproxy/process/cells/cell.py
@@ -1,6 +1,5 @@
 """A cell that this process owns: queue, placement, and ends of tasks."""
 
-import collections
 import dataclasses
 from typing import Iterable, Mapping, Protocol
 
@@ -11,6 +10,7 @@
     agent,
     fences,
     placement,
+    recall,
     runs,
     workers,
 )
@@ -36,8 +36,9 @@
     #: Runs of a coordinator whose link is lost are stopped after this time.
     orphan_s: float = 0.3
 
-    #: Time for which ends are kept for coordinators that ask again.
-    recall_s: float = 1.5
+    #: Time for which ends are kept for jobs that are sent again. A client
+    #: does so 1.3 s after a failure, and late copies come after seconds.
+    recall_s: float = 10.0
 
     #: Multiple of the time in which a job is on time after which it is worth
     #: nothing.
@@ -82,12 +83,7 @@
         self._agents: dict[ids.WorkerId, agent.Agent] = {}
         self._batches: dict[BatchKey, runs.Batch] = {}
         self._resumes: list[tuple[link.Link, messages.Submit]] = []
-        self._recent: collections.deque[tuple[float, workers.TaskName]] = (
-            collections.deque()
-        )
-
-        #: Last run and end of tasks that ended a short while ago.
-        self._recent_ends: dict[workers.TaskName, tuple[int, jobs.TaskEnd]] = {}
+        self._recall = recall.Recall(keep_s=cfg.recall_s)
         self._typical_millicores = 14_000.0
         self._best_speed = 1.0
 
@@ -192,8 +188,7 @@
                 now >= batch.orphaned_at + self._cfg.orphan_s
             ):
                 self._drop(batch, 'coordinator lost')
-        while self._recent and now - self._recent[0][0] > self._cfg.recall_s:
-            self._recent_ends.pop(self._recent.popleft()[1], None)
+        self._recall.expire(now)
         self.dispatch(now)
 
     def dispatch(self, now: float) -> None:
@@ -256,7 +251,7 @@
             else:
                 self._requeue(run)
         else:
-            _LOG.info('End of a dropped task.', extra={'task': run.task})
+            self._note_dropped_end(run, how)
         self.dispatch(self._clock.now())
 
     def lost(self, run: runs.Run, cause: str) -> None:
@@ -326,11 +321,11 @@
             if index in known.tasks:
                 continue
             name = runs.task_name(asked.job, asked.step, index)
-            last, end = self._recent_ends.get(name, (0, None))
-            if end is None or number > last:
+            last = self._recall.find(name)
+            if last is None or number > last.number:
                 known.tasks[index] = runs.Task(number=number)
             else:
-                self._send_end(known, index, last, end)
+                self._send_end(known, index, last.number, last.how)
         self.dispatch(self._clock.now())
 
     def _resume(
@@ -423,7 +418,10 @@
         batch = self._batches.get(key)
         if batch is None:
             batch = self._new_batch(source, asked, now)
-            self._batches[key] = batch
+        tasks = self._answer_done(batch, tasks)
+        if not tasks:
+            return
+        self._batches[key] = batch
         for index, number in tasks.items():
             batch.tasks[index] = runs.Task(number=number)
         self._typical_millicores += 0.05 * (
@@ -432,6 +430,45 @@
         self._move_overflow(batch, now)
         self.dispatch(now)
 
+    def _answer_done(
+        self, batch: runs.Batch, tasks: dict[int, int]
+    ) -> dict[int, int]:
+        """Answer for tasks that have ended well; return the others."""
+        left: dict[int, int] = {}
+        for index, number in tasks.items():
+            name = runs.task_name(batch.job, batch.step, index)
+            last = self._recall.find(name)
+            if last is not None and last.how is jobs.TaskEnd.DONE:
+                self._send_end(batch, index, last.number, last.how)
+            else:
+                left[index] = number
+        if len(left) < len(tasks):
+            _LOG.info(
+                'Done tasks are not repeated.',
+                extra={
+                    'job': batch.job,
+                    'step': batch.step,
+                    'done': sorted(set(tasks).difference(left)),
+                    'left': sorted(left),
+                },
+            )
+            self._metrics.count('tasks_recalled_total', len(tasks) - len(left))
+        return left
+
+    def _note_dropped_end(self, run: runs.Run, how: workers.Ending) -> None:
+        """Remember that a task ended well after its job was given up."""
+        _LOG.info(
+            'End of a dropped task.',
+            extra={'task': run.task, 'run': run.number, 'how': how.value},
+        )
+        if how is workers.Ending.DONE:
+            self._recall.note(
+                run.task,
+                number=run.number,
+                how=jobs.TaskEnd.DONE,
+                now=self._clock.now(),
+            )
+
     def _move_overflow(self, batch: runs.Batch, now: float) -> None:
         """Send tasks that find no room here to cells that have some."""
         if batch.firm:
@@ -612,8 +649,7 @@
         self, batch: runs.Batch, index: int, number: int, how: jobs.TaskEnd
     ) -> None:
         name = runs.task_name(batch.job, batch.step, index)
-        self._recent.append((self._clock.now(), name))
-        self._recent_ends[name] = (number, how)
+        self._recall.note(name, number=number, how=how, now=self._clock.now())
         if batch.link is not None:
             batch.link.send(
                 messages.Ended(
--- a/tests/process/cells/test_cell.py
+++ b/tests/process/cells/test_cell.py
@@ -121,6 +121,59 @@
             ),
         )
 
+    def test_done_tasks_of_a_job_sent_again_are_not_repeated(self) -> None:
+        """Guards against a second original after an answer was lost."""
+
+        async def scenario(rig: samples.Rig) -> None:
+            owned = await rig.ready()
+            owned.submit(
+                samples.FakeLink(),
+                samples.make_submit(count=2),
+                rig.clock.now(),
+            )
+            await asyncio.sleep(4)
+            again = samples.FakeLink('vm-2')
+            owned.submit(again, samples.make_submit(count=2), rig.clock.now())
+            self.assertEqual({0: 'done', 1: 'done'}, again.ends())
+            await asyncio.sleep(1)
+            self.assertThat(rig.records(), matchers.HasLength(2))
+
+        samples.with_rig(scenario)
+
+    def test_task_done_after_its_job_was_dropped_is_not_repeated(self) -> None:
+        """Guards against a second run of what ended as it was stopped."""
+
+        async def scenario(rig: samples.Rig) -> None:
+            owned = await rig.ready()
+            link = samples.FakeLink()
+            owned.submit(link, samples.make_submit(), rig.clock.now())
+            await asyncio.sleep(0.2006)
+            owned.withdraw(link, ids.JobId('j1'))
+            await asyncio.sleep(1.3)
+            again = samples.FakeLink('vm-2')
+            owned.submit(again, samples.make_submit(), rig.clock.now())
+            self.assertEqual({0: 'done'}, again.ends())
+
+        samples.with_rig(scenario)
+
+    def test_ends_are_forgotten_after_a_while(self) -> None:
+        """Guards against memory that grows with each task."""
+
+        async def scenario(rig: samples.Rig) -> None:
+            owned = await rig.ready()
+            for at in range(3):
+                owned.submit(
+                    samples.FakeLink(),
+                    samples.make_submit(f'j{at}'),
+                    rig.clock.now(),
+                )
+                await asyncio.sleep(6)
+            again = samples.FakeLink()
+            owned.submit(again, samples.make_submit('j0'), rig.clock.now())
+            self.assertEqual({}, again.ends())
+
+        samples.with_rig(scenario)
+
     def test_lost_coordinator_s_runs_are_stopped(self) -> None:
         """Guards against work for a client whose VM is gone."""
 
