Tests of the adapter against stand-ins that speak the platform's protocol

A row store and a worker's HTTP face join the model of a worker; the clients of store and workers are tested for lost, refused and late calls, and the decoders for foreign entries, broken documents and any JSON.

--- /dev/null
+++ b/sardineproxy/standin/row_store.py
@@ -0,0 +1,136 @@
+"""The platform's table service as its callers see it.
+
+Tables of rows with a version counter, conditional transactions and a feed of
+changes whose history ends.
+"""
+
+import dataclasses
+
+from sardineproxy.process import store
+
+#: Most rows in one page.
+PAGE_ROWS = 500
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Page:
+    """Rows as of one moment, and whether more follow."""
+
+    rows: tuple[store.Row, ...]
+    revision: int
+    has_more: bool
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Conflict:
+    """Present rows of the conditions, one of which did not hold."""
+
+    rows: tuple[store.Row, ...]
+
+
+class RowStore:
+    """All tables; keys start with the table's name and a slash."""
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self.revision = 0
+        self._rows: dict[str, store.Row] = {}
+        self._log: list[store.Row] = []
+        self._forgotten = 0
+
+    def transact(
+        self,
+        *,
+        conditions: tuple[store.Condition, ...],
+        writes: tuple[store.Write, ...],
+        removals: tuple[str, ...] = (),
+    ) -> int | Conflict:
+        """Apply all changes if all conditions hold; return the revision."""
+        held = all(
+            self._revision_of(each.key) == each.revision for each in conditions
+        )
+        if not held:
+            return Conflict(
+                rows=tuple(
+                    self._rows[each.key]
+                    for each in conditions
+                    if each.key in self._rows
+                )
+            )
+        self.revision += 1
+        for write in writes:
+            self._put(write.key, write.body)
+        for key in removals:
+            if key in self._rows:
+                self._put(key, None)
+        return self.revision
+
+    def put(self, key: str, body: bytes | None) -> int:
+        """Write or remove one row without a condition."""
+        if body is None:
+            done = self.transact(conditions=(), writes=(), removals=(key,))
+        else:
+            done = self.transact(
+                conditions=(), writes=(store.Write(key=key, body=body),)
+            )
+        assert isinstance(done, int)
+        return done
+
+    def read(
+        self, table: str, *, start: str = '', limit: int = PAGE_ROWS
+    ) -> Page:
+        """Return rows of a table from a key on, in order of their keys."""
+        prefix = f'{table}/'
+        keys = sorted(
+            key
+            for key in self._rows
+            if key.startswith(prefix) and key >= f'{prefix}{start}'
+        )
+        return Page(
+            rows=tuple(self._rows[key] for key in keys[:limit]),
+            revision=self.revision,
+            has_more=len(keys) > limit,
+        )
+
+    def changes(self, table: str, *, after: int) -> Page | None:
+        """Return changed rows in order, None if history does not reach."""
+        if after < self._forgotten:
+            return None
+        prefix = f'{table}/'
+        newest = {
+            row.key: row
+            for row in self._log
+            if row.revision > after and row.key.startswith(prefix)
+        }
+        rows = sorted(newest.values(), key=_by_revision)[:PAGE_ROWS]
+        is_cut = len(newest) > PAGE_ROWS
+        return Page(
+            rows=tuple(rows),
+            revision=rows[-1].revision if is_cut else self.revision,
+            has_more=is_cut,
+        )
+
+    def forget_history(self) -> None:
+        """Drop all history up to now."""
+        self._forgotten = self.revision
+        self._log.clear()
+
+    def get(self, key: str) -> store.Row | None:
+        """Return a row."""
+        return self._rows.get(key)
+
+    def _revision_of(self, key: str) -> int:
+        row = self._rows.get(key)
+        return row.revision if row else 0
+
+    def _put(self, key: str, body: bytes | None) -> None:
+        row = store.Row(key=key, revision=self.revision, body=body)
+        if body is None:
+            self._rows.pop(key)
+        else:
+            self._rows[key] = row
+        self._log.append(row)
+
+
+def _by_revision(row: store.Row) -> tuple[int, str]:
+    return row.revision, row.key
--- a/sardineproxy/standin/worker_model.py
+++ b/sardineproxy/standin/worker_model.py
@@ -66,8 +66,9 @@
         speed: float = 1.0,
         clock_rate: float = 1.0,
         clock_start_ms: int = 1_000_000,
+        born_at: float = 0,
     ) -> None:
-        """Start the first life at time 0."""
+        """Start the first life at ``born_at``."""
         self.worker = worker
         self.records: list[Record] = []
 
@@ -79,7 +80,7 @@
         self._speed = speed
         self._clock_rate = clock_rate
         self._clock_start_ms = clock_start_ms
-        self._born_at: float = 0
+        self._born_at = born_at
         self._fence = 0
         self._lease_end_ms = 0
         self._running: dict[workers.TaskName, _Running] = {}
--- /dev/null
+++ b/tests/platform/store_server.py
@@ -0,0 +1,160 @@
+"""The table service over HTTP, as the platform spells it, with faults."""
+
+import asyncio
+import base64
+import enum
+import json
+import random
+from typing import Any, Callable
+
+from aiohttp import web
+
+from sardineproxy.process import store
+from sardineproxy.standin import endpoint_reset, row_store
+
+#: Step in which a waiting feed looks for changes, in seconds.
+_FEED_STEP_S = 0.01
+
+
+class Trouble(enum.Enum):
+    """How the service treats a call."""
+
+    NONE = 'none'
+    BUSY = 'busy'
+    MANY = 'many'
+    RESET = 'reset'
+    SILENT = 'silent'
+
+    #: Writes are done, and the connection ends without an answer.
+    LOST = 'lost'
+
+
+class StoreServer:
+    """Serves a ``RowStore``."""
+
+    def __init__(
+        self, *, rows: row_store.RowStore, rng: random.Random | None = None
+    ) -> None:
+        self.rows = rows
+        self.rng = rng or random.Random(1)
+        self.trouble = Trouble.NONE
+
+        #: Share of the calls that the trouble hits.
+        self.share: float = 1
+        self.delay_s: float = 0
+        self.calls: list[str] = []
+
+        #: Changes what is written, such as the addresses of members.
+        self.rewrite: Callable[[store.Write], store.Write] = _unchanged
+
+    async def listen(self, host: str = '127.0.0.1') -> int:
+        """Serve until the loop ends; return the port."""
+        loop = asyncio.get_running_loop()
+        server = await loop.create_server(
+            web.Server(self.handle, access_log=None), host, 0
+        )
+        return server.sockets[0].getsockname()[1]
+
+    async def handle(self, req: web.BaseRequest) -> web.StreamResponse:
+        self.calls.append(req.path)
+        if self.delay_s:
+            await asyncio.sleep(self.delay_s)
+        is_hit = self.rng.random() < self.share
+        trouble = self.trouble if is_hit else Trouble.NONE
+        match trouble:
+            case Trouble.BUSY:
+                return web.Response(status=503)
+            case Trouble.MANY:
+                return web.Response(status=429)
+            case Trouble.SILENT:
+                await asyncio.sleep(3600)
+            case Trouble.RESET:
+                endpoint_reset.reset(req.transport)
+            case Trouble.LOST:
+                await self._answer(req)
+                endpoint_reset.reset(req.transport)
+            case Trouble.NONE:
+                return await self._answer(req)
+        return web.Response(status=500)
+
+    async def _answer(self, req: web.BaseRequest) -> web.Response:
+        match req.path:
+            case '/v1/rows-tx':
+                return self._transact(await req.json())
+            case '/v1/rows-get':
+                return self._read(req.query)
+            case '/v1/rows-feed':
+                return await self._feed(req.query)
+        return web.Response(status=404)
+
+    def _transact(self, document: Any) -> web.Response:
+        done = self.rows.transact(
+            conditions=tuple(
+                store.Condition(key=_key(row), revision=row['ver'])
+                for row in document['expected']
+            ),
+            writes=tuple(
+                self.rewrite(
+                    store.Write(
+                        key=_key(row), body=base64.b64decode(row['value'])
+                    )
+                )
+                for row in document['writes']
+            ),
+            removals=tuple(map(_key, document['remove'])),
+        )
+        if isinstance(done, row_store.Conflict):
+            return self._reply(412, rows=[_encode(row) for row in done.rows])
+        return self._reply(200)
+
+    def _read(self, query: Any) -> web.Response:
+        page = self.rows.read(
+            query['table'],
+            start=query.get('from', ''),
+            limit=min(row_store.PAGE_ROWS, int(query.get('limit', 500))),
+        )
+        return self._reply(
+            200,
+            rows=[_encode(row) for row in page.rows],
+            has_more=page.has_more,
+        )
+
+    async def _feed(self, query: Any) -> web.Response:
+        loop = asyncio.get_running_loop()
+        until = loop.time() + int(query.get('wait_ms', 0)) / 1000
+        while True:
+            page = self.rows.changes(query['table'], after=int(query['after']))
+            if page is None:
+                return web.Response(status=410)
+            if page.rows or loop.time() >= until:
+                return self._reply(
+                    200,
+                    ver=page.revision,
+                    rows=[_encode(row) for row in page.rows],
+                )
+            await asyncio.sleep(_FEED_STEP_S)
+
+    def _reply(self, status: int, **fields: Any) -> web.Response:
+        now_ms = int(asyncio.get_running_loop().time() * 1000)
+        document = {'ver': self.rows.revision, 'now_ms': now_ms, **fields}
+        return web.Response(
+            status=status,
+            body=json.dumps(document).encode(),
+            content_type='application/json',
+        )
+
+
+def _unchanged(write: store.Write) -> store.Write:
+    return write
+
+
+def _key(row: Any) -> str:
+    return f'{row["table"]}/{row["key"]}'
+
+
+def _encode(row: store.Row) -> dict[str, Any]:
+    table, _, key = row.key.partition('/')
+    document = {'table': table, 'part': '', 'key': key, 'ver': row.revision}
+    if row.body is None:
+        return {**document, 'tombstone': True}
+    return {**document, 'value': base64.b64encode(row.body).decode()}
--- /dev/null
+++ b/tests/platform/test_decoding.py
@@ -0,0 +1,206 @@
+"""What the platform sends, decoded into the project's types."""
+
+import json
+from typing import Any
+
+import hypothesis
+import result
+import testtools
+from hypothesis import strategies
+from testtools import matchers
+
+from sardineproxy.platform import (
+    configuration,
+    roster,
+    settings,
+    submissions,
+)
+from sardineproxy.process import store
+from sardineproxy.process.cells import workers
+from sardineproxy.request import jobs
+from tests import examples
+from tests.platform import samples
+
+JOB_ID = '5c0e7a21d94b36f8'
+
+_json = strategies.recursive(
+    strategies.none()
+    | strategies.booleans()
+    | strategies.integers()
+    | strategies.floats()
+    | strategies.text(max_size=8),
+    lambda inner: (
+        strategies.lists(inner, max_size=3)
+        | strategies.dictionaries(
+            strategies.sampled_from(
+                ('spec', 'steps', 'count', 'cpu', 'version', 'routes', 'state')
+            ),
+            inner,
+            max_size=4,
+        )
+    ),
+    max_leaves=12,
+)
+
+
+def _row(document: Any, key: str = 'servers/i-1') -> store.Row:
+    body = json.dumps(document).encode()
+    return store.Row(key=key, revision=1, body=body)
+
+
+def _decode_job(document: Any) -> Any:
+    return submissions.decode_job(JOB_ID, json.dumps(document).encode())
+
+
+class TestSettings(testtools.TestCase):
+    def test_times_and_shares_get_their_units(self) -> None:
+        """Guards against milliseconds that are taken for seconds."""
+        cfg = settings.decode(samples.SETTINGS.encode()).ok_value
+        self.assertEqual(('z1', 'z2'), cfg.zones)
+        self.assertEqual(1, cfg.cores)
+        self.assertEqual(2, cfg.bounds.version_s)
+        self.assertEqual(1.3, cfg.bounds.resend_s)
+        self.assertEqual('127.0.0.1:8166', str(cfg.peers))
+
+    def test_missing_field_is_named(self) -> None:
+        """Guards against an error that does not say what to mend."""
+        text = samples.SETTINGS.replace('grace_s = 6', '')
+        error = settings.decode(text.encode()).err_value
+        self.assertThat(error, matchers.Contains('grace_s'))
+
+    def test_text_that_is_no_toml_is_refused(self) -> None:
+        """Guards against a traceback for a half-written file."""
+        decoded = settings.decode(b'node = "edge')
+        self.assertIsInstance(decoded, result.Err)
+
+
+class TestRoster(testtools.TestCase):
+    def test_entry_becomes_a_worker(self) -> None:
+        """Guards against units or states that are mixed up."""
+        worker = roster.decode(_row(samples.entry(state='draining'))).ok_value
+        self.assertEqual('i-1', worker.worker)
+        self.assertEqual(32_000, worker.capacity.millicores)
+        self.assertEqual(workers.WorkerState.DRAINING, worker.state)
+        self.assertEqual(1_700_000_000_000, worker.born_ms)
+
+    def test_foreign_entries_name_no_worker(self) -> None:
+        """Guards against orders to what another writer left."""
+        for changes in (
+            {'state': 'asleep'},
+            {'service': 4},
+            {'address': 'nowhere'},
+            {'capacity': None},
+            {'labels': 'a'},
+        ):
+            decoded = roster.decode(_row(samples.entry(**changes)))
+            self.assertIsInstance(decoded, result.Err, changes)
+
+    @hypothesis.given(strategies.binary(max_size=40))
+    @examples.settings()
+    def test_any_bytes_are_an_error_or_a_worker(self, body: bytes) -> None:
+        """Guards against a process that stops over an entry."""
+        decoded = roster.decode(
+            store.Row(key='servers/i-1', revision=1, body=body)
+        )
+        self.assertIsInstance(decoded, result.Err)
+
+
+class TestConfiguration(testtools.TestCase):
+    def test_longest_prefix_of_the_host_wins(self) -> None:
+        """Guards against jobs of one queue run under another."""
+        body = samples.configuration(
+            7,
+            samples.route(name='short', path_prefix='/a/'),
+            samples.route(name='long', path_prefix='/a/b/'),
+            samples.route(name='other', host='b.example', path_prefix='/a/'),
+        )
+        table = configuration.decode(body).ok_value
+        self.assertEqual('long', table.find('a.example', '/a/b/1').route)
+        self.assertEqual('short', table.find('a.example', '/a/c').route)
+        self.assertEqual('other', table.find('b.example', '/a/b/1').route)
+        self.assertIsNone(table.find('a.example', '/b/'))
+
+    def test_error_names_the_route(self) -> None:
+        """Guards against an error among a thousand routes without a name."""
+        body = samples.configuration(7, samples.route(max_attempts='many'))
+        error = configuration.decode(body).err_value
+        self.assertThat(error, matchers.Contains('route r-1: max_attempts'))
+
+    @hypothesis.given(_json)
+    @examples.settings()
+    def test_any_document_is_decoded_or_refused(self, document: Any) -> None:
+        """Guards against a process that stops over a version."""
+        configuration.decode(json.dumps(document).encode())
+
+
+class TestSubmissions(testtools.TestCase):
+    def test_job_is_decoded(self) -> None:
+        """Guards against sizes in other units."""
+        job = _decode_job(samples.job()).ok_value
+        self.assertEqual(
+            jobs.Step(
+                count=2,
+                shape=jobs.Shape(millicores=14_000, memory_mb=64, gpus=0),
+                estimate_s=0.2,
+            ),
+            job.steps[0],
+        )
+
+    def test_feature_that_is_not_built_is_named(self) -> None:
+        """Guards against a job that runs without what it asks for."""
+        for feature, document in (
+            ('stored jobs', samples.job(burstable=False)),
+            ('times', samples.job(times=3)),
+            ('gang', samples.job(steps=[{'count': 1, 'gang': True}])),
+        ):
+            error = _decode_job(document).err_value
+            self.assertEqual(submissions.Unsupported(feature=feature), error)
+
+    def test_broken_jobs_are_malformed(self) -> None:
+        """Guards against work for what no client meant."""
+        for document in (
+            samples.job(steps=[]),
+            samples.job(steps=[{'count': 1, 'after': [0]}]),
+            samples.job(spec='x' * 4001),
+            samples.job(steps=[{'count': 20_000}]),
+            samples.job(steps=[{'count': -1}]),
+            ['not', 'a', 'job'],
+        ):
+            error = _decode_job(document).err_value
+            self.assertIsInstance(error, submissions.Malformed, document)
+
+    def test_job_without_a_proper_id_is_malformed(self) -> None:
+        """Guards against tasks whose names the worker cannot read."""
+        body = json.dumps(samples.job()).encode()
+        for name in ('', 'ABCDEF0123456789', JOB_ID[1:], f'{JOB_ID}/x'):
+            decoded = submissions.decode_job(name, body)
+            self.assertIsInstance(decoded, result.Err, name)
+
+    @hypothesis.given(_json)
+    @examples.settings()
+    def test_any_document_is_answered(self, document: Any) -> None:
+        """Guards against a traceback for a client."""
+        self.assertIsInstance(_decode_job(document), (result.Ok, result.Err))
+
+    def test_deep_nesting_is_malformed(self) -> None:
+        """Guards against a parser that runs out of stack."""
+        body = b'[' * 100_000
+        error = submissions.decode_job(JOB_ID, body).err_value
+        self.assertIsInstance(error, submissions.Malformed)
+
+    def test_outcomes_have_their_status(self) -> None:
+        """Guards against a refusal of what may have run."""
+        expected = {
+            200: (jobs.Completed(), jobs.Failed(detail='')),
+            503: (jobs.NotRun(detail='', retry_after_s=0.2),),
+            504: (jobs.GivenUp(detail=''),),
+        }
+        for status, outcomes in expected.items():
+            for outcome in outcomes:
+                reply = submissions.encode_outcome(outcome)
+                self.assertEqual(status, reply.status)
+
+    def test_refusal_says_when_to_come_back(self) -> None:
+        """Guards against clients that come back at once."""
+        self.assertEqual({'Retry-After': '1'}, submissions.refusal(0.2).headers)
+        self.assertEqual({'Retry-After': '3'}, submissions.refusal(2.1).headers)
--- /dev/null
+++ b/tests/platform/test_store_http.py
@@ -0,0 +1,162 @@
+"""Client of the platform's store against a server that misbehaves."""
+
+import asyncio
+from typing import Any, Callable, Coroutine
+
+import result
+import testtools
+
+from sardineproxy import deployment
+from sardineproxy.platform import http_calls, store_http
+from sardineproxy.process import store
+from sardineproxy.standin import row_store
+from tests.platform import store_server
+
+_Kind = store.ErrorKind
+_Trouble = store_server.Trouble
+
+
+class Rig:
+    """A store's server and a client of it."""
+
+    def __init__(self) -> None:
+        self.rows = row_store.RowStore()
+        self.server = store_server.StoreServer(rows=self.rows)
+        self.client: store_http.HttpStore
+
+    async def write(self, key: str, revision: int | None = None) -> Any:
+        conditions = ()
+        if revision is not None:
+            conditions = (store.Condition(key=key, revision=revision),)
+        return await self.client.transact(
+            conditions=conditions, writes=(store.Write(key=key, body=b'new'),)
+        )
+
+
+def with_rig(scenario: Callable[[Rig], Coroutine[Any, Any, None]]) -> None:
+    async def main() -> None:
+        rig = Rig()
+        port = await rig.server.listen()
+        async with http_calls.new_session() as session:
+            rig.client = store_http.HttpStore(
+                session=session,
+                address=deployment.Address(host='127.0.0.1', port=port),
+            )
+            await scenario(rig)
+
+    asyncio.run(main())
+
+
+def kind_of(answer: Any) -> Any:
+    return answer.err_value.kind if isinstance(answer, result.Err) else answer
+
+
+class TestReading(testtools.TestCase):
+    def test_all_pages_of_a_table_are_read(self) -> None:
+        """Guards against workers that are missing in large deployments."""
+
+        async def scenario(rig: Rig) -> None:
+            for number in range(1203):
+                rig.rows.put(f't/{number:05}', b'%d' % number)
+            rig.rows.put('other/1', b'')
+            answer = await rig.client.read('t')
+            self.assertEqual(1203, len(answer.ok_value.rows))
+            self.assertEqual('t/01202', answer.ok_value.rows[-1].key)
+            self.assertEqual(1204, answer.ok_value.revision)
+
+        with_rig(scenario)
+
+    def test_changes_come_in_order_with_removals(self) -> None:
+        """Guards against rows that stay after their removal."""
+
+        async def scenario(rig: Rig) -> None:
+            rig.rows.put('t/a', b'1')
+            rig.rows.put('t/b', b'2')
+            rig.rows.put('t/a', None)
+            answer = await rig.client.changes('t', after=1, wait_s=0)
+            self.assertEqual(
+                [('t/b', b'2'), ('t/a', None)],
+                [(row.key, row.body) for row in answer.ok_value.rows],
+            )
+
+        with_rig(scenario)
+
+    def test_feed_waits_for_a_change(self) -> None:
+        """Guards against a feed that is asked over and over."""
+
+        async def scenario(rig: Rig) -> None:
+            asked = asyncio.create_task(
+                rig.client.changes('t', after=0, wait_s=20)
+            )
+            await asyncio.sleep(0.05)
+            self.assertFalse(asked.done())
+            rig.rows.put('t/a', b'1')
+            answer = await asked
+            self.assertEqual(1, len(answer.ok_value.rows))
+
+        with_rig(scenario)
+
+    def test_lost_history_is_told(self) -> None:
+        """Guards against changes that are missed without a word."""
+
+        async def scenario(rig: Rig) -> None:
+            rig.rows.put('t/a', b'1')
+            rig.rows.forget_history()
+            answer = await rig.client.changes('t', after=0, wait_s=0)
+            self.assertEqual(_Kind.HISTORY_LOST, kind_of(answer))
+
+        with_rig(scenario)
+
+    def test_refused_and_silent_reads_are_unavailable(self) -> None:
+        """Guards against an outage that is taken for an empty table."""
+
+        async def scenario(rig: Rig) -> None:
+            for trouble in (_Trouble.BUSY, _Trouble.MANY, _Trouble.SILENT):
+                rig.server.trouble = trouble
+                answer = await rig.client.read('t')
+                self.assertEqual(_Kind.UNAVAILABLE, kind_of(answer))
+
+        with_rig(scenario)
+
+
+class TestWriting(testtools.TestCase):
+    def test_condition_on_a_row_that_changed_is_a_conflict(self) -> None:
+        """Guards against two owners of one epoch."""
+
+        async def scenario(rig: Rig) -> None:
+            first = await rig.write('t/a', 0)
+            self.assertEqual(1, first.ok_value)
+            self.assertEqual(_Kind.CONFLICT, kind_of(await rig.write('t/a', 0)))
+            second = await rig.write('t/a', 1)
+            self.assertEqual(2, second.ok_value)
+
+        with_rig(scenario)
+
+    def test_refused_write_had_no_effect(self) -> None:
+        """Guards against a claim that is believed lost but stands."""
+
+        async def scenario(rig: Rig) -> None:
+            rig.server.trouble = _Trouble.BUSY
+            self.assertEqual(_Kind.UNAVAILABLE, kind_of(await rig.write('t/a')))
+            self.assertIsNone(rig.rows.get('t/a'))
+
+        with_rig(scenario)
+
+    def test_write_without_an_answer_is_unknown(self) -> None:
+        """Guards against a claim that is believed refused but stands."""
+
+        async def scenario(rig: Rig) -> None:
+            rig.server.trouble = _Trouble.LOST
+            self.assertEqual(_Kind.UNKNOWN, kind_of(await rig.write('t/a')))
+            self.assertIsNotNone(rig.rows.get('t/a'))
+
+        with_rig(scenario)
+
+    def test_write_that_was_never_sent_had_no_effect(self) -> None:
+        """Guards against doubts about a store that cannot be reached."""
+
+        async def scenario(rig: Rig) -> None:
+            rig.client.use(deployment.Address(host='127.0.0.1', port=1))
+            self.assertEqual(_Kind.UNAVAILABLE, kind_of(await rig.write('t/a')))
+
+        with_rig(scenario)
--- /dev/null
+++ b/tests/platform/test_worker_http.py
@@ -0,0 +1,190 @@
+"""Client of a worker against a modelled worker."""
+
+import asyncio
+import dataclasses
+from typing import Any, Callable, Coroutine
+
+import testtools
+from testtools import matchers
+
+from sardineproxy import clock, ids
+from sardineproxy.platform import http_calls, worker_http
+from sardineproxy.process.cells import workers
+from sardineproxy.standin import worker_model
+from tests.platform import worker_server
+from tests.process.cells import samples
+
+#: Bound of calls that are answered at once, in seconds.
+LONG_S = 10
+
+
+class Rig:
+    """A worker's server and a client of it."""
+
+    def __init__(self) -> None:
+        self.clock = clock.SystemClock()
+        self.model = worker_model.WorkerModel(
+            worker=samples.make_worker(),
+            work_of=lambda task, run: samples.usual_work(task, run, 30),
+            born_at=self.clock.now(),
+        )
+        self.server = worker_server.WorkerServer(
+            model=self.model, clock=self.clock
+        )
+        self.api: worker_http.HttpWorkerApi
+
+    async def start(self, task: str = 't', **changes: Any) -> Any:
+        fields: dict[str, Any] = {
+            'task': workers.TaskName(task),
+            'run': 1,
+            'payload': 'text',
+            'fence': 1,
+            'expires_ms': self.model.clock_ms(self.clock.now()) + 1000,
+        }
+        return await self.api.start(
+            self.model.worker,
+            workers.Order(**{**fields, **changes}),
+            timeout_s=LONG_S,
+        )
+
+    async def stop(self, timeout_s: float = LONG_S) -> Any:
+        return await self.api.stop(
+            self.model.worker,
+            task=workers.TaskName('t'),
+            run=1,
+            fence=1,
+            timeout_s=timeout_s,
+        )
+
+    async def look(self, **changes: Any) -> Any:
+        fields = {'fence': 1, 'acked': 0, 'expires_ms': None, 'wait_s': 0}
+        return await self.api.look(
+            self.model.worker,
+            workers.Look(**{**fields, **changes}),
+            timeout_s=LONG_S,
+        )
+
+
+def with_rig(scenario: Callable[[Rig], Coroutine[Any, Any, None]]) -> None:
+    async def main() -> None:
+        rig = Rig()
+        await rig.server.listen()
+        async with http_calls.new_session() as session:
+            rig.api = worker_http.HttpWorkerApi(session=session)
+            await scenario(rig)
+
+    asyncio.run(main())
+
+
+class TestOrders(testtools.TestCase):
+    def test_started_run_is_listed_and_its_stop_ends_it(self) -> None:
+        """Guards against names that the worker does not understand."""
+
+        async def scenario(rig: Rig) -> None:
+            self.assertIsInstance(await rig.start(), workers.Accepted)
+            self.assertEqual({'t': 'text'}, rig.server.payloads)
+            report = await rig.look()
+            self.assertEqual('t', report.running[0].task)
+            self.assertIsInstance(await rig.stop(), workers.Accepted)
+            report = await rig.look()
+            self.assertEqual((), report.running)
+            self.assertEqual(workers.Ending.STOPPED, report.ended[0].how)
+
+        with_rig(scenario)
+
+    def test_each_refusal_has_its_reason(self) -> None:
+        """Guards against a lost right that is taken for a full worker."""
+
+        async def scenario(rig: Rig) -> None:
+            await rig.start(fence=5)
+            old = await rig.start('u', fence=4)
+            self.assertEqual(workers.Refusal.FENCED, old.why)
+            late = await rig.start('v', fence=5, expires_ms=1)
+            self.assertEqual(workers.Refusal.EXPIRED, late.why)
+            again = await rig.start('t', fence=5, run=0)
+            self.assertEqual(workers.Refusal.OLD_RUN, again.why)
+
+        with_rig(scenario)
+
+    def test_unhealthy_worker_has_done_nothing(self) -> None:
+        """Guards against doubt about an order that was refused."""
+
+        async def scenario(rig: Rig) -> None:
+            rig.server.is_unhealthy = True
+            refused = await rig.start()
+            self.assertEqual(workers.Refusal.NOT_DONE, refused.why)
+
+        with_rig(scenario)
+
+    def test_other_worker_at_the_address_is_told(self) -> None:
+        """Guards against orders to a worker that took over an address."""
+
+        async def scenario(rig: Rig) -> None:
+            rig.model.worker = dataclasses.replace(
+                rig.model.worker, worker=ids.WorkerId('other')
+            )
+            listed = dataclasses.replace(
+                rig.model.worker, worker=ids.WorkerId('w0')
+            )
+            answer = await rig.api.stop(
+                listed,
+                task=workers.TaskName('t'),
+                run=1,
+                fence=1,
+                timeout_s=LONG_S,
+            )
+            self.assertEqual(workers.Refusal.OTHER_WORKER, answer.why)
+
+        with_rig(scenario)
+
+    def test_order_without_an_answer_may_have_been_carried_out(self) -> None:
+        """Guards against a second run of what starts late."""
+
+        async def scenario(rig: Rig) -> None:
+            rig.server.late_s = LONG_S
+            answer = await rig.stop(timeout_s=0.05)
+            self.assertIsInstance(answer, workers.Unanswered)
+            self.assertFalse(answer.unsent)
+
+        with_rig(scenario)
+
+    def test_order_to_a_closed_port_was_not_sent(self) -> None:
+        """Guards against room that stays taken by what cannot run."""
+
+        async def scenario(rig: Rig) -> None:
+            rig.server.move(1)
+            answer = await rig.stop()
+            self.assertTrue(answer.unsent)
+
+        with_rig(scenario)
+
+
+class TestLooks(testtools.TestCase):
+    def test_look_waits_for_an_end(self) -> None:
+        """Guards against looks without an end, each of which is priced."""
+
+        async def scenario(rig: Rig) -> None:
+            await rig.start()
+            expires_ms = rig.model.clock_ms(rig.clock.now()) + 1000
+            waiting = asyncio.create_task(
+                rig.look(wait_s=1.5, expires_ms=expires_ms)
+            )
+            await asyncio.sleep(0.05)
+            self.assertFalse(waiting.done())
+            await rig.stop()
+            report = await waiting
+            self.assertThat(report.ended, matchers.HasLength(1))
+
+        with_rig(scenario)
+
+    def test_acknowledged_ends_are_not_listed_again(self) -> None:
+        """Guards against lists of ends that grow all day."""
+
+        async def scenario(rig: Rig) -> None:
+            await rig.start()
+            await rig.stop()
+            first = await rig.look()
+            second = await rig.look(acked=first.ended[0].number)
+            self.assertEqual((), second.ended)
+
+        with_rig(scenario)
