Soak: random faults at real node processes on loopback

Real node processes behind relays, with a store and workers that speak the platform's protocol. Processes are killed, frozen, ended and reloaded; connections are cut, delayed and silenced; the store and the workers misbehave.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV ?= .venv
 PY := $(VENV)/bin/python
 
-.PHONY: all venv demo test lint format bench deep clean
+.PHONY: all venv demo test lint format bench deep soak soak-cases clean
 
 all: lint test
 
@@ -31,6 +31,15 @@
 format: venv
 	$(VENV)/bin/ruff format sardineproxy tests
 
+# Random faults at real node processes: SEEDS fresh seeds, or one with SEED=N.
+SEEDS ?= 10
+soak: venv
+	$(PY) -m tests.soak --count $(SEEDS) $(if $(SEED),--seed $(SEED))
+
+# The seeds that failed once.
+soak-cases: venv
+	$(PY) -m tests.soak --cases
+
 bench: venv
 	$(PY) -m sardineproxy bench
 
--- a/sardineproxy/demo/child.py
+++ b/sardineproxy/demo/child.py
@@ -134,7 +134,7 @@
                 stderr=stderr,
                 limit=MAX_LINE_BYTES,
                 env={**os.environ, 'PYTHONPATH': str(root)},
-                preexec_fn=_end_with_parent,
+                preexec_fn=end_with_parent,
             )
         return self._process
 
@@ -158,6 +158,6 @@
             await stdout.read(MAX_LINE_BYTES)
 
 
-def _end_with_parent() -> None:
-    # The kernel ends the child even if its parent is killed.
+def end_with_parent() -> None:
+    """Let the kernel end this process when its parent is killed."""
     _libc.prctl(SET_PARENT_DEATH_SIGNAL, signal.SIGKILL)
--- a/sardineproxy/standin/worker_model.py
+++ b/sardineproxy/standin/worker_model.py
@@ -93,6 +93,10 @@
         elapsed_s = (now - self._born_at) * self._clock_rate
         return self._clock_start_ms + int(elapsed_s * _MS_PER_S)
 
+    def set_state(self, state: workers.WorkerState) -> None:
+        """Say another state in the list."""
+        self.worker = dataclasses.replace(self.worker, state=state)
+
     def crash(self, now: float) -> None:
         """End everything; nothing is listed afterwards."""
         self.advance(now)
--- /dev/null
+++ b/tests/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomized soak of real node processes; ``make soak`` runs it."""
--- /dev/null
+++ b/tests/soak/__main__.py
@@ -0,0 +1,118 @@
+"""Run the soak: random faults at real node processes on loopback.
+
+Each seed is one run. The plan of a run that failed is printed, and its logs
+are kept. Seeds that failed once stand in tests/soak/cases.txt.
+"""
+
+import asyncio
+import dataclasses
+import pathlib
+import random
+import shutil
+import sys
+import tempfile
+import time
+
+from absl import flags
+
+from sardineproxy import command_line, exit_status
+from tests.soak import play
+
+CASES = pathlib.Path(__file__).with_name('cases.txt')
+
+MAX_SEED = 2**32
+
+
+def main(argv: list[str]) -> exit_status.ExitStatus:
+    """Run seeds one after the other; fail if one breaks a promise."""
+    cfg = _define_flags()
+    status = command_line.parse(cfg, argv, __doc__ or '')
+    if status is not None:
+        return status
+    size = play.Size(
+        zones=cfg.zones,
+        vms=cfg.vms,
+        workers=cfg.workers,
+        clients=cfg.clients,
+        faults=cfg.faults,
+        length_s=cfg.length_s,
+    )
+    failed = [
+        seed
+        for seed in _seeds(cfg)
+        if not run_seed(seed, size, keep=pathlib.Path(cfg.logs))
+    ]
+    sys.stdout.write(f'failed seeds: {failed}\n')
+    return exit_status.ExitStatus.ERROR if failed else _SUCCESS
+
+
+_SUCCESS = exit_status.ExitStatus.SUCCESS
+
+
+def read_cases() -> list[int]:
+    """Return the seeds that failed once."""
+    return [
+        int(line.split()[0])
+        for line in CASES.read_text(encoding='utf-8').splitlines()
+        if line and not line.startswith('#')
+    ]
+
+
+def run_seed(seed: int, size: play.Size, *, keep: pathlib.Path) -> bool:
+    """Run one seed, print what it showed, and keep the logs of a failure."""
+    started = time.monotonic()
+    with tempfile.TemporaryDirectory(prefix='sardineproxy-soak-') as name:
+        directory = pathlib.Path(name)
+        report = asyncio.run(play.play(seed, size, directory))
+        took_s = time.monotonic() - started
+        sys.stdout.write(f'seed {seed}: {report.summary}, {took_s:.0f} s\n')
+        if not report.complaints:
+            return True
+        for complaint in report.complaints[:20]:
+            sys.stdout.write(f'  FAILED: {complaint}\n')
+        for fault in report.plan:
+            sys.stdout.write(f'  {dataclasses.astuple(fault)}\n')
+        kept = keep / f'seed-{seed}'
+        shutil.copytree(directory, kept, dirs_exist_ok=True)
+        sys.stdout.write(f'  logs: {kept}\n')
+    return False
+
+
+def _seeds(cfg: flags.FlagValues) -> list[int]:
+    if cfg.cases:
+        return read_cases()
+    if cfg.seed is None:
+        first = random.SystemRandom().randrange(MAX_SEED)
+    else:
+        first = cfg.seed
+    return list(range(first, first + cfg.count))
+
+
+def _define_flags() -> flags.FlagValues:
+    cfg = command_line.new_flags()
+    size = play.Size()
+    flags.DEFINE_integer(
+        'seed', None, 'First seed; a random one by default.', flag_values=cfg
+    )
+    flags.DEFINE_integer('count', 1, 'Seeds to run.', 1, flag_values=cfg)
+    flags.DEFINE_bool(
+        'cases', False, 'Run the seeds that failed once.', flag_values=cfg
+    )
+    flags.DEFINE_string(
+        'logs', 'build/soak', 'Where logs of failures go.', flag_values=cfg
+    )
+    for name in ('zones', 'vms', 'workers', 'clients', 'faults'):
+        flags.DEFINE_integer(
+            name, getattr(size, name), f'Number of {name}.', 1, flag_values=cfg
+        )
+    flags.DEFINE_float(
+        'length_s',
+        size.length_s,
+        'Time in which faults begin, in seconds.',
+        flag_values=cfg,
+    )
+    return cfg
+
+
+if __name__ == '__main__':
+    sys.exit(main(sys.argv))
--- /dev/null
+++ b/tests/soak/vm.py
@@ -0,0 +1,175 @@
+"""One entry VM of the soak: a real process behind relays."""
+
+import asyncio
+import contextlib
+import os
+import pathlib
+import signal
+import socket
+import sys
+
+import sardineproxy
+from sardineproxy import deployment
+from sardineproxy.demo import child
+from sardineproxy.standin import relay_server
+
+_SETTINGS = """
+node = "{name}"
+zone = "{zone}"
+seeds = [{seeds}]
+heartbeat_ms = 1500
+port_range = [{control}, {control}]
+{extra}
+[zones]
+{zones}
+[listen_addrs]
+front = "{host}:{front}"
+ready = "{host}:{ready}"
+control = "{host}:{control}"
+[limits]
+cpu_share = 1.0
+cores = 1
+[bounds]
+max_hold_ms = 1000
+stop_timeout_ms = 50
+grace_s = 6
+config_apply_ms = 2000
+retransmit_ms = 1300
+[platform]
+address = "127.0.0.1:{store}"
+writes_per_s = 600
+reads_per_s = 2000
+"""
+
+
+class Vm:
+    """A node process, its settings file and the relays around it."""
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        zone: str,
+        host: str,
+        directory: pathlib.Path,
+        store: deployment.Address,
+    ) -> None:
+        self.name = name
+        self.zone = zone
+        self.host = host
+        ports = free_ports(host)
+        self.front_port = ports[0]
+        self.ready_port = ports[1]
+        self.control_port = ports[2]
+        self.front = relay_server.Relay(host=host, port=self.front_port)
+        self.links = relay_server.Relay(host=host, port=self.control_port)
+        self.store = relay_server.Relay(host=store.host, port=store.port)
+        self.ports: dict[str, int] = {}
+
+        #: How often the process was started.
+        self.starts = 0
+
+        #: True while the harness wants the process to run.
+        self.is_wanted = False
+        self._directory = directory
+        self._process: asyncio.subprocess.Process | None = None
+
+    async def listen(self) -> None:
+        """Open the relays."""
+        for name in ('front', 'links', 'store'):
+            relay: relay_server.Relay = getattr(self, name)
+            self.ports[name] = await relay.listen('127.0.0.1', 0)
+
+    @property
+    def log_path(self) -> pathlib.Path:
+        """Return where the process writes its logs."""
+        return self._directory / f'{self.name}.log'
+
+    def write_settings(
+        self, *, zones: list[str], seeds: list[int], extra: str = ''
+    ) -> None:
+        """Write the settings file anew."""
+        text = _SETTINGS.format(
+            name=self.name,
+            zone=self.zone,
+            host=self.host,
+            seeds=', '.join(f'"127.0.0.1:{port}"' for port in seeds),
+            zones='\n'.join(f'{zone} = "region"' for zone in zones),
+            front=self.front_port,
+            ready=self.ready_port,
+            control=self.control_port,
+            store=self.ports['store'],
+            extra=extra,
+        )
+        fresh = self._settings_path.with_suffix('.new')
+        fresh.write_text(text)
+        fresh.replace(self._settings_path)
+
+    async def start(self) -> None:
+        """Start the process unless it runs."""
+        if self._process is not None and self._process.returncode is None:
+            return
+        self.starts += 1
+        self.is_wanted = True
+        root = pathlib.Path(sardineproxy.__file__).parent.parent
+        with self.log_path.open('ab') as log:
+            self._process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                '-m',
+                'sardineproxy',
+                'node',
+                stdin=asyncio.subprocess.DEVNULL,
+                stdout=log,
+                stderr=log,
+                env={
+                    **os.environ,
+                    'PYTHONPATH': str(root),
+                    'SARDINEPROXY_CONFIG': str(self._settings_path),
+                },
+                preexec_fn=child.end_with_parent,
+            )
+
+    async def kill(self) -> None:
+        """End the process at once."""
+        self.is_wanted = False
+        self.send_signal(signal.SIGKILL)
+        if self._process is not None:
+            await self._process.wait()
+
+    async def terminate(self, grace_s: float) -> None:
+        """Ask the process to end, and kill it after the grace."""
+        self.is_wanted = False
+        self.send_signal(signal.SIGTERM)
+        assert self._process is not None
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(self._process.wait(), grace_s)
+        await self.kill()
+
+    def send_signal(self, number: signal.Signals) -> None:
+        """Send a signal to the process if it runs."""
+        if self._process is not None and self._process.returncode is None:
+            with contextlib.suppress(ProcessLookupError):
+                self._process.send_signal(number)
+
+    def has_ended(self) -> bool:
+        """Tell whether the process ended though nobody asked it to."""
+        return (
+            self.is_wanted
+            and self._process is not None
+            and self._process.returncode is not None
+        )
+
+    @property
+    def _settings_path(self) -> pathlib.Path:
+        return self._directory / f'{self.name}.toml'
+
+
+def free_ports(host: str) -> tuple[int, int, int]:
+    """Return three ports that the kernel finds free on an address."""
+    sockets = [socket.socket() for _ in range(3)]
+    for each in sockets:
+        each.bind((host, 0))
+    first, second, third = (each.getsockname()[1] for each in sockets)
+    for opened in sockets:
+        opened.close()
+    return first, second, third
--- /dev/null
+++ b/tests/soak/worker.py
@@ -0,0 +1,105 @@
+"""One worker of the soak: a modelled worker behind a relay, and its beats."""
+
+import asyncio
+import random
+from typing import Any
+
+from sardineproxy import ids
+from sardineproxy.process.cells import workers
+from sardineproxy.request import jobs
+from sardineproxy.standin import relay_server, row_store, worker_model
+from tests.platform import worker_server
+from tests.process.cells import samples
+
+#: Time between two writes of a worker's entry, in seconds.
+BEAT_S = 1.5
+
+#: Run times of tasks on a worker of speed 1, in seconds.
+WORK_S = (0.06, 0.2, 0.9)
+
+SERVICE = ids.ServiceId('service')
+
+
+class Worker:
+    """A worker, its HTTP server and its entry in the list."""
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        zone: str,
+        clock: Any,
+        rows: row_store.RowStore,
+        rng: random.Random,
+    ) -> None:
+        self.name = name
+        self.zone = zone
+        self._clock = clock
+        self._rows = rows
+
+        #: Share of the runs that fail, and whether runs stand still.
+        self.fails = False
+        self.hangs = False
+        self.state = workers.WorkerState.READY
+        self.model = worker_model.WorkerModel(
+            worker=samples.make_worker(
+                name, zone=ids.ZoneId(zone), service=SERVICE, born_ms=1000
+            ),
+            work_of=self._work_of,
+            speed=rng.choice((0.6, 1.0, 1.4)),
+            clock_rate=rng.uniform(0.98, 1),
+            born_at=clock.now(),
+        )
+        self.server = worker_server.WorkerServer(model=self.model, clock=clock)
+        self.relay: relay_server.Relay
+        self._beating: asyncio.Task[None] | None = None
+
+    async def listen(self) -> None:
+        """Open the server and its relay, and begin to beat."""
+        port = await self.server.listen()
+        self.relay = relay_server.Relay(host='127.0.0.1', port=port)
+        self.server.move(await self.relay.listen('127.0.0.1', 0))
+        self._beating = asyncio.create_task(self._beat())
+
+    def crash(self) -> None:
+        """End everything that runs, and answer nothing."""
+        self.model.crash(self._clock.now())
+
+    def restart(self) -> None:
+        """Begin a new life under the same id."""
+        if not self.model.is_up:
+            self.model.restart(self._clock.now())
+            self.state = workers.WorkerState.READY
+            self.write_entry()
+
+    def leave(self) -> None:
+        """Be gone for good."""
+        self.crash()
+        if self._beating is not None:
+            self._beating.cancel()
+        self._rows.put(f'servers/{self.name}', None)
+
+    def write_entry(self) -> None:
+        """Write the entry as the worker is now."""
+        self.model.set_state(self.state)
+        self._rows.put(f'servers/{self.name}', self.server.entry())
+
+    async def _beat(self) -> None:
+        while True:
+            if self.model.is_up:
+                self.write_entry()
+            await asyncio.sleep(BEAT_S)
+
+    def _work_of(self, task: workers.TaskName, run: int) -> worker_model.Work:
+        how: workers.Ending | None = workers.Ending.DONE
+        if self.hangs:
+            how = None
+        elif self.fails:
+            how = workers.Ending.FAILED
+        return worker_model.Work(
+            shape=jobs.Shape(
+                millicores=samples.TASK_MILLICORES, memory_mb=64, gpus=0
+            ),
+            work_s=0.01 if self.fails else random.Random(task).choice(WORK_S),
+            how=how,
+        )
