A node that ends takes no job that would outlive it

Change: while a node drains, a job whose time bound passes the end of the process is refused as not run, and all others are answered by then. The route's timeout was read and never used; it is gone.

--- a/sardineproxy/platform/configuration.py
+++ b/sardineproxy/platform/configuration.py
@@ -51,7 +51,6 @@
         host=fields.text(document, 'host'),
         path_prefix=fields.text(document, 'path_prefix'),
         service=ids.ServiceId(fields.text(document, 'service')),
-        timeout_s=fields.number(document, 'timeout_ms') / _MS_PER_S,
         stretch=fields.number(document, 'stretch', 1),
         slack_s=fields.number(document, 'target_latency_ms', 0) / _MS_PER_S,
         priority=fields.whole(document, 'priority', 0),
--- a/sardineproxy/process/node/node.py
+++ b/sardineproxy/process/node/node.py
@@ -61,6 +61,10 @@
 #: does so after this time, in seconds.
 CALL_WAIT_S = 0.5
 
+#: When to come back after a refusal by a process that ends, in seconds; other
+#: VMs take the job at once.
+DRAINING_RETRY_S = 1.0
+
 #: Shortest and longest pause before a registration is tried again, in seconds.
 REGISTER_RETRY_MIN_S = 0.3
 REGISTER_RETRY_MAX_S = 0.6
@@ -161,7 +165,9 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._ticked_at = self._clock.now()
         self._refuse_until: float = 0
-        self.draining = False
+
+        #: Local time at which a shutdown ends, None while there is none.
+        self._ends_at: float | None = None
 
     async def start(self) -> None:
         """Listen for links, register, and follow the store."""
@@ -187,11 +193,16 @@
         await self.holdings.close()
         await self.links.close()
 
-    def hand_over(self) -> None:
-        """Ask other VMs to take this process's cells."""
-        self.draining = True
+    def drain(self, *, ends_at: float) -> None:
+        """Ask other VMs to take the cells; this process ends at ``ends_at``."""
+        self._ends_at = ends_at
         self.holdings.hand_over()
 
+    @property
+    def draining(self) -> bool:
+        """Tell whether the process shuts down."""
+        return self._ends_at is not None
+
     # Jobs.
 
     def is_ready(self) -> bool:
@@ -214,16 +225,16 @@
         """Run a job for a client that waits ``wait_s`` seconds."""
         now = self._clock.now()
         self.metrics.count('jobs_total', route=route.route)
-        outcome = await self.board.run(
-            coordinator.Coordinator(
-                job=job,
-                route=route,
-                router=self,
-                clock=self._clock,
-                arrived_at=now,
-                deadline=now + wait_s,
+        outcome: jobs.Outcome
+        if self._ends_at is not None and (
+            now + route.bound_s(job.expected_s) > self._ends_at
+        ):
+            outcome = jobs.NotRun(
+                detail='process ends before the job would',
+                retry_after_s=DRAINING_RETRY_S,
             )
-        )
+        else:
+            outcome = await self._run(job, route, now, wait_s)
         took_s = self._clock.now() - now
         kind = type(outcome).__name__
         self.metrics.count('jobs_answered_total', outcome=kind)
@@ -369,6 +380,23 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
+    async def _run(
+        self, job: jobs.Job, route: routes.Route, now: float, wait_s: float
+    ) -> jobs.Outcome:
+        deadline = now + wait_s
+        if self._ends_at is not None:
+            deadline = min(deadline, self._ends_at)
+        return await self.board.run(
+            coordinator.Coordinator(
+                job=job,
+                route=route,
+                router=self,
+                clock=self._clock,
+                arrived_at=now,
+                deadline=deadline,
+            )
+        )
+
     def _make_followers(self) -> dict[str, following.TableFollower]:
         tables = {
             self._formats.configuration_table: (
--- a/sardineproxy/process/node/service.py
+++ b/sardineproxy/process/node/service.py
@@ -138,8 +138,8 @@
         """Answer what is in progress before the grace ends."""
         started = self._clock.now()
         _LOG.info('Stopping.', extra={'requests': self._front.busy})
-        self._node.hand_over()
         limit = started + self._cfg.bounds.grace_s - CLOSE_S
+        self._node.drain(ends_at=limit)
         while self._clock.now() < limit:
             await asyncio.sleep(DRAIN_STEP_S)
             has_waited = self._clock.now() - started > NOTICE_S
--- a/sardineproxy/request/jobs.py
+++ b/sardineproxy/request/jobs.py
@@ -77,6 +77,11 @@
     payload: str
     steps: tuple[Step, ...]
 
+    @property
+    def expected_s(self) -> float:
+        """Return the client's estimate for the steps in a row, in seconds."""
+        return sum(step.estimate_s for step in self.steps)
+
 
 class TaskEnd(enum.Enum):
     """What a coordinator is told of a task."""
--- a/sardineproxy/version/routes.py
+++ b/sardineproxy/version/routes.py
@@ -15,9 +15,6 @@
     path_prefix: str
     service: ids.ServiceId
 
-    #: Longest time from request to answer, in seconds.
-    timeout_s: float
-
     #: A job is on time within ``stretch`` times its longest task and
     #: ``slack_s`` seconds more.
     stretch: float
@@ -29,6 +26,10 @@
     #: Runs of a task that may fail before its job fails.
     max_attempts: int
 
+    def bound_s(self, expected_s: float) -> float:
+        """Return within which time a job is on time, in seconds."""
+        return expected_s * self.stretch + self.slack_s
+
 
 class RoutingTable:
     """The routes of one version."""
--- a/tests/platform/store_server.py
+++ b/tests/platform/store_server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import base64
+import contextlib
 import enum
 import json
 import random
@@ -74,7 +75,8 @@
                 await self._answer(req)
                 endpoint_reset.reset(req.transport)
             case Trouble.NONE:
-                return await self._answer(req)
+                with contextlib.suppress(ConnectionResetError):
+                    return await self._answer(req)
         return web.Response(status=500)
 
     async def _answer(self, req: web.BaseRequest) -> web.Response:
--- /dev/null
+++ b/tests/process/node/samples.py
@@ -0,0 +1,97 @@
+"""A node without sockets, with a store and workers that a test holds."""
+
+import random
+from typing import Any
+
+import result
+
+from sardineproxy import deployment, ids
+from sardineproxy.platform import settings
+from sardineproxy.process import metrics, store
+from sardineproxy.process.node import node, policy, service
+from sardineproxy.request import jobs
+from sardineproxy.standin import row_store
+from sardineproxy.version import routes
+from tests import virtual_time
+from tests.platform import samples as documents
+from tests.process.cells import samples
+
+ROUTE = routes.Route(
+    route=ids.RouteId('r'),
+    host='a.example',
+    path_prefix='/jobs/',
+    service=samples.SERVICE,
+    stretch=1.6,
+    slack_s=0.06,
+    priority=0,
+    max_attempts=2,
+)
+
+
+class MemoryStore:
+    """Implements ``store.Store`` on rows in memory."""
+
+    def __init__(self) -> None:
+        self.rows = row_store.RowStore()
+        self.is_down = False
+
+    async def read(self, table: str) -> Any:
+        return self._answer(self.rows.read(table))
+
+    async def changes(self, table: str, *, after: int, wait_s: float) -> Any:
+        return self._answer(self.rows.changes(table, after=after))
+
+    async def transact(self, **changes: Any) -> Any:
+        if self.is_down:
+            return _unavailable()
+        done = self.rows.transact(**changes)
+        if isinstance(done, row_store.Conflict):
+            return result.Err(
+                store.StoreError(kind=store.ErrorKind.CONFLICT, detail='')
+            )
+        return result.Ok(done)
+
+    def _answer(self, page: Any) -> Any:
+        if self.is_down or page is None:
+            return _unavailable()
+        return result.Ok(store.Rows(rows=page.rows, revision=page.revision))
+
+
+def make_job(**changes: Any) -> jobs.Job:
+    """Return a job of one task of 0.3 s."""
+    step = jobs.Step(
+        count=1, shape=samples.usual_work('', 1).shape, estimate_s=0.3
+    )
+    fields: dict[str, Any] = {
+        'job': ids.JobId('00000000000000a1'),
+        'payload': 'text',
+        'steps': (step,),
+    }
+    return jobs.Job(**{**fields, **changes})
+
+
+def make_deployment() -> deployment.Deployment:
+    """Return the deployment of the sample settings."""
+    return settings.decode(documents.SETTINGS.encode()).unwrap()
+
+
+def make_node(shared: MemoryStore, api: Any) -> node.Node:
+    """Return a node that has not been started."""
+    return node.Node(
+        cfg=make_deployment(),
+        rules=policy.Policy(),
+        outside=node.Outside(
+            clock=virtual_time.LoopClock(),
+            rng=random.Random(1),
+            store=shared,
+            workers=api,
+            formats=service.platform_formats(),
+            registry=metrics.Metrics(),
+        ),
+    )
+
+
+def _unavailable() -> Any:
+    return result.Err(
+        store.StoreError(kind=store.ErrorKind.UNAVAILABLE, detail='down')
+    )
