--- a/sardineproxy/process/cells/agent.py
+++ b/sardineproxy/process/cells/agent.py
@@ -5,71 +5,28 @@
 """
 
 import asyncio
-import dataclasses
 from typing import Coroutine, Protocol
 
 from sardineproxy import clock, logs
 from sardineproxy.process import metrics
-from sardineproxy.process.cells import fences, health, runs, workers
+from sardineproxy.process.cells import (
+    fences,
+    health,
+    lease,
+    ledger,
+    reports,
+    runs,
+    times,
+    workers,
+)
 
 _LOG = logs.get_logger('worker')
 
-_MS_PER_S = 1000
-
 _State = runs.RunState
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Config:
-    """Times of calls to workers, in seconds."""
-
-    #: Longest wait for the answer to an order. A round trip in a zone takes
-    #: 0.2 ms and the worker 0.5 ms; the shortest job must be on time within
-    #: 0.15 s even if its order is lost.
-    order_timeout_s: float = 0.06
-
-    #: Longest wait of a worker for a new end. The lease must be extended
-    #: twice in its time even if one answer is lost.
-    look_wait_s: float = 0.3
-
-    #: Time for the answer to a look beyond its wait.
-    look_timeout_s: float = 0.1
-
-    #: Longest lease of what runs.
-    lease_s: float = 1.0
-
-    #: A worker's clock may be this much slower than ours.
-    clock_error: float = 0.02
-
-    #: Allowance for the way of an order to a worker, in seconds.
-    travel_s: float = 0.05
-
-    #: Pauses between looks at a silent worker.
-    silent_pause_s: float = 0.1
-    silent_pause_max_s: float = 0.8
-
-    #: A run that is listed this long after its stop is stopped again. The
-    #: platform's bound of a stop is 0.05 s.
-    stop_retry_s: float = 0.15
-
-    #: A run without progress for ``standstill_s`` and this share of its
-    #: expected time is started elsewhere. Progress is told in percent, at
-    #: least every ``look_wait_s``.
-    standstill_s: float = 0.4
-    standstill_share: float = 0.05
-
-    #: Pause before a look that only acknowledges ends.
-    ack_pause_s: float = 0.2
-
-
-class Events(Protocol):
-    """Hears what becomes of runs."""
-
-    def ended(self, run: runs.Run, how: workers.Ending) -> None:
-        """A run ended as its worker says."""
-
-    def lost(self, run: runs.Run, cause: str) -> None:
-        """A run does not exist any more, or never will."""
+class Events(reports.Events, Protocol):
+    """Hears what becomes of runs and of the worker."""
 
     def has_room(self) -> None:
         """Room became free."""
@@ -93,37 +50,33 @@
         clock: clock.Clock,
         metrics: metrics.Metrics,
         events: Events,
-        cfg: Config,
+        cfg: times.Calls,
     ) -> None:
         """Start without knowledge of what runs on the worker."""
         self.worker = worker
         self.right = right
         self.health = health.Health()
-        self.runs: dict[workers.TaskName, runs.Run] = {}
-
-        #: Runs that were ordered by another process, by task.
-        self.unknown: dict[workers.TaskName, workers.Running] = {}
-
-        #: Ends of such runs, kept while coordinators may ask for them.
-        self.foreign_ends: dict[workers.TaskName, workers.End] = {}
-        self.keeps_foreign_ends = True
-        #: Room that nothing takes.
-        self.free = worker.capacity
+        self.ledger = ledger.Ledger(capacity=worker.capacity)
         self._api = api
         self._clock = clock
         self._metrics = metrics
         self._events = events
         self._cfg = cfg
+        self._lease = lease.Lease(cfg=cfg)
+        self._reports = reports.Reports(
+            worker=worker.worker,
+            ledger=self.ledger,
+            health=self.health,
+            events=events,
+            orders=self,
+            cfg=cfg,
+        )
         self._count = 0
-        self._acked = 0
         self._ack_sent = 0
         self._born_ms = 0
-        self._clock_ms = 0
-        self._clock_at: float = 0
         self._in_doubt = True
         self._leaving = False
         self._silent_since: float | None = None
-        self._lease_until: float = 0
         self._silent_looks = 0
         self._wake = asyncio.Event()
         self._look: asyncio.Task[object] | None = None
@@ -157,11 +110,13 @@
 
     def takes_work(self, now: float) -> bool:
         """Tell whether runs may be ordered."""
-        if self._in_doubt or self._leaving or self.is_silent or self.unknown:
+        if self._in_doubt or self._leaving or self.is_silent:
             return False
         if self.worker.state is not workers.WorkerState.READY:
             return False
-        if self.health.on_probation and self.runs:
+        if self.ledger.unknown:
+            return False
+        if self.health.on_probation and self.ledger.runs:
             return False
         return self.health.is_open(now)
 
@@ -173,12 +128,11 @@
                 extra={
                     'worker': worker.worker,
                     'state': worker.state.value,
-                    'running': len(self.runs),
+                    'running': len(self.ledger.runs),
                 },
             )
         reborn = worker.born_ms != self.worker.born_ms
-        taken = self.worker.capacity.minus(self.free)
-        self.free = worker.capacity.minus(taken)
+        self.ledger.resize(self.worker.capacity, worker.capacity)
         self.worker = worker
         self._leaving = False
         if reborn and worker.born_ms != self._born_ms:
@@ -202,8 +156,8 @@
         """Order a run; its room is taken from now on."""
         run.ordered_at = now
         run.fence = self.fence
-        run.expires_ms = self._lease_end(now)
-        self._hold(run)
+        run.expires_ms = self._lease.extend(now)
+        self.ledger.hold(run)
         self._spawn(self._order(run))
         self._wake.set()
 
@@ -217,22 +171,25 @@
             self._spawn(self._order_stop(run.task, run.number, run))
         self._wake.set()
 
+    def stop_again(self, run: runs.Run) -> None:
+        """Order the stop of a run once more."""
+        self._spawn(self._order_stop(run.task, run.number, run))
+
     def stop_unknown(self) -> None:
         """Stop what another process ordered and nobody asks for."""
-        for task, found in self.unknown.items():
+        for task, found in self.ledger.unknown.items():
             self._spawn(self._order_stop(task, found.run))
-        self.keeps_foreign_ends = False
-        self.foreign_ends.clear()
+        self.ledger.drop_foreign()
         self._wake.set()
 
     def adopt(self, run: runs.Run, now: float) -> None:
         """Take over a run that another process ordered."""
-        found = self.unknown.pop(run.task)
+        found = self.ledger.unknown.pop(run.task)
         run.state = _State.RUNNING
         run.started_at = now
         run.percent = found.percent
         run.sent = True
-        self._hold(run)
+        self.ledger.hold(run)
         self._wake.set()
 
     def doubt(self, why: str) -> None:
@@ -250,7 +207,7 @@
                 'worker': self.worker.worker,
                 'cause': why,
                 'fence': self.fence,
-                'runs': len(self.runs),
+                'runs': len(self.ledger.runs),
             },
         )
         if self._look is not None:
@@ -265,9 +222,11 @@
             'fence': self.fence,
             'in_doubt': self._in_doubt,
             'silent_s': self._silent_since and now - self._silent_since,
-            'free_millicores': self.free.millicores,
-            'runs': {run.task: run.state.value for run in self.runs.values()},
-            'unknown': list(self.unknown),
+            'free_millicores': self.ledger.free.millicores,
+            'runs': {
+                run.task: run.state.value for run in self.ledger.runs.values()
+            },
+            'unknown': list(self.ledger.unknown),
             'health': self.health.state(now),
         }
 
@@ -276,27 +235,6 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    def _hold(self, run: runs.Run) -> None:
-        self.runs[run.task] = run
-        self.free = self.free.minus(run.batch.shape)
-
-    def _release(self, run: runs.Run) -> None:
-        self.runs.pop(run.task)
-        self.free = self.free.plus(run.batch.shape)
-
-    def _worker_clock_ms(self, now: float) -> int:
-        """Return about what the worker's clock shows."""
-        return self._clock_ms + int((now - self._clock_at) * _MS_PER_S)
-
-    def _lease_end(self, now: float) -> int:
-        """Return the end of a lease from now on, on the worker's clock."""
-        self._lease_until = (
-            now
-            + self._cfg.lease_s * (1 + self._cfg.clock_error)
-            + self._cfg.travel_s
-        )
-        return self._worker_clock_ms(now) + int(self._cfg.lease_s * _MS_PER_S)
-
     async def _order(self, run: runs.Run) -> None:
         if run.state is _State.STOPPING:
             self._never_started(run, 'withdrawn before its order was sent')
@@ -315,11 +253,11 @@
         )
         now = self._clock.now()
         self._metrics.observe('worker_order_seconds', now - run.ordered_at)
-        if self.runs.get(run.task) is not run:
+        if self.ledger.runs.get(run.task) is not run:
             return
         match answer:
             case workers.Accepted():
-                self._note_running(run, now)
+                run.note_running(now)
             case workers.Refused():
                 self._note_refused(run, answer, now)
             case workers.Unanswered(unsent=True):
@@ -329,12 +267,6 @@
                 self._note_doubtful(run)
                 self.doubt(f'order of {run.task} not answered: {answer.cause}')
 
-    def _note_running(self, run: runs.Run, now: float) -> None:
-        if run.state in {_State.ORDERED, _State.DOUBTFUL}:
-            run.state = _State.RUNNING
-        if not run.started_at:
-            run.started_at = now
-
     def _note_doubtful(self, run: runs.Run) -> None:
         if run.state is _State.ORDERED:
             run.state = _State.DOUBTFUL
@@ -373,7 +305,7 @@
     def _never_started(self, run: runs.Run, cause: str) -> None:
         if run.state is _State.RUNNING:
             return
-        self._release(run)
+        self.ledger.release(run)
         self._events.lost(run, cause)
 
     async def _order_stop(
@@ -427,7 +359,7 @@
     async def _until_needed(self) -> None:
         while not self._is_needed():
             self._wake.clear()
-            must_ack = self._acked > self._ack_sent
+            must_ack = self._reports.acked > self._ack_sent
             pause_s = self._cfg.ack_pause_s if must_ack else None
             try:
                 async with asyncio.timeout(pause_s):
@@ -436,26 +368,22 @@
                 return
 
     def _is_needed(self) -> bool:
-        return bool(
-            self.runs
-            or self.unknown
-            or self._in_doubt
-            or self._silent_since is not None
-        )
+        return not self.ledger.is_empty or self._in_doubt or self.is_silent
 
     def _next_look(self, now: float) -> workers.Look:
         wanted = any(
-            run.state is not _State.STOPPING for run in self.runs.values()
+            run.state is not _State.STOPPING
+            for run in self.ledger.runs.values()
         )
         expires_ms = None
         # The runs of a silent worker must end some time, heard or not.
-        extends = (wanted or self.unknown) and self._silent_since is None
-        if extends and self._clock_ms:
-            expires_ms = self._lease_end(now)
-        at_once = self._in_doubt or not (self.runs or self.unknown)
+        extends = (wanted or self.ledger.unknown) and not self.is_silent
+        if extends and self._lease.is_known:
+            expires_ms = self._lease.extend(now)
+        at_once = self._in_doubt or self.ledger.is_empty
         return workers.Look(
             fence=self.fence,
-            acked=self._acked,
+            acked=self._reports.acked,
             expires_ms=expires_ms,
             wait_s=0 if at_once else self._cfg.look_wait_s,
         )
@@ -520,11 +448,11 @@
 
     def _drop_lapsed(self, now: float) -> None:
         """Give up the runs of a silent worker once their lease has expired."""
-        if now < self._lease_until:
+        if not self._lease.has_expired(now):
             return
-        self.unknown.clear()
-        for run in list(self.runs.values()):
-            self._release(run)
+        self.ledger.unknown.clear()
+        for run in list(self.ledger.runs.values()):
+            self.ledger.release(run)
             self._events.lost(run, 'lease expired on a silent worker')
 
     def _take_report(
@@ -538,19 +466,16 @@
             self._start_anew(report)
             if look.acked:
                 return
-        if report.clock_ms < self._clock_ms:
+        if report.clock_ms < self._lease.clock_ms:
             # A newer report was faster.
             return
-        self._clock_ms = report.clock_ms
-        self._clock_at = now
+        self._lease.read(report.clock_ms, now)
         was_in_doubt = self._in_doubt
         if look.fence == self.fence:
             self._in_doubt = False
-        self._take_ends(report, now)
-        listed = {found.task: found for found in report.running}
-        self._take_running(listed, now)
-        self._drop_absent(look, listed, asked_at)
-        self._note_unknown(listed)
+        strays = self._reports.take(look, report, asked_at=asked_at, now=now)
+        if strays:
+            self._events.strays(self, strays)
         if was_in_doubt and not self._in_doubt:
             self._events.has_room()
 
@@ -562,110 +487,14 @@
                 extra={
                     'worker': self.worker.worker,
                     'born_ms': report.born_ms,
-                    'runs': len(self.runs),
+                    'runs': len(self.ledger.runs),
                 },
             )
             # Orders to the former life may still be carried out.
             self.doubt('started anew')
         self._born_ms = report.born_ms
-        self._acked = 0
+        self._reports.acked = 0
         self._ack_sent = 0
-        self._clock_ms = 0
-        self.unknown.clear()
-        self.health = health.Health()
-
-    def _take_ends(self, report: workers.Report, now: float) -> None:
-        for end in report.ended:
-            if end.number <= self._acked:
-                continue
-            self._acked = end.number
-            run = self.runs.get(end.task)
-            self.unknown.pop(end.task, None)
-            if run is None or run.number != end.run:
-                if self.keeps_foreign_ends:
-                    self.foreign_ends[end.task] = end
-                continue
-            self._release(run)
-            self.health.ended(run, end.how, now)
-            self._events.ended(run, end.how)
-
-    def _take_running(
-        self, listed: dict[workers.TaskName, workers.Running], now: float
-    ) -> None:
-        for task, found in listed.items():
-            run = self.runs.get(task)
-            if run is not None and run.number == found.run:
-                self._note_running(run, now)
-                self._note_progress(run, found.percent, now)
-                if run.withdrawn:
-                    run.withdrawn = False
-                    self.stop(run)
-                self._stop_again(run, now)
-
-    def _note_progress(self, run: runs.Run, percent: float, now: float) -> None:
-        """Stop a run that stands still, so that it starts elsewhere."""
-        if percent > run.percent or not run.progress_at:
-            run.percent = percent
-            run.progress_at = now
-            self.health.progressed(run, now)
-            return
-        still_s = now - run.progress_at
-        bound_s = self._cfg.standstill_s + (
-            self._cfg.standstill_share * run.batch.work_s / self.health.speed
-        )
-        if run.state is not _State.RUNNING or still_s < bound_s:
-            return
-        _LOG.warning(
-            'Run stands still.',
-            extra={
-                'worker': self.worker.worker,
-                'task': run.task,
-                'run': run.number,
-                'percent': percent,
-                'still_s': round(still_s, 3),
-            },
-        )
-        self.health.stood_still(now)
-        self.stop(run)
-
-    def _stop_again(self, run: runs.Run, now: float) -> None:
-        """Repeat a stop that had no effect."""
-        is_due = now - run.stop_at > self._cfg.stop_retry_s
-        if run.state is _State.STOPPING and is_due:
-            run.stop_at = now
-            self._spawn(self._order_stop(run.task, run.number, run))
-
-    def _drop_absent(
-        self,
-        look: workers.Look,
-        listed: dict[workers.TaskName, workers.Running],
-        asked_at: float,
-    ) -> None:
-        """Give up runs that are not listed and cannot start any more.
-
-        What was known before the look was sent must show in its answer.
-        """
-        for run in list(self.runs.values()):
-            found = listed.get(run.task)
-            if found is not None and found.run == run.number:
-                continue
-            was_running = 0 < run.started_at < asked_at
-            was_stopped = 0 < run.stopped_at < asked_at
-            cannot_start = (
-                run.state is _State.DOUBTFUL and run.fence < look.fence
-            )
-            if was_running or was_stopped or cannot_start:
-                self._release(run)
-                self._events.lost(run, 'not listed by its worker')
-
-    def _note_unknown(
-        self, listed: dict[workers.TaskName, workers.Running]
-    ) -> None:
-        found = {
-            task: row
-            for task, row in listed.items()
-            if task not in self.runs or self.runs[task].number != row.run
-        }
-        self.unknown = found
-        if found:
-            self._events.strays(self, list(found.values()))
+        self._lease.forget_clock()
+        self.ledger.unknown.clear()
+        self.health.reset()
--- a/sardineproxy/process/cells/cell.py
+++ b/sardineproxy/process/cells/cell.py
@@ -1,6 +1,5 @@
 """A cell that this process owns: queue, placement, and ends of tasks."""
 
-import dataclasses
 from typing import Iterable, Mapping, Protocol
 
 from sardineproxy import clock, ids, logs
@@ -12,6 +11,7 @@
     placement,
     recall,
     runs,
+    times,
     workers,
 )
 from sardineproxy.request import jobs
@@ -19,32 +19,6 @@
 _LOG = logs.get_logger('cell')
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Config:
-    """Times of a cell, in seconds."""
-
-    calls: agent.Config = agent.Config()
-
-    #: A new owner waits this long for reports of all workers before it
-    #: answers coordinators that resume their jobs.
-    sync_s: float = 0.3
-
-    #: Runs of a former owner that no coordinator asks for are stopped after
-    #: this time.
-    adopt_s: float = 0.5
-
-    #: Runs of a coordinator whose link is lost are stopped after this time.
-    orphan_s: float = 0.3
-
-    #: Time for which ends are kept for jobs that are sent again. A client
-    #: does so 1.3 s after a failure, and late copies come after seconds.
-    recall_s: float = 10.0
-
-    #: Multiple of the time in which a job is on time after which it is worth
-    #: nothing.
-    late_factor: float = 3.0
-
-
 class Events(Protocol):
     """Hears of the cell's end."""
 
@@ -68,7 +42,7 @@
         metrics: metrics.Metrics,
         events: Events,
         others: Mapping[ids.CellId, int],
-        cfg: Config,
+        cfg: times.Cell,
     ) -> None:
         """Own a cell; ``others`` tells how much room other cells have."""
         self.cell = cell
@@ -359,7 +333,7 @@
     def _adopt(self, batch: runs.Batch, index: int, now: float) -> bool:
         name = runs.task_name(batch.job, batch.step, index)
         for each in self._agents.values():
-            found = each.unknown.get(name)
+            found = each.ledger.unknown.get(name)
             if found is not None:
                 run = runs.Run(
                     task=name,
@@ -374,7 +348,7 @@
                 batch.tasks[index] = runs.Task(number=found.run + 1, run=run)
                 batch.started = True
                 return True
-            end = each.foreign_ends.get(name)
+            end = each.ledger.foreign_ends.get(name)
             if end is not None and end.how is workers.Ending.DONE:
                 self._send_end(batch, index, end.run, jobs.TaskEnd.DONE)
                 return True
--- a/sardineproxy/process/cells/health.py
+++ b/sardineproxy/process/cells/health.py
@@ -37,6 +37,10 @@
 
     def __init__(self) -> None:
         """Start as sound and of average speed."""
+        self.reset()
+
+    def reset(self) -> None:
+        """Forget everything: the worker started anew."""
         self._failed_jobs: set[str] = set()
         self._closures = 0
         self._closed_until: float = 0
--- a/sardineproxy/process/cells/placement.py
+++ b/sardineproxy/process/cells/placement.py
@@ -64,15 +64,15 @@
     if not millicores:
         return 0
     return sum(
-        max(0, candidate.free.millicores // millicores)
+        max(0, candidate.ledger.free.millicores // millicores)
         for candidate in candidates
     )
 
 
 def _has_room(batch: runs.Batch, candidate: agent.Agent) -> bool:
     return (
-        batch.shape.millicores <= candidate.free.millicores
-        and batch.shape.fits(candidate.free)
+        batch.shape.millicores <= candidate.ledger.free.millicores
+        and batch.shape.fits(candidate.ledger.free)
         and candidate.worker.service == batch.service
         and (not batch.requires or batch.requires in candidate.worker.labels)
     )
@@ -80,5 +80,7 @@
 
 def _cost(batch: runs.Batch, candidate: agent.Agent) -> float:
     capacity = candidate.worker.capacity.millicores or 1
-    left = (candidate.free.millicores - batch.shape.millicores) / capacity
+    left = (
+        candidate.ledger.free.millicores - batch.shape.millicores
+    ) / capacity
     return (1 + OPEN_ROOM_COST * left) / candidate.health.speed
--- a/sardineproxy/process/cells/runs.py
+++ b/sardineproxy/process/cells/runs.py
@@ -63,6 +63,13 @@
     stop_at: float = 0
     stopped_at: float = 0
 
+    def note_running(self, now: float) -> None:
+        """Note that its worker has started it."""
+        if self.state in {RunState.ORDERED, RunState.DOUBTFUL}:
+            self.state = RunState.RUNNING
+        if not self.started_at:
+            self.started_at = now
+
 
 @dataclasses.dataclass(kw_only=True, slots=True)
 class Task:
--- a/sardineproxy/process/node/holdings.py
+++ b/sardineproxy/process/node/holdings.py
@@ -8,7 +8,7 @@
 from sardineproxy.connection import link, messages
 from sardineproxy.process import metrics
 from sardineproxy.process.cells import cell as cells
-from sardineproxy.process.cells import fences, workers
+from sardineproxy.process.cells import fences, times, workers
 from sardineproxy.process.membership import links
 from sardineproxy.process.node import claiming
 
@@ -65,7 +65,7 @@
     api: workers.WorkerApi
     clock: clock.Clock
     metrics: metrics.Metrics
-    cfg: cells.Config
+    cfg: times.Cell
 
 
 class Holdings:  # noqa: WPS214
--- a/sardineproxy/process/node/policy.py
+++ b/sardineproxy/process/node/policy.py
@@ -8,8 +8,7 @@
 import result
 
 from sardineproxy import json_text
-from sardineproxy.process.cells import agent
-from sardineproxy.process.cells import cell as cells
+from sardineproxy.process.cells import times
 
 #: Largest settings file, in bytes.
 MAX_SETTINGS_BYTES = 65_536
@@ -22,7 +21,7 @@
 class Policy:
     """Times of cells and of calls to workers."""
 
-    cell: cells.Config = cells.Config()
+    cell: times.Cell = times.Cell()
 
 
 def load(path: pathlib.Path) -> result.Result[Policy, str]:
@@ -43,10 +42,10 @@
     unknown = set(document).difference(_SECTIONS)
     if unknown:
         return result.Err(f'{min(unknown)}: unknown section')
-    workers = _section(agent.Config, document.get('workers', {}), 'workers')
+    workers = _section(times.Calls, document.get('workers', {}), 'workers')
     if isinstance(workers, result.Err):
         return workers
-    of_cell = _section(cells.Config, document.get('cell', {}), 'cell')
+    of_cell = _section(times.Cell, document.get('cell', {}), 'cell')
     if isinstance(of_cell, result.Err):
         return of_cell
     cell_cfg = dataclasses.replace(of_cell.ok_value, calls=workers.ok_value)
--- a/tests/process/cells/samples.py
+++ b/tests/process/cells/samples.py
@@ -7,7 +7,7 @@
 from sardineproxy.connection import messages
 from sardineproxy.process import metrics
 from sardineproxy.process.cells import cell as cells
-from sardineproxy.process.cells import fences, workers
+from sardineproxy.process.cells import fences, times, workers
 from sardineproxy.request import jobs
 from sardineproxy.standin import worker_model
 from tests import virtual_time
@@ -115,11 +115,11 @@
         *,
         count: int = 1,
         work_of: worker_model.WorkOf = usual_work,
-        cfg: cells.Config | None = None,
+        cfg: times.Cell | None = None,
         **changes: Any,
     ) -> None:
         self.clock = virtual_time.LoopClock()
-        self.cfg = cfg or cells.Config()
+        self.cfg = cfg or times.Cell()
         self.models = {
             f'w{number}': worker_model.WorkerModel(
                 worker=make_worker(f'w{number}', **changes), work_of=work_of
