Forget workers that have left; a new owner's takeover is a module of its own

Change: an agent whose worker is not listed, on which nothing can run any more, is dropped; its count of fences is kept, as the worker may come back. Tests: without the drop, and with a count that starts at 0, the two new tests fail. Orders are logged with the age of the list of workers.

--- a/sardineproxy/process/cells/agent.py
+++ b/sardineproxy/process/cells/agent.py
@@ -51,8 +51,13 @@
         metrics: metrics.Metrics,
         events: Events,
         cfg: times.Calls,
+        count: int = 0,
     ) -> None:
-        """Start without knowledge of what runs on the worker."""
+        """Start without knowledge of what runs on the worker.
+
+        ``count`` is that of a former agent of this owner, as the worker may
+        have seen its fence.
+        """
         self.worker = worker
         self.right = right
         self.health = health.Health()
@@ -71,7 +76,7 @@
             orders=self,
             cfg=cfg,
         )
-        self._count = 0
+        self.count = count
         self._ack_sent = 0
         self._born_ms = 0
         self._in_doubt = True
@@ -93,10 +98,15 @@
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
 
+    def abandon(self) -> None:
+        """Stop all calls without waiting for their end."""
+        for task in self._tasks:
+            task.cancel()
+
     @property
     def fence(self) -> int:
         """Return the fence of orders from now on."""
-        return self.right.fence(self._count)
+        return self.right.fence(self.count)
 
     @property
     def is_synced(self) -> bool:
@@ -108,6 +118,14 @@
         """Tell whether the worker has not answered its last call."""
         return self._silent_since is not None
 
+    def is_gone(self, now: float) -> bool:
+        """Tell whether the worker has left and nothing can run on it."""
+        return (
+            self._leaving
+            and self.ledger.is_empty
+            and self._lease.has_expired(now)
+        )
+
     def takes_work(self, now: float) -> bool:
         """Tell whether runs may be ordered."""
         if self._in_doubt or self._leaving or self.is_silent:
@@ -150,7 +168,7 @@
     def renew(self, right: fences.Right) -> None:
         """Use a higher right of the same owner from now on."""
         self.right = right
-        self._count = 0
+        self.count = 0
 
     def start(self, run: runs.Run, now: float) -> None:
         """Order a run; its room is taken from now on."""
@@ -198,7 +216,7 @@
         The higher fence makes sure that orders without an answer are not
         carried out after that report.
         """
-        self._count += 1
+        self.count += 1
         self._in_doubt = True
         self._metrics.count('worker_doubts_total')
         _LOG.info(
--- a/sardineproxy/process/cells/cell.py
+++ b/sardineproxy/process/cells/cell.py
@@ -11,6 +11,7 @@
     placement,
     recall,
     runs,
+    takeover,
     times,
     workers,
 )
@@ -53,20 +54,22 @@
         self._events = events
         self._others = others
         self._cfg = cfg
-        self._opened_at = clock.now()
         self._agents: dict[ids.WorkerId, agent.Agent] = {}
+        #: Counts of fences of workers that have left, as one may come back.
+        self._former_counts: dict[ids.WorkerId, int] = {}
         self._batches: dict[BatchKey, runs.Batch] = {}
-        self._resumes: list[tuple[link.Link, messages.Submit]] = []
         self._recall = recall.Recall(keep_s=cfg.recall_s)
         self._typical_millicores = 14_000.0
         self._best_speed = 1.0
 
         #: Runs that may exist, also of tasks that are no longer wanted.
         self._live: dict[workers.TaskName, runs.Run] = {}
+        self._takeover = takeover.Takeover(
+            agents=self._agents, cfg=cfg, opened_at=clock.now()
+        )
 
-        #: True once all workers are known that a former owner may have used.
-        self._knows_workers = False
-        self._is_adopting = True
+        #: Local time of the list of workers, in seconds.
+        self._listed_at: float = 0
 
     async def close(self) -> None:
         """Stop all calls to workers; what runs there runs on."""
@@ -74,13 +77,19 @@
             await each.close()
 
     def set_workers(
-        self, listed: Iterable[workers.Worker], *, complete: bool
+        self,
+        listed: Iterable[workers.Worker],
+        *,
+        complete: bool,
+        listed_at: float,
     ) -> None:
         """Use the newest list of the cell's workers.
 
         It is ``complete`` if it is no older than a former owner's.
         """
-        self._knows_workers = self._knows_workers or complete
+        self._listed_at = listed_at
+        if complete:
+            self._takeover.knows_workers = True
         by_id = {worker.worker: worker for worker in listed}
         for worker_id, worker in by_id.items():
             known = self._agents.get(worker_id)
@@ -88,7 +97,7 @@
                 self._add(worker)
             elif known.worker != worker:
                 known.update(worker)
-        for worker_id, gone in list(self._agents.items()):
+        for worker_id, gone in self._agents.items():
             if worker_id not in by_id:
                 gone.leave()
 
@@ -99,8 +108,8 @@
         known = self._batches.get((asked.job, asked.step))
         if known:
             self._rejoin(known, source, asked)
-        elif asked.resumed and self._is_syncing(now):
-            self._resumes.append((source, asked))
+        elif asked.resumed and self._takeover.is_syncing(now):
+            self._takeover.wait(source, asked)
         elif asked.resumed:
             self._resume(source, asked, now)
         else:
@@ -111,11 +120,7 @@
         for batch in list(self._batches.values()):
             if batch.job == job and batch.link is source:
                 self._drop(batch, 'withdrawn')
-        self._resumes = [
-            (asker, asked)
-            for asker, asked in self._resumes
-            if asked.job != job or asker is not source
-        ]
+        self._takeover.forget(source, job)
 
     def link_lost(self, lost: link.Link, now: float) -> None:
         """Keep the tasks of a coordinator for a short while."""
@@ -123,9 +128,7 @@
             if batch.link is lost:
                 batch.link = None
                 batch.orphaned_at = now
-        self._resumes = [
-            resume for resume in self._resumes if resume[0] is not lost
-        ]
+        self._takeover.forget(lost)
 
     def free_tasks(self, now: float) -> int:
         """Return how many more average tasks could start now."""
@@ -138,6 +141,7 @@
     def renew(self, right: fences.Right) -> None:
         """Use a higher right of this owner from now on."""
         self.right = right
+        self._former_counts.clear()
         for each in self._agents.values():
             each.renew(right)
 
@@ -148,15 +152,10 @@
 
     def tick(self, now: float) -> None:
         """Do what is due."""
-        if self._resumes and not self._is_syncing(now):
-            resumes = self._resumes
-            self._resumes = []
-            for source, asked in resumes:
-                self._resume(source, asked, now)
-        if self._is_adopting and now >= self._opened_at + self._cfg.adopt_s:
-            self._is_adopting = False
-            for each in self._agents.values():
-                each.stop_unknown()
+        for request in self._takeover.due(now):
+            self._resume(request.source, request.asked, now)
+        self._takeover.tick(now)
+        self._drop_gone(now)
         for batch in list(self._batches.values()):
             if batch.link is None and (
                 now >= batch.orphaned_at + self._cfg.orphan_s
@@ -255,11 +254,19 @@
 
     def strays(self, source: agent.Agent, found: list[workers.Running]) -> None:
         """Stop runs that nobody asked for, unless they may be adopted."""
-        if not self._is_adopting:
+        if not self._takeover.is_open:
             source.stop_unknown()
 
     # Life of a batch.
 
+    def _drop_gone(self, now: float) -> None:
+        """Forget workers that have left for good."""
+        for worker_id, each in list(self._agents.items()):
+            if each.is_gone(now):
+                self._agents.pop(worker_id)
+                self._former_counts[worker_id] = each.count
+                each.abandon()
+
     def _add(self, worker: workers.Worker) -> None:
         added = agent.Agent(
             worker=worker,
@@ -269,20 +276,11 @@
             metrics=self._metrics,
             events=self,
             cfg=self._cfg.calls,
+            count=self._former_counts.pop(worker.worker, -1) + 1,
         )
         self._agents[worker.worker] = added
         added.open()
 
-    def _is_syncing(self, now: float) -> bool:
-        waited = now >= self._opened_at + self._cfg.sync_s
-        return not waited and not self._knows_all_runs()
-
-    def _knows_all_runs(self) -> bool:
-        """Tell whether all workers have reported to this owner."""
-        return self._knows_workers and all(
-            each.is_synced for each in self._agents.values()
-        )
-
     def _rejoin(
         self, known: runs.Batch, source: link.Link, asked: messages.Submit
     ) -> None:
@@ -306,7 +304,7 @@
         self, source: link.Link, asked: messages.Submit, now: float
     ) -> None:
         """Take over what a former owner ordered for a coordinator."""
-        is_sure = self._knows_all_runs()
+        is_sure = self._takeover.knows_all_runs()
         batch = self._new_batch(source, asked, now)
         fresh: dict[int, int] = {}
         for index, number in asked.tasks:
@@ -331,28 +329,19 @@
             self._take(source, asked, fresh, now)
 
     def _adopt(self, batch: runs.Batch, index: int, now: float) -> bool:
-        name = runs.task_name(batch.job, batch.step, index)
-        for each in self._agents.values():
-            found = each.ledger.unknown.get(name)
-            if found is not None:
-                run = runs.Run(
-                    task=name,
-                    number=found.run,
-                    batch=batch,
-                    index=index,
-                    worker=each.worker.worker,
-                    ordered_at=now,
-                )
-                each.adopt(run, now)
-                self._live[name] = run
-                batch.tasks[index] = runs.Task(number=found.run + 1, run=run)
-                batch.started = True
-                return True
-            end = each.ledger.foreign_ends.get(name)
-            if end is not None and end.how is workers.Ending.DONE:
-                self._send_end(batch, index, end.run, jobs.TaskEnd.DONE)
-                return True
-        return False
+        """Take a task over, or answer for it, if a worker lists it."""
+        run = self._takeover.adopt(batch, index, now)
+        if run is not None:
+            self._live[run.task] = run
+            batch.tasks[index] = runs.Task(number=run.number + 1, run=run)
+            batch.started = True
+            return True
+        end = self._takeover.find_done(
+            runs.task_name(batch.job, batch.step, index)
+        )
+        if end is not None:
+            self._send_end(batch, index, end.run, jobs.TaskEnd.DONE)
+        return end is not None
 
     def _new_batch(
         self, source: link.Link, asked: messages.Submit, now: float
@@ -502,6 +491,8 @@
                     'age_s': round(now - batch.arrived_at, 4),
                     'due_s': round(batch.due_at - now, 4),
                     'epoch': self.right.epoch,
+                    'rank': self.right.rank,
+                    'list_age_s': round(now - self._listed_at, 3),
                 },
             )
 
--- a/sardineproxy/process/node/holdings.py
+++ b/sardineproxy/process/node/holdings.py
@@ -48,6 +48,9 @@
     def knows_all_workers(self) -> bool:
         """Tell whether no worker can be missing from the list."""
 
+    def listed_at(self) -> float:
+        """Return the local time of the list of workers, in seconds."""
+
     def is_alone(self) -> bool:
         """Tell whether no other VM of several is in reach."""
 
@@ -207,6 +210,7 @@
         owned.set_workers(
             self._around.workers_of(owned.cell),
             complete=self._around.knows_all_workers(),
+            listed_at=self._around.listed_at(),
         )
 
     def _review(self, now: float) -> None:
--- a/sardineproxy/process/node/node.py
+++ b/sardineproxy/process/node/node.py
@@ -330,6 +330,10 @@
         """Tell whether no worker can be missing from the list."""
         return worker_list.is_complete(self._roster, self._clock.now())
 
+    def listed_at(self) -> float:
+        """Return the local time of the list of workers, in seconds."""
+        return self._roster.answered_at or 0
+
     def is_alone(self) -> bool:
         """Tell whether no other VM of several is in reach."""
         return not self.links.open and len(self.directory.members) > 1
--- a/tests/process/cells/samples.py
+++ b/tests/process/cells/samples.py
@@ -153,15 +153,26 @@
             others=self.others,
             cfg=self.cfg,
         )
-        owned.set_workers(
-            [model.worker for model in self.models.values()],
-            complete=complete,
-        )
+        self.list_workers(owned, list(self.models.values()), complete=complete)
         self.cells.append(owned)
         if ticks:
             self._tickers.append(asyncio.create_task(self._tick(owned)))
         return owned
 
+    def list_workers(
+        self,
+        owned: cells.Cell,
+        models: list[worker_model.WorkerModel],
+        *,
+        complete: bool = True,
+    ) -> None:
+        """Hand an owner the list of its workers."""
+        owned.set_workers(
+            [model.worker for model in models],
+            complete=complete,
+            listed_at=self.clock.now(),
+        )
+
     async def ready(self, **kwargs: Any) -> cells.Cell:
         """Own the cell and wait for the first reports."""
         owned = self.own(**kwargs)
--- a/tests/process/cells/test_cell.py
+++ b/tests/process/cells/test_cell.py
@@ -174,6 +174,39 @@
 
         samples.with_rig(scenario)
 
+    def test_worker_that_left_is_not_asked_for_ever(self) -> None:
+        """Guards against looks at workers that are gone, which are priced."""
+
+        async def scenario(rig: samples.Rig) -> None:
+            owned = await rig.ready()
+            rig.models['w0'].crash(rig.clock.now())
+            rig.list_workers(owned, [])
+            await asyncio.sleep(3)
+            before = len(rig.wire.calls)
+            await asyncio.sleep(10)
+            self.assertEqual(before, len(rig.wire.calls))
+            self.assertEqual([], owned.state(rig.clock.now())['workers'])
+
+        samples.with_rig(scenario)
+
+    def test_worker_that_comes_back_knows_the_same_owner(self) -> None:
+        """Guards against a lower fence after a worker was away."""
+
+        async def scenario(rig: samples.Rig) -> None:
+            owned = await rig.ready()
+            for _ in range(3):
+                rig.list_workers(owned, [])
+                await asyncio.sleep(3)
+                rig.list_workers(owned, list(rig.models.values()))
+                await asyncio.sleep(1)
+            link = samples.FakeLink()
+            owned.submit(link, samples.make_submit(), rig.clock.now())
+            await asyncio.sleep(1)
+            self.assertEqual({0: 'done'}, link.ends())
+            self.assertEqual([], rig.superseded_cells)
+
+        samples.with_rig(scenario)
+
     def test_lost_coordinator_s_runs_are_stopped(self) -> None:
         """Guards against work for a client whose VM is gone."""
 
--- a/tests/soak/vm.py
+++ b/tests/soak/vm.py
@@ -73,6 +73,7 @@
         self.is_wanted = False
         self._directory = directory
         self._process: asyncio.subprocess.Process | None = None
+        self._starting = asyncio.Lock()
 
     async def listen(self) -> None:
         """Open the relays."""
@@ -106,28 +107,12 @@
         fresh.replace(self._settings_path)
 
     async def start(self) -> None:
-        """Start the process unless it runs."""
-        if self._process is not None and self._process.returncode is None:
-            return
-        self.starts += 1
-        self.is_wanted = True
-        root = pathlib.Path(sardineproxy.__file__).parent.parent
-        with self.log_path.open('ab') as log:
-            self._process = await asyncio.create_subprocess_exec(
-                sys.executable,
-                '-m',
-                'sardineproxy',
-                'node',
-                stdin=asyncio.subprocess.DEVNULL,
-                stdout=log,
-                stderr=log,
-                env={
-                    **os.environ,
-                    'PYTHONPATH': str(root),
-                    'SARDINEPROXY_CONFIG': str(self._settings_path),
-                },
-                preexec_fn=child.end_with_parent,
-            )
+        """Start the process unless it runs; faults that overlap may ask."""
+        async with self._starting:
+            if self._process is None or self._process.returncode is not None:
+                self.starts += 1
+                await self._spawn()
+                self.is_wanted = True
 
     async def kill(self) -> None:
         """End the process at once."""
@@ -159,6 +144,25 @@
             and self._process.returncode is not None
         )
 
+    async def _spawn(self) -> None:
+        root = pathlib.Path(sardineproxy.__file__).parent.parent
+        with self.log_path.open('ab') as log:
+            self._process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                '-m',
+                'sardineproxy',
+                'node',
+                stdin=asyncio.subprocess.DEVNULL,
+                stdout=log,
+                stderr=log,
+                env={
+                    **os.environ,
+                    'PYTHONPATH': str(root),
+                    'SARDINEPROXY_CONFIG': str(self._settings_path),
+                },
+                preexec_fn=child.end_with_parent,
+            )
+
     @property
     def _settings_path(self) -> pathlib.Path:
         return self._directory / f'{self.name}.toml'
