Tasks of a job that has begun are not declined; the backlog is a module

Change: a submission says whether other tasks of the job may have started; such tasks wait as long as the job is worth anything. Ends that were good stay remembered. Lines for clients that leave, jobs whose owner is lost and requests before the first version.

--- a/sardineproxy/connection/messages.py
+++ b/sardineproxy/connection/messages.py
@@ -73,6 +73,9 @@
     #: True if runs of these tasks may exist in the cell.
     resumed: bool = codec.checked(codec.flag)
 
+    #: True if other tasks of the job may have started.
+    begun: bool = codec.checked(codec.flag)
+
     #: True if the tasks may not be sent on to another cell.
     firm: bool = codec.checked(codec.flag)
 
--- a/sardineproxy/platform/front_http.py
+++ b/sardineproxy/platform/front_http.py
@@ -109,6 +109,7 @@
     async def _answer(self, req: web.BaseRequest) -> submissions.Reply:
         table = self._acceptor.table
         if table is None:
+            self._log(req, 'Refused, no configuration yet.')
             return submissions.refusal(NO_CONFIGURATION_RETRY_S)
         route = table.find(req.host, req.path)
         if route is None:
--- a/sardineproxy/process/cells/cell.py
+++ b/sardineproxy/process/cells/cell.py
@@ -7,9 +7,9 @@
 from sardineproxy.process import metrics
 from sardineproxy.process.cells import (
     agent,
+    backlog,
     fences,
     placement,
-    recall,
     runs,
     takeover,
     times,
@@ -20,6 +20,12 @@
 _LOG = logs.get_logger('cell')
 
 
+#: Size of a task before any is known, in thousandths of a core, and weight of
+#: a new one in the average, which tells other cells how much room there is.
+TYPICAL_MILLICORES = 14_000.0
+TYPICAL_WEIGHT = 0.05
+
+
 class Events(Protocol):
     """Hears of the cell's end."""
 
@@ -27,9 +33,6 @@
         """Another process has taken the cell over."""
 
 
-BatchKey = tuple[ids.JobId, int]
-
-
 class Cell:  # noqa: WPS214
     """The workers of one cell and the tasks for them."""
 
@@ -55,15 +58,14 @@
         self._others = others
         self._cfg = cfg
         self._agents: dict[ids.WorkerId, agent.Agent] = {}
+
         #: Counts of fences of workers that have left, as one may come back.
         self._former_counts: dict[ids.WorkerId, int] = {}
-        self._batches: dict[BatchKey, runs.Batch] = {}
-        self._recall = recall.Recall(keep_s=cfg.recall_s)
-        self._typical_millicores = 14_000.0
+        self._backlog = backlog.Backlog(
+            cell=cell, clock=clock, metrics=metrics, recall_s=cfg.recall_s
+        )
+        self._typical_millicores = TYPICAL_MILLICORES
         self._best_speed = 1.0
-
-        #: Runs that may exist, also of tasks that are no longer wanted.
-        self._live: dict[workers.TaskName, runs.Run] = {}
         self._takeover = takeover.Takeover(
             agents=self._agents, cfg=cfg, opened_at=clock.now()
         )
@@ -105,9 +107,10 @@
         self, source: link.Link, asked: messages.Submit, now: float
     ) -> None:
         """Take tasks from a coordinator."""
-        known = self._batches.get((asked.job, asked.step))
+        known = self._backlog.get((asked.job, asked.step))
         if known:
-            self._rejoin(known, source, asked)
+            self._backlog.rejoin(known, source, asked)
+            self.dispatch(now)
         elif asked.resumed and self._takeover.is_syncing(now):
             self._takeover.wait(source, asked)
         elif asked.resumed:
@@ -117,14 +120,14 @@
 
     def withdraw(self, source: link.Link, job: ids.JobId) -> None:
         """Drop all tasks of a job."""
-        for batch in list(self._batches.values()):
+        for batch in self._backlog.all():
             if batch.job == job and batch.link is source:
                 self._drop(batch, 'withdrawn')
         self._takeover.forget(source, job)
 
     def link_lost(self, lost: link.Link, now: float) -> None:
         """Keep the tasks of a coordinator for a short while."""
-        for batch in self._batches.values():
+        for batch in self._backlog.all():
             if batch.link is lost:
                 batch.link = None
                 batch.orphaned_at = now
@@ -136,7 +139,7 @@
             int(self._typical_millicores),
             placement.usable(self._agents.values(), now),
         )
-        return max(0, free - self._count_waiting())
+        return max(0, free - self._backlog.count_waiting())
 
     def renew(self, right: fences.Right) -> None:
         """Use a higher right of this owner from now on."""
@@ -156,17 +159,17 @@
             self._resume(request.source, request.asked, now)
         self._takeover.tick(now)
         self._drop_gone(now)
-        for batch in list(self._batches.values()):
+        for batch in self._backlog.all():
             if batch.link is None and (
                 now >= batch.orphaned_at + self._cfg.orphan_s
             ):
                 self._drop(batch, 'coordinator lost')
-        self._recall.expire(now)
+        self._backlog.expire(now)
         self.dispatch(now)
 
     def dispatch(self, now: float) -> None:
         """Order runs of waiting tasks as far as there is room."""
-        waiting = [batch for batch in self._batches.values() if batch.waiting()]
+        waiting = self._backlog.waiting()
         if not waiting:
             return
         candidates = placement.usable(self._agents.values(), now)
@@ -185,8 +188,8 @@
             'epoch': self.right.epoch,
             'rank': self.right.rank,
             'workers': [each.state(now) for each in self._agents.values()],
-            'batches': len(self._batches),
-            'waiting': self._count_waiting(),
+            'batches': len(self._backlog),
+            'waiting': self._backlog.count_waiting(),
         }
 
     # Events of agents.
@@ -194,7 +197,7 @@
     def ended(self, run: runs.Run, how: workers.Ending) -> None:
         """Note the end of a run as its worker says."""
         owner = self._agents[run.worker]
-        self._release(run)
+        self._backlog.release(run)
         took_s = self._clock.now() - run.ordered_at
         self._metrics.count('runs_ended_total', how=how.value)
         self._metrics.observe('run_seconds', took_s, how=how.value)
@@ -211,25 +214,12 @@
                     'suspect': owner.health.is_suspect,
                 },
             )
-        is_own_fault = (
-            how is workers.Ending.FAILED and not owner.health.is_suspect
-        )
-        if run.index in run.batch.tasks:
-            if how is workers.Ending.DONE:
-                self._tell(run.batch, run.index, run.number, jobs.TaskEnd.DONE)
-            elif is_own_fault:
-                self._tell(
-                    run.batch, run.index, run.number, jobs.TaskEnd.FAILED
-                )
-            else:
-                self._requeue(run)
-        else:
-            self._note_dropped_end(run, how)
+        self._settle(run, how, is_suspect=owner.health.is_suspect)
         self.dispatch(self._clock.now())
 
     def lost(self, run: runs.Run, cause: str) -> None:
         """Queue a task again whose run does not exist."""
-        self._release(run)
+        self._backlog.release(run)
         _LOG.info(
             'Run lost.',
             extra={
@@ -241,7 +231,7 @@
             },
         )
         self._metrics.count('runs_lost_total')
-        self._requeue(run)
+        self._backlog.requeue(run)
         self.dispatch(self._clock.now())
 
     def has_room(self) -> None:
@@ -281,37 +271,17 @@
         self._agents[worker.worker] = added
         added.open()
 
-    def _rejoin(
-        self, known: runs.Batch, source: link.Link, asked: messages.Submit
-    ) -> None:
-        """Give a batch that exists to the coordinator that asks now."""
-        if known.link is not None and known.link is not source:
-            for index, task in known.tasks.items():
-                self._send_end(known, index, task.number, jobs.TaskEnd.REPLACED)
-        known.link = source
-        for index, number in asked.tasks:
-            if index in known.tasks:
-                continue
-            name = runs.task_name(asked.job, asked.step, index)
-            last = self._recall.find(name)
-            if last is None or number > last.number:
-                known.tasks[index] = runs.Task(number=number)
-            else:
-                self._send_end(known, index, last.number, last.how)
-        self.dispatch(self._clock.now())
-
     def _resume(
         self, source: link.Link, asked: messages.Submit, now: float
     ) -> None:
         """Take over what a former owner ordered for a coordinator."""
         is_sure = self._takeover.knows_all_runs()
-        batch = self._new_batch(source, asked, now)
+        batch = self._make_batch(source, asked, now)
         fresh: dict[int, int] = {}
         for index, number in asked.tasks:
             if not self._adopt(batch, index, now):
                 fresh[index] = number
-        if batch.tasks:
-            self._batches[(asked.job, asked.step)] = batch
+        self._backlog.add(batch)
         _LOG.info(
             'Job resumed.',
             extra={
@@ -324,7 +294,7 @@
         if fresh and not is_sure:
             # They may run on a worker that has not reported.
             for index, number in fresh.items():
-                self._send_end(batch, index, number, jobs.TaskEnd.LATE)
+                self._backlog.send_end(batch, index, number, jobs.TaskEnd.LATE)
         elif fresh:
             self._take(source, asked, fresh, now)
 
@@ -332,44 +302,15 @@
         """Take a task over, or answer for it, if a worker lists it."""
         run = self._takeover.adopt(batch, index, now)
         if run is not None:
-            self._live[run.task] = run
+            self._backlog.live[run.task] = run
             batch.tasks[index] = runs.Task(number=run.number + 1, run=run)
             batch.started = True
             return True
-        end = self._takeover.find_done(
-            runs.task_name(batch.job, batch.step, index)
-        )
+        end = self._takeover.find_done(batch.task_name(index))
         if end is not None:
-            self._send_end(batch, index, end.run, jobs.TaskEnd.DONE)
+            self._backlog.send_end(batch, index, end.run, jobs.TaskEnd.DONE)
         return end is not None
 
-    def _new_batch(
-        self, source: link.Link, asked: messages.Submit, now: float
-    ) -> runs.Batch:
-        arrived_at = now - asked.age_s
-        bound_s = asked.estimate_s * asked.stretch + asked.slack_s
-        return runs.Batch(
-            job=asked.job,
-            step=asked.step,
-            route=asked.route,
-            service=asked.service,
-            payload=asked.payload,
-            shape=jobs.Shape(
-                millicores=asked.millicores,
-                memory_mb=asked.memory_mb,
-                gpus=asked.gpus,
-            ),
-            requires=asked.requires,
-            link=source,
-            work_s=asked.estimate_s,
-            arrived_at=arrived_at,
-            due_at=arrived_at + bound_s,
-            late_at=arrived_at + bound_s * self._cfg.late_factor,
-            deadline=now + asked.left_s,
-            firm=asked.firm,
-            started=asked.resumed,
-        )
-
     def _take(
         self,
         source: link.Link,
@@ -377,76 +318,30 @@
         tasks: dict[int, int],
         now: float,
     ) -> None:
-        key = (asked.job, asked.step)
-        batch = self._batches.get(key)
+        batch = self._backlog.get((asked.job, asked.step))
         if batch is None:
-            batch = self._new_batch(source, asked, now)
-        tasks = self._answer_done(batch, tasks)
-        if not tasks:
-            return
-        self._batches[key] = batch
-        for index, number in tasks.items():
+            batch = self._make_batch(source, asked, now)
+        for index, number in self._backlog.answer_done(batch, tasks).items():
             batch.tasks[index] = runs.Task(number=number)
-        self._typical_millicores += 0.05 * (
+        if not batch.tasks:
+            return
+        self._backlog.add(batch)
+        self._typical_millicores += TYPICAL_WEIGHT * (
             asked.millicores - self._typical_millicores
         )
         self._move_overflow(batch, now)
         self.dispatch(now)
 
-    def _answer_done(
-        self, batch: runs.Batch, tasks: dict[int, int]
-    ) -> dict[int, int]:
-        """Answer for tasks that have ended well; return the others."""
-        left: dict[int, int] = {}
-        for index, number in tasks.items():
-            name = runs.task_name(batch.job, batch.step, index)
-            last = self._recall.find(name)
-            if last is not None and last.how is jobs.TaskEnd.DONE:
-                self._send_end(batch, index, last.number, last.how)
-            else:
-                left[index] = number
-        if len(left) < len(tasks):
-            _LOG.info(
-                'Done tasks are not repeated.',
-                extra={
-                    'job': batch.job,
-                    'step': batch.step,
-                    'done': sorted(set(tasks).difference(left)),
-                    'left': sorted(left),
-                },
-            )
-            self._metrics.count('tasks_recalled_total', len(tasks) - len(left))
-        return left
-
-    def _note_dropped_end(self, run: runs.Run, how: workers.Ending) -> None:
-        """Remember that a task ended well after its job was given up."""
-        _LOG.info(
-            'End of a dropped task.',
-            extra={'task': run.task, 'run': run.number, 'how': how.value},
-        )
-        if how is workers.Ending.DONE:
-            self._recall.note(
-                run.task,
-                number=run.number,
-                how=jobs.TaskEnd.DONE,
-                now=self._clock.now(),
-            )
-
     def _move_overflow(self, batch: runs.Batch, now: float) -> None:
         """Send tasks that find no room here to cells that have some."""
         if batch.firm:
             return
         mine = len(batch.waiting())
-        queued = sum(
-            len(other.waiting())
-            for other in self._batches.values()
-            if other is not batch
-        )
         free = placement.count_free(
             batch.shape.millicores,
             placement.usable(self._agents.values(), now),
         )
-        excess = min(mine, mine + queued - free)
+        excess = min(mine, self._backlog.count_waiting() - free)
         for cell, room in sorted(
             self._others.items(), key=lambda offered: -offered[1]
         ):
@@ -454,7 +349,7 @@
                 continue
             count = min(excess, room)
             if count > 0:
-                self._decline(
+                self._backlog.decline(
                     batch,
                     batch.waiting()[-count:],
                     cause='more room there',
@@ -462,16 +357,12 @@
                 )
                 excess -= count
 
-    def _count_waiting(self) -> int:
-        return sum(len(batch.waiting()) for batch in self._batches.values())
-
     def _place(
         self, batch: runs.Batch, candidates: list[agent.Agent], now: float
     ) -> None:
         placed: dict[int, ids.WorkerId] = {}
         for index in batch.waiting():
-            name = runs.task_name(batch.job, batch.step, index)
-            if name in self._live:
+            if batch.task_name(index) in self._backlog.live:
                 continue
             chosen = placement.choose(
                 batch, candidates, best=self._best_speed, now=now
@@ -501,7 +392,7 @@
     ) -> None:
         task = batch.tasks[index]
         run = runs.Run(
-            task=runs.task_name(batch.job, batch.step, index),
+            task=batch.task_name(index),
             number=task.number,
             batch=batch,
             index=index,
@@ -511,14 +402,16 @@
         task.number += 1
         task.run = run
         batch.started = True
-        self._live[run.task] = run
+        self._backlog.live[run.task] = run
         self._metrics.count('runs_ordered_total')
         chosen.start(run, now)
 
     def _review(self, batch: runs.Batch, now: float) -> None:
         """Give a batch up whose tasks wait too long."""
         if not batch.started and now > self._latest_start(batch):
-            self._decline(batch, batch.waiting(), cause='no room in time')
+            self._backlog.decline(
+                batch, batch.waiting(), cause='no room in time'
+            )
         elif now + batch.work_s > min(batch.late_at, batch.deadline):
             self._give_up(batch)
 
@@ -526,108 +419,37 @@
         """Return when a task must start to be on time, in local seconds."""
         return batch.due_at - batch.work_s / self._best_speed
 
-    def _decline(
-        self,
-        batch: runs.Batch,
-        indices: list[int],
-        *,
-        cause: str,
-        other: str = '',
-    ) -> None:
-        """Tell the coordinator that tasks will not start here."""
-        for index in indices:
-            batch.tasks.pop(index)
-        self._forget_if_empty(batch)
-        _LOG.info(
-            'Tasks declined.',
-            extra={
-                'job': batch.job,
-                'indices': indices,
-                'cause': cause,
-                'other': other,
-                'age_s': round(self._clock.now() - batch.arrived_at, 4),
-                'batches': len(self._batches),
-            },
-        )
-        self._metrics.count('tasks_declined_total', len(indices))
-        if batch.link is not None:
-            batch.link.send(
-                messages.Declined(
-                    cell=self.cell,
-                    job=batch.job,
-                    step=batch.step,
-                    indices=tuple(indices),
-                    other=other,
-                    cause=cause,
-                    retry_s=1.0,
-                )
-            )
-
     def _give_up(self, batch: runs.Batch) -> None:
         for index in list(batch.tasks):
-            self._send_end(
+            self._backlog.send_end(
                 batch, index, batch.tasks[index].number, jobs.TaskEnd.LATE
             )
         self._drop(batch, 'too late')
 
     def _drop(self, batch: runs.Batch, cause: str) -> None:
-        """Forget a batch and stop what runs of it."""
-        _LOG.info(
-            'Batch dropped.',
-            extra={
-                'job': batch.job,
-                'step': batch.step,
-                'cause': cause,
-                'tasks': len(batch.tasks),
-            },
-        )
-        tasks = list(batch.tasks.values())
-        batch.tasks.clear()
-        self._forget_if_empty(batch)
-        for task in tasks:
-            if task.run is not None:
-                self._agents[task.run.worker].stop(task.run)
-
-    def _release(self, run: runs.Run) -> None:
-        """Note that a run does not exist any more."""
-        if self._live.get(run.task) is run:
-            self._live.pop(run.task)
-        batch = self._batches.get((run.batch.job, run.batch.step))
-        if batch is not None and run.index in batch.tasks:
-            task = batch.tasks[run.index]
-            task.number = max(task.number, run.number + 1)
-
-    def _requeue(self, run: runs.Run) -> None:
-        task = run.batch.tasks.get(run.index)
-        if task is not None and task.run is run:
-            task.run = None
-
-    def _tell(
-        self, batch: runs.Batch, index: int, number: int, how: jobs.TaskEnd
-    ) -> None:
-        """End a task and tell its coordinator."""
-        batch.tasks.pop(index)
-        self._forget_if_empty(batch)
-        self._send_end(batch, index, number, how)
+        self._backlog.drop(batch, cause, self._stop)
 
-    def _send_end(
-        self, batch: runs.Batch, index: int, number: int, how: jobs.TaskEnd
-    ) -> None:
-        name = runs.task_name(batch.job, batch.step, index)
-        self._recall.note(name, number=number, how=how, now=self._clock.now())
-        if batch.link is not None:
-            batch.link.send(
-                messages.Ended(
-                    cell=self.cell,
-                    job=batch.job,
-                    step=batch.step,
-                    index=index,
-                    run=number,
-                    how=how.value,
-                )
-            )
+    def _stop(self, run: runs.Run) -> None:
+        self._agents[run.worker].stop(run)
 
-    def _forget_if_empty(self, batch: runs.Batch) -> None:
-        key = (batch.job, batch.step)
-        if not batch.tasks and self._batches.get(key) is batch:
-            self._batches.pop(key)
+    def _settle(
+        self, run: runs.Run, how: workers.Ending, *, is_suspect: bool
+    ) -> None:
+        """Decide what the end of a run means for its task."""
+        is_wanted = run.index in run.batch.tasks
+        match how:
+            case _ if not is_wanted:
+                self._backlog.note_dropped_end(run, how)
+            case workers.Ending.DONE:
+                self._backlog.end(run, jobs.TaskEnd.DONE)
+            case workers.Ending.FAILED if not is_suspect:
+                self._backlog.end(run, jobs.TaskEnd.FAILED)
+            case _:
+                self._backlog.requeue(run)
+
+    def _make_batch(
+        self, source: link.Link, asked: messages.Submit, now: float
+    ) -> runs.Batch:
+        return runs.make_batch(
+            asked, link=source, late_factor=self._cfg.late_factor, now=now
+        )
--- a/sardineproxy/process/cells/recall.py
+++ b/sardineproxy/process/cells/recall.py
@@ -45,7 +45,10 @@
         how: jobs.TaskEnd,
         now: float,
     ) -> None:
-        """Note an end."""
+        """Note an end; one that was good stays."""
+        known = self._ends.get(task)
+        if known is not None and known.how is jobs.TaskEnd.DONE:
+            return
         self._ends[task] = RecentEnd(number=number, how=how, at=now)
         self._in_order.append((now, task))
 
--- a/sardineproxy/process/cells/runs.py
+++ b/sardineproxy/process/cells/runs.py
@@ -4,7 +4,7 @@
 import enum
 
 from sardineproxy import ids
-from sardineproxy.connection import link
+from sardineproxy.connection import link, messages
 from sardineproxy.process.cells import workers
 from sardineproxy.request import jobs
 
@@ -71,6 +71,10 @@
             self.started_at = now
 
 
+#: Job and number of the step.
+BatchKey = tuple[ids.JobId, int]
+
+
 @dataclasses.dataclass(kw_only=True, slots=True)
 class Task:
     """A task of a batch that has not ended."""
@@ -117,6 +121,15 @@
 
     tasks: dict[int, Task] = dataclasses.field(default_factory=dict)
 
+    @property
+    def key(self) -> BatchKey:
+        """Return the job and the step."""
+        return self.job, self.step
+
+    def task_name(self, index: int) -> workers.TaskName:
+        """Return a task's name at its worker."""
+        return task_name(self.job, self.step, index)
+
     def waiting(self) -> list[int]:
         """Return the tasks without a run."""
         return [index for index, task in self.tasks.items() if not task.run]
@@ -125,3 +138,36 @@
 def task_name(job: ids.JobId, step: int, index: int) -> workers.TaskName:
     """Return the name of a task of a job without occurrences."""
     return workers.TaskName(f'{job}.0.{step}.{index}')
+
+
+def make_batch(
+    asked: messages.Submit, *, link: link.Link, late_factor: float, now: float
+) -> Batch:
+    """Return a batch without tasks for what a coordinator asks.
+
+    It is worth nothing after ``late_factor`` times the time in which it is on
+    time.
+    """
+    arrived_at = now - asked.age_s
+    bound_s = asked.estimate_s * asked.stretch + asked.slack_s
+    return Batch(
+        job=asked.job,
+        step=asked.step,
+        route=asked.route,
+        service=asked.service,
+        payload=asked.payload,
+        shape=jobs.Shape(
+            millicores=asked.millicores,
+            memory_mb=asked.memory_mb,
+            gpus=asked.gpus,
+        ),
+        requires=asked.requires,
+        link=link,
+        work_s=asked.estimate_s,
+        arrived_at=arrived_at,
+        due_at=arrived_at + bound_s,
+        late_at=arrived_at + bound_s * late_factor,
+        deadline=now + asked.left_s,
+        firm=asked.firm,
+        started=asked.resumed or asked.begun,
+    )
--- a/sardineproxy/request/board.py
+++ b/sardineproxy/request/board.py
@@ -3,10 +3,12 @@
 import asyncio
 import dataclasses
 
-from sardineproxy import ids
+from sardineproxy import ids, logs
 from sardineproxy.connection import link, messages
 from sardineproxy.request import coordinator, jobs
 
+_LOG = logs.get_logger('job')
+
 
 @dataclasses.dataclass(kw_only=True, slots=True)
 class _Entry:
@@ -42,6 +44,7 @@
         finally:
             entry.waiting -= 1
             if not entry.waiting and not entry.task.done():
+                _LOG.info('Client left, job withdrawn.', extra={'job': job})
                 entry.task.cancel()
 
     def tell(self, message: messages.Ended | messages.Declined) -> None:
--- a/sardineproxy/request/coordinator.py
+++ b/sardineproxy/request/coordinator.py
@@ -190,6 +190,7 @@
                 stretch=float(self.route.stretch),
                 slack_s=float(self.route.slack_s),
                 resumed=resumed,
+                begun=self._has_begun(tasks),
                 firm=firm,
             )
         )
@@ -197,6 +198,17 @@
             for submitted in tasks:
                 submitted.source = source
 
+    def _has_begun(self, tasks: list[_Task]) -> bool:
+        """Tell whether tasks other than these may have started."""
+        if self._may_have_run or self._done_steps:
+            return True
+        these = {(task.step, task.index) for task in tasks}
+        return any(
+            task.source is not None
+            for key, task in self._open.items()
+            if key not in these
+        )
+
     def _take(self, event: Event) -> jobs.Outcome | None:
         match event:
             case messages.Ended():
@@ -283,11 +295,26 @@
         return jobs.GivenUp(detail=f'some tasks declined: {declined.cause}')
 
     def _strand(self, lost: OwnerLost) -> None:
-        for task in self._open.values():
-            if task.cell == lost.cell and task.source is lost.source:
-                task.source = None
-                task.resumed = True
-                self._may_have_run = True
+        stranded = [
+            task
+            for task in self._open.values()
+            if task.cell == lost.cell and task.source is lost.source
+        ]
+        for waiting in stranded:
+            waiting.source = None
+            waiting.resumed = True
+            self._may_have_run = True
+        if stranded:
+            _LOG.info(
+                'Owner lost, tasks wait for another.',
+                extra={
+                    'job': self.job.job,
+                    'cell': lost.cell,
+                    'owner': lost.source.peer.vm,
+                    'tasks': [task.index for task in stranded],
+                    'longest_wait_s': OWNER_WAIT_S,
+                },
+            )
         self._resume(lost.cell)
 
     def _resume(self, cell: ids.CellId) -> None:
--- a/tests/process/cells/samples.py
+++ b/tests/process/cells/samples.py
@@ -87,6 +87,7 @@
         'stretch': 1.6,
         'slack_s': 0.06,
         'resumed': False,
+        'begun': False,
         'firm': False,
     }
     return messages.Submit(**{**fields, **changes})
--- a/tests/process/cells/test_cell.py
+++ b/tests/process/cells/test_cell.py
@@ -37,6 +37,25 @@
 
         samples.with_rig(scenario, work_of=_long)
 
+    def test_tasks_of_a_job_that_has_begun_are_not_declined(self) -> None:
+        """Guards against work thrown away for a task that waits a little."""
+
+        async def scenario(rig: samples.Rig) -> None:
+            owned = await rig.ready()
+            now = rig.clock.now()
+            link = samples.FakeLink()
+            owned.submit(link, samples.make_submit('j1', 2), now)
+            owned.submit(
+                link,
+                samples.make_submit('j2', 1, begun=True, estimate_s=0.1),
+                now,
+            )
+            await asyncio.sleep(0.6)
+            self.assertEqual([], link.declined())
+            self.assertThat(rig.records(), matchers.HasLength(3))
+
+        samples.with_rig(scenario)
+
     def test_task_with_less_time_left_goes_first(self) -> None:
         """Guards against short jobs late behind long ones."""
 
