Notice lost owners of other zones sooner

Change: links to owners of other cells are given up after 0.7 s; their workers must be in reach for 0.8 s; an owner without any link writes its row every 0.5 s, also the first time, so that others see in time that it lives. A link whose rhythm changes is not silent by the new bound before it could be.

--- a/sardineproxy/process/membership/links.py
+++ b/sardineproxy/process/membership/links.py
@@ -30,7 +30,12 @@
 #: have ended by then.
 CLOSE = Rhythm(beat_s=0.1, silent_s=0.4)
 
-#: Between all others.
+#: Between a VM and the owners of other cells. Each beat lost costs tasks that
+#: were sent to another zone, and the time in which a zone that has lost all
+#: its VMs does no work.
+OWNER = Rhythm(beat_s=0.2, silent_s=0.7)
+
+#: Between VMs that own nothing.
 FAR = Rhythm(beat_s=0.3, silent_s=1.1)
 
 #: Longest wait for a connection, in seconds.
@@ -96,6 +101,9 @@
         self._targets: dict[deployment.Address, _Target] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._kept: Collection[ids.VmId] | None = None
+
+        #: Rhythm of each open link, and since when.
+        self._rhythms: dict[link.Link, tuple[Rhythm, float]] = {}
         self.open: dict[ids.VmId, list[link.Link]] = {}
 
     async def start(self, address: deployment.Address) -> None:
@@ -135,7 +143,10 @@
         """Close silent links, send beats, open missing links."""
         for candidate in self._all():
             rhythm = self._rhythm(candidate.peer)
-            if now - candidate.heard_at >= rhythm.silent_s:
+            silent_since = max(
+                candidate.heard_at, self._since(candidate, rhythm, now)
+            )
+            if now - silent_since >= rhythm.silent_s:
                 _LOG.warning(
                     'Link silent, closed.',
                     extra={
@@ -181,6 +192,18 @@
     def _all(self) -> list[link.Link]:
         return [each for of_vm in self.open.values() for each in of_vm]
 
+    def _since(self, of: link.Link, rhythm: Rhythm, now: float) -> float:
+        """Return since when a link has its present rhythm.
+
+        The other end learns of a new owner a little later, and sends beats
+        more slowly until then.
+        """
+        known = self._rhythms.get(of)
+        if known is None or known[0] is not rhythm:
+            known = (rhythm, now)
+            self._rhythms[of] = known
+        return known[1]
+
     def _is_unused(self, candidate: link.Link, now: float) -> bool:
         return (
             self._kept is not None
@@ -292,6 +315,7 @@
         if peer is None or closed not in self.open.get(peer.vm, ()):
             return
         self.open[peer.vm].remove(closed)
+        self._rhythms.pop(closed, None)
         if not self.open[peer.vm]:
             self.open.pop(peer.vm)
         _LOG.info('Link closed.', extra={'vm': peer.vm})
--- a/sardineproxy/process/node/claiming.py
+++ b/sardineproxy/process/node/claiming.py
@@ -20,12 +20,17 @@
 #: Time without an owner, but with its workers in reach, after which VMs of
 #: other zones claim a cell, in seconds. After a partition the workers are in
 #: reach up to 0.5 s before the links are open again.
-FOREIGN_CLAIM_S = 1.5
+FOREIGN_CLAIM_S = 0.8
 
 #: Time for which a cell's row differs from what its owner would write now
 #: before the owner writes it anew, in seconds.
 REFRESH_S = 1.0
 
+#: Time between two writes of an owner that has no other VM in reach, in
+#: seconds. VMs of other zones see from them that it lives, and must see one
+#: within ``FOREIGN_CLAIM_S``.
+SIGN_S = 0.5
+
 #: Up to this number of VMs all are linked with each other. Above it, each is
 #: linked with the owners and with this many candidates of its own zone.
 FULL_MESH = 10
@@ -56,6 +61,7 @@
         self._absent_since: dict[ids.CellId, float] = {}
         self._retry_at: dict[ids.CellId, float] = {}
         self._stale_since: dict[ids.CellId, float] = {}
+        self._signed_at: dict[ids.CellId, float] = {}
         self._seen_owner: set[ids.CellId] = set()
         self._seen_revision: dict[ids.CellId, int] = {}
         self._reached_since: dict[ids.CellId, float] = {}
@@ -106,6 +112,7 @@
     async def claim(self, cell: ids.CellId, now: float) -> None:
         """Write a claim; take the right of an heir if that is impossible."""
         self.postpone(cell, now)
+        self._signed_at[cell] = now
         old = self._directory.claims.get(cell)
         claim = registry.Claim(
             cell=cell,
@@ -173,11 +180,15 @@
         sign of life to other zones while no other VM is in reach.
         """
         claim = self._directory.claims.get(cell)
-        if claim is not None and not isolated and self._is_mine(claim, right):
+        if now < self._retry_at.get(cell, 0):
+            return False
+        if isolated:
+            return now - self._signed_at.get(cell, 0) >= SIGN_S
+        if claim is not None and self._is_mine(claim, right):
             self._stale_since.pop(cell, None)
             return False
         since = self._stale_since.setdefault(cell, now)
-        return now - since >= REFRESH_S and now >= self._retry_at.get(cell, 0)
+        return now - since >= REFRESH_S
 
     def _serves(self, one: ids.VmId, other: ids.VmId) -> bool:
         """Tell whether a VM owns a cell or may soon own the other's."""
--- a/sardineproxy/process/node/node.py
+++ b/sardineproxy/process/node/node.py
@@ -480,6 +480,8 @@
             return links.CLOSE
         if self.owner_of(self.home_cell) == peer.vm:
             return links.CLOSE
+        if self.holdings.cells or peer.vm in self.owners.by_cell.values():
+            return links.OWNER
         return links.FAR
 
     def _beat(self, now: float) -> messages.Beat:
