--- a/sardineproxy/process/cells/cell.py
+++ b/sardineproxy/process/cells/cell.py
@@ -1,6 +1,6 @@
 """A cell that this process owns: queue, placement, and ends of tasks."""
 
-from typing import Iterable, Mapping, Protocol
+from typing import Iterable, Protocol
 
 from sardineproxy import clock, ids, logs
 from sardineproxy.connection import link, messages
@@ -10,6 +10,7 @@
     backlog,
     fences,
     placement,
+    rooms,
     runs,
     takeover,
     times,
@@ -45,7 +46,7 @@
         clock: clock.Clock,
         metrics: metrics.Metrics,
         events: Events,
-        others: Mapping[ids.CellId, int],
+        others: rooms.Rooms,
         cfg: times.Cell,
     ) -> None:
         """Own a cell; ``others`` tells how much room other cells have."""
@@ -342,20 +343,17 @@
             placement.usable(self._agents.values(), now),
         )
         excess = min(mine, self._backlog.count_waiting() - free)
-        for cell, room in sorted(
-            self._others.items(), key=lambda offered: -offered[1]
-        ):
-            if cell == self.cell:
-                continue
+        for cell, room in self._others.free(now).items():
             count = min(excess, room)
-            if count > 0:
-                self._backlog.decline(
-                    batch,
-                    batch.waiting()[-count:],
-                    cause='more room there',
-                    other=cell,
-                )
-                excess -= count
+            if cell == self.cell or count <= 0:
+                continue
+            excess -= count
+            self._backlog.decline(
+                batch,
+                batch.waiting()[-count:],
+                cause='more room there',
+                other=cell,
+            )
 
     def _place(
         self, batch: runs.Batch, candidates: list[agent.Agent], now: float
--- a/sardineproxy/process/membership/owners.py
+++ b/sardineproxy/process/membership/owners.py
@@ -5,7 +5,7 @@
 
 from sardineproxy import ids, logs
 from sardineproxy.connection import messages
-from sardineproxy.process.cells import fences
+from sardineproxy.process.cells import fences, rooms
 
 _LOG = logs.get_logger('owners')
 
@@ -32,15 +32,17 @@
         #: Owner of each cell.
         self.by_cell: dict[ids.CellId, ids.VmId] = {}
 
-        #: How many more average tasks each cell could start.
-        self.rooms: dict[ids.CellId, int] = {}
+        #: How much room each cell has.
+        self.rooms = rooms.Rooms()
 
-    def take(self, vm: ids.VmId, offers: tuple[messages.Offer, ...]) -> bool:
+    def take(
+        self, vm: ids.VmId, offers: tuple[messages.Offer, ...], now: float
+    ) -> bool:
         """Note what a VM owns; tell whether that has changed."""
         rights: dict[ids.CellId, fences.Right] = {}
         for cell, epoch, rank, free in offers:
             rights[cell] = fences.Right(epoch=epoch, rank=rank)
-            self.rooms[cell] = free
+            self.rooms.note(cell, free, now)
         changed = self._offers.get(vm) != rights
         self._offers[vm] = rights
         return changed
@@ -67,8 +69,8 @@
                 best[cell] = (right, self._me)
         former = self.by_cell
         self.by_cell = {owned: chosen[1] for owned, chosen in best.items()}
-        for gone in set(self.rooms).difference(best):
-            self.rooms.pop(gone)
+        for gone in set(former).difference(best):
+            self.rooms.forget(gone)
         found = [
             owned
             for owned, owner in self.by_cell.items()
--- a/sardineproxy/process/node/holdings.py
+++ b/sardineproxy/process/node/holdings.py
@@ -2,13 +2,13 @@
 
 import asyncio
 import dataclasses
-from typing import Callable, Coroutine, Iterable, Mapping, Protocol
+from typing import Callable, Coroutine, Iterable, Protocol
 
 from sardineproxy import clock, ids, logs
 from sardineproxy.connection import link, messages
 from sardineproxy.process import metrics
 from sardineproxy.process.cells import cell as cells
-from sardineproxy.process.cells import fences, times, workers
+from sardineproxy.process.cells import fences, rooms, times, workers
 from sardineproxy.process.membership import links
 from sardineproxy.process.node import claiming
 
@@ -36,8 +36,8 @@
         """Return all cells of the deployment."""
 
     @property
-    def rooms(self) -> Mapping[ids.CellId, int]:
-        """Return how many more tasks each cell could start."""
+    def rooms(self) -> rooms.Rooms:
+        """Return how much room other cells have."""
 
     def owner_of(self, cell: ids.CellId) -> ids.VmId | None:
         """Return which VM owns a cell."""
--- a/sardineproxy/process/node/node.py
+++ b/sardineproxy/process/node/node.py
@@ -4,14 +4,14 @@
 import dataclasses
 import random
 import secrets
-from typing import Callable, Coroutine, Iterable, Mapping
+from typing import Callable, Coroutine, Iterable
 
 import result
 
 from sardineproxy import clock, deployment, ids, logs
 from sardineproxy.connection import link, messages
 from sardineproxy.process import metrics, store
-from sardineproxy.process.cells import fences, workers
+from sardineproxy.process.cells import fences, rooms, workers
 from sardineproxy.process.membership import (
     following,
     links,
@@ -258,9 +258,10 @@
         """Return the cell that takes this VM's jobs."""
         if self.home_cell in self.owners.by_cell:
             return self.home_cell
+        free = self.rooms.free(self._clock.now())
         return min(
             self.owners.by_cell,
-            key=lambda other: (-self.rooms.get(other, 0), other),
+            key=lambda other: (-free.get(other, 0), other),
             default=None,
         )
 
@@ -314,8 +315,8 @@
         return map(ids.CellId, self.cfg.zones)
 
     @property
-    def rooms(self) -> Mapping[ids.CellId, int]:
-        """Return how many more tasks each cell could start."""
+    def rooms(self) -> rooms.Rooms:
+        """Return how much room other cells have."""
         return self.owners.rooms
 
     def owner_of(self, cell: ids.CellId) -> ids.VmId | None:
@@ -364,7 +365,7 @@
             'ready': self.is_ready(),
             'draining': self.draining,
             'owners': dict(self.owners.by_cell),
-            'rooms': dict(self.rooms),
+            'rooms': self.rooms.state(now),
             'links': {vm: len(of_vm) for vm, of_vm in self.links.open.items()},
             'members': sorted(self.directory.members),
             'claims': {
@@ -493,7 +494,8 @@
         """Act on a message about owners, members or versions."""
         match message:
             case messages.Beat(version=version, cells=cells):
-                if self.owners.take(source.peer.vm, cells):
+                now = self._clock.now()
+                if self.owners.take(source.peer.vm, cells, now):
                     self._choose_owners()
                 if version > self.versions.number:
                     source.send(messages.StateAsk(version=self.versions.number))
--- a/tests/process/cells/samples.py
+++ b/tests/process/cells/samples.py
@@ -7,7 +7,7 @@
 from sardineproxy.connection import messages
 from sardineproxy.process import metrics
 from sardineproxy.process.cells import cell as cells
-from sardineproxy.process.cells import fences, times, workers
+from sardineproxy.process.cells import fences, rooms, times, workers
 from sardineproxy.request import jobs
 from sardineproxy.standin import worker_model
 from tests import virtual_time
@@ -129,7 +129,7 @@
         }
         self.wire = wire.Wire(models=self.models, clock=self.clock)
         self.superseded_cells: list[cells.Cell] = []
-        self.others: dict[ids.CellId, int] = {}
+        self.others = rooms.Rooms()
         self.cells: list[cells.Cell] = []
         self._tickers: list[asyncio.Task[None]] = []
 
--- a/tests/process/cells/test_cell.py
+++ b/tests/process/cells/test_cell.py
@@ -82,7 +82,7 @@
         """Guards against waiting while another cell is idle."""
 
         async def scenario(rig: samples.Rig) -> None:
-            rig.others[ids.CellId('zone-b')] = 5
+            rig.others.note(ids.CellId('zone-b'), 5, rig.clock.now())
             owned = await rig.ready()
             link = samples.FakeLink()
             owned.submit(link, samples.make_submit('j1', 5), rig.clock.now())
@@ -92,11 +92,24 @@
 
         samples.with_rig(scenario)
 
+    def test_room_that_was_told_long_ago_is_not_used(self) -> None:
+        """Guards against tasks sent to an owner that is lost."""
+
+        async def scenario(rig: samples.Rig) -> None:
+            rig.others.note(ids.CellId('zone-b'), 5, rig.clock.now())
+            owned = await rig.ready()
+            await asyncio.sleep(0.6)
+            link = samples.FakeLink()
+            owned.submit(link, samples.make_submit('j1', 5), rig.clock.now())
+            self.assertEqual([], link.declined())
+
+        samples.with_rig(scenario)
+
     def test_firm_tasks_stay(self) -> None:
         """Guards against tasks that are sent to and fro between cells."""
 
         async def scenario(rig: samples.Rig) -> None:
-            rig.others[ids.CellId('zone-b')] = 5
+            rig.others.note(ids.CellId('zone-b'), 5, rig.clock.now())
             owned = await rig.ready()
             link = samples.FakeLink()
             owned.submit(
