Versions go between VMs compressed, one copy at a time

At 25.1 s the configuration grew by 1,888 routes, to 430 KB. Ruled out: the store (the larger VMs had the version from it at once), the decoding (0.05 s). Change: a version is awaited from the store for 0.3 s, then asked for from one VM at a time, and sent compressed (a tenth). Routes are found by an index instead of a search through all routes of the host.

--- a/sardineproxy/connection/messages.py
+++ b/sardineproxy/connection/messages.py
@@ -136,10 +136,8 @@
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class StateAsk:
-    """Asks for a newer configuration, and for the directory of VMs."""
-
-    version: int = codec.checked(codec.count)
+class DirectoryAsk:
+    """Asks for the directory of VMs and claims."""
 
 
 #: Key, revision and body of a row of the directory.
@@ -147,16 +145,29 @@
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class StateGive:
-    """A newer configuration, None if there is none, and the directory."""
+class DirectoryGive:
+    """The directory of VMs and claims."""
 
-    version: int = codec.checked(codec.count)
-    configuration: bytes | None = codec.checked(codec.blob_or_none)
-    directory: tuple[DirectoryRow, ...] = codec.checked(
+    rows: tuple[DirectoryRow, ...] = codec.checked(
         codec.rows(codec.text, codec.count, codec.blob)
     )
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class VersionAsk:
+    """Asks for the configuration version that the receiver has in force."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class VersionGive:
+    """The configuration version that the sender has in force."""
+
+    number: int = codec.checked(codec.count)
+
+    #: Its body, compressed by zlib.
+    packed: bytes = codec.checked(codec.blob)
+
+
 Message = (
     Greeting
     | Beat
@@ -166,8 +177,10 @@
     | Declined
     | Disowned
     | TakeOver
-    | StateAsk
-    | StateGive
+    | DirectoryAsk
+    | DirectoryGive
+    | VersionAsk
+    | VersionGive
 )
 
 #: The position is the type number on the wire; append only.
@@ -180,8 +193,10 @@
     Declined,
     Disowned,
     TakeOver,
-    StateAsk,
-    StateGive,
+    DirectoryAsk,
+    DirectoryGive,
+    VersionAsk,
+    VersionGive,
 )
 
 CODEC = codec.Codec(*KINDS)
--- a/sardineproxy/process/node/node.py
+++ b/sardineproxy/process/node/node.py
@@ -27,7 +27,7 @@
     sharing,
 )
 from sardineproxy.request import board, coordinator, jobs
-from sardineproxy.version import in_force, routes
+from sardineproxy.version import asking, in_force, routes
 
 #: Time between two rounds of what is due, in seconds: half a beat, and less
 #: for owners of cells, whose queues move on with time.
@@ -121,6 +121,7 @@
         self.versions = in_force.InForce(
             decode=outside.formats.decode_configuration
         )
+        self._asking = asking.Asking()
         self.board = board.Board()
         self.directory = registry.Registry()
         self.owners = owners.Owners(me=cfg.vm)
@@ -277,7 +278,7 @@
     def opened(self, opened: link.Link) -> None:
         """Exchange what both ends know."""
         opened.send(self._beat(self._clock.now()))
-        opened.send(messages.StateAsk(version=self.versions.number))
+        opened.send(messages.DirectoryAsk())
 
     def closed(self, closed: link.Link) -> None:
         """Forget what the link told."""
@@ -299,8 +300,10 @@
                 self.board.tell(message)
             case messages.Greeting():
                 source.abort()
+            case messages.Beat() | messages.Disowned() | messages.TakeOver():
+                self._take_ownership(source, message)
             case _:
-                self._take_news(source, message)
+                self._take_shared(source, message)
 
     # Surroundings of the holdings.
 
@@ -424,6 +427,10 @@
             for table, (on_rows, pace) in tables.items()
         }
 
+    @property
+    def _configuration(self) -> following.TableFollower:
+        return self._followers[self._formats.configuration_table]
+
     @property
     def _roster(self) -> following.TableFollower:
         return self._followers[self._formats.roster_table]
@@ -490,27 +497,44 @@
             version=self.versions.number, cells=self.holdings.offers(now)
         )
 
-    def _take_news(self, source: link.Link, message: messages.Message) -> None:
-        """Act on a message about owners, members or versions."""
+    def _take_ownership(
+        self,
+        source: link.Link,
+        message: messages.Beat | messages.Disowned | messages.TakeOver,
+    ) -> None:
+        """Act on a message about owners of cells."""
         match message:
             case messages.Beat(version=version, cells=cells):
                 now = self._clock.now()
                 if self.owners.take(source.peer.vm, cells, now):
                     self._choose_owners()
-                if version > self.versions.number:
-                    source.send(messages.StateAsk(version=self.versions.number))
+                if self._asking.should_ask(
+                    version,
+                    own=self.versions.number,
+                    store_answers=self._configuration.sound_since is not None,
+                    now=now,
+                ):
+                    source.send(messages.VersionAsk())
             case messages.Disowned(cell=cell):
                 self.owners.forget(source.peer.vm, cell)
                 self._choose_owners()
                 self.board.owner_lost(cell, source)
             case messages.TakeOver(cell=cell):
                 self.holdings.start_claim(cell)
-            case messages.StateAsk(version=version):
-                source.send(
-                    sharing.to_message(self.versions, self.directory, version)
-                )
-            case messages.StateGive():
-                self._take_state(source, message)
+
+    def _take_shared(
+        self, source: link.Link, message: messages.Message
+    ) -> None:
+        """Act on a message about contents of the store."""
+        match message:
+            case messages.DirectoryAsk():
+                source.send(sharing.pack_directory(self.directory))
+            case messages.DirectoryGive():
+                self._take_directory(sharing.unpack_directory(message))
+            case messages.VersionAsk():
+                source.send(sharing.pack_version(self.versions))
+            case messages.VersionGive():
+                self._take_version(source, message)
 
     def _choose_owners(self) -> None:
         change = self.owners.choose(self.holdings.rights())
@@ -521,10 +545,17 @@
         for found in change.found:
             self.board.owner_found(found)
 
-    def _take_state(self, source: link.Link, state: messages.StateGive) -> None:
-        if state.configuration is not None:
-            self.versions.offer(state.configuration, source.peer.vm)
-        self._take_directory(sharing.to_rows(state))
+    def _take_version(
+        self, source: link.Link, given: messages.VersionGive
+    ) -> None:
+        unpacked = sharing.unpack_version(given)
+        if isinstance(unpacked, result.Err):
+            _LOG.error(
+                'Version refused.',
+                extra={'source': source.peer.vm, 'cause': unpacked.err_value},
+            )
+        else:
+            self.versions.offer(unpacked.ok_value, source.peer.vm)
 
     def _take_configuration(self, rows: tuple[store.Row, ...]) -> None:
         for row in rows:
--- a/sardineproxy/version/routes.py
+++ b/sardineproxy/version/routes.py
@@ -35,21 +35,30 @@
     """The routes of one version."""
 
     def __init__(self, *, number: int, routes: tuple[Route, ...]) -> None:
-        """Index the routes by host, longest prefix first."""
+        """Index the routes by host and prefix."""
         self.number = number
-        self._by_host: dict[str, list[Route]] = {}
-        longest_first = sorted(
-            routes, key=lambda each: len(each.path_prefix), reverse=True
-        )
-        for route in longest_first:
-            self._by_host.setdefault(route.host, []).append(route)
+        self._by_host: dict[str, dict[str, Route]] = {}
+        for route in routes:
+            of_host = self._by_host.setdefault(route.host, {})
+            of_host.setdefault(route.path_prefix, route)
+
+        #: Lengths of the prefixes of each host, longest first; there are far
+        #: fewer of them than routes.
+        self._lengths = {
+            host: sorted(set(map(len, of_host)), reverse=True)
+            for host, of_host in self._by_host.items()
+        }
         self.services: Mapping[ids.RouteId, ids.ServiceId] = {
             each.route: each.service for each in routes
         }
 
     def find(self, host: str, path: str) -> Route | None:
         """Return the route with the longest prefix of ``path``."""
-        for route in self._by_host.get(host, ()):
-            if path.startswith(route.path_prefix):
-                return route
+        of_host = self._by_host.get(host)
+        if of_host is None:
+            return None
+        for length in self._lengths[host]:
+            found = of_host.get(path[:length])
+            if found is not None:
+                return found
         return None
