--- a/sardineproxy/process/node/node.py
+++ b/sardineproxy/process/node/node.py
@@ -225,7 +225,7 @@
     ) -> jobs.Outcome:
         """Run a job for a client that waits ``wait_s`` seconds."""
         now = self._clock.now()
-        self.metrics.count('jobs_total', route=route.route)
+        self.metrics.count('jobs_total')
         outcome: jobs.Outcome
         if self._ends_at is not None and (
             now + route.bound_s(job.expected_s) > self._ends_at
