Slow clocks of idle workers, capacities of new lives; the watch is a module

Causes, found in review: the end of a lease was computed as if the worker's clock ran like ours; after a minute of rest on a clock 2 % slow an order that was carried out late by a silent worker could still start, after its replacement. And a worker that came back with another capacity was given orders by the former one until the list was read again. Change: a worker's clock is taken for as slow as it may be, and read every 15 s; a new life gets no orders before it is listed. The looks at a worker are a module of their own.

--- a/sardineproxy/process/cells/agent.py
+++ b/sardineproxy/process/cells/agent.py
@@ -17,6 +17,7 @@
     reports,
     runs,
     times,
+    watch,
     workers,
 )
 
@@ -68,28 +69,31 @@
         self._events = events
         self._cfg = cfg
         self._lease = lease.Lease(cfg=cfg)
-        self._reports = reports.Reports(
-            worker=worker.worker,
+        self._watch = watch.Watch(
+            subject=self,
+            api=api,
             ledger=self.ledger,
+            lease=self._lease,
             health=self.health,
-            events=events,
-            orders=self,
+            reports=reports.Reports(
+                worker=worker.worker,
+                ledger=self.ledger,
+                health=self.health,
+                events=events,
+                orders=self,
+                cfg=cfg,
+            ),
+            clock=clock,
+            metrics=metrics,
             cfg=cfg,
         )
         self.count = count
-        self._ack_sent = 0
-        self._born_ms = 0
-        self._in_doubt = True
         self._leaving = False
-        self._silent_since: float | None = None
-        self._silent_looks = 0
-        self._wake = asyncio.Event()
-        self._look: asyncio.Task[object] | None = None
         self._tasks: set[asyncio.Task[None]] = set()
 
     def open(self) -> None:
         """Start to watch the worker."""
-        self._spawn(self._watch())
+        self._spawn(self._watch.run())
 
     async def close(self) -> None:
         """Stop all calls."""
@@ -111,12 +115,12 @@
     @property
     def is_synced(self) -> bool:
         """Tell whether a report under the present fence is known."""
-        return not self._in_doubt
+        return not self._watch.in_doubt
 
     @property
     def is_silent(self) -> bool:
         """Tell whether the worker has not answered its last call."""
-        return self._silent_since is not None
+        return self._watch.silent_since is not None
 
     def is_gone(self, now: float) -> bool:
         """Tell whether the worker has left and nothing can run on it."""
@@ -128,10 +132,13 @@
 
     def takes_work(self, now: float) -> bool:
         """Tell whether runs may be ordered."""
-        if self._in_doubt or self._leaving or self.is_silent:
+        if self._leaving or self.is_silent or not self.is_synced:
             return False
         if self.worker.state is not workers.WorkerState.READY:
             return False
+        if self.worker.born_ms != self._watch.born_ms:
+            # A new life may have another capacity, which the list tells.
+            return False
         if self.ledger.unknown:
             return False
         if self.health.on_probation and self.ledger.runs:
@@ -153,7 +160,7 @@
         self.ledger.resize(self.worker.capacity, worker.capacity)
         self.worker = worker
         self._leaving = False
-        if reborn and worker.born_ms != self._born_ms:
+        if reborn and worker.born_ms != self._watch.born_ms:
             self.doubt('started anew')
 
     def leave(self) -> None:
@@ -177,7 +184,7 @@
         run.expires_ms = self._lease.extend(now)
         self.ledger.hold(run)
         self._spawn(self._order(run))
-        self._wake.set()
+        self._watch.wake()
 
     def stop(self, run: runs.Run) -> None:
         """Order the stop of a run."""
@@ -187,7 +194,7 @@
         run.stop_at = self._clock.now()
         if run.sent:
             self._spawn(self._order_stop(run.task, run.number, run))
-        self._wake.set()
+        self._watch.wake()
 
     def stop_again(self, run: runs.Run) -> None:
         """Order the stop of a run once more."""
@@ -198,7 +205,7 @@
         for task, found in self.ledger.unknown.items():
             self._spawn(self._order_stop(task, found.run))
         self.ledger.drop_foreign()
-        self._wake.set()
+        self._watch.wake()
 
     def adopt(self, run: runs.Run, now: float) -> None:
         """Take over a run that another process ordered."""
@@ -208,7 +215,7 @@
         run.percent = found.percent
         run.sent = True
         self.ledger.hold(run)
-        self._wake.set()
+        self._watch.wake()
 
     def doubt(self, why: str) -> None:
         """Order nothing until a report under a higher fence is known.
@@ -217,7 +224,6 @@
         carried out after that report.
         """
         self.count += 1
-        self._in_doubt = True
         self._metrics.count('worker_doubts_total')
         _LOG.info(
             'In doubt.',
@@ -228,18 +234,34 @@
                 'runs': len(self.ledger.runs),
             },
         )
-        if self._look is not None:
-            self._look.cancel()
-        self._wake.set()
+        self._watch.restart()
+
+    # What the watch tells.
+
+    def fenced(self) -> None:
+        """The worker has seen a higher fence of another owner."""
+        self._events.superseded(self)
+
+    def heard(self, strays: list[workers.Running], *, ends_doubt: bool) -> None:
+        """A report was used; ``strays`` are runs that others ordered."""
+        if strays:
+            self._events.strays(self, strays)
+        if ends_doubt:
+            self._events.has_room()
+
+    def lapsed(self, run: runs.Run) -> None:
+        """The lease of a run has expired on a silent worker."""
+        self._events.lost(run, 'lease expired on a silent worker')
 
     def state(self, now: float) -> dict[str, object]:
         """Return what is believed of the worker, for the state dump."""
+        silent_since = self._watch.silent_since
         return {
             'worker': self.worker.worker,
             'state': self.worker.state.value,
             'fence': self.fence,
-            'in_doubt': self._in_doubt,
-            'silent_s': self._silent_since and now - self._silent_since,
+            'in_doubt': self._watch.in_doubt,
+            'silent_s': silent_since and round(now - silent_since, 3),
             'free_millicores': self.ledger.free.millicores,
             'runs': {
                 run.task: run.state.value for run in self.ledger.runs.values()
@@ -280,7 +302,7 @@
                 self._note_refused(run, answer, now)
             case workers.Unanswered(unsent=True):
                 self._never_started(run, answer.cause)
-                self._note_silent(answer.cause, now)
+                self._watch.note_silent(answer.cause, now)
             case workers.Unanswered():
                 self._note_doubtful(run)
                 self.doubt(f'order of {run.task} not answered: {answer.cause}')
@@ -349,170 +371,3 @@
                 self.doubt(f'stop of {task} not answered: {answer.cause}')
             case _:
                 pass
-
-    async def _watch(self) -> None:
-        """Look at the worker as long as something may run on it."""
-        while True:
-            await self._until_needed()
-            now = self._clock.now()
-            look = self._next_look(now)
-            self._metrics.count('worker_looks_total')
-            self._look = asyncio.create_task(
-                self._api.look(
-                    self.worker,
-                    look,
-                    timeout_s=look.wait_s + self._cfg.look_timeout_s,
-                )
-            )
-            try:
-                answer = await self._look
-            except asyncio.CancelledError:
-                if asyncio.current_task().cancelling():  # type: ignore[union-attr]
-                    raise
-                continue
-            finally:
-                self._look = None
-            await self._take(look, answer, now)
-
-    async def _until_needed(self) -> None:
-        while not self._is_needed():
-            self._wake.clear()
-            must_ack = self._reports.acked > self._ack_sent
-            pause_s = self._cfg.ack_pause_s if must_ack else None
-            try:
-                async with asyncio.timeout(pause_s):
-                    await self._wake.wait()
-            except TimeoutError:
-                return
-
-    def _is_needed(self) -> bool:
-        return not self.ledger.is_empty or self._in_doubt or self.is_silent
-
-    def _next_look(self, now: float) -> workers.Look:
-        wanted = any(
-            run.state is not _State.STOPPING
-            for run in self.ledger.runs.values()
-        )
-        expires_ms = None
-        # The runs of a silent worker must end some time, heard or not.
-        extends = (wanted or self.ledger.unknown) and not self.is_silent
-        if extends and self._lease.is_known:
-            expires_ms = self._lease.extend(now)
-        at_once = self._in_doubt or self.ledger.is_empty
-        return workers.Look(
-            fence=self.fence,
-            acked=self._reports.acked,
-            expires_ms=expires_ms,
-            wait_s=0 if at_once else self._cfg.look_wait_s,
-        )
-
-    async def _take(
-        self,
-        look: workers.Look,
-        answer: workers.Report | workers.Refused | workers.Unanswered,
-        asked_at: float,
-    ) -> None:
-        now = self._clock.now()
-        match answer:
-            case workers.Report():
-                self._note_heard(now)
-                self._ack_sent = max(self._ack_sent, look.acked)
-                self._take_report(look, answer, asked_at, now)
-            case workers.Refused(why=workers.Refusal.FENCED):
-                if look.fence >= self.fence:
-                    self._events.superseded(self)
-                    await asyncio.sleep(self._cfg.silent_pause_s)
-            case workers.Refused():
-                self._note_silent(f'{answer.why.value} {answer.detail}', now)
-                await self._pause()
-            case workers.Unanswered():
-                if self._in_doubt:
-                    self._note_silent(answer.cause, now)
-                    await self._pause()
-                else:
-                    self.doubt(f'look not answered: {answer.cause}')
-
-    async def _pause(self) -> None:
-        self._silent_looks += 1
-        self._drop_lapsed(self._clock.now())
-        await asyncio.sleep(
-            min(
-                self._cfg.silent_pause_s * self._silent_looks,
-                self._cfg.silent_pause_max_s,
-            )
-        )
-
-    def _note_silent(self, cause: str, now: float) -> None:
-        if self._silent_since is None:
-            self._silent_since = now
-            if not self._in_doubt:
-                self.doubt(cause)
-            _LOG.warning(
-                'Worker lost.',
-                extra={'worker': self.worker.worker, 'cause': cause},
-            )
-
-    def _note_heard(self, now: float) -> None:
-        self._silent_looks = 0
-        if self._silent_since is not None:
-            _LOG.info(
-                'Worker regained.',
-                extra={
-                    'worker': self.worker.worker,
-                    'silent_s': round(now - self._silent_since, 3),
-                },
-            )
-            self._silent_since = None
-
-    def _drop_lapsed(self, now: float) -> None:
-        """Give up the runs of a silent worker once their lease has expired."""
-        if not self._lease.has_expired(now):
-            return
-        self.ledger.unknown.clear()
-        for run in list(self.ledger.runs.values()):
-            self.ledger.release(run)
-            self._events.lost(run, 'lease expired on a silent worker')
-
-    def _take_report(
-        self,
-        look: workers.Look,
-        report: workers.Report,
-        asked_at: float,
-        now: float,
-    ) -> None:
-        if report.born_ms != self._born_ms:
-            self._start_anew(report)
-            if look.acked:
-                return
-        if report.clock_ms < self._lease.clock_ms:
-            # A newer report was faster.
-            return
-        self._lease.read(report.clock_ms, now)
-        was_in_doubt = self._in_doubt
-        if look.fence == self.fence:
-            self._in_doubt = False
-        strays = self._reports.take(look, report, asked_at=asked_at, now=now)
-        if strays:
-            self._events.strays(self, strays)
-        if was_in_doubt and not self._in_doubt:
-            self._events.has_room()
-
-    def _start_anew(self, report: workers.Report) -> None:
-        """Forget the worker's former life."""
-        if self._born_ms:
-            _LOG.warning(
-                'Worker started anew.',
-                extra={
-                    'worker': self.worker.worker,
-                    'born_ms': report.born_ms,
-                    'runs': len(self.ledger.runs),
-                },
-            )
-            # Orders to the former life may still be carried out.
-            self.doubt('started anew')
-        self._born_ms = report.born_ms
-        self._reports.acked = 0
-        self._ack_sent = 0
-        self._lease.forget_clock()
-        self.ledger.unknown.clear()
-        self.health.reset()
--- a/sardineproxy/process/cells/lease.py
+++ b/sardineproxy/process/cells/lease.py
@@ -35,13 +35,17 @@
         self._clock_ms = 0
 
     def extend(self, now: float) -> int:
-        """Return the end of a lease from now on, on the worker's clock."""
+        """Return the end of a lease from now on, on the worker's clock.
+
+        The worker's clock is taken for as slow as it may be: an order that is
+        carried out late must find its lease expired.
+        """
         self._until = (
             now
             + self._cfg.lease_s * (1 + self._cfg.clock_error)
             + self._cfg.travel_s
         )
-        since_s = now - self._read_at
+        since_s = (now - self._read_at) * (1 - self._cfg.clock_error)
         return self._clock_ms + int((since_s + self._cfg.lease_s) * _MS_PER_S)
 
     def has_expired(self, now: float) -> bool:
--- a/sardineproxy/process/cells/times.py
+++ b/sardineproxy/process/cells/times.py
@@ -48,6 +48,10 @@
     #: Pause before a look that only acknowledges ends.
     ack_pause_s: float = 0.2
 
+    #: Pause before a look that only reads the clock of an idle worker. In this
+    #: time the clocks can move apart by 0.3 s, which a lease is shorter then.
+    idle_pause_s: float = 15.0
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Cell:
--- a/sardineproxy/standin/worker_model.py
+++ b/sardineproxy/standin/worker_model.py
@@ -93,6 +93,19 @@
         elapsed_s = (now - self._born_at) * self._clock_rate
         return self._clock_start_ms + int(elapsed_s * _MS_PER_S)
 
+    def set_capacity(self, millicores: int) -> None:
+        """Have another capacity, as a new life may."""
+        self.worker = dataclasses.replace(
+            self.worker,
+            capacity=dataclasses.replace(
+                self.worker.capacity, millicores=millicores
+            ),
+        )
+
+    def slow_down(self, clock_rate: float) -> None:
+        """Let the worker's clock run at another rate from its birth on."""
+        self._clock_rate = clock_rate
+
     def set_state(self, state: workers.WorkerState) -> None:
         """Say another state in the list."""
         self.worker = dataclasses.replace(self.worker, state=state)
--- a/tests/process/cells/test_agent.py
+++ b/tests/process/cells/test_agent.py
@@ -140,12 +140,59 @@
             await asyncio.sleep(0.1)
             rig.models['w0'].crash(rig.clock.now())
             rig.models['w0'].restart(rig.clock.now())
+            await asyncio.sleep(0.2)
+            rig.list_workers(owned, list(rig.models.values()))
             await asyncio.sleep(2)
             self.assertEqual({0: 'done'}, link.ends())
             self.assertEqual([], rig.complaints())
 
         samples.with_rig(scenario)
 
+    def test_new_life_gets_no_orders_before_it_is_listed(self) -> None:
+        """Guards against orders by the capacity of a former life."""
+
+        async def scenario(rig: samples.Rig) -> None:
+            owned = await rig.ready()
+            model = rig.models['w0']
+            model.crash(rig.clock.now())
+            model.restart(rig.clock.now())
+            model.set_capacity(samples.TASK_MILLICORES - 1)
+            owned.doubt_all('test')
+            await asyncio.sleep(0.1)
+            owned.submit(
+                samples.FakeLink(), samples.make_submit(), rig.clock.now()
+            )
+            await asyncio.sleep(0.2)
+            self.assertEqual([], rig.complaints())
+            self.assertEqual([], rig.records())
+
+        samples.with_rig(scenario)
+
+    def test_late_order_after_a_long_rest_finds_its_lease_expired(self) -> None:
+        """Guards against a run on a slow clock after its replacement.
+
+        The order leaves no answer and the worker stays silent, but carries it
+        out after the lease that the owner has waited for.
+        """
+
+        async def scenario(rig: samples.Rig) -> None:
+            owned = await rig.ready()
+            rig.models['w0'].slow_down(0.98)
+            await asyncio.sleep(200)
+            rig.wire.late_s = 1.1
+            rig.wire.fate_of = lambda kind: (
+                wire.Fate.LATE if kind == 'start' else wire.Fate.REQUEST_LOST
+            )
+            owned.submit(
+                samples.FakeLink(),
+                samples.make_submit(estimate_s=2.0, left_s=9.0),
+                rig.clock.now(),
+            )
+            await asyncio.sleep(3)
+            self.assertEqual([], rig.records())
+
+        samples.with_rig(scenario)
+
     def test_run_that_stands_still_starts_elsewhere(self) -> None:
         """Guards against tasks held on a hung worker to the deadline."""
 
