--- a/sardineproxy/process/cells/cell.py
+++ b/sardineproxy/process/cells/cell.py
@@ -68,7 +68,10 @@
         self._typical_millicores = TYPICAL_MILLICORES
         self._best_speed = 1.0
         self._takeover = takeover.Takeover(
-            agents=self._agents, cfg=cfg, opened_at=clock.now()
+            agents=self._agents,
+            backlog=self._backlog,
+            cfg=cfg,
+            opened_at=clock.now(),
         )
 
         #: Local time of the list of workers, in seconds.
@@ -276,42 +279,12 @@
         self, source: link.Link, asked: messages.Submit, now: float
     ) -> None:
         """Take over what a former owner ordered for a coordinator."""
-        is_sure = self._takeover.knows_all_runs()
         batch = self._make_batch(source, asked, now)
-        fresh: dict[int, int] = {}
-        for index, number in asked.tasks:
-            if not self._adopt(batch, index, now):
-                fresh[index] = number
+        fresh = self._takeover.resume(batch, asked, now)
         self._backlog.add(batch)
-        _LOG.info(
-            'Job resumed.',
-            extra={
-                'job': asked.job,
-                'adopted': sorted(batch.tasks),
-                'missing': sorted(fresh),
-                'all_workers_known': is_sure,
-            },
-        )
-        if fresh and not is_sure:
-            # They may run on a worker that has not reported.
-            for index, number in fresh.items():
-                self._backlog.send_end(batch, index, number, jobs.TaskEnd.LATE)
-        elif fresh:
+        if fresh:
             self._take(source, asked, fresh, now)
 
-    def _adopt(self, batch: runs.Batch, index: int, now: float) -> bool:
-        """Take a task over, or answer for it, if a worker lists it."""
-        run = self._takeover.adopt(batch, index, now)
-        if run is not None:
-            self._backlog.live[run.task] = run
-            batch.tasks[index] = runs.Task(number=run.number + 1, run=run)
-            batch.started = True
-            return True
-        end = self._takeover.find_done(batch.task_name(index))
-        if end is not None:
-            self._backlog.send_end(batch, index, end.run, jobs.TaskEnd.DONE)
-        return end is not None
-
     def _take(
         self,
         source: link.Link,
--- a/sardineproxy/process/cells/takeover.py
+++ b/sardineproxy/process/cells/takeover.py
@@ -7,9 +7,12 @@
 import dataclasses
 from typing import Mapping
 
-from sardineproxy import ids
+from sardineproxy import ids, logs
 from sardineproxy.connection import link, messages
-from sardineproxy.process.cells import agent, runs, times, workers
+from sardineproxy.process.cells import agent, backlog, runs, times, workers
+from sardineproxy.request import jobs
+
+_LOG = logs.get_logger('cell')
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -27,11 +30,13 @@
         self,
         *,
         agents: Mapping[ids.WorkerId, agent.Agent],
+        backlog: backlog.Backlog,
         cfg: times.Cell,
         opened_at: float,
     ) -> None:
         """Begin when the cell is won; times are local, in seconds."""
         self._agents = agents
+        self._backlog = backlog
         self._cfg = cfg
         self._opened_at = opened_at
         self._waiting: list[Request] = []
@@ -80,28 +85,67 @@
             for each in self._agents.values():
                 each.stop_unknown()
 
-    def adopt(
-        self, batch: runs.Batch, index: int, now: float
-    ) -> runs.Run | None:
-        """Take over a task's run if a worker lists one."""
-        name = runs.task_name(batch.job, batch.step, index)
+    def resume(
+        self, batch: runs.Batch, asked: messages.Submit, now: float
+    ) -> dict[int, int]:
+        """Put into a batch what still runs of it, and answer what ended.
+
+        Returns the tasks of which nothing is known and that may start anew,
+        with the numbers of their next runs.
+        """
+        missing = {
+            index: number
+            for index, number in asked.tasks
+            if not self._adopt(batch, index, now)
+        }
+        is_sure = self.knows_all_runs()
+        _LOG.info(
+            'Job resumed.',
+            extra={
+                'job': asked.job,
+                'adopted': sorted(batch.tasks),
+                'missing': sorted(missing),
+                'all_workers_known': is_sure,
+            },
+        )
+        if is_sure:
+            return missing
+        # They may run on a worker that has not reported.
+        for index, number in missing.items():
+            self._backlog.send_end(batch, index, number, jobs.TaskEnd.LATE)
+        return {}
+
+    def _adopt(self, batch: runs.Batch, index: int, now: float) -> bool:
+        """Take a task over, or answer for it, if a worker lists it."""
+        name = batch.task_name(index)
         for each in self._agents.values():
-            found = each.ledger.unknown.get(name)
-            if found is None:
-                continue
-            run = runs.Run(
-                task=name,
-                number=found.run,
-                batch=batch,
-                index=index,
-                worker=each.worker.worker,
-                ordered_at=now,
-            )
-            each.adopt(run, now)
-            return run
-        return None
+            if name in each.ledger.unknown:
+                run = self._take_run(each, batch, index, now)
+                batch.tasks[index] = runs.Task(number=run.number + 1, run=run)
+                batch.started = True
+                return True
+        end = self._find_done(name)
+        if end is not None:
+            self._backlog.send_end(batch, index, end.run, jobs.TaskEnd.DONE)
+        return end is not None
+
+    def _take_run(
+        self, owner: agent.Agent, batch: runs.Batch, index: int, now: float
+    ) -> runs.Run:
+        name = batch.task_name(index)
+        run = runs.Run(
+            task=name,
+            number=owner.ledger.unknown[name].run,
+            batch=batch,
+            index=index,
+            worker=owner.worker.worker,
+            ordered_at=now,
+        )
+        owner.adopt(run, now)
+        self._backlog.live[name] = run
+        return run
 
-    def find_done(self, task: workers.TaskName) -> workers.End | None:
+    def _find_done(self, task: workers.TaskName) -> workers.End | None:
         """Return a task's end if a worker lists that it ended well."""
         for each in self._agents.values():
             end = each.ledger.foreign_ends.get(task)
--- /dev/null
+++ b/sardineproxy/process/node/feeds.py
@@ -0,0 +1,133 @@
+"""What a node reads from the store and writes to it when it starts."""
+
+import asyncio
+import random
+from typing import Coroutine, Protocol
+
+import result
+
+from sardineproxy import clock, logs
+from sardineproxy.process import metrics, store
+from sardineproxy.process.membership import following, registry, worker_list
+
+#: Paces of the tables that are followed. A configuration must be in force
+#: within 2 s even if one answer is lost.
+CONFIG_PACE = following.Pace(wait_s=1.0, pause_s=0)
+DIRECTORY_PACE = following.Pace(wait_s=5.0, pause_s=0)
+
+#: The list of workers changes with each of their beats, so that it is asked
+#: for at intervals; a leaving worker must get no orders after 2 s.
+OWNER_ROSTER_PACE = following.Pace(wait_s=0, pause_s=0.8)
+HEIR_ROSTER_PACE = following.Pace(wait_s=0, pause_s=1.5)
+
+#: Pace of VMs that will not own a cell soon.
+ROSTER_PACE = following.Pace(wait_s=0, pause_s=15)
+
+#: Shortest and longest pause before a registration is tried again, in seconds.
+REGISTER_RETRY_MIN_S = 0.3
+REGISTER_RETRY_MAX_S = 0.6
+
+_LOG = logs.get_logger('node')
+
+
+class Reader(Protocol):
+    """Uses what the feeds bring."""
+
+    def take_configuration(self, rows: tuple[store.Row, ...]) -> None:
+        """Use changed rows of the operator's table."""
+
+    def take_directory(self, rows: tuple[store.Row, ...]) -> None:
+        """Use changed members and claims."""
+
+    def take_roster(self, rows: tuple[store.Row, ...]) -> None:
+        """Use changed entries of workers."""
+
+    def roster_pace(self) -> following.Pace:
+        """Return how often the list of workers is needed."""
+
+
+class Feeds:
+    """The followed tables, and this process's own row."""
+
+    def __init__(
+        self,
+        *,
+        configuration_table: str,
+        roster_table: str,
+        source: store.Store,
+        reader: Reader,
+        clock: clock.Clock,
+        rng: random.Random,
+        metrics: metrics.Metrics,
+    ) -> None:
+        """Prepare to follow the tables."""
+        self._store = source
+        self._clock = clock
+        self._rng = rng
+        tables = (
+            (configuration_table, reader.take_configuration, _config_pace),
+            (registry.TABLE, reader.take_directory, _directory_pace),
+            (roster_table, reader.take_roster, reader.roster_pace),
+        )
+        followers = [
+            following.TableFollower(
+                table=table,
+                source=source,
+                pace=pace,
+                clock=clock,
+                rng=rng,
+                metrics=metrics,
+                on_rows=on_rows,
+            )
+            for table, on_rows, pace in tables
+        ]
+        self.configuration = followers[0]
+        self.directory = followers[1]
+        self.roster = followers[2]
+
+    def tasks(
+        self, member: registry.Member
+    ) -> list[Coroutine[None, None, None]]:
+        """Return what runs for the whole life of the process."""
+        return [
+            self.configuration.run(),
+            self.directory.run(),
+            self.roster.run(),
+            self._register(member),
+        ]
+
+    def knows_configuration_source(self) -> bool:
+        """Tell whether the store answers about the configuration."""
+        return self.configuration.sound_since is not None
+
+    def knows_all_workers(self) -> bool:
+        """Tell whether no worker can be missing from the list."""
+        return worker_list.is_complete(self.roster, self._clock.now())
+
+    def listed_at(self) -> float:
+        """Return the local time of the list of workers, in seconds."""
+        return self.roster.answered_at or 0
+
+    async def _register(self, member: registry.Member) -> None:
+        """Write this process's member row; repeat until it is there."""
+        while True:
+            answer = await self._store.transact(
+                conditions=(), writes=(registry.member_write(member),)
+            )
+            if isinstance(answer, result.Ok):
+                _LOG.info('Registered.', extra={'vm': member.vm})
+                return
+            _LOG.warning(
+                'Not registered.', extra={'cause': answer.err_value.detail}
+            )
+            await asyncio.sleep(
+                self._rng.uniform(REGISTER_RETRY_MIN_S, REGISTER_RETRY_MAX_S)
+            )
+
+
+def _config_pace() -> following.Pace:
+    return CONFIG_PACE
+
+
+def _directory_pace() -> following.Pace:
+    return DIRECTORY_PACE
--- /dev/null
+++ b/sardineproxy/process/node/intake.py
@@ -0,0 +1,93 @@
+"""Jobs of clients at one node, from arrival to answer."""
+
+from sardineproxy import clock, logs
+from sardineproxy.process import metrics
+from sardineproxy.request import board, coordinator, jobs
+from sardineproxy.version import in_force, routes
+
+#: When to come back after a refusal by a process that ends, in seconds; other
+#: VMs take the job at once.
+DRAINING_RETRY_S = 1.0
+
+_LOG = logs.get_logger('node')
+
+
+class Intake:
+    """Runs jobs, and refuses those that would outlive the process."""
+
+    def __init__(
+        self,
+        *,
+        board: board.Board,
+        router: coordinator.Router,
+        versions: in_force.InForce,
+        clock: clock.Clock,
+        metrics: metrics.Metrics,
+    ) -> None:
+        """Run jobs on ``board``."""
+        self._board = board
+        self._router = router
+        self._versions = versions
+        self._clock = clock
+        self._metrics = metrics
+
+        #: Local time at which a shutdown ends, None while there is none.
+        self.ends_at: float | None = None
+
+    async def run(
+        self, job: jobs.Job, route: routes.Route, wait_s: float
+    ) -> jobs.Outcome:
+        """Run a job for a client that waits ``wait_s`` seconds."""
+        now = self._clock.now()
+        self._metrics.count('jobs_total')
+        outcome = self._refuse(job, route, now)
+        if outcome is None:
+            outcome = await self._run(job, route, now, wait_s)
+        took_s = self._clock.now() - now
+        kind = type(outcome).__name__
+        self._metrics.count('jobs_answered_total', outcome=kind)
+        self._metrics.observe('job_seconds', took_s, outcome=kind)
+        _LOG.info(
+            'Job answered.',
+            extra={
+                'job': job.job,
+                'route': route.route,
+                'version': self._versions.number,
+                'outcome': kind,
+                'detail': getattr(outcome, 'detail', ''),
+                'tasks': sum(step.count for step in job.steps),
+                'took_s': round(took_s, 4),
+                'wait_s': wait_s,
+            },
+        )
+        return outcome
+
+    def _refuse(
+        self, job: jobs.Job, route: routes.Route, now: float
+    ) -> jobs.Outcome | None:
+        """Refuse a job that would not be answered before the process ends."""
+        if self.ends_at is None:
+            return None
+        if now + route.bound_s(job.expected_s) <= self.ends_at:
+            return None
+        return jobs.NotRun(
+            detail='process ends before the job would',
+            retry_after_s=DRAINING_RETRY_S,
+        )
+
+    async def _run(
+        self, job: jobs.Job, route: routes.Route, now: float, wait_s: float
+    ) -> jobs.Outcome:
+        deadline = now + wait_s
+        if self.ends_at is not None:
+            deadline = min(deadline, self.ends_at)
+        return await self._board.run(
+            coordinator.Coordinator(
+                job=job,
+                route=route,
+                router=self._router,
+                clock=self._clock,
+                arrived_at=now,
+                deadline=deadline,
+            )
+        )
--- a/sardineproxy/process/node/node.py
+++ b/sardineproxy/process/node/node.py
@@ -6,7 +6,6 @@
 import secrets
 from typing import Callable, Coroutine, Iterable
 
-import result
 
 from sardineproxy import clock, deployment, ids, logs
 from sardineproxy.connection import link, messages
@@ -21,13 +20,16 @@
 )
 from sardineproxy.process.node import (
     claiming,
+    feeds,
     holdings,
+    intake,
     local_link,
+    peering,
     policy,
     sharing,
 )
-from sardineproxy.request import board, coordinator, jobs
-from sardineproxy.version import asking, in_force, routes
+from sardineproxy.request import board
+from sardineproxy.version import in_force
 
 #: Time between two rounds of what is due, in seconds: half a beat, and less
 #: for owners of cells, whose queues move on with time.
@@ -42,33 +44,8 @@
 #: have been read from connections that their clients have given up.
 STALL_REFUSAL_S = 0.05
 
-#: Paces of the tables that are followed. A configuration must be in force
-#: within 2 s even if one answer is lost.
-CONFIG_PACE = following.Pace(wait_s=1.0, pause_s=0)
-DIRECTORY_PACE = following.Pace(wait_s=5.0, pause_s=0)
-
-#: The list of workers changes with each of their beats, so that it is asked
-#: for at intervals; a leaving worker must get no orders after 2 s.
-OWNER_ROSTER_PACE = following.Pace(wait_s=0, pause_s=0.8)
-HEIR_ROSTER_PACE = following.Pace(wait_s=0, pause_s=1.5)
-
-#: Pace of VMs that will not own a cell soon.
-ROSTER_PACE = following.Pace(wait_s=0, pause_s=15)
-
 INCARNATION_BYTES = 6
 
-#: Of two VMs the one with the lower name opens their link; the other one
-#: does so after this time, in seconds.
-CALL_WAIT_S = 0.5
-
-#: When to come back after a refusal by a process that ends, in seconds; other
-#: VMs take the job at once.
-DRAINING_RETRY_S = 1.0
-
-#: Shortest and longest pause before a registration is tried again, in seconds.
-REGISTER_RETRY_MIN_S = 0.3
-REGISTER_RETRY_MAX_S = 0.6
-
 _LOG = logs.get_logger('node')
 
 
@@ -109,8 +86,6 @@
         """Prepare the process; ``start`` opens its listener for links."""
         self.cfg = cfg
         self._clock = outside.clock
-        self._rng = outside.rng
-        self._store = outside.store
         self._formats = outside.formats
         self.metrics = outside.registry
         self.me = messages.Greeting(
@@ -121,9 +96,13 @@
         self.versions = in_force.InForce(
             decode=outside.formats.decode_configuration
         )
-        self._asking = asking.Asking()
         self.board = board.Board()
         self.directory = registry.Registry()
+        self._sharing = sharing.Sharing(
+            versions=self.versions,
+            directory=self.directory,
+            on_directory=self._call_others,
+        )
         self.owners = owners.Owners(me=cfg.vm)
         self.workers = worker_list.WorkerList(
             worker_id=outside.formats.worker_id,
@@ -131,7 +110,7 @@
         )
         self.links = links.Links(
             clock=self._clock,
-            rng=self._rng,
+            rng=outside.rng,
             me=self.me,
             events=self,
             rhythm=self._rhythm,
@@ -145,7 +124,7 @@
             cores=cfg.cores,
         )
         self._claims = claiming.Claiming(
-            store=self._store,
+            store=outside.store,
             directory=self.directory,
             me=self.member,
             on_right=self._won,
@@ -162,22 +141,33 @@
             around=self,
             spawn=self._spawn,
         )
-        self._followers = self._make_followers()
+        self._feeds = feeds.Feeds(
+            configuration_table=outside.formats.configuration_table,
+            roster_table=outside.formats.roster_table,
+            source=outside.store,
+            reader=self,
+            clock=self._clock,
+            rng=outside.rng,
+            metrics=self.metrics,
+        )
+        self.intake = intake.Intake(
+            board=self.board,
+            router=self,
+            versions=self.versions,
+            clock=self._clock,
+            metrics=self.metrics,
+        )
         self._tasks: set[asyncio.Task[None]] = set()
         self._ticked_at = self._clock.now()
         self._refuse_until: float = 0
 
-        #: Local time at which a shutdown ends, None while there is none.
-        self._ends_at: float | None = None
-
     async def start(self) -> None:
         """Listen for links, register, and follow the store."""
         await self.links.start(self.cfg.peers)
         self._call_others()
         self._ticked_at = self._clock.now()
-        for follower in self._followers.values():
-            self._spawn(follower.run())
-        self._spawn(self._register())
+        for work in self._feeds.tasks(self.member):
+            self._spawn(work)
         self._spawn(self._keep_ticking())
 
     def use(self, cfg: deployment.Deployment) -> None:
@@ -196,13 +186,13 @@
 
     def drain(self, *, ends_at: float) -> None:
         """Ask other VMs to take the cells; this process ends at ``ends_at``."""
-        self._ends_at = ends_at
+        self.intake.ends_at = ends_at
         self.holdings.hand_over()
 
     @property
     def draining(self) -> bool:
         """Tell whether the process shuts down."""
-        return self._ends_at is not None
+        return self.intake.ends_at is not None
 
     # Jobs.
 
@@ -220,41 +210,6 @@
         self._check_stall(now)
         return now < self._refuse_until
 
-    async def run_job(
-        self, job: jobs.Job, route: routes.Route, wait_s: float
-    ) -> jobs.Outcome:
-        """Run a job for a client that waits ``wait_s`` seconds."""
-        now = self._clock.now()
-        self.metrics.count('jobs_total')
-        outcome: jobs.Outcome
-        if self._ends_at is not None and (
-            now + route.bound_s(job.expected_s) > self._ends_at
-        ):
-            outcome = jobs.NotRun(
-                detail='process ends before the job would',
-                retry_after_s=DRAINING_RETRY_S,
-            )
-        else:
-            outcome = await self._run(job, route, now, wait_s)
-        took_s = self._clock.now() - now
-        kind = type(outcome).__name__
-        self.metrics.count('jobs_answered_total', outcome=kind)
-        self.metrics.observe('job_seconds', took_s, outcome=kind)
-        _LOG.info(
-            'Job answered.',
-            extra={
-                'job': job.job,
-                'route': route.route,
-                'version': self.versions.number,
-                'outcome': kind,
-                'detail': getattr(outcome, 'detail', ''),
-                'tasks': sum(step.count for step in job.steps),
-                'took_s': round(took_s, 4),
-                'wait_s': wait_s,
-            },
-        )
-        return outcome
-
     def home(self) -> ids.CellId | None:
         """Return the cell that takes this VM's jobs."""
         if self.home_cell in self.owners.by_cell:
@@ -303,7 +258,7 @@
             case messages.Beat() | messages.Disowned() | messages.TakeOver():
                 self._take_ownership(source, message)
             case _:
-                self._take_shared(source, message)
+                self._sharing.received(source, message)
 
     # Surroundings of the holdings.
 
@@ -332,11 +287,11 @@
 
     def knows_all_workers(self) -> bool:
         """Tell whether no worker can be missing from the list."""
-        return worker_list.is_complete(self._roster, self._clock.now())
+        return self._feeds.knows_all_workers()
 
     def listed_at(self) -> float:
         """Return the local time of the list of workers, in seconds."""
-        return self._roster.answered_at or 0
+        return self._feeds.listed_at()
 
     def is_alone(self) -> bool:
         """Tell whether no other VM of several is in reach."""
@@ -344,7 +299,7 @@
 
     def gained(self, cell: ids.CellId) -> None:
         """Tell others that this process owns a cell."""
-        self._roster.poke()
+        self._feeds.roster.poke()
         self._choose_owners()
         self.links.send_all(self._beat(self._clock.now()))
 
@@ -381,82 +336,39 @@
             ],
         }
 
-    # Internals.
-
-    def _spawn(self, work: Coroutine[None, None, None]) -> None:
-        task = asyncio.create_task(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+    # Rows of the store.
 
-    async def _run(
-        self, job: jobs.Job, route: routes.Route, now: float, wait_s: float
-    ) -> jobs.Outcome:
-        deadline = now + wait_s
-        if self._ends_at is not None:
-            deadline = min(deadline, self._ends_at)
-        return await self.board.run(
-            coordinator.Coordinator(
-                job=job,
-                route=route,
-                router=self,
-                clock=self._clock,
-                arrived_at=now,
-                deadline=deadline,
-            )
-        )
-
-    def _make_followers(self) -> dict[str, following.TableFollower]:
-        tables = {
-            self._formats.configuration_table: (
-                self._take_configuration,
-                lambda: CONFIG_PACE,
-            ),
-            registry.TABLE: (self._take_directory, lambda: DIRECTORY_PACE),
-            self._formats.roster_table: (self._take_roster, self._roster_pace),
-        }
-        return {
-            table: following.TableFollower(
-                table=table,
-                source=self._store,
-                pace=pace,
-                clock=self._clock,
-                rng=self._rng,
-                metrics=self.metrics,
-                on_rows=on_rows,
-            )
-            for table, (on_rows, pace) in tables.items()
-        }
+    def take_configuration(self, rows: tuple[store.Row, ...]) -> None:
+        """Use changed rows of the operator's table."""
+        for row in rows:
+            if row.key == self._formats.configuration_row and row.body:
+                self.versions.offer(row.body, 'store')
 
-    @property
-    def _configuration(self) -> following.TableFollower:
-        return self._followers[self._formats.configuration_table]
+    def take_directory(self, rows: tuple[store.Row, ...]) -> None:
+        """Use changed members and claims."""
+        self._sharing.offer(rows)
 
-    @property
-    def _roster(self) -> following.TableFollower:
-        return self._followers[self._formats.roster_table]
+    def take_roster(self, rows: tuple[store.Row, ...]) -> None:
+        """Use changed entries of workers."""
+        now = self._clock.now()
+        self.workers.take(rows, now)
+        self.workers.drop_gone(self._feeds.roster.sound_since, now)
+        self.holdings.give_workers()
 
-    def _roster_pace(self) -> following.Pace:
+    def roster_pace(self) -> following.Pace:
+        """Return how often the list of workers is needed."""
         if self.holdings.cells:
-            return OWNER_ROSTER_PACE
+            return feeds.OWNER_ROSTER_PACE
         if self._claims.is_heir():
-            return HEIR_ROSTER_PACE
-        return ROSTER_PACE
+            return feeds.HEIR_ROSTER_PACE
+        return feeds.ROSTER_PACE
 
-    async def _register(self) -> None:
-        """Write this process's member row; repeat until it is there."""
-        while True:
-            answer = await self._store.transact(
-                conditions=(), writes=(registry.member_write(self.member),)
-            )
-            if isinstance(answer, result.Ok):
-                _LOG.info('Registered.', extra={'vm': self.cfg.vm})
-                return
-            _LOG.warning(
-                'Not registered.', extra={'cause': answer.err_value.detail}
-            )
-            await asyncio.sleep(
-                self._rng.uniform(REGISTER_RETRY_MIN_S, REGISTER_RETRY_MAX_S)
-            )
+    # Internals.
+
+    def _spawn(self, work: Coroutine[None, None, None]) -> None:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
 
     async def _keep_ticking(self) -> None:
         while True:
@@ -508,13 +420,12 @@
                 now = self._clock.now()
                 if self.owners.take(source.peer.vm, cells, now):
                     self._choose_owners()
-                if self._asking.should_ask(
+                self._sharing.heard(
+                    source,
                     version,
-                    own=self.versions.number,
-                    store_answers=self._configuration.sound_since is not None,
+                    store_answers=self._feeds.knows_configuration_source(),
                     now=now,
-                ):
-                    source.send(messages.VersionAsk())
+                )
             case messages.Disowned(cell=cell):
                 self.owners.forget(source.peer.vm, cell)
                 self._choose_owners()
@@ -522,20 +433,6 @@
             case messages.TakeOver(cell=cell):
                 self.holdings.start_claim(cell)
 
-    def _take_shared(
-        self, source: link.Link, message: messages.Message
-    ) -> None:
-        """Act on a message about contents of the store."""
-        match message:
-            case messages.DirectoryAsk():
-                source.send(sharing.pack_directory(self.directory))
-            case messages.DirectoryGive():
-                self._take_directory(sharing.unpack_directory(message))
-            case messages.VersionAsk():
-                source.send(sharing.pack_version(self.versions))
-            case messages.VersionGive():
-                self._take_version(source, message)
-
     def _choose_owners(self) -> None:
         change = self.owners.choose(self.holdings.rights())
         for cell, vm in change.lost.items():
@@ -545,55 +442,14 @@
         for found in change.found:
             self.board.owner_found(found)
 
-    def _take_version(
-        self, source: link.Link, given: messages.VersionGive
-    ) -> None:
-        unpacked = sharing.unpack_version(given)
-        if isinstance(unpacked, result.Err):
-            _LOG.error(
-                'Version refused.',
-                extra={'source': source.peer.vm, 'cause': unpacked.err_value},
-            )
-        else:
-            self.versions.offer(unpacked.ok_value, source.peer.vm)
-
-    def _take_configuration(self, rows: tuple[store.Row, ...]) -> None:
-        for row in rows:
-            if row.key == self._formats.configuration_row and row.body:
-                self.versions.offer(row.body, 'store')
-
-    def _take_directory(self, rows: tuple[store.Row, ...]) -> None:
-        if self.directory.offer(rows):
-            self._call_others()
-
     def _call_others(self) -> None:
         """Keep links to all members, and to the seeds while there are none."""
-        others = [
-            member
-            for member in self.directory.members.values()
-            if member.vm != self.cfg.vm
-            and self._claims.needs_link(self.cfg.vm, member.vm)
-        ]
-        if not others:
-            self.links.use(
-                {seed: 0 for seed in self.cfg.seeds if seed != self.cfg.peers}
-            )
-            return
-        self.links.use(
-            {
-                member.address: 0 if self.cfg.vm < member.vm else CALL_WAIT_S
-                for member in others
-            }
+        peering.use_members(
+            self.links,
+            members=self.directory.members.values(),
+            claims=self._claims,
+            cfg=self.cfg,
         )
-        self.links.keep({member.vm for member in others})
-        for known in others:
-            self.links.known(known.address, known.vm)
-
-    def _take_roster(self, rows: tuple[store.Row, ...]) -> None:
-        now = self._clock.now()
-        self.workers.take(rows, now)
-        self.workers.drop_gone(self._roster.sound_since, now)
-        self.holdings.give_workers()
 
     def _won(self, cell: ids.CellId, right: fences.Right) -> None:
         self.holdings.won(cell, right)
--- a/sardineproxy/process/node/service.py
+++ b/sardineproxy/process/node/service.py
@@ -179,7 +179,7 @@
         self, job: jobs.Job, route: routes.Route, wait_s: float
     ) -> jobs.Outcome:
         """Run a job for a client that waits ``wait_s`` seconds."""
-        return await self._own.run_job(job, route, wait_s)
+        return await self._own.intake.run(job, route, wait_s)
 
     def waiting_for(self, route: routes.Route) -> int:
         """Return how many jobs of a route wait for their first start."""
--- a/sardineproxy/process/node/sharing.py
+++ b/sardineproxy/process/node/sharing.py
@@ -4,18 +4,80 @@
 """
 
 import zlib
+from typing import Callable
 
 import result
 
-from sardineproxy.connection import messages
+from sardineproxy import logs
+from sardineproxy.connection import link, messages
 from sardineproxy.process import store
 from sardineproxy.process.membership import registry
-from sardineproxy.version import in_force
+from sardineproxy.version import asking, in_force
 
 #: Largest version that is accepted from another VM, in bytes: ten times the
 #: one that the users' largest test makes.
 MAX_VERSION_BYTES = 8_388_608
 
+_LOG = logs.get_logger('config')
+
+
+class Sharing:
+    """Asks other VMs for versions and claims, and answers their questions."""
+
+    def __init__(
+        self,
+        *,
+        versions: in_force.InForce,
+        directory: registry.Registry,
+        on_directory: Callable[[], None],
+    ) -> None:
+        """Call ``on_directory`` whenever members or claims have changed."""
+        self._versions = versions
+        self._directory = directory
+        self._on_directory = on_directory
+        self._asking = asking.Asking()
+
+    def heard(
+        self, source: link.Link, number: int, *, store_answers: bool, now: float
+    ) -> None:
+        """Note a VM's version, and ask for it if that is due."""
+        if self._asking.should_ask(
+            number,
+            own=self._versions.number,
+            store_answers=store_answers,
+            now=now,
+        ):
+            source.send(messages.VersionAsk())
+
+    def offer(self, rows: tuple[store.Row, ...]) -> None:
+        """Use members and claims that are newer than those known."""
+        if self._directory.offer(rows):
+            self._on_directory()
+
+    def received(self, source: link.Link, message: messages.Message) -> None:
+        """Act on a question or an answer."""
+        match message:
+            case messages.DirectoryAsk():
+                source.send(pack_directory(self._directory))
+            case messages.DirectoryGive():
+                self.offer(unpack_directory(message))
+            case messages.VersionAsk():
+                source.send(pack_version(self._versions))
+            case messages.VersionGive():
+                self._take_version(source, message)
+
+    def _take_version(
+        self, source: link.Link, given: messages.VersionGive
+    ) -> None:
+        unpacked = unpack_version(given)
+        if isinstance(unpacked, result.Err):
+            _LOG.error(
+                'Version refused.',
+                extra={'source': source.peer.vm, 'cause': unpacked.err_value},
+            )
+        else:
+            self._versions.offer(unpacked.ok_value, source.peer.vm)
+
 
 def pack_version(versions: in_force.InForce) -> messages.VersionGive:
     """Encode the version in force; routes are much alike and pack well."""
--- a/tests/process/node/test_node.py
+++ b/tests/process/node/test_node.py
@@ -26,7 +26,9 @@
         async def scenario(tested: node.Node) -> None:
             now = virtual_time.LoopClock().now()
             tested.drain(ends_at=now + 0.5)
-            outcome = await tested.run_job(samples.make_job(), samples.ROUTE, 2)
+            outcome = await tested.intake.run(
+                samples.make_job(), samples.ROUTE, 2
+            )
             self.assertEqual(
                 jobs.NotRun(
                     detail='process ends before the job would',
