--- a/sardineproxy/__main__.py
+++ b/sardineproxy/__main__.py
@@ -39,6 +39,11 @@
     return main(['', 'entry', *sys.argv[1:]])
 
 
+def node() -> int:
+    """Run ``sardineproxy-node``."""
+    return main(['', 'node', *sys.argv[1:]])
+
+
 def ctl() -> int:
     """Run ``sardineproxyctl``."""
     return main(['', 'ctl', *sys.argv[1:]])
