Fit leases, looks and stops to the platform's bounds; remove what nothing reads

Cause, found in review: max_hold_ms, stop_timeout_ms and config_apply_ms were decoded and not used, so that a deployment with shorter leases would have lost its runs. Store rates, heartbeat and retransmission were decoded for nothing. Change: the node's policy is fitted to the bounds; the waits for versions follow config_apply_ms. pending counts the jobs that are not known to have started. Unused fields and functions are gone.

--- a/sardineproxy/deployment.py
+++ b/sardineproxy/deployment.py
@@ -17,14 +17,6 @@
         return f'{self.host}:{self.port}'
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class StoreLimits:
-    """Rates of the platform's store, shared by all entry VMs."""
-
-    writes_per_s: float
-    reads_per_s: float
-
-
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Bounds:
     """Times that the platform grants, in seconds."""
@@ -41,9 +33,6 @@
     #: Time within which a configuration version must be in force.
     version_s: float
 
-    #: Time after a failed answer until the client sends the job again.
-    resend_s: float
-
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Deployment:
@@ -68,11 +57,7 @@
     seeds: tuple[Address, ...]
 
     store: Address
-    store_limits: StoreLimits
     bounds: Bounds
 
     #: Processor share of this VM, in cores.
     cores: float
-
-    #: Longest time between two signs of life of a worker in the store.
-    worker_beat_s: float
--- a/sardineproxy/platform/front_http.py
+++ b/sardineproxy/platform/front_http.py
@@ -20,9 +20,6 @@
 #: When to come back after a refusal for want of a configuration, in seconds.
 NO_CONFIGURATION_RETRY_S = 1.0
 
-#: Answers to clients that have gone; nobody reads them.
-_CLIENT_GONE = 499
-
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 
 _LOG = logs.get_logger('front')
--- a/sardineproxy/platform/settings.py
+++ b/sardineproxy/platform/settings.py
@@ -54,15 +54,10 @@
         peers=_peer_listener(document, listeners, ready.host),
         seeds=_seeds(document),
         store=fields.address(fields.text(store, 'address')),
-        store_limits=deployment.StoreLimits(
-            writes_per_s=fields.number(store, 'writes_per_s'),
-            reads_per_s=fields.number(store, 'reads_per_s'),
-        ),
         bounds=_bounds(fields.table(document, 'bounds')),
         # The share is of one core, which runs ``cores`` times as fast.
         cores=fields.number(limits, 'cpu_share')
         * fields.number(limits, 'cores'),
-        worker_beat_s=fields.number(document, 'heartbeat_ms') / _MS_PER_S,
     )
 
 
@@ -91,5 +86,4 @@
         stop_s=fields.number(document, 'stop_timeout_ms') / _MS_PER_S,
         grace_s=fields.number(document, 'grace_s'),
         version_s=fields.number(document, 'config_apply_ms') / _MS_PER_S,
-        resend_s=fields.number(document, 'retransmit_ms') / _MS_PER_S,
     )
--- a/sardineproxy/process/node/feeds.py
+++ b/sardineproxy/process/node/feeds.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random
-from typing import Coroutine, Protocol
+from typing import Callable, Coroutine, Protocol
 
 import result
 
@@ -10,10 +10,12 @@
 from sardineproxy.process import metrics, store
 from sardineproxy.process.membership import following, registry, worker_list
 
-#: Paces of the tables that are followed. A configuration must be in force
-#: within 2 s even if one answer is lost.
-CONFIG_PACE = following.Pace(wait_s=1.0, pause_s=0)
-DIRECTORY_PACE = following.Pace(wait_s=5.0, pause_s=0)
+#: Longest wait for a change of the configuration, as a part of the time in
+#: which it must be in force even if one answer is lost.
+CONFIG_WAIT_SHARE = 0.5
+
+#: Longest wait for a change of members and claims, in seconds.
+DIRECTORY_WAIT_S = 5.0
 
 #: The list of workers changes with each of their beats, so that it is asked
 #: for at intervals; a leaving worker must get no orders after 2 s.
@@ -53,6 +55,7 @@
         self,
         *,
         configuration_table: str,
+        configuration_s: float,
         roster_table: str,
         source: store.Store,
         reader: Reader,
@@ -60,13 +63,20 @@
         rng: random.Random,
         metrics: metrics.Metrics,
     ) -> None:
-        """Prepare to follow the tables."""
+        """Prepare to follow the tables.
+
+        A configuration must be in force within ``configuration_s``.
+        """
         self._store = source
         self._clock = clock
         self._rng = rng
         tables = (
-            (configuration_table, reader.take_configuration, _config_pace),
-            (registry.TABLE, reader.take_directory, _directory_pace),
+            (
+                configuration_table,
+                reader.take_configuration,
+                _steady(CONFIG_WAIT_SHARE * configuration_s),
+            ),
+            (registry.TABLE, reader.take_directory, _steady(DIRECTORY_WAIT_S)),
             (roster_table, reader.take_roster, reader.roster_pace),
         )
         followers = [
@@ -125,9 +135,7 @@
             )
 
 
-def _config_pace() -> following.Pace:
-    return CONFIG_PACE
-
-
-def _directory_pace() -> following.Pace:
-    return DIRECTORY_PACE
+def _steady(wait_s: float) -> Callable[[], following.Pace]:
+    """Return a pace that does not change."""
+    pace = following.Pace(wait_s=wait_s, pause_s=0)
+    return lambda: pace
--- a/sardineproxy/process/node/node.py
+++ b/sardineproxy/process/node/node.py
@@ -143,6 +143,7 @@
         )
         self._feeds = feeds.Feeds(
             configuration_table=outside.formats.configuration_table,
+            configuration_s=cfg.bounds.version_s,
             roster_table=outside.formats.roster_table,
             source=outside.store,
             reader=self,
--- a/sardineproxy/process/node/policy.py
+++ b/sardineproxy/process/node/policy.py
@@ -7,7 +7,7 @@
 
 import result
 
-from sardineproxy import json_text
+from sardineproxy import deployment, json_text
 from sardineproxy.process.cells import times
 
 #: Largest settings file, in bytes.
@@ -16,6 +16,13 @@
 #: Longest time that a setting may name, in seconds.
 MAX_SECONDS = 3600
 
+#: Longest wait of a look, as a part of the lease, which it must extend twice
+#: even if one answer is lost.
+LOOKS_SHARE = 0.3
+
+#: A stop is repeated after this multiple of the platform's bound for one.
+STOPS = 2
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Policy:
@@ -23,6 +30,20 @@
 
     cell: times.Cell = times.Cell()
 
+    def fit(self, bounds: deployment.Bounds) -> 'Policy':
+        """Return the policy as far as the platform's bounds allow it."""
+        calls = self.cell.calls
+        lease_s = min(calls.lease_s, bounds.lease_s)
+        fitted = dataclasses.replace(
+            calls,
+            lease_s=lease_s,
+            look_wait_s=min(calls.look_wait_s, LOOKS_SHARE * lease_s),
+            stop_retry_s=max(calls.stop_retry_s, STOPS * bounds.stop_s),
+        )
+        return dataclasses.replace(
+            self, cell=dataclasses.replace(self.cell, calls=fitted)
+        )
+
 
 def load(path: pathlib.Path) -> result.Result[Policy, str]:
     """Read and check a settings file; the error is one sentence."""
--- a/sardineproxy/process/node/service.py
+++ b/sardineproxy/process/node/service.py
@@ -59,7 +59,7 @@
         )
         self._node = node.Node(
             cfg=cfg,
-            rules=rules,
+            rules=rules.fit(cfg.bounds),
             outside=node.Outside(
                 clock=clock,
                 rng=random.Random(),
--- a/sardineproxy/request/board.py
+++ b/sardineproxy/request/board.py
@@ -66,10 +66,10 @@
         self._tell_all(coordinator.Stalled())
 
     def waiting_for(self, route: ids.RouteId) -> int:
-        """Return how many jobs of a route have no task that started."""
+        """Return how many jobs of a route are not known to have started."""
         return sum(
             entry.coordinator.route.route == route
-            and not entry.coordinator.started
+            and not entry.coordinator.may_have_run
             for entry in self._entries.values()
         )
 
--- a/sardineproxy/request/coordinator.py
+++ b/sardineproxy/request/coordinator.py
@@ -102,7 +102,11 @@
         self._todo = set(range(len(job.steps)))
         self._done_steps: set[int] = set()
         self._may_have_run = False
-        self.started = False
+
+    @property
+    def may_have_run(self) -> bool:
+        """Tell whether a task may have started, as far as is known here."""
+        return self._may_have_run
 
     def tell(self, event: Event) -> None:
         """Hand in an event."""
--- a/sardineproxy/standin/worker_model.py
+++ b/sardineproxy/standin/worker_model.py
@@ -202,15 +202,6 @@
         """Tell whether there are ends that were not acknowledged."""
         return any(end.number > acked for end in self._ends)
 
-    def next_event_at(self) -> float:
-        """Return when something ends next, infinity if nothing runs."""
-        times = [
-            running.done_at
-            for running in self._running.values()
-            if running.done_at is not None
-        ]
-        return min([*times, self._lapse_at()])
-
     def _reset(self) -> None:
         self._fence = 0
         self._lease_end_ms = 0
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -59,7 +59,7 @@
         self.assertEqual(('z1', 'z2'), cfg.zones)
         self.assertEqual(1, cfg.cores)
         self.assertEqual(2, cfg.bounds.version_s)
-        self.assertEqual(1.3, cfg.bounds.resend_s)
+        self.assertEqual(0.05, cfg.bounds.stop_s)
         self.assertEqual('127.0.0.1:8166', str(cfg.peers))
 
     def test_missing_field_is_named(self) -> None:
