Queues go by the operator's priority first

Cause: the priority of a route was decoded and sent on, but the owner ordered tasks by their latest start alone.

--- a/sardineproxy/process/cells/cell.py
+++ b/sardineproxy/process/cells/cell.py
@@ -179,7 +179,7 @@
         candidates = placement.usable(self._agents.values(), now)
         if candidates:
             self._best_speed = placement.best_speed(candidates)
-        waiting.sort(key=self._latest_start)
+        waiting.sort(key=self._urgency)
         for batch in waiting:
             self._place(batch, candidates, now)
             if batch.waiting():
@@ -386,6 +386,10 @@
         elif now + batch.work_s > min(batch.late_at, batch.deadline):
             self._give_up(batch)
 
+    def _urgency(self, batch: runs.Batch) -> tuple[int, float]:
+        """Return the order of the queue, the most urgent first."""
+        return batch.priority, self._latest_start(batch)
+
     def _latest_start(self, batch: runs.Batch) -> float:
         """Return when a task must start to be on time, in local seconds."""
         return batch.due_at - batch.work_s / self._best_speed
--- a/sardineproxy/process/cells/runs.py
+++ b/sardineproxy/process/cells/runs.py
@@ -91,6 +91,9 @@
     job: ids.JobId
     step: int
     route: ids.RouteId
+
+    #: Priority of its route; lower numbers go first.
+    priority: int
     service: ids.ServiceId
     payload: str
     shape: jobs.Shape
@@ -154,6 +157,7 @@
         job=asked.job,
         step=asked.step,
         route=asked.route,
+        priority=asked.priority,
         service=asked.service,
         payload=asked.payload,
         shape=jobs.Shape(
--- a/tests/process/cells/test_cell.py
+++ b/tests/process/cells/test_cell.py
@@ -78,6 +78,24 @@
 
         samples.with_rig(scenario)
 
+    def test_lower_priority_number_goes_first(self) -> None:
+        """Guards against urgent jobs behind a backlog of others."""
+
+        async def scenario(rig: samples.Rig) -> None:
+            owned = await rig.ready()
+            now = rig.clock.now()
+            link = samples.FakeLink()
+            owned.submit(link, samples.make_submit('first', 2), now)
+            owned.submit(link, samples.make_submit('later', 2, priority=2), now)
+            owned.submit(
+                link, samples.make_submit('urgent', 2, estimate_s=0.3), now
+            )
+            await asyncio.sleep(2)
+            started = [record.task[:4] for record in rig.records()]
+            self.assertEqual(['firs', 'firs', 'urge', 'urge'], started[:4])
+
+        samples.with_rig(scenario)
+
     def test_tasks_without_room_go_to_a_cell_that_has_some(self) -> None:
         """Guards against waiting while another cell is idle."""
 
