--- /dev/null
+++ b/tests/process/membership/test_following.py
@@ -0,0 +1,103 @@
+"""A copy of a table while the store misbehaves."""
+
+import asyncio
+import random
+from typing import Any, Callable, Coroutine
+
+import testtools
+from testtools import matchers
+
+from sardineproxy.process import metrics, store
+from sardineproxy.process.membership import following
+from tests import virtual_time
+from tests.process.node import samples
+
+
+class Rig:
+    """A follower of one table of a store in memory."""
+
+    def __init__(self) -> None:
+        self.store = samples.MemoryStore()
+        self.seen: list[store.Row] = []
+        self.follower = following.TableFollower(
+            table='t',
+            source=self.store,
+            pace=lambda: following.Pace(wait_s=0, pause_s=0.5),
+            clock=virtual_time.LoopClock(),
+            rng=random.Random(1),
+            metrics=metrics.Metrics(),
+            on_rows=self.seen.extend,
+        )
+        self.task = asyncio.create_task(self.follower.run())
+
+    def keys(self) -> list[str]:
+        return sorted(self.follower.rows)
+
+
+def with_rig(scenario: Callable[[Rig], Coroutine[Any, Any, None]]) -> None:
+    async def main() -> None:
+        await scenario(Rig())
+
+    virtual_time.run(main)
+
+
+class TestFollower(testtools.TestCase):
+    def test_changes_arrive_within_a_pause(self) -> None:
+        """Guards against a copy that stays as it was read first."""
+
+        async def scenario(rig: Rig) -> None:
+            rig.store.rows.put('t/a', b'1')
+            await asyncio.sleep(1)
+            rig.store.rows.put('t/a', None)
+            rig.store.rows.put('t/b', b'2')
+            await asyncio.sleep(1)
+            self.assertEqual(['t/b'], rig.keys())
+            self.assertIsNone(rig.seen[-2].body)
+
+        with_rig(scenario)
+
+    def test_rows_removed_in_lost_history_are_noticed(self) -> None:
+        """Guards against workers that stay listed for good."""
+
+        async def scenario(rig: Rig) -> None:
+            rig.store.rows.put('t/a', b'1')
+            await asyncio.sleep(1)
+            rig.store.rows.put('t/a', None)
+            rig.store.rows.forget_history()
+            rig.store.rows.put('t/b', b'2')
+            await asyncio.sleep(2)
+            self.assertEqual(['t/b'], rig.keys())
+            self.assertIn('t/a', [row.key for row in rig.seen if not row.body])
+
+        with_rig(scenario)
+
+    def test_outage_is_known_and_backed_off_from(self) -> None:
+        """Guards against calls without end to a store that is down."""
+
+        async def scenario(rig: Rig) -> None:
+            await asyncio.sleep(1)
+            self.assertIsNotNone(rig.follower.sound_since)
+            rig.store.is_down = True
+            await asyncio.sleep(1)
+            before = rig.store.calls
+            await asyncio.sleep(30)
+            self.assertIsNone(rig.follower.sound_since)
+            self.assertThat(rig.store.calls - before, matchers.LessThan(70))
+            rig.store.is_down = False
+            rig.store.rows.put('t/a', b'1')
+            await asyncio.sleep(2)
+            self.assertEqual(['t/a'], rig.keys())
+
+        with_rig(scenario)
+
+    def test_poke_ends_a_pause(self) -> None:
+        """Guards against a new owner that waits for its list of workers."""
+
+        async def scenario(rig: Rig) -> None:
+            await asyncio.sleep(0.1)
+            rig.store.rows.put('t/a', b'1')
+            rig.follower.poke()
+            await asyncio.sleep(0.01)
+            self.assertEqual(['t/a'], rig.keys())
+
+        with_rig(scenario)
--- /dev/null
+++ b/tests/process/membership/test_owners.py
@@ -0,0 +1,74 @@
+"""Who owns each cell, as the owners say."""
+
+import testtools
+
+from sardineproxy import ids
+from sardineproxy.process.cells import fences
+from sardineproxy.process.membership import owners
+
+CELL = ids.CellId('zone-a')
+ME = ids.VmId('me')
+FIRST = ids.VmId('first')
+SECOND = ids.VmId('second')
+
+
+def make_owners(**epochs: int) -> owners.Owners:
+    """Return owners after each VM has told its epoch of the cell."""
+    tested = owners.Owners(me=ME)
+    for vm, epoch in epochs.items():
+        tested.take(ids.VmId(vm), ((CELL, epoch, 0, 5),), 0)
+    return tested
+
+
+class TestChoice(testtools.TestCase):
+    def test_highest_right_wins(self) -> None:
+        """Guards against tasks sent to a former owner."""
+        tested = make_owners(first=3, second=2)
+        tested.choose({})
+        self.assertEqual({CELL: FIRST}, tested.by_cell)
+
+    def test_rank_decides_within_an_epoch(self) -> None:
+        """Guards against two heirs that are both believed."""
+        tested = owners.Owners(me=ME)
+        tested.take(FIRST, ((CELL, 3, 1, 0),), 0)
+        tested.take(SECOND, ((CELL, 3, 2, 0),), 0)
+        tested.choose({})
+        self.assertEqual({CELL: SECOND}, tested.by_cell)
+
+    def test_own_lower_right_is_lost(self) -> None:
+        """Guards against two VMs that both order a worker."""
+        change = make_owners(first=3).choose(
+            {CELL: fences.Right(epoch=2, rank=0)}
+        )
+        self.assertEqual({CELL: FIRST}, change.lost)
+
+    def test_own_higher_right_stays(self) -> None:
+        """Guards against a cell that is given up to its former owner."""
+        tested = make_owners(first=3)
+        change = tested.choose({CELL: fences.Right(epoch=4, rank=0)})
+        self.assertEqual({}, change.lost)
+        self.assertEqual({CELL: ME}, tested.by_cell)
+
+    def test_only_changes_are_told(self) -> None:
+        """Guards against jobs that are sent again for no reason."""
+        tested = make_owners(first=3)
+        self.assertEqual([CELL], tested.choose({}).found)
+        self.assertEqual([], tested.choose({}).found)
+
+    def test_cell_without_an_owner_is_forgotten_with_its_room(self) -> None:
+        """Guards against tasks sent to a VM that is gone."""
+        tested = make_owners(first=3)
+        tested.choose({})
+        tested.forget(FIRST)
+        tested.choose({})
+        self.assertEqual({}, tested.by_cell)
+        self.assertEqual({}, tested.rooms.free(0))
+
+    def test_one_cell_can_be_disowned(self) -> None:
+        """Guards against all cells of a VM lost with one of them."""
+        other = ids.CellId('zone-b')
+        tested = owners.Owners(me=ME)
+        tested.take(FIRST, ((CELL, 1, 0, 0), (other, 1, 0, 0)), 0)
+        tested.forget(FIRST, CELL)
+        tested.choose({})
+        self.assertEqual({other: FIRST}, tested.by_cell)
--- /dev/null
+++ b/tests/process/membership/test_registry.py
@@ -0,0 +1,74 @@
+"""Members and claims from rows that come in any order."""
+
+import json
+
+import hypothesis
+import testtools
+from hypothesis import strategies
+
+from sardineproxy import deployment, ids
+from sardineproxy.process import store
+from sardineproxy.process.membership import registry
+from tests import examples
+
+CELL = ids.CellId('z')
+
+
+def claim_row(revision: int, epoch: int) -> store.Row:
+    body = json.dumps({'epoch': epoch, 'owner': ['a', '1'], 'heirs': []})
+    return store.Row(
+        key=registry.cell_key(CELL), revision=revision, body=body.encode()
+    )
+
+
+class TestRegistry(testtools.TestCase):
+    def test_what_is_written_is_read(self) -> None:
+        """Guards against rows that their own writer cannot read."""
+        member = registry.Member(
+            vm=ids.VmId('a'),
+            incarnation=ids.Incarnation('1'),
+            zone=ids.ZoneId('z'),
+            address=deployment.Address(host='10.0.0.1', port=80),
+            cores=0.5,
+        )
+        write = registry.member_write(member)
+        tested = registry.Registry()
+        tested.offer((store.Row(key=write.key, revision=1, body=write.body),))
+        self.assertEqual({member.vm: member}, tested.members)
+
+    @hypothesis.given(strategies.permutations(range(1, 6)))
+    @examples.settings()
+    def test_newest_row_stays_in_any_order(self, order: list[int]) -> None:
+        """Guards against an old claim that a peer tells late."""
+        tested = registry.Registry()
+        for revision in order:
+            tested.offer((claim_row(revision, epoch=revision * 10),))
+        self.assertEqual(50, tested.claims[CELL].epoch)
+
+    def test_malformed_row_is_passed_over(self) -> None:
+        """Guards against a process that stops over another's row."""
+        tested = registry.Registry()
+        tested.offer((claim_row(1, 1),))
+        bad = store.Row(key=registry.cell_key(CELL), revision=2, body=b'{')
+        tested.offer((bad,))
+        self.assertEqual(1, tested.claims[CELL].epoch)
+
+    def test_removed_member_is_forgotten(self) -> None:
+        """Guards against links to VMs that were removed."""
+        tested = registry.Registry()
+        row = store.Row(
+            key='sardineproxy/member/a',
+            revision=1,
+            body=json.dumps(
+                {
+                    'incarnation': '1',
+                    'zone': 'z',
+                    'host': '10.0.0.1',
+                    'port': 1,
+                    'cores': 1,
+                }
+            ).encode(),
+        )
+        tested.offer((row,))
+        tested.offer((store.Row(key=row.key, revision=2, body=None),))
+        self.assertEqual({}, tested.members)
--- /dev/null
+++ b/tests/process/membership/test_worker_list.py
@@ -0,0 +1,85 @@
+"""The list of workers while entries lapse and return."""
+
+import json
+import random
+from typing import Any
+
+import testtools
+
+from sardineproxy import ids
+from sardineproxy.platform import roster
+from sardineproxy.process import metrics, store
+from sardineproxy.process.membership import following, worker_list
+from tests import virtual_time
+from tests.platform import samples
+from tests.process.node import samples as node_samples
+
+CELL = ids.CellId('z1')
+
+
+def make_list() -> worker_list.WorkerList:
+    return worker_list.WorkerList(
+        worker_id=roster.worker_id, decode=roster.decode
+    )
+
+
+def row(document: Any, key: str = 'i-1') -> store.Row:
+    body = None if document is None else json.dumps(document).encode()
+    return store.Row(key=f'servers/{key}', revision=1, body=body)
+
+
+class TestWorkerList(testtools.TestCase):
+    def test_entry_that_is_gone_counts_for_a_while(self) -> None:
+        """Guards against workers lost to a beat that came late."""
+        tested = make_list()
+        tested.take((row(samples.entry()),), 10)
+        tested.take((row(None),), 20)
+        tested.drop_gone(sound_since=0, now=22)
+        self.assertEqual(1, len(tested.of_cell(CELL)))
+        tested.drop_gone(sound_since=0, now=23)
+        self.assertEqual([], tested.of_cell(CELL))
+
+    def test_entry_that_lapsed_in_an_outage_has_time_to_come_back(self) -> None:
+        """Guards against workers given up as the store returns."""
+        tested = make_list()
+        tested.take((row(samples.entry()),), 10)
+        tested.take((row(None),), 20)
+        tested.drop_gone(sound_since=None, now=40)
+        tested.drop_gone(sound_since=40, now=42)
+        self.assertEqual(1, len(tested.of_cell(CELL)))
+        tested.take((row(samples.entry()),), 42)
+        tested.drop_gone(sound_since=40, now=60)
+        self.assertEqual(1, len(tested.of_cell(CELL)))
+
+    def test_malformed_entry_counts_as_gone(self) -> None:
+        """Guards against orders by an entry that another writer left."""
+        tested = make_list()
+        tested.take((row(samples.entry()),), 10)
+        tested.take((row({'state': 'ready'}),), 20)
+        tested.drop_gone(sound_since=0, now=30)
+        self.assertEqual([], tested.of_cell(CELL))
+
+    def test_list_is_complete_once_the_store_has_answered_for_long(
+        self,
+    ) -> None:
+        """Guards against a new owner that misses a worker with runs."""
+
+        async def main() -> following.TableFollower:
+            return following.TableFollower(
+                table='servers',
+                source=node_samples.MemoryStore(),
+                pace=lambda: following.Pace(wait_s=0, pause_s=1),
+                clock=virtual_time.LoopClock(),
+                rng=random.Random(1),
+                metrics=metrics.Metrics(),
+                on_rows=lambda _: None,
+            )
+
+        source = virtual_time.run(main)
+        self.assertFalse(worker_list.is_complete(source, 10))
+        source.sound_since = 10
+        source.answered_at = 11
+        self.assertFalse(worker_list.is_complete(source, 11))
+        source.answered_at = 13
+        self.assertTrue(worker_list.is_complete(source, 13))
+        self.assertFalse(worker_list.is_complete(source, 30))
--- a/tests/process/node/samples.py
+++ b/tests/process/node/samples.py
@@ -34,6 +34,7 @@
     def __init__(self) -> None:
         self.rows = row_store.RowStore()
         self.is_down = False
+        self.calls = 0
 
     async def read(self, table: str) -> Any:
         return self._answer(self.rows.read(table))
@@ -46,14 +47,15 @@
             return _unavailable()
         done = self.rows.transact(**changes)
         if isinstance(done, row_store.Conflict):
-            return result.Err(
-                store.StoreError(kind=store.ErrorKind.CONFLICT, detail='')
-            )
+            return _failed(store.ErrorKind.CONFLICT)
         return result.Ok(done)
 
     def _answer(self, page: Any) -> Any:
-        if self.is_down or page is None:
+        self.calls += 1
+        if self.is_down:
             return _unavailable()
+        if page is None:
+            return _failed(store.ErrorKind.HISTORY_LOST)
         return result.Ok(store.Rows(rows=page.rows, revision=page.revision))
 
 
@@ -92,6 +94,8 @@
 
 
 def _unavailable() -> Any:
-    return result.Err(
-        store.StoreError(kind=store.ErrorKind.UNAVAILABLE, detail='down')
-    )
+    return _failed(store.ErrorKind.UNAVAILABLE)
+
+
+def _failed(kind: store.ErrorKind) -> Any:
+    return result.Err(store.StoreError(kind=kind, detail=kind.value))
