A new owner reads the list of workers before it orders anything

VMs that are not among the first three of their zone read the list every 15 s; one of them won the cell and used its old list. Change: until a list is read that is newer than the win, nothing is ordered; if the store does not answer, for 0.7 s at most. A poke that comes while the store is asked ends the next pause. Tests: test_new_owner_waits_for_the_list_of_workers and its neighbour.

--- a/sardineproxy/process/cells/cell.py
+++ b/sardineproxy/process/cells/cell.py
@@ -34,6 +34,16 @@
         """Another process has taken the cell over."""
 
 
+class Listing(Protocol):
+    """Tells how old the list of workers is."""
+
+    def listed_at(self) -> float:
+        """Return the local time of the list of workers, in seconds."""
+
+    def list_answers(self) -> bool:
+        """Tell whether the store answers about the list of workers."""
+
+
 class Cell:  # noqa: WPS214
     """The workers of one cell and the tasks for them."""
 
@@ -47,6 +57,7 @@
         metrics: metrics.Metrics,
         events: Events,
         others: rooms.Rooms,
+        listing: Listing,
         cfg: times.Cell,
     ) -> None:
         """Own a cell; ``others`` tells how much room other cells have."""
@@ -57,7 +68,9 @@
         self._metrics = metrics
         self._events = events
         self._others = others
+        self._listing = listing
         self._cfg = cfg
+        self._opened_at = clock.now()
         self._agents: dict[ids.WorkerId, agent.Agent] = {}
 
         #: Counts of fences of workers that have left, as one may come back.
@@ -71,29 +84,21 @@
             agents=self._agents,
             backlog=self._backlog,
             cfg=cfg,
-            opened_at=clock.now(),
+            opened_at=self._opened_at,
         )
 
-        #: Local time of the list of workers, in seconds.
-        self._listed_at: float = 0
-
     async def close(self) -> None:
         """Stop all calls to workers; what runs there runs on."""
         for each in self._agents.values():
             await each.close()
 
     def set_workers(
-        self,
-        listed: Iterable[workers.Worker],
-        *,
-        complete: bool,
-        listed_at: float,
+        self, listed: Iterable[workers.Worker], *, complete: bool
     ) -> None:
         """Use the newest list of the cell's workers.
 
         It is ``complete`` if it is no older than a former owner's.
         """
-        self._listed_at = listed_at
         if complete:
             self._takeover.knows_workers = True
         by_id = {worker.worker: worker for worker in listed}
@@ -174,7 +179,7 @@
     def dispatch(self, now: float) -> None:
         """Order runs of waiting tasks as far as there is room."""
         waiting = self._backlog.waiting()
-        if not waiting:
+        if not waiting or not self._knows_list(now):
             return
         candidates = placement.usable(self._agents.values(), now)
         if candidates:
@@ -253,6 +258,16 @@
 
     # Life of a batch.
 
+    def _knows_list(self, now: float) -> bool:
+        """Tell whether workers that leave are known, as far as they can be.
+
+        A VM that does not own a cell reads the list seldom.
+        """
+        if self._listing.listed_at() >= self._opened_at:
+            return True
+        waited = now >= self._opened_at + self._cfg.list_wait_s
+        return waited or not self._listing.list_answers()
+
     def _drop_gone(self, now: float) -> None:
         """Forget workers that have left for good."""
         for worker_id, each in list(self._agents.items()):
@@ -354,7 +369,7 @@
                     'due_s': round(batch.due_at - now, 4),
                     'epoch': self.right.epoch,
                     'rank': self.right.rank,
-                    'list_age_s': round(now - self._listed_at, 3),
+                    'list_age_s': round(now - self._listing.listed_at(), 3),
                 },
             )
 
--- a/sardineproxy/process/cells/times.py
+++ b/sardineproxy/process/cells/times.py
@@ -59,6 +59,10 @@
 
     calls: Calls = Calls()
 
+    #: A new owner waits this long for a new list of workers. The store's
+    #: answers are awaited for 0.6 s.
+    list_wait_s: float = 0.7
+
     #: A new owner waits this long for reports of all workers before it
     #: answers coordinators that resume their jobs.
     sync_s: float = 0.3
--- a/sardineproxy/process/membership/following.py
+++ b/sardineproxy/process/membership/following.py
@@ -174,9 +174,10 @@
             pause_s = longest * self._rng.uniform(0.5, 1)
         if not pause_s:
             return
-        self._poked.clear()
+        # A poke that came while the store was asked ends this pause as well.
         try:
             async with asyncio.timeout(pause_s):
                 await self._poked.wait()
         except TimeoutError:
             return
+        self._poked.clear()
--- a/sardineproxy/process/node/feeds.py
+++ b/sardineproxy/process/node/feeds.py
@@ -118,6 +118,10 @@
         """Return the local time of the list of workers, in seconds."""
         return self.roster.answered_at or 0
 
+    def list_answers(self) -> bool:
+        """Tell whether the store answers about the list of workers."""
+        return self.roster.sound_since is not None
+
     async def _register(self, member: registry.Member) -> None:
         """Write this process's member row; repeat until it is there."""
         while True:
--- a/sardineproxy/process/node/holdings.py
+++ b/sardineproxy/process/node/holdings.py
@@ -51,6 +51,9 @@
     def listed_at(self) -> float:
         """Return the local time of the list of workers, in seconds."""
 
+    def list_answers(self) -> bool:
+        """Tell whether the store answers about the list of workers."""
+
     def is_alone(self) -> bool:
         """Tell whether no other VM of several is in reach."""
 
@@ -175,6 +178,7 @@
             metrics=self._tools.metrics,
             events=self,
             others=self._around.rooms,
+            listing=self._around,
             cfg=self._tools.cfg,
         )
         self.cells[cell] = owned
@@ -210,7 +214,6 @@
         owned.set_workers(
             self._around.workers_of(owned.cell),
             complete=self._around.knows_all_workers(),
-            listed_at=self._around.listed_at(),
         )
 
     def _review(self, now: float) -> None:
--- a/sardineproxy/process/node/node.py
+++ b/sardineproxy/process/node/node.py
@@ -294,6 +294,10 @@
         """Return the local time of the list of workers, in seconds."""
         return self._feeds.listed_at()
 
+    def list_answers(self) -> bool:
+        """Tell whether the store answers about the list of workers."""
+        return self._feeds.list_answers()
+
     def is_alone(self) -> bool:
         """Tell whether no other VM of several is in reach."""
         return not self.links.open and len(self.directory.members) > 1
--- a/tests/process/cells/samples.py
+++ b/tests/process/cells/samples.py
@@ -128,11 +128,18 @@
             for number in range(count)
         }
         self.wire = wire.Wire(models=self.models, clock=self.clock)
+        self.list_is_new = True
         self.superseded_cells: list[cells.Cell] = []
         self.others = rooms.Rooms()
         self.cells: list[cells.Cell] = []
         self._tickers: list[asyncio.Task[None]] = []
 
+    def listed_at(self) -> float:
+        return self.clock.now() if self.list_is_new else 0
+
+    def list_answers(self) -> bool:
+        return True
+
     def superseded(self, lost: cells.Cell) -> None:
         self.superseded_cells.append(lost)
 
@@ -152,6 +159,7 @@
             metrics=metrics.Metrics(),
             events=self,
             others=self.others,
+            listing=self,
             cfg=self.cfg,
         )
         self.list_workers(owned, list(self.models.values()), complete=complete)
@@ -171,7 +179,6 @@
         owned.set_workers(
             [model.worker for model in models],
             complete=complete,
-            listed_at=self.clock.now(),
         )
 
     async def ready(self, **kwargs: Any) -> cells.Cell:
--- a/tests/process/cells/test_cell.py
+++ b/tests/process/cells/test_cell.py
@@ -224,6 +224,40 @@
 
         samples.with_rig(scenario)
 
+    def test_new_owner_waits_for_the_list_of_workers(self) -> None:
+        """Guards against starts on workers that have said that they leave.
+
+        In a sweep of 30 VMs a VM that read the list every 15 s won a cell, and
+        started a task on a worker that had been draining for 3 s.
+        """
+
+        async def scenario(rig: samples.Rig) -> None:
+            rig.list_is_new = False
+            owned = await rig.ready()
+            link = samples.FakeLink()
+            owned.submit(link, samples.make_submit(), rig.clock.now())
+            await asyncio.sleep(0.3)
+            self.assertEqual([], rig.records())
+            rig.list_is_new = True
+            await asyncio.sleep(0.3)
+            self.assertEqual({0: 'done'}, link.ends())
+
+        samples.with_rig(scenario)
+
+    def test_new_owner_works_without_the_store(self) -> None:
+        """Guards against a zone without work while the store is silent."""
+
+        async def scenario(rig: samples.Rig) -> None:
+            rig.list_is_new = False
+            owned = await rig.ready()
+            link = samples.FakeLink()
+            submit = samples.make_submit(estimate_s=0.5)
+            owned.submit(link, submit, rig.clock.now())
+            await asyncio.sleep(1)
+            self.assertEqual({0: 'done'}, link.ends())
+
+        samples.with_rig(scenario)
+
     def test_worker_that_left_is_not_asked_for_ever(self) -> None:
         """Guards against looks at workers that are gone, which are priced."""
 
--- a/tests/process/cells/test_model.py
+++ b/tests/process/cells/test_model.py
@@ -204,9 +204,7 @@
             if not each.is_up:
                 each.restart(now)
         self.owner.set_workers(
-            [each.worker for each in self.rig.models.values()],
-            complete=True,
-            listed_at=now,
+            [each.worker for each in self.rig.models.values()], complete=True
         )
 
     async def client(self, number: int) -> None:
