--- a/sardineproxy/platform/front_http.py
+++ b/sardineproxy/platform/front_http.py
@@ -14,6 +14,10 @@
 #: Time to read a request's body, in seconds; the sheets say 3 s.
 READ_TIMEOUT_S = 3
 
+#: Longest request line and longest header field, in bytes; the sheets allow
+#: as much for all headers together.
+MAX_HEADER_BYTES = 16_384
+
 #: Wait of a client that does not say how long it waits, in seconds.
 DEFAULT_WAIT_S = 30.0
 
@@ -76,7 +80,13 @@
     async def _listen(
         self, handler: Handler, address: deployment.Address
     ) -> None:
-        server = web.Server(handler, handler_cancellation=True, access_log=None)
+        server = web.Server(
+            handler,
+            handler_cancellation=True,
+            access_log=None,
+            max_line_size=MAX_HEADER_BYTES,
+            max_field_size=MAX_HEADER_BYTES,
+        )
         runner = web.ServerRunner(server, shutdown_timeout=0)
         await runner.setup()
         site = web.TCPSite(runner, address.host, address.port, backlog=1024)
--- a/sardineproxy/process/cells/agent.py
+++ b/sardineproxy/process/cells/agent.py
@@ -4,10 +4,9 @@
 its order until a report shows that it has ended or can never start.
 """
 
-import asyncio
-from typing import Coroutine, Protocol
+from typing import Protocol
 
-from sardineproxy import clock, logs
+from sardineproxy import background, clock, logs
 from sardineproxy.process import metrics
 from sardineproxy.process.cells import (
     fences,
@@ -89,23 +88,19 @@
         )
         self.count = count
         self._leaving = False
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._tasks = background.Tasks()
 
     def open(self) -> None:
         """Start to watch the worker."""
-        self._spawn(self._watch.run())
+        self._tasks.spawn(self._watch.run())
 
     async def close(self) -> None:
         """Stop all calls."""
-        tasks = list(self._tasks)
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        await self._tasks.close()
 
     def abandon(self) -> None:
         """Stop all calls without waiting for their end."""
-        for task in self._tasks:
-            task.cancel()
+        self._tasks.abandon()
 
     @property
     def fence(self) -> int:
@@ -183,7 +178,7 @@
         run.fence = self.fence
         run.expires_ms = self._lease.extend(now)
         self.ledger.hold(run)
-        self._spawn(self._order(run))
+        self._tasks.spawn(self._order(run))
         self._watch.wake()
 
     def stop(self, run: runs.Run) -> None:
@@ -193,17 +188,17 @@
         run.state = _State.STOPPING
         run.stop_at = self._clock.now()
         if run.sent:
-            self._spawn(self._order_stop(run.task, run.number, run))
+            self._tasks.spawn(self._order_stop(run.task, run.number, run))
         self._watch.wake()
 
     def stop_again(self, run: runs.Run) -> None:
         """Order the stop of a run once more."""
-        self._spawn(self._order_stop(run.task, run.number, run))
+        self._tasks.spawn(self._order_stop(run.task, run.number, run))
 
     def stop_unknown(self) -> None:
         """Stop what another process ordered and nobody asks for."""
         for task, found in self.ledger.unknown.items():
-            self._spawn(self._order_stop(task, found.run))
+            self._tasks.spawn(self._order_stop(task, found.run))
         self.ledger.drop_foreign()
         self._watch.wake()
 
@@ -270,11 +265,6 @@
             'health': self.health.state(now),
         }
 
-    def _spawn(self, work: Coroutine[None, None, None]) -> None:
-        task = asyncio.create_task(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-
     async def _order(self, run: runs.Run) -> None:
         if run.state is _State.STOPPING:
             self._never_started(run, 'withdrawn before its order was sent')
--- a/sardineproxy/process/membership/links.py
+++ b/sardineproxy/process/membership/links.py
@@ -3,11 +3,11 @@
 import asyncio
 import dataclasses
 import random
-from typing import Awaitable, Callable, Collection, Coroutine, Mapping, Protocol
+from typing import Awaitable, Callable, Collection, Mapping, Protocol
 
 import result
 
-from sardineproxy import clock, deployment, ids, logs
+from sardineproxy import background, clock, deployment, ids, logs
 from sardineproxy.connection import link, messages
 
 Accept = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
@@ -99,7 +99,7 @@
         self._listen = listen
         self._server: asyncio.Server | None = None
         self._targets: dict[deployment.Address, _Target] = {}
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._tasks = background.Tasks()
         self._kept: Collection[ids.VmId] | None = None
 
         #: Rhythm of each open link, and since when.
@@ -116,10 +116,7 @@
         """Close the listener and all links."""
         if self._server is not None:
             self._server.close()
-        tasks = list(self._tasks)
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        await self._tasks.close()
 
     def use(self, waits_s: Mapping[deployment.Address, float]) -> None:
         """Keep links to these addresses from now on.
@@ -164,7 +161,7 @@
         for address, target in self._targets.items():
             if self._is_missing(target) and now >= target.retry_at:
                 target.is_dialing = True
-                self._spawn(self._dial(address, target))
+                self._tasks.spawn(self._dial(address, target))
 
     def send_all(self, message: messages.Message) -> None:
         """Send a message on one link to each VM."""
@@ -216,15 +213,10 @@
             return False
         return target.vm is None or self.to(target.vm) is None
 
-    def _spawn(self, work: Coroutine[None, None, None]) -> None:
-        task = asyncio.create_task(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-
     async def _accept(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        self._spawn(
+        self._tasks.spawn(
             self._run(
                 link.Link(
                     clock=self._clock,
--- a/sardineproxy/process/node/core.py
+++ b/sardineproxy/process/node/core.py
@@ -6,11 +6,11 @@
 import pathlib
 import signal
 import sys
-from typing import Mapping, TextIO
+from typing import Any, Mapping, TextIO
 
 import result
 
-from sardineproxy import clock, deployment, exit_status, logs
+from sardineproxy import background, clock, deployment, exit_status, logs
 from sardineproxy.platform import settings
 from sardineproxy.process.node import cli, policy, service
 
@@ -67,12 +67,16 @@
         self._path = path
         self._args = args
         self._rules = rules
+        self._stop: asyncio.Event | None = None
+        self._has_failed = False
 
     async def serve(self, cfg: deployment.Deployment) -> exit_status.ExitStatus:
         """Serve until a signal to stop."""
         loop = asyncio.get_running_loop()
         handler = logs.configure_bounded(fd=sys.stdout.fileno(), loop=loop)
         stop = asyncio.Event()
+        loop.set_exception_handler(self._note_error)
+        self._stop = stop
         hang_up = asyncio.Event()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, stop.set)
@@ -92,7 +96,25 @@
         watcher.cancel()
         await own.shut_down()
         handler.close()
-        return _STATUS.SUCCESS
+        return _STATUS.ERROR if self._has_failed else _STATUS.SUCCESS
+
+    def _note_error(
+        self, loop: asyncio.AbstractEventLoop, context: dict[str, Any]
+    ) -> None:
+        """Log an error that nothing handled; end the process on a fatal one.
+
+        The platform starts it anew; a node without one of its tasks would
+        serve wrongly, and nobody would know.
+        """
+        is_fatal = bool(context.get(background.FATAL))
+        _LOG.error(
+            'Error that nothing handled.',
+            extra={'what': context.get('message'), 'ends': is_fatal},
+            exc_info=context.get('exception'),
+        )
+        if is_fatal and self._stop is not None:
+            self._has_failed = True
+            self._stop.set()
 
     async def _watch_settings(
         self, own: service.Service, hang_up: asyncio.Event
--- a/sardineproxy/process/node/holdings.py
+++ b/sardineproxy/process/node/holdings.py
@@ -2,9 +2,9 @@
 
 import asyncio
 import dataclasses
-from typing import Callable, Coroutine, Iterable, Protocol
+from typing import Iterable, Protocol
 
-from sardineproxy import clock, ids, logs
+from sardineproxy import background, clock, ids, logs
 from sardineproxy.connection import link, messages
 from sardineproxy.process import metrics
 from sardineproxy.process.cells import cell as cells
@@ -84,14 +84,14 @@
         claims: claiming.Claiming,
         links: links.Links,
         around: Surroundings,
-        spawn: Callable[[Coroutine[None, None, None]], None],
+        tasks: background.Tasks,
     ) -> None:
         """Start without cells."""
         self._tools = tools
         self._claims = claims
         self._links = links
         self._around = around
-        self._spawn = spawn
+        self._tasks = tasks
         self._under_way: set[ids.CellId] = set()
         self._return_at: float = 0
         self.cells: dict[ids.CellId, cells.Cell] = {}
@@ -161,7 +161,7 @@
         """Claim a cell unless that is under way."""
         if cell not in self._under_way:
             self._under_way.add(cell)
-            self._spawn(self._claim(cell))
+            self._tasks.spawn(self._claim(cell))
 
     def won(self, cell: ids.CellId, right: fences.Right) -> None:
         """Own a cell from now on."""
@@ -197,7 +197,7 @@
                 'cause': cause,
             },
         )
-        self._spawn(lost.close())
+        self._tasks.spawn(lost.close())
         self._around.lost(cell)
 
     def superseded(self, lost: cells.Cell) -> None:
--- a/sardineproxy/process/node/node.py
+++ b/sardineproxy/process/node/node.py
@@ -4,10 +4,10 @@
 import dataclasses
 import random
 import secrets
-from typing import Callable, Coroutine, Iterable
+from typing import Callable, Iterable
 
 
-from sardineproxy import clock, deployment, ids, logs
+from sardineproxy import background, clock, deployment, ids, logs
 from sardineproxy.connection import link, messages
 from sardineproxy.process import metrics, store
 from sardineproxy.process.cells import fences, rooms, workers
@@ -86,6 +86,7 @@
         """Prepare the process; ``start`` opens its listener for links."""
         self.cfg = cfg
         self._clock = outside.clock
+        self._tasks = background.Tasks()
         self._formats = outside.formats
         self.metrics = outside.registry
         self.me = messages.Greeting(
@@ -139,7 +140,7 @@
             claims=self._claims,
             links=self.links,
             around=self,
-            spawn=self._spawn,
+            tasks=self._tasks,
         )
         self._feeds = feeds.Feeds(
             configuration_table=outside.formats.configuration_table,
@@ -158,7 +159,6 @@
             clock=self._clock,
             metrics=self.metrics,
         )
-        self._tasks: set[asyncio.Task[None]] = set()
         self._ticked_at = self._clock.now()
         self._refuse_until: float = 0
 
@@ -168,8 +168,8 @@
         self._call_others()
         self._ticked_at = self._clock.now()
         for work in self._feeds.tasks(self.member):
-            self._spawn(work)
-        self._spawn(self._keep_ticking())
+            self._tasks.spawn(work)
+        self._tasks.spawn(self._keep_ticking())
 
     def use(self, cfg: deployment.Deployment) -> None:
         """Use changed settings."""
@@ -178,10 +178,7 @@
 
     async def close(self) -> None:
         """Stop everything."""
-        tasks = list(self._tasks)
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        await self._tasks.close()
         await self.holdings.close()
         await self.links.close()
 
@@ -370,11 +367,6 @@
 
     # Internals.
 
-    def _spawn(self, work: Coroutine[None, None, None]) -> None:
-        task = asyncio.create_task(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-
     async def _keep_ticking(self) -> None:
         while True:
             self._tick(self._clock.now())
