One copy of the store's types and of the reading of flags

process/platform.py had its own copies of the errors, conditions and writes of process/store.py, and both programs' command lines the same parser.

--- a/sardineproxy/bench/slopes_samples.py
+++ b/sardineproxy/bench/slopes_samples.py
@@ -8,7 +8,7 @@
 
 from sardineproxy import clock as clocks
 from sardineproxy import ids
-from sardineproxy.process import platform, settings
+from sardineproxy.process import platform, settings, store
 from sardineproxy.request import work
 from sardineproxy.version import codec, contracts, fetching, versions
 
@@ -174,7 +174,7 @@
 
     async def read_rows(
         self, prefix: str, *, after: str = '', strict: bool = False
-    ) -> result.Result[tuple[platform.Row, ...], platform.PlatformError]:
+    ) -> result.Result[tuple[platform.Row, ...], store.StoreError]:
         """Return rows by prefix, in one page."""
         rows = tuple(
             row
@@ -187,9 +187,9 @@
     async def transact(
         self,
         *,
-        conditions: tuple[platform.Condition, ...],
-        writes: tuple[platform.Write, ...],
-    ) -> result.Result[None, platform.PlatformError]:
+        conditions: tuple[store.Condition, ...],
+        writes: tuple[store.Write, ...],
+    ) -> result.Result[None, store.StoreError]:
         """Write all rows; the conditions hold, as there is one writer."""
         for write in writes:
             self._write(write.key, write.body)
@@ -198,7 +198,7 @@
 
     async def get_object(
         self, name: str
-    ) -> result.Result[bytes | None, platform.PlatformError]:
+    ) -> result.Result[bytes | None, store.StoreError]:
         """Return the object, if there is one."""
         body = self._objects.get(name)
         self._count_read(len(body or b''))
@@ -206,7 +206,7 @@
 
     async def put_object(
         self, name: str, body: bytes
-    ) -> result.Result[None, platform.PlatformError]:
+    ) -> result.Result[None, store.StoreError]:
         """Store the object."""
         self._objects[name] = body
         self._count_write(len(body))
@@ -214,7 +214,7 @@
 
     async def list_vms(
         self,
-    ) -> result.Result[platform.VmList, platform.PlatformError]:
+    ) -> result.Result[platform.VmList, store.StoreError]:
         """Return the list."""
         self._count_read(0)
         return result.Ok(self._vm_list)
--- a/sardineproxy/operator/applying.py
+++ b/sardineproxy/operator/applying.py
@@ -5,7 +5,7 @@
 import result
 
 from sardineproxy import ids
-from sardineproxy.process import platform
+from sardineproxy.process import platform, store
 from sardineproxy.version import codec, fetching, versions
 
 #: Reads of the newest version before giving up because it keeps changing.
@@ -72,12 +72,12 @@
 
 
 Outcome = Applied | Unchanged | AlreadyApplied | Lost | NoSuchBase
-Applying = result.Result[Outcome, platform.PlatformError]
+Applying = result.Result[Outcome, store.StoreError]
 
 
 async def read_newest(
     client: platform.Platform,
-) -> result.Result[Newest, platform.PlatformError]:
+) -> result.Result[Newest, store.StoreError]:
     """Return the newest version by strict reads."""
     reads = 0
     while reads < MAX_READS:
@@ -102,7 +102,7 @@
     written = await _write(client, wanted, newest.ok_value)
     if isinstance(written, result.Ok):
         return result.Ok(Applied(head=written.ok_value))
-    if written.err_value.kind is not platform.ErrorKind.CONFLICT:
+    if written.err_value.kind is not store.ErrorKind.CONFLICT:
         return written
     newest = await read_newest(client)
     if isinstance(newest, result.Err):
@@ -114,7 +114,7 @@
 
 async def _read_once(
     client: platform.Platform,
-) -> result.Result[Newest | None, platform.PlatformError]:
+) -> result.Result[Newest | None, store.StoreError]:
     """Return the newest version, or None if it changed during the read."""
     read = await fetching.read_head(client, strict=True)
     if isinstance(read, result.Err):
@@ -139,7 +139,7 @@
 
 async def _write(
     client: platform.Platform, wanted: Wanted, newest: Newest
-) -> result.Result[versions.Head, platform.PlatformError]:
+) -> result.Result[versions.Head, store.StoreError]:
     head = versions.Head(
         number=ids.VersionNumber(wanted.base + 1),
         digest=versions.digest_of(wanted.documents),
@@ -162,11 +162,11 @@
         return stored
     written = await client.transact(
         conditions=(
-            platform.Condition(key=fetching.HEAD_KEY, revision=newest.revision),
+            store.Condition(key=fetching.HEAD_KEY, revision=newest.revision),
         ),
         writes=(
-            platform.Write(key=fetching.change_key(head.number), body=body),
-            platform.Write(key=fetching.HEAD_KEY, body=codec.encode_head(head)),
+            store.Write(key=fetching.change_key(head.number), body=body),
+            store.Write(key=fetching.HEAD_KEY, body=codec.encode_head(head)),
         ),
     )
     return written.map(lambda _: head)
@@ -176,7 +176,7 @@
     client: platform.Platform,
     head: versions.Head,
     documents: versions.Documents,
-) -> result.Result[None, platform.PlatformError]:
+) -> result.Result[None, store.StoreError]:
     """Write the snapshot object before its version exists.
 
     A version whose operator fails after the transaction then still has its
@@ -193,8 +193,8 @@
     )
     # No version refers to the object yet, so its fate changes nothing.
     return stored.map_err(
-        lambda error: platform.PlatformError(
-            kind=platform.ErrorKind.UNAVAILABLE, detail=error.detail
+        lambda error: store.StoreError(
+            kind=store.ErrorKind.UNAVAILABLE, detail=error.detail
         )
     )
 
@@ -224,7 +224,7 @@
 
 def _agree(
     head: versions.Head, revision: int, snapshot: versions.Snapshot
-) -> result.Result[Newest | None, platform.PlatformError]:
+) -> result.Result[Newest | None, store.StoreError]:
     if head.digest != snapshot.digest:
         return _invalid(
             f'the head states digest {head.digest} for version '
@@ -233,7 +233,7 @@
     return result.Ok(Newest(head=head, revision=revision, snapshot=snapshot))
 
 
-def _invalid(detail: str) -> result.Err[platform.PlatformError]:
+def _invalid(detail: str) -> result.Err[store.StoreError]:
     return result.Err(
-        platform.PlatformError(kind=platform.ErrorKind.INVALID, detail=detail)
+        store.StoreError(kind=store.ErrorKind.INVALID, detail=detail)
     )
--- a/sardineproxy/operator/commands.py
+++ b/sardineproxy/operator/commands.py
@@ -11,7 +11,7 @@
 
 from sardineproxy import exit_status, ids
 from sardineproxy.operator import applying, environment, options
-from sardineproxy.process import platform, platform_http
+from sardineproxy.process import platform, platform_http, store
 from sardineproxy.version import (
     codec,
     contract_files,
@@ -26,22 +26,22 @@
 
 _STATUS_OF_KIND = types.MappingProxyType(
     {
-        platform.ErrorKind.UNAVAILABLE: _Status.UNAVAILABLE,
-        platform.ErrorKind.UNKNOWN: _Status.UNKNOWN,
-        platform.ErrorKind.CONFLICT: _Status.ERROR,
-        platform.ErrorKind.INVALID: _Status.ERROR,
+        store.ErrorKind.UNAVAILABLE: _Status.UNAVAILABLE,
+        store.ErrorKind.UNKNOWN: _Status.UNKNOWN,
+        store.ErrorKind.CONFLICT: _Status.ERROR,
+        store.ErrorKind.INVALID: _Status.ERROR,
     }
 )
 
 _ADVICE = types.MappingProxyType(
     {
-        platform.ErrorKind.UNAVAILABLE: 'Nothing was changed; try again later.',
-        platform.ErrorKind.UNKNOWN: (
+        store.ErrorKind.UNAVAILABLE: 'Nothing was changed; try again later.',
+        store.ErrorKind.UNKNOWN: (
             'The change may have taken effect; run the same command again to '
             'find out.'
         ),
-        platform.ErrorKind.CONFLICT: 'Nothing was changed.',
-        platform.ErrorKind.INVALID: 'Nothing was changed.',
+        store.ErrorKind.CONFLICT: 'Nothing was changed.',
+        store.ErrorKind.INVALID: 'Nothing was changed.',
     }
 )
 
@@ -138,9 +138,7 @@
         )
 
 
-def _fail(
-    env: environment.Environment, error: platform.PlatformError
-) -> _Status:
+def _fail(env: environment.Environment, error: store.StoreError) -> _Status:
     env.complain(f'Platform: {error.detail}. {_ADVICE[error.kind]}')
     return _STATUS_OF_KIND[error.kind]
 
--- a/sardineproxy/process/core.py
+++ b/sardineproxy/process/core.py
@@ -6,7 +6,7 @@
 
 import result
 
-from sardineproxy import exit_status, logs
+from sardineproxy import command_line, exit_status, logs
 from sardineproxy.process import cli, entry, ready, settings
 
 _STATUS = exit_status.ExitStatus
@@ -18,7 +18,7 @@
     if isinstance(parsed, result.Err):
         return _fail(parsed.err_value, status=_STATUS.USAGE)
     args = parsed.ok_value
-    if isinstance(args, cli.Help):
+    if isinstance(args, command_line.Help):
         sys.stdout.write(args.text)
         return _STATUS.SUCCESS
     loaded = settings.load(args.settings)
--- a/sardineproxy/process/listing.py
+++ b/sardineproxy/process/listing.py
@@ -11,7 +11,7 @@
 import result
 
 from sardineproxy import clock, ids, json_text, logs
-from sardineproxy.process import directory, platform, settings
+from sardineproxy.process import directory, platform, settings, store
 from sardineproxy.version import polling
 
 #: Most VMs of one list.
@@ -183,7 +183,7 @@
             'platform_error': self._last_error,
         }
 
-    async def _poll(self) -> result.Result[None, platform.PlatformError]:
+    async def _poll(self) -> result.Result[None, store.StoreError]:
         listed = await self._platform.list_vms()
         if isinstance(listed, result.Err):
             return listed
--- a/sardineproxy/process/node/cli.py
+++ b/sardineproxy/process/node/cli.py
@@ -6,6 +6,8 @@
 import result
 from absl import flags
 
+from sardineproxy import command_line
+
 USAGE = """Run the entry process of one entry VM on the users' platform.
 
 Reads the platform's settings file, whose path stands in SARDINEPROXY_CONFIG,
@@ -30,24 +32,14 @@
     check: bool
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Help:
-    """The person asked for help."""
-
-    text: str
-
-
-def parse(argv: list[str]) -> result.Result[Arguments | Help, str]:
+def parse(argv: list[str]) -> result.Result[Arguments | command_line.Help, str]:
     """Parse the command line; the error is one sentence."""
     values = _define()
-    try:
-        rest = values(argv)
-    except flags.Error as exc:
-        return result.Err(f'{exc}; see --help.')
-    if values.help:
-        return result.Ok(Help(text=USAGE + values.get_help()))
-    if len(rest) > 1:
-        return result.Err(f'unexpected argument "{rest[1]}"; see --help.')
+    asked = command_line.read(values, argv, USAGE)
+    if isinstance(asked, result.Err):
+        return asked
+    if asked.ok_value is not None:
+        return result.Ok(asked.ok_value)
     return result.Ok(
         Arguments(
             policy=pathlib.Path(values.policy) if values.policy else None,
@@ -58,7 +50,7 @@
 
 
 def _define() -> flags.FlagValues:
-    values = flags.FlagValues()
+    values = command_line.new_flags()
     flags.DEFINE_string(
         'policy',
         None,
@@ -79,7 +71,4 @@
         help='Check the settings, open no port, and end.',
         flag_values=values,
     )
-    flags.DEFINE_bool(
-        'help', default=False, help='Show this help.', flag_values=values
-    )
     return values
--- a/sardineproxy/process/node/core.py
+++ b/sardineproxy/process/node/core.py
@@ -10,7 +10,14 @@
 
 import result
 
-from sardineproxy import background, clock, deployment, exit_status, logs
+from sardineproxy import (
+    background,
+    clock,
+    command_line,
+    deployment,
+    exit_status,
+    logs,
+)
 from sardineproxy.platform import settings
 from sardineproxy.process.node import cli, policy, service
 
@@ -33,7 +40,7 @@
     if isinstance(parsed, result.Err):
         return _fail(parsed.err_value, _STATUS.USAGE)
     args = parsed.ok_value
-    if isinstance(args, cli.Help):
+    if isinstance(args, command_line.Help):
         out.write(args.text)
         return _STATUS.SUCCESS
     if settings.PATH_VARIABLE not in environ:
--- a/sardineproxy/process/platform.py
+++ b/sardineproxy/process/platform.py
@@ -7,32 +7,7 @@
 import result
 
 from sardineproxy import ids
-
-
-class ErrorKind(enum.Enum):
-    """Why a call to the platform failed."""
-
-    #: The call certainly had no effect.
-    UNAVAILABLE = 'unavailable'
-
-    #: The write may have taken effect.
-    UNKNOWN = 'unknown'
-
-    #: A condition of a transaction did not hold; nothing was written.
-    CONFLICT = 'conflict'
-
-    #: The platform's answer was malformed or over its bound.
-    INVALID = 'invalid'
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class PlatformError:
-    """A failed call to the platform."""
-
-    kind: ErrorKind
-
-    #: One sentence for a person.
-    detail: str
+from sardineproxy.process import store
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -46,22 +21,6 @@
     body: bytes
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Condition:
-    """A row's revision that a transaction depends on, 0 for no such row."""
-
-    key: str
-    revision: int
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Write:
-    """A row's new contents."""
-
-    key: str
-    body: bytes
-
-
 class VmState(enum.Enum):
     """State of a VM in the platform's list."""
 
@@ -113,7 +72,7 @@
 
     async def read_rows(
         self, prefix: str, *, after: str = '', strict: bool = False
-    ) -> result.Result[tuple[Row, ...], PlatformError]:
+    ) -> result.Result[tuple[Row, ...], store.StoreError]:
         """Return rows whose key starts with ``prefix``, sorted by key.
 
         Only keys greater than ``after`` are returned. A strict read is
@@ -121,21 +80,24 @@
         """
 
     async def transact(
-        self, *, conditions: tuple[Condition, ...], writes: tuple[Write, ...]
-    ) -> result.Result[None, PlatformError]:
+        self,
+        *,
+        conditions: tuple[store.Condition, ...],
+        writes: tuple[store.Write, ...],
+    ) -> result.Result[None, store.StoreError]:
         """Write all rows if all conditions hold, else none."""
 
     async def get_object(
         self, name: str
-    ) -> result.Result[bytes | None, PlatformError]:
+    ) -> result.Result[bytes | None, store.StoreError]:
         """Return the object, or None if there is no such object."""
 
     async def put_object(
         self, name: str, body: bytes
-    ) -> result.Result[None, PlatformError]:
+    ) -> result.Result[None, store.StoreError]:
         """Store the object."""
 
-    async def list_vms(self) -> result.Result[VmList, PlatformError]:
+    async def list_vms(self) -> result.Result[VmList, store.StoreError]:
         """Return the list of VMs, which may lag."""
 
     async def close(self) -> None:
--- a/sardineproxy/process/platform_http.py
+++ b/sardineproxy/process/platform_http.py
@@ -12,7 +12,7 @@
 import yarl
 
 from sardineproxy import json_text
-from sardineproxy.process import listing, metrics, platform
+from sardineproxy.process import listing, metrics, platform, store
 
 #: Longest wait for a connection, in seconds.
 CONNECT_TIMEOUT_S = 2
@@ -31,8 +31,8 @@
 
 _CHUNK_BYTES = 65_536
 
-_Error = platform.PlatformError
-_Kind = platform.ErrorKind
+_Error = store.StoreError
+_Kind = store.ErrorKind
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -102,8 +102,8 @@
     async def transact(
         self,
         *,
-        conditions: tuple[platform.Condition, ...],
-        writes: tuple[platform.Write, ...],
+        conditions: tuple[store.Condition, ...],
+        writes: tuple[store.Write, ...],
     ) -> result.Result[None, _Error]:
         """Write all rows if all conditions hold, else none."""
         body = json.dumps(
@@ -245,7 +245,7 @@
 
 
 def _failed(
-    kind: platform.ErrorKind, req: _Request, exc: BaseException
+    kind: store.ErrorKind, req: _Request, exc: BaseException
 ) -> result.Err[_Error]:
     cause = str(exc) or type(exc).__name__
     return result.Err(
@@ -253,7 +253,7 @@
     )
 
 
-def _kind_of_read(exc: BaseException) -> platform.ErrorKind:
+def _kind_of_read(exc: BaseException) -> store.ErrorKind:
     if isinstance(
         exc, (aiohttp.ClientPayloadError, aiohttp.ClientResponseError)
     ):
--- a/sardineproxy/standin/platform_server.py
+++ b/sardineproxy/standin/platform_server.py
@@ -12,7 +12,7 @@
 from aiohttp import web
 
 from sardineproxy import clock, json_text
-from sardineproxy.process import listing, platform
+from sardineproxy.process import listing, platform, store
 from sardineproxy.standin import platform_faults, platform_store
 
 #: Largest request, in bytes. Base64 makes a row a third longer.
@@ -148,7 +148,7 @@
         except ValueError as exc:
             return web.Response(status=400, text=str(exc))
         writes = tuple(
-            platform.Write(key=write.key, body=write.body_base64)
+            store.Write(key=write.key, body=write.body_base64)
             for write in model.writes
         )
         refusal = self._check_room([len(write.body) for write in writes])
@@ -156,7 +156,7 @@
             return refusal
         conflict = self.store.transact(
             tuple(
-                platform.Condition(key=member.key, revision=member.revision)
+                store.Condition(key=member.key, revision=member.revision)
                 for member in model.conditions
             ),
             writes,
--- a/sardineproxy/standin/platform_store.py
+++ b/sardineproxy/standin/platform_store.py
@@ -6,7 +6,7 @@
 import itertools
 from typing import Iterator
 
-from sardineproxy.process import platform
+from sardineproxy.process import platform, store
 
 MAX_KEY_BYTES = 256
 MAX_ROW_BYTES = 1_048_576
@@ -102,8 +102,8 @@
 
     def transact(
         self,
-        conditions: tuple[platform.Condition, ...],
-        writes: tuple[platform.Write, ...],
+        conditions: tuple[store.Condition, ...],
+        writes: tuple[store.Write, ...],
     ) -> str | None:
         """Write all rows, or return the reason why none was written."""
         for condition in conditions:
--- a/sardineproxy/version/fetching.py
+++ b/sardineproxy/version/fetching.py
@@ -5,7 +5,7 @@
 
 import result
 
-from sardineproxy.process import platform
+from sardineproxy.process import platform, store
 from sardineproxy.version import codec, versions
 
 HEAD_KEY = 'config/head'
@@ -64,7 +64,7 @@
 
 async def read_head(
     client: platform.Platform, *, strict: bool
-) -> result.Result[HeadRow, platform.PlatformError]:
+) -> result.Result[HeadRow, store.StoreError]:
     """Return the head of the configuration."""
     read = await client.read_rows(HEAD_KEY, strict=strict)
     if isinstance(read, result.Err):
@@ -77,7 +77,7 @@
 
 async def read_changes(
     client: platform.Platform, *, after: int, strict: bool
-) -> result.Result[tuple[platform.Row, ...], platform.PlatformError]:
+) -> result.Result[tuple[platform.Row, ...], store.StoreError]:
     """Return the rows of changes with a number greater than ``after``."""
     return await client.read_rows(
         CHANGE_PREFIX, after=change_key(after), strict=strict
@@ -86,7 +86,7 @@
 
 async def read_change(
     client: platform.Platform, number: int, *, strict: bool = True
-) -> result.Result[versions.Change | None, platform.PlatformError]:
+) -> result.Result[versions.Change | None, store.StoreError]:
     """Return one change, or None if it is absent or malformed."""
     key = change_key(number)
     read = await client.read_rows(key, strict=strict)
@@ -105,7 +105,7 @@
     known: versions.Snapshot,
     head: versions.Head,
     strict: bool,
-) -> result.Result[Fetched, platform.PlatformError]:
+) -> result.Result[Fetched, store.StoreError]:
     """Return the newest version that can be reached from ``known``.
 
     Uses the changes after ``known``; when these are many or do not apply,
@@ -162,7 +162,7 @@
 
 async def _follow(
     client: platform.Platform, known: versions.Snapshot, strict: bool
-) -> result.Result[Fetched, platform.PlatformError]:
+) -> result.Result[Fetched, store.StoreError]:
     read = await read_changes(client, after=known.number, strict=strict)
     return read.map(lambda rows: apply_rows(known, rows))
 
@@ -172,7 +172,7 @@
     known: versions.Snapshot,
     head: versions.Head,
     strict: bool,
-) -> result.Result[versions.Snapshot | None, platform.PlatformError]:
+) -> result.Result[versions.Snapshot | None, store.StoreError]:
     """Return the latest usable snapshot newer than ``known``, else None."""
     number = head.number - head.number % SNAPSHOT_EVERY
     oldest = max(known.number, number - SNAPSHOT_EVERY * MAX_SNAPSHOTS_TRIED)
@@ -186,7 +186,7 @@
 
 async def _read_snapshot(
     client: platform.Platform, number: int, strict: bool
-) -> result.Result[versions.Snapshot | None, platform.PlatformError]:
+) -> result.Result[versions.Snapshot | None, store.StoreError]:
     """Return one snapshot, or None if it is absent or malformed."""
     change = await read_change(client, number, strict=strict)
     if isinstance(change, result.Err):
@@ -216,12 +216,12 @@
 
 def _decode_head(
     row: platform.Row,
-) -> result.Result[HeadRow, platform.PlatformError]:
+) -> result.Result[HeadRow, store.StoreError]:
     decoded = codec.decode_head(row.body)
     if isinstance(decoded, result.Err):
         return result.Err(
-            platform.PlatformError(
-                kind=platform.ErrorKind.INVALID,
+            store.StoreError(
+                kind=store.ErrorKind.INVALID,
                 detail=f'row {row.key}: {decoded.err_value}',
             )
         )
--- a/sardineproxy/version/follower.py
+++ b/sardineproxy/version/follower.py
@@ -9,7 +9,7 @@
 from reactivex import subject
 
 from sardineproxy import clock, ids, logs
-from sardineproxy.process import metrics, platform
+from sardineproxy.process import metrics, platform, store
 from sardineproxy.version import codec, fetching, polling, versions
 
 #: Changes kept for peers that are a few versions behind.
@@ -129,7 +129,7 @@
             'faults': dict(self._faults),
         }
 
-    async def _poll(self) -> result.Result[None, platform.PlatformError]:
+    async def _poll(self) -> result.Result[None, store.StoreError]:
         strict = self.in_force.value is None
         read = await fetching.read_head(self._platform, strict=strict)
         if isinstance(read, result.Err):
--- a/sardineproxy/version/polling.py
+++ b/sardineproxy/version/polling.py
@@ -7,7 +7,7 @@
 
 import result
 
-from sardineproxy.process import platform
+from sardineproxy.process import store
 
 #: Largest exponent of a doubling; keeps the powers small.
 _MAX_DOUBLINGS = 8
@@ -58,8 +58,8 @@
 
     async def limited(
         self,
-        poll: Awaitable[result.Result[None, platform.PlatformError]],
-    ) -> platform.PlatformError | None:
+        poll: Awaitable[result.Result[None, store.StoreError]],
+    ) -> store.StoreError | None:
         """Wait for one poll within its limit and count its outcome."""
         cfg = self._cfg
         limit_s = _doubled(cfg.limit_s, self.failures, cfg.max_limit_s)
@@ -68,8 +68,8 @@
                 outcome = await poll
         except TimeoutError:
             self.failures += 1
-            return platform.PlatformError(
-                kind=platform.ErrorKind.UNAVAILABLE,
+            return store.StoreError(
+                kind=store.ErrorKind.UNAVAILABLE,
                 detail=f'no whole answer within {limit_s} s',
             )
         if isinstance(outcome, result.Err):
--- a/tests/operator/test_applying.py
+++ b/tests/operator/test_applying.py
@@ -5,11 +5,11 @@
 from testtools import matchers
 
 from sardineproxy.operator import applying
-from sardineproxy.process import platform
+from sardineproxy.process import store
 from tests.version import samples
 
 
-UNAVAILABLE = platform.ErrorKind.UNAVAILABLE
+UNAVAILABLE = store.ErrorKind.UNAVAILABLE
 
 
 class Interleaved:
@@ -35,9 +35,7 @@
 
     async def put_object(self, name, body):
         await self._client.put_object(name, body)
-        lost = platform.PlatformError(
-            kind=platform.ErrorKind.UNKNOWN, detail='reset'
-        )
+        lost = store.StoreError(kind=store.ErrorKind.UNKNOWN, detail='reset')
         return result.Err(lost)
 
 
--- a/tests/process/test_platform_http.py
+++ b/tests/process/test_platform_http.py
@@ -8,16 +8,16 @@
 import testtools
 from testtools import matchers
 
-from sardineproxy.process import platform, platform_http
+from sardineproxy.process import platform_http, store
 from sardineproxy.standin import platform_thread
 from tests.version import samples
 
-UNAVAILABLE = platform.ErrorKind.UNAVAILABLE
-UNKNOWN = platform.ErrorKind.UNKNOWN
-INVALID = platform.ErrorKind.INVALID
-CONFLICT = platform.ErrorKind.CONFLICT
+UNAVAILABLE = store.ErrorKind.UNAVAILABLE
+UNKNOWN = store.ErrorKind.UNKNOWN
+INVALID = store.ErrorKind.INVALID
+CONFLICT = store.ErrorKind.CONFLICT
 
-_WRITE = platform.Write(key='a', body=b'1')
+_WRITE = store.Write(key='a', body=b'1')
 
 
 def http_answer(body, status='200 OK', length=None):
@@ -152,10 +152,10 @@
     @samples.on_platform
     async def test_reads_pages_in_order_and_after_a_key(self, client):
         for number in range(3):
-            large = platform.Write(key=f'a/{number}', body=bytes(700_000))
+            large = store.Write(key=f'a/{number}', body=bytes(700_000))
             written = await client.transact(
-                conditions=(platform.Condition(key=large.key, revision=0),),
-                writes=(large, platform.Write(key='b', body=b'')),
+                conditions=(store.Condition(key=large.key, revision=0),),
+                writes=(large, store.Write(key='b', body=b'')),
             )
             written.unwrap()
         rows = (await client.read_rows('a/')).unwrap()
--- a/tests/standin/test_platform.py
+++ b/tests/standin/test_platform.py
@@ -8,7 +8,7 @@
 import testtools
 from testtools import matchers
 
-from sardineproxy.process import platform
+from sardineproxy.process import store
 from sardineproxy.standin import (
     platform_faults,
     platform_server,
@@ -21,7 +21,7 @@
 
 
 def write(key, body=b'1'):
-    return platform.Write(key=key, body=body)
+    return store.Write(key=key, body=body)
 
 
 class StoreTest(testtools.TestCase):
@@ -78,7 +78,7 @@
     @samples.on_platform
     async def test_loses_only_answers_of_writes_that_took_effect(self, client):
         self.platform.control('lose-answers', {'writes': 2})
-        never = platform.Condition(key='a', revision=9)
+        never = store.Condition(key='a', revision=9)
         outcomes = [
             await client.transact(conditions=conditions, writes=(write('a'),))
             for conditions in ((never,), (), (), ())
@@ -105,7 +105,7 @@
             refused = await client.transact(conditions=(), writes=writes)
             self.assertThat(
                 refused.unwrap_err().kind,
-                matchers.Is(platform.ErrorKind.INVALID),
+                matchers.Is(store.ErrorKind.INVALID),
             )
         self.assertThat(self.platform.state()['rows'], matchers.Equals(0))
 
--- a/tests/version/test_follower.py
+++ b/tests/version/test_follower.py
@@ -5,7 +5,7 @@
 import testtools
 from testtools import matchers
 
-from sardineproxy.process import platform
+from sardineproxy.process import store
 from sardineproxy.version import codec, fetching, versions
 from tests.version import samples
 
@@ -21,7 +21,7 @@
 async def overwrite(client, key, body):
     """Write a row as a faulty or newer program would."""
     written = await client.transact(
-        conditions=(), writes=(platform.Write(key=key, body=body),)
+        conditions=(), writes=(store.Write(key=key, body=body),)
     )
     written.unwrap()
 
