--- a/sardineproxy/connection/messages.py
+++ b/sardineproxy/connection/messages.py
@@ -15,9 +15,12 @@
     zone: ids.ZoneId = codec.checked(codec.text)
 
 
-#: Cell, its epoch, the rank of the claim, and how many more average tasks
-#: the cell could start now.
-Offer = tuple[ids.CellId, int, int, int]
+#: Cell, its epoch, the rank of the claim, how many more average tasks the
+#: cell could start now, and whether all its stored jobs are known.
+Offer = tuple[ids.CellId, int, int, int, bool]
+
+#: Route, and how many of its stored jobs have not begun.
+Pending = tuple[ids.RouteId, int]
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -26,7 +29,14 @@
 
     version: int = codec.checked(codec.count)
     cells: tuple[Offer, ...] = codec.checked(
-        codec.rows(codec.text, codec.count, codec.count, codec.count)
+        codec.rows(
+            codec.text, codec.count, codec.count, codec.count, codec.flag
+        )
+    )
+
+    #: Stored jobs that wait, of the cells that are owned.
+    pending: tuple[Pending, ...] = codec.checked(
+        codec.rows(codec.text, codec.count)
     )
 
 
@@ -56,6 +66,12 @@
     #: Label that a worker must have, empty for none.
     requires: str = codec.checked(codec.text)
 
+    #: Rack that has the tasks' data, empty for none.
+    rack: str = codec.checked(codec.text)
+
+    #: Most tasks of the step on one worker, 0 for any number.
+    per_worker: int = codec.checked(codec.count)
+
     #: The client's estimate of a task's run time, in seconds.
     estimate_s: float = codec.checked(codec.seconds)
 
@@ -79,6 +95,10 @@
     #: True if the tasks may not be sent on to another cell.
     firm: bool = codec.checked(codec.flag)
 
+    #: True if the job is stored: its ends are acknowledged to workers only
+    #: after ``EndsNoted``.
+    stored: bool = codec.checked(codec.flag)
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Withdraw:
@@ -101,6 +121,9 @@
     #: A ``TaskEnd`` value.
     how: str = codec.checked(codec.text)
 
+    #: True if it is for the keeper of a stored job.
+    stored: bool = codec.checked(codec.flag)
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Declined:
@@ -120,6 +143,9 @@
     #: Seconds after which there may be room again.
     retry_s: float = codec.checked(codec.seconds)
 
+    #: True if it is for the keeper of a stored job.
+    stored: bool = codec.checked(codec.flag)
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Disowned:
@@ -168,6 +194,64 @@
     packed: bytes = codec.checked(codec.blob)
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class JobBegun:
+    """A task of a stored job was ordered."""
+
+    cell: ids.CellId = codec.checked(codec.text)
+    job: ids.JobId = codec.checked(codec.text)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class EndsNoted:
+    """Ends of a stored job's tasks are stored: workers may forget them."""
+
+    cell: ids.CellId = codec.checked(codec.text)
+    job: ids.JobId = codec.checked(codec.text)
+    step: int = codec.checked(codec.count)
+
+    #: Index of each task, and the number of the run that ended.
+    ends: tuple[tuple[int, int], ...] = codec.checked(
+        codec.rows(codec.count, codec.count)
+    )
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class KeepJob:
+    """Asks the owner of a job's home cell to store it."""
+
+    cell: ids.CellId = codec.checked(codec.text)
+
+    #: Number by which the answer is told from others.
+    token: int = codec.checked(codec.count)
+
+    #: The job as it is stored.
+    record: bytes = codec.checked(codec.blob)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class AskJob:
+    """Asks for the state of a stored job, or cancels it."""
+
+    cell: ids.CellId = codec.checked(codec.text)
+    token: int = codec.checked(codec.count)
+    job: ids.JobId = codec.checked(codec.text)
+    cancel: bool = codec.checked(codec.flag)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class TellJob:
+    """Answers ``KeepJob`` and ``AskJob``."""
+
+    token: int = codec.checked(codec.count)
+
+    #: A ``KeeperAnswer`` value.
+    answer: str = codec.checked(codec.text)
+
+    #: Why, in a few words.
+    cause: str = codec.checked(codec.text)
+
+
 Message = (
     Greeting
     | Beat
@@ -181,6 +265,11 @@
     | DirectoryGive
     | VersionAsk
     | VersionGive
+    | JobBegun
+    | EndsNoted
+    | KeepJob
+    | AskJob
+    | TellJob
 )
 
 #: The position is the type number on the wire; append only.
@@ -197,6 +286,11 @@
     DirectoryGive,
     VersionAsk,
     VersionGive,
+    JobBegun,
+    EndsNoted,
+    KeepJob,
+    AskJob,
+    TellJob,
 )
 
 CODEC = codec.Codec(*KINDS)
--- a/sardineproxy/deployment.py
+++ b/sardineproxy/deployment.py
@@ -33,6 +33,13 @@
     #: Time within which a configuration version must be in force.
     version_s: float
 
+    #: Time for which the state of a stored job is asked for after its end.
+    status_s: float
+
+    #: A task takes this many times as long on racks without its data; no
+    #: time.
+    remote_factor: float
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Deployment:
--- a/sardineproxy/platform/fields.py
+++ b/sardineproxy/platform/fields.py
@@ -11,9 +11,11 @@
     """A document of the platform is not of the expected form."""
 
 
-def text(document: Mapping[str, Any], name: str) -> str:
+def text(
+    document: Mapping[str, Any], name: str, default: str | None = None
+) -> str:
     """Return a field that must be a text."""
-    found = document.get(name)
+    found = document.get(name, default)
     if not isinstance(found, str):
         raise FormatError(f'{name}: expected a text, found {found!r:.60}')
     return found
--- a/sardineproxy/platform/front_http.py
+++ b/sardineproxy/platform/front_http.py
@@ -6,8 +6,9 @@
 import result
 from aiohttp import web
 
-from sardineproxy import deployment, logs
+from sardineproxy import deployment, ids, logs
 from sardineproxy.platform import submissions
+from sardineproxy.process.keeping import keeper
 from sardineproxy.request import jobs
 from sardineproxy.version import routes
 
@@ -51,6 +52,16 @@
     ) -> jobs.Outcome:
         """Run a job for a client that waits ``wait_s`` seconds."""
 
+    async def keep_job(
+        self, job: jobs.Job, route: routes.Route, wait_s: float
+    ) -> keeper.KeeperAnswer:
+        """Store a job for a client that waits ``wait_s`` seconds."""
+
+    async def ask_job(
+        self, job: ids.JobId, wait_s: float, *, cancel: bool
+    ) -> keeper.KeeperAnswer:
+        """Return the state of a stored job, or cancel it."""
+
     def waiting_for(self, route: routes.Route) -> int:
         """Return how many jobs of a route wait for their first start."""
 
@@ -127,6 +138,13 @@
             return await self._submit(req, route, name)
         if req.method == 'GET' and not name:
             return submissions.encode_pending(self._acceptor.waiting_for(route))
+        job = submissions.decode_job_id(name)
+        if job is not None and req.method in {'GET', 'DELETE'}:
+            return submissions.encode_state(
+                await self._acceptor.ask_job(
+                    job, _wait_s(req), cancel=req.method == 'DELETE'
+                )
+            )
         self._log(req, 'No such job.', method=req.method)
         return submissions.NO_JOB
 
@@ -146,15 +164,24 @@
             if isinstance(decoded.err_value, submissions.Unsupported):
                 return submissions.refusal(NO_CONFIGURATION_RETRY_S)
             return submissions.MALFORMED
-        header = req.headers.get(submissions.DEADLINE_HEADER)
-        wait_s = submissions.decode_wait_s(header) or DEFAULT_WAIT_S
-        outcome = await self._acceptor.run_job(decoded.ok_value, route, wait_s)
+        job = decoded.ok_value
+        if job.stored:
+            return submissions.encode_acceptance(
+                await self._acceptor.keep_job(job, route, _wait_s(req))
+            )
+        outcome = await self._acceptor.run_job(job, route, _wait_s(req))
         return submissions.encode_outcome(outcome)
 
     def _log(self, req: web.BaseRequest, text: str, **extra: object) -> None:
         _LOG.info(text, extra={'path': req.path, 'host': req.host, **extra})
 
 
+def _wait_s(req: web.BaseRequest) -> float:
+    """Return how long the client waits for an answer, in seconds."""
+    header = req.headers.get(submissions.DEADLINE_HEADER)
+    return submissions.decode_wait_s(header) or DEFAULT_WAIT_S
+
+
 async def _read_body(req: web.BaseRequest) -> bytes | None:
     """Return the body, None if it is too large or comes too slowly."""
     parts = []
--- a/sardineproxy/platform/settings.py
+++ b/sardineproxy/platform/settings.py
@@ -14,6 +14,9 @@
 
 MAX_SETTINGS_BYTES = 262_144
 
+#: Time for which states are asked for if the settings do not say, in seconds.
+STATUS_S = 120
+
 _MS_PER_S = 1000
 
 
@@ -86,4 +89,6 @@
         stop_s=fields.number(document, 'stop_timeout_ms') / _MS_PER_S,
         grace_s=fields.number(document, 'grace_s'),
         version_s=fields.number(document, 'config_apply_ms') / _MS_PER_S,
+        status_s=fields.number(document, 'status_s', STATUS_S),
+        remote_factor=fields.number(document, 'remote_factor', 1),
     )
--- a/sardineproxy/platform/store_http.py
+++ b/sardineproxy/platform/store_http.py
@@ -47,10 +47,12 @@
         """Send calls to another address from now on."""
         self._address = address
 
-    async def read(self, table: str) -> result.Result[store.Rows, _Error]:
-        """Return all rows of a table, read page by page."""
+    async def read(
+        self, table: str, *, part: str = ''
+    ) -> result.Result[store.Rows, _Error]:
+        """Return all rows of a part of a table, read page by page."""
         found: list[store.Row] = []
-        query: dict[str, str | int] = {'table': table, 'part': ''}
+        query: dict[str, str | int] = {'table': table, 'part': part}
         for _ in range(MAX_PAGES):
             answer = await self._get('/v1/rows-get', query, wait_s=0)
             page = _decode_rows(table, answer)
@@ -68,6 +70,26 @@
             query['from'] = f'{_short_key(found[-1].key)}\x00'
         return _failed(_Kind.INVALID, f'table {table} is too large')
 
+    async def get(
+        self, key: str, *, part: str = ''
+    ) -> result.Result[store.Row | None, _Error]:
+        """Return one row, None if there is none."""
+        table, _, short = key.partition('/')
+        answer = await self._get(
+            '/v1/rows-get',
+            {
+                'table': table,
+                'part': part,
+                'from': short,
+                'target': f'{short}\x00',
+            },
+            wait_s=0,
+        )
+        found = _decode_rows(table, answer)
+        if isinstance(found, result.Err):
+            return found
+        return result.Ok(next(iter(found.ok_value.rows), None))
+
     async def changes(
         self, table: str, *, after: int, wait_s: float
     ) -> result.Result[store.Rows, _Error]:
@@ -88,21 +110,21 @@
         *,
         conditions: tuple[store.Condition, ...],
         writes: tuple[store.Write, ...],
+        removals: tuple[store.Removal, ...] = (),
     ) -> result.Result[int, _Error]:
-        """Write all rows if all conditions hold; return the new revision."""
+        """Make all changes if all conditions hold; return the new revision."""
         document = {
             'expected': [
-                {**_place(held.key), 'ver': held.revision}
-                for held in conditions
+                {**_place(held), 'ver': held.revision} for held in conditions
             ],
             'writes': [
                 {
-                    **_place(write.key),
+                    **_place(write),
                     'value': base64.b64encode(write.body).decode(),
                 }
                 for write in writes
             ],
-            'remove': [],
+            'remove': [_place(removal) for removal in removals],
         }
         answer = await http_calls.send(
             self._session,
@@ -128,9 +150,11 @@
     return result.Err(_Error(kind=kind, detail=detail))
 
 
-def _place(key: str) -> dict[str, str]:
-    table, _, rest = key.partition('/')
-    return {'table': table, 'part': '', 'key': rest}
+def _place(
+    row: store.Condition | store.Write | store.Removal,
+) -> dict[str, str]:
+    table, _, rest = row.key.partition('/')
+    return {'table': table, 'part': row.part, 'key': rest}
 
 
 def _short_key(key: str) -> str:
--- a/sardineproxy/platform/submissions.py
+++ b/sardineproxy/platform/submissions.py
@@ -10,6 +10,7 @@
 
 from sardineproxy import ids
 from sardineproxy.platform import fields, roster
+from sardineproxy.process.keeping import keeper
 from sardineproxy.request import jobs
 
 #: Largest body of a job, in bytes; the sheets say 262,144.
@@ -28,15 +29,13 @@
 
 _MS_PER_S = 1000
 
-#: Fields of a job or a step that ask for what is not built.
+#: Fields of a job or a step that ask for what is not built. Others are
+#: permissions that need not be used: ``allow_duplicates`` and
+#: ``checkpointable``.
 _JOB_FEATURES = ('daemon', 'times')
 _STEP_FEATURES = (
     'gang',
     'same_rack',
-    'affinity',
-    'anti_affinity',
-    'allow_duplicates',
-    'checkpointable',
     'target_ms',
     'fills',
     'disruption_budget',
@@ -66,13 +65,14 @@
         document = json.loads(body)
     except (ValueError, RecursionError) as exc:
         return result.Err(Malformed(detail=f'not JSON: {exc}'))
-    if not _JOB_ID.fullmatch(job) or not isinstance(document, dict):
+    name = decode_job_id(job)
+    if name is None or not isinstance(document, dict):
         return result.Err(Malformed(detail='not a job'))
     try:
         feature = _unsupported(document)
         if feature is not None:
             return result.Err(Unsupported(feature=feature))
-        return result.Ok(_to_job(ids.JobId(job), document))
+        return result.Ok(_to_job(name, document))
     except fields.FormatError as exc:
         return result.Err(Malformed(detail=str(exc)))
 
@@ -85,7 +85,7 @@
         for feature in _STEP_FEATURES:
             if isinstance(step, dict) and step.get(feature):
                 return feature
-    return None if fields.flag(document, 'burstable') else 'stored jobs'
+    return None
 
 
 def _to_job(job: ids.JobId, document: Mapping[str, Any]) -> jobs.Job:
@@ -99,7 +99,12 @@
     tasks = sum(step.count for step in steps)
     if not 0 < len(steps) <= MAX_STEPS or not 0 < tasks <= MAX_TASKS:
         raise fields.FormatError(f'{len(steps)} steps with {tasks} tasks')
-    return jobs.Job(job=job, payload=payload, steps=steps)
+    return jobs.Job(
+        job=job,
+        payload=payload,
+        steps=steps,
+        stored=not fields.flag(document, 'burstable'),
+    )
 
 
 def _to_step(position: int, document: Any) -> jobs.Step:
@@ -112,18 +117,22 @@
     )
     if not is_earlier:
         raise fields.FormatError(f'after: {after!r:.60} of step {position}')
-    requires = document.get('requires', '')
-    if not isinstance(requires, str):
-        raise fields.FormatError('requires: expected a text')
     return jobs.Step(
         count=fields.whole(document, 'count', 1),
         shape=roster.shape(document),
         estimate_s=fields.number(document, 'estimate_ms', 0) / _MS_PER_S,
         after=tuple(after),
-        requires=requires,
+        requires=fields.text(document, 'requires', ''),
+        rack=fields.text(document, 'affinity', ''),
+        per_worker=fields.whole(document, 'anti_affinity', 0),
     )
 
 
+def decode_job_id(name: str) -> ids.JobId | None:
+    """Return the id of a job, None if it cannot be one."""
+    return ids.JobId(name) if _JOB_ID.fullmatch(name) else None
+
+
 def decode_wait_s(header: str | None) -> float | None:
     """Return how long the client waits, in seconds; None if not said."""
     if header is None or not header.isdecimal():
@@ -153,6 +162,44 @@
             return Reply(status=504)
 
 
+#: States of a stored job that a client is told.
+_STATES = frozenset(
+    (
+        keeper.KeeperAnswer.QUEUED,
+        keeper.KeeperAnswer.RUNNING,
+        keeper.KeeperAnswer.COMPLETED,
+        keeper.KeeperAnswer.FAILED,
+        keeper.KeeperAnswer.CANCELLED,
+    )
+)
+
+#: When to come back if a stored job's keeper does not answer, in seconds; it
+#: is replaced within a second.
+NO_KEEPER_RETRY_S = 1.0
+
+
+def encode_acceptance(answer: keeper.KeeperAnswer) -> Reply:
+    """Encode the answer to a job that is to be stored."""
+    match answer:
+        case keeper.KeeperAnswer.ACCEPTED:
+            return Reply(status=200, body=b'{"state":"queued"}')
+        case keeper.KeeperAnswer.UNKNOWN:
+            return Reply(status=504)
+        case _:
+            return refusal(NO_KEEPER_RETRY_S)
+
+
+def encode_state(answer: keeper.KeeperAnswer) -> Reply:
+    """Encode the answer to a question for a stored job, or its cancelling."""
+    if answer in _STATES:
+        return Reply(status=200, body=b'{"state":"%s"}' % answer.value.encode())
+    if answer is keeper.KeeperAnswer.ABSENT:
+        return NO_JOB
+    if answer is keeper.KeeperAnswer.UNKNOWN:
+        return Reply(status=504)
+    return refusal(NO_KEEPER_RETRY_S)
+
+
 def refusal(retry_after_s: float) -> Reply:
     """Encode that the request was not accepted and never runs."""
     return Reply(
--- a/sardineproxy/platform/worker_http.py
+++ b/sardineproxy/platform/worker_http.py
@@ -9,6 +9,9 @@
 
 _MS_PER_S = 1000
 
+#: Most ends that a worker lists in one report.
+MAX_LISTED_ENDS = 500
+
 _OK = 200
 _CONFLICT = 409
 _OTHER_WORKER = 421
@@ -146,6 +149,7 @@
 
 
 def _decode_report(document: Mapping[str, Any]) -> workers.Report:
+    ended = fields.rows(document, 'finished')
     return workers.Report(
         clock_ms=fields.whole(document, 'clock_ms'),
         born_ms=fields.whole(document, 'born', 0),
@@ -157,8 +161,9 @@
             workers.End(
                 number=row[0], task=row[1], run=row[2], how=_ENDINGS[row[3]]
             )
-            for row in map(_check_end, fields.rows(document, 'finished'))
+            for row in map(_check_end, ended)
         ),
+        is_whole=len(ended) < MAX_LISTED_ENDS,
     )
 
 
--- a/sardineproxy/process/cells/agent.py
+++ b/sardineproxy/process/cells/agent.py
@@ -11,6 +11,7 @@
 from sardineproxy.process.cells import (
     fences,
     health,
+    held_ends,
     lease,
     ledger,
     reports,
@@ -20,6 +21,10 @@
     workers,
 )
 
+#: Ends that a worker lists and that are not stored, over which it gets no
+#: more orders. A worker lists 500 ends.
+MAX_HELD_ENDS = 300
+
 _LOG = logs.get_logger('worker')
 
 _State = runs.RunState
@@ -68,20 +73,21 @@
         self._events = events
         self._cfg = cfg
         self._lease = lease.Lease(cfg=cfg)
+        self._reports = reports.Reports(
+            worker=worker.worker,
+            ledger=self.ledger,
+            health=self.health,
+            events=events,
+            orders=self,
+            cfg=cfg,
+        )
         self._watch = watch.Watch(
             subject=self,
             api=api,
             ledger=self.ledger,
             lease=self._lease,
             health=self.health,
-            reports=reports.Reports(
-                worker=worker.worker,
-                ledger=self.ledger,
-                health=self.health,
-                events=events,
-                orders=self,
-                cfg=cfg,
-            ),
+            reports=self._reports,
             clock=clock,
             metrics=metrics,
             cfg=cfg,
@@ -98,6 +104,10 @@
         """Stop all calls."""
         await self._tasks.close()
 
+    def acknowledge(self) -> None:
+        """Acknowledge ends that were released."""
+        self._watch.acknowledge()
+
     def abandon(self) -> None:
         """Stop all calls without waiting for their end."""
         self._tasks.abandon()
@@ -107,6 +117,11 @@
         """Return the fence of orders from now on."""
         return self.right.fence(self.count)
 
+    @property
+    def held(self) -> held_ends.HeldEnds:
+        """Return the ends that must not be acknowledged yet."""
+        return self._reports.held
+
     @property
     def is_synced(self) -> bool:
         """Tell whether a report under the present fence is known."""
@@ -134,7 +149,7 @@
         if self.worker.born_ms != self._watch.born_ms:
             # A new life may have another capacity, which the list tells.
             return False
-        if self.ledger.unknown:
+        if self.ledger.unknown or len(self.held) > MAX_HELD_ENDS:
             return False
         if self.health.on_probation and self.ledger.runs:
             return False
@@ -199,7 +214,6 @@
         """Stop what another process ordered and nobody asks for."""
         for task, found in self.ledger.unknown.items():
             self._tasks.spawn(self._order_stop(task, found.run))
-        self.ledger.drop_foreign()
         self._watch.wake()
 
     def adopt(self, run: runs.Run, now: float) -> None:
--- a/sardineproxy/process/cells/backlog.py
+++ b/sardineproxy/process/cells/backlog.py
@@ -105,14 +105,17 @@
     # Batches.
 
     def rejoin(
-        self, known: runs.Batch, source: link.Link, asked: messages.Submit
+        self, known: runs.Batch, source: link.Link, tasks: dict[int, int]
     ) -> None:
-        """Give a batch that exists to the coordinator that asks now."""
+        """Give a batch that exists to the coordinator that asks now.
+
+        ``tasks`` gives the number of the next run of each task.
+        """
         if known.link is not None and known.link is not source:
             for index, task in known.tasks.items():
                 self.send_end(known, index, task.number, jobs.TaskEnd.REPLACED)
         known.link = source
-        for index, number in asked.tasks:
+        for index, number in tasks.items():
             if index in known.tasks:
                 continue
             last = self._recall.find(known.task_name(index))
@@ -179,6 +182,7 @@
                     other=other,
                     cause=cause,
                     retry_s=NO_ROOM_RETRY_S,
+                    stored=batch.stored,
                 )
             )
 
@@ -217,6 +221,7 @@
                     index=index,
                     run=number,
                     how=how.value,
+                    stored=batch.stored,
                 )
             )
 
--- a/sardineproxy/process/cells/cell.py
+++ b/sardineproxy/process/cells/cell.py
@@ -1,5 +1,6 @@
 """A cell that this process owns: queue, placement, and ends of tasks."""
 
+import dataclasses
 from typing import Iterable, Protocol
 
 from sardineproxy import clock, ids, logs
@@ -12,6 +13,7 @@
     placement,
     rooms,
     runs,
+    stored_ends,
     takeover,
     times,
     workers,
@@ -44,6 +46,10 @@
         """Tell whether the store answers about the list of workers."""
 
 
+class Surroundings(Listing, stored_ends.Homes, Protocol):
+    """What a cell must know of the rest of its process."""
+
+
 class Cell:  # noqa: WPS214
     """The workers of one cell and the tasks for them."""
 
@@ -57,7 +63,7 @@
         metrics: metrics.Metrics,
         events: Events,
         others: rooms.Rooms,
-        listing: Listing,
+        around: Surroundings,
         cfg: times.Cell,
     ) -> None:
         """Own a cell; ``others`` tells how much room other cells have."""
@@ -68,7 +74,7 @@
         self._metrics = metrics
         self._events = events
         self._others = others
-        self._listing = listing
+        self._listing: Listing = around
         self._cfg = cfg
         self._opened_at = clock.now()
         self._agents: dict[ids.WorkerId, agent.Agent] = {}
@@ -86,6 +92,14 @@
             cfg=cfg,
             opened_at=self._opened_at,
         )
+        self._stored_ends = stored_ends.StoredEnds(
+            cell=cell,
+            agents=self._agents,
+            homes=around,
+            takeover=self._takeover,
+            clock=clock,
+            cfg=cfg,
+        )
 
     async def close(self) -> None:
         """Stop all calls to workers; what runs there runs on."""
@@ -117,10 +131,12 @@
     ) -> None:
         """Take tasks from a coordinator."""
         known = self._backlog.get((asked.job, asked.step))
-        if known:
-            self._backlog.rejoin(known, source, asked)
+        if known and asked.stored:
+            self._rejoin_stored(known, source, asked, now)
+        elif known:
+            self._backlog.rejoin(known, source, dict(asked.tasks))
             self.dispatch(now)
-        elif asked.resumed and self._takeover.is_syncing(now):
+        elif asked.resumed and self._takeover.must_wait(asked, now):
             self._takeover.wait(source, asked)
         elif asked.resumed:
             self._resume(source, asked, now)
@@ -140,8 +156,13 @@
             if batch.link is lost:
                 batch.link = None
                 batch.orphaned_at = now
+        self._stored_ends.unclaim(lost)
         self._takeover.forget(lost)
 
+    def note_ends(self, noted: messages.EndsNoted) -> None:
+        """Let workers forget ends of a stored job that are stored now."""
+        self._stored_ends.note(noted)
+
     def free_tasks(self, now: float) -> int:
         """Return how many more average tasks could start now."""
         free = placement.count_free(
@@ -165,12 +186,13 @@
     def tick(self, now: float) -> None:
         """Do what is due."""
         for request in self._takeover.due(now):
-            self._resume(request.source, request.asked, now)
+            self.submit(request.source, request.asked, now)
         self._takeover.tick(now)
         self._drop_gone(now)
+        self._stored_ends.report(now)
         for batch in self._backlog.all():
-            if batch.link is None and (
-                now >= batch.orphaned_at + self._cfg.orphan_s
+            if batch.link is None and self._stored_ends.is_abandoned(
+                batch, now
             ):
                 self._drop(batch, 'coordinator lost')
         self._backlog.expire(now)
@@ -290,12 +312,39 @@
         self._agents[worker.worker] = added
         added.open()
 
+    def _rejoin_stored(
+        self,
+        known: runs.Batch,
+        source: link.Link,
+        asked: messages.Submit,
+        now: float,
+    ) -> None:
+        """Go on with a stored job's batch, and take further tasks of it."""
+        tasks = self._stored_ends.answer(known, source, asked)
+        others = {
+            index: number
+            for index, number in tasks.items()
+            if index not in known.tasks
+        }
+        self._backlog.rejoin(known, source, {})
+        if others and asked.resumed:
+            if self._takeover.must_wait(asked, now):
+                self._takeover.wait(
+                    source,
+                    dataclasses.replace(asked, tasks=tuple(others.items())),
+                )
+                return
+            others = self._takeover.resume(known, others, now)
+        self._backlog.rejoin(known, source, others)
+        self.dispatch(now)
+
     def _resume(
         self, source: link.Link, asked: messages.Submit, now: float
     ) -> None:
         """Take over what a former owner ordered for a coordinator."""
         batch = self._make_batch(source, asked, now)
-        fresh = self._takeover.resume(batch, asked, now)
+        tasks = self._stored_ends.answer(batch, source, asked)
+        fresh = self._takeover.resume(batch, tasks, now)
         self._backlog.add(batch)
         if fresh:
             self._take(source, asked, fresh, now)
@@ -351,13 +400,18 @@
             if batch.task_name(index) in self._backlog.live:
                 continue
             chosen = placement.choose(
-                batch, candidates, best=self._best_speed, now=now
+                batch,
+                candidates,
+                best=self._best_speed,
+                remote_factor=self._cfg.remote_factor,
+                now=now,
             )
             if chosen is None:
                 break
             self._start(batch, index, chosen, now)
             placed[index] = chosen.worker.worker
         if placed:
+            _tell_begun(batch, self.cell)
             _LOG.info(
                 'Tasks ordered.',
                 extra={
@@ -383,6 +437,8 @@
             batch=batch,
             index=index,
             worker=chosen.worker.worker,
+            work_s=batch.work_s
+            * placement.distance(batch, chosen, self._cfg.remote_factor),
             ordered_at=now,
         )
         task.number += 1
@@ -394,6 +450,8 @@
 
     def _review(self, batch: runs.Batch, now: float) -> None:
         """Give a batch up whose tasks wait too long."""
+        if batch.stored:
+            return
         if not batch.started and now > self._latest_start(batch):
             self._backlog.decline(
                 batch, batch.waiting(), cause='no room in time'
@@ -427,12 +485,14 @@
     ) -> None:
         """Decide what the end of a run means for its task."""
         is_wanted = run.index in run.batch.tasks
+        if is_wanted:
+            self._stored_ends.claim(run)
         match how:
             case _ if not is_wanted:
                 self._backlog.note_dropped_end(run, how)
             case workers.Ending.DONE:
                 self._backlog.end(run, jobs.TaskEnd.DONE)
-            case workers.Ending.FAILED if not is_suspect:
+            case workers.Ending.FAILED if run.batch.stored or not is_suspect:
                 self._backlog.end(run, jobs.TaskEnd.FAILED)
             case _:
                 self._backlog.requeue(run)
@@ -443,3 +503,10 @@
         return runs.make_batch(
             asked, link=source, late_factor=self._cfg.late_factor, now=now
         )
+
+
+def _tell_begun(batch: runs.Batch, cell: ids.CellId) -> None:
+    """Tell the keeper of a stored job that one of its tasks was ordered."""
+    if batch.stored and not batch.told_begun and batch.link is not None:
+        batch.told_begun = True
+        batch.link.send(messages.JobBegun(cell=cell, job=batch.job))
--- a/sardineproxy/process/cells/health.py
+++ b/sardineproxy/process/cells/health.py
@@ -86,12 +86,12 @@
     def progressed(self, run: runs.Run, now: float) -> None:
         """Notice a slow worker before the run has ended."""
         ran_s = now - run.started_at
-        if run.slow or ran_s < PROJECTED_AFTER_S:
+        if run.slow or not run.work_s or ran_s < PROJECTED_AFTER_S:
             return
         projected_s = ran_s * 100 / max(run.percent, PROJECTED_FROM)
-        if projected_s > SLOW_FACTOR * run.batch.work_s / self.speed:
+        if projected_s > SLOW_FACTOR * run.work_s / self.speed:
             run.slow = True
-            self._move(math.log(run.batch.work_s / projected_s), SLOW_WEIGHT)
+            self._move(math.log(run.work_s / projected_s), SLOW_WEIGHT)
 
     def state(self, now: float) -> dict[str, object]:
         """Return what is believed, for the state dump."""
@@ -114,9 +114,9 @@
 
     def _learn(self, run: runs.Run, now: float) -> None:
         took_s = now - run.started_at
-        if not run.started_at or took_s <= 0 or not run.batch.work_s:
+        if not run.started_at or took_s <= 0 or not run.work_s:
             return
-        ratio = math.log(run.batch.work_s / took_s)
+        ratio = math.log(run.work_s / took_s)
         if run.slow:
             return
         self._seen += 1
--- a/sardineproxy/process/cells/ledger.py
+++ b/sardineproxy/process/cells/ledger.py
@@ -16,10 +16,6 @@
         #: Runs that were ordered by another process, by task.
         self.unknown: dict[workers.TaskName, workers.Running] = {}
 
-        #: Ends of such runs, kept while coordinators may ask for them.
-        self.foreign_ends: dict[workers.TaskName, workers.End] = {}
-        self.keeps_foreign_ends = True
-
         #: Room that nothing takes.
         self.free = capacity
 
@@ -47,11 +43,11 @@
         run = self.runs.get(task)
         return run if run is not None and run.number == number else None
 
-    def end_foreign(self, end: workers.End) -> None:
-        """Note the end of a run that another process ordered."""
-        self.unknown.pop(end.task, None)
-        if self.keeps_foreign_ends:
-            self.foreign_ends[end.task] = end
+    def count_of(self, batch: runs.Batch) -> int:
+        """Return how many tasks of a batch may run here."""
+        prefix = batch.task_prefix
+        mine = sum(run.batch.key == batch.key for run in self.runs.values())
+        return mine + sum(task.startswith(prefix) for task in self.unknown)
 
     def list_unknown(
         self, listed: Mapping[workers.TaskName, workers.Running]
@@ -63,8 +59,3 @@
             if self.find(task, row.run) is None
         }
         return list(self.unknown.values())
-
-    def drop_foreign(self) -> None:
-        """Forget the ends of other processes' runs; keep no more of them."""
-        self.keeps_foreign_ends = False
-        self.foreign_ends.clear()
--- a/sardineproxy/process/cells/placement.py
+++ b/sardineproxy/process/cells/placement.py
@@ -14,9 +14,13 @@
     return [candidate for candidate in agents if candidate.takes_work(now)]
 
 
-def expected_s(batch: runs.Batch, candidate: agent.Agent) -> float:
-    """Return the expected run time on a worker, in seconds."""
-    return batch.work_s / candidate.health.speed
+def distance(
+    batch: runs.Batch, candidate: agent.Agent, remote_factor: float
+) -> float:
+    """Return how many times as long a task takes for want of its data."""
+    if not batch.rack or batch.rack in candidate.worker.labels:
+        return 1
+    return remote_factor
 
 
 def best_speed(candidates: Iterable[agent.Agent]) -> float:
@@ -29,22 +33,25 @@
     candidates: Iterable[agent.Agent],
     *,
     best: float,
+    remote_factor: float,
     now: float,
 ) -> agent.Agent | None:
     """Return the usable worker where a task ends soonest, or None.
 
     A task that would be late on a slow worker waits for a faster one as long
     as that one could still be in time; ``best`` is the fastest one's speed.
+    On racks without its data a task takes ``remote_factor`` times as long.
     """
     least_speed = _least_speed(batch, best, now)
     chosen: agent.Agent | None = None
     least_cost: float = 0
     for candidate in candidates:
-        if candidate.health.speed < least_speed:
+        factor = distance(batch, candidate, remote_factor)
+        if candidate.health.speed < least_speed * factor:
             continue
         if not _has_room(batch, candidate):
             continue
-        cost = _cost(batch, candidate)
+        cost = _cost(batch, candidate) * factor
         if chosen is None or cost < least_cost:
             chosen, least_cost = candidate, cost
     return chosen
@@ -73,11 +80,21 @@
     return (
         batch.shape.millicores <= candidate.ledger.free.millicores
         and batch.shape.fits(candidate.ledger.free)
-        and candidate.worker.service == batch.service
-        and (not batch.requires or batch.requires in candidate.worker.labels)
+        and _is_allowed(batch, candidate)
     )
 
 
+def _is_allowed(batch: runs.Batch, candidate: agent.Agent) -> bool:
+    """Tell whether a task may run on a worker that has room."""
+    if candidate.worker.service != batch.service:
+        return False
+    if batch.requires and batch.requires not in candidate.worker.labels:
+        return False
+    if not batch.per_worker:
+        return True
+    return candidate.ledger.count_of(batch) < batch.per_worker
+
+
 def _cost(batch: runs.Batch, candidate: agent.Agent) -> float:
     capacity = candidate.worker.capacity.millicores or 1
     left = (
--- a/sardineproxy/process/cells/reports.py
+++ b/sardineproxy/process/cells/reports.py
@@ -3,7 +3,14 @@
 from typing import Mapping, Protocol
 
 from sardineproxy import logs
-from sardineproxy.process.cells import health, ledger, runs, times, workers
+from sardineproxy.process.cells import (
+    health,
+    held_ends,
+    ledger,
+    runs,
+    times,
+    workers,
+)
 
 _LOG = logs.get_logger('worker')
 
@@ -51,8 +58,7 @@
         self._orders = orders
         self._cfg = cfg
 
-        #: Ends up to this number are known here.
-        self.acked = 0
+        self.held = held_ends.HeldEnds()
 
     def take(
         self,
@@ -66,19 +72,21 @@
         self._take_ends(report, now)
         listed = {found.task: found for found in report.running}
         self._take_running(listed, now)
-        self._drop_absent(look, listed, asked_at)
+        if report.is_whole:
+            self._drop_absent(look, listed, asked_at)
         return self._ledger.list_unknown(listed)
 
     def _take_ends(self, report: workers.Report, now: float) -> None:
         for end in report.ended:
-            if end.number <= self.acked:
+            if end.number <= self.held.seen:
                 continue
-            self.acked = end.number
+            self.held.seen = end.number
+            self._ledger.unknown.pop(end.task, None)
             run = self._ledger.find(end.task, end.run)
+            if run is None or run.batch.stored:
+                self.held.hold(end, now)
             if run is None:
-                self._ledger.end_foreign(end)
                 continue
-            self._ledger.unknown.pop(end.task, None)
             self._ledger.release(run)
             self._health.ended(run, end.how, now)
             self._events.ended(run, end.how)
@@ -106,7 +114,7 @@
             return
         still_s = now - run.progress_at
         bound_s = self._cfg.standstill_s + (
-            self._cfg.standstill_share * run.batch.work_s / self._health.speed
+            self._cfg.standstill_share * run.work_s / self._health.speed
         )
         if run.state is not _State.RUNNING or still_s < bound_s:
             return
--- a/sardineproxy/process/cells/runs.py
+++ b/sardineproxy/process/cells/runs.py
@@ -33,6 +33,9 @@
     batch: 'Batch'
     index: int
     worker: ids.WorkerId
+
+    #: Expected run time on this worker if it had speed 1, in seconds.
+    work_s: float
     state: RunState = RunState.ORDERED
 
     #: Local time of the order, in seconds.
@@ -99,6 +102,12 @@
     shape: jobs.Shape
     requires: str
 
+    #: Rack that has the tasks' data, empty for none.
+    rack: str
+
+    #: Most tasks of the step on one worker, 0 for any number.
+    per_worker: int
+
     #: Where to tell how tasks end, None while the coordinator's link is lost.
     link: link.Link | None
 
@@ -119,9 +128,15 @@
     #: True if the tasks may not be sent on to another cell.
     firm: bool
 
+    #: True if the job is stored: its tasks run however late they are.
+    stored: bool
+
     #: True once a run of one of the tasks may have started.
     started: bool = False
 
+    #: True once the coordinator of a stored job knows that it has begun.
+    told_begun: bool = False
+
     tasks: dict[int, Task] = dataclasses.field(default_factory=dict)
 
     @property
@@ -129,6 +144,11 @@
         """Return the job and the step."""
         return self.job, self.step
 
+    @property
+    def task_prefix(self) -> str:
+        """Return the beginning of the names of all its tasks."""
+        return task_name(self.job, self.step, 0)[:-1]
+
     def task_name(self, index: int) -> workers.TaskName:
         """Return a task's name at its worker."""
         return task_name(self.job, self.step, index)
@@ -143,6 +163,17 @@
     return workers.TaskName(f'{job}.0.{step}.{index}')
 
 
+def job_of(task: workers.TaskName) -> ids.JobId:
+    """Return the job of a task."""
+    return ids.JobId(task.partition('.')[0])
+
+
+def split_task(task: workers.TaskName) -> tuple[ids.JobId, int, int]:
+    """Return job, step and index of a task."""
+    job, _, step, index = task.split('.')
+    return ids.JobId(job), int(step), int(index)
+
+
 def make_batch(
     asked: messages.Submit, *, link: link.Link, late_factor: float, now: float
 ) -> Batch:
@@ -166,6 +197,8 @@
             gpus=asked.gpus,
         ),
         requires=asked.requires,
+        rack=asked.rack,
+        per_worker=asked.per_worker,
         link=link,
         work_s=asked.estimate_s,
         arrived_at=arrived_at,
@@ -173,5 +206,6 @@
         late_at=arrived_at + bound_s * late_factor,
         deadline=now + asked.left_s,
         firm=asked.firm,
+        stored=asked.stored,
         started=asked.resumed or asked.begun,
     )
--- a/sardineproxy/process/cells/takeover.py
+++ b/sardineproxy/process/cells/takeover.py
@@ -9,7 +9,14 @@
 
 from sardineproxy import ids, logs
 from sardineproxy.connection import link, messages
-from sardineproxy.process.cells import agent, backlog, runs, times, workers
+from sardineproxy.process.cells import (
+    agent,
+    backlog,
+    placement,
+    runs,
+    times,
+    workers,
+)
 from sardineproxy.request import jobs
 
 _LOG = logs.get_logger('cell')
@@ -47,10 +54,18 @@
         #: True while runs of the former owner may be asked for.
         self.is_open = True
 
-    def is_syncing(self, now: float) -> bool:
-        """Tell whether questions must wait for reports of workers."""
-        waited = now >= self._opened_at + self._cfg.sync_s
-        return not waited and not self.knows_all_runs()
+    def must_wait(self, asked: messages.Submit, now: float) -> bool:
+        """Tell whether a question must wait for reports of workers.
+
+        A stored job waits until no run of the former owner can exist that is
+        not known.
+        """
+        if self.knows_all_runs():
+            return False
+        if asked.stored:
+            may_lapse_at = self._opened_at + self._cfg.former_runs_s
+            return not self.knows_workers or now < may_lapse_at
+        return now < self._opened_at + self._cfg.sync_s
 
     def knows_all_runs(self) -> bool:
         """Tell whether all workers have reported to this owner."""
@@ -62,6 +77,10 @@
         """Answer a question once the workers have reported."""
         self._waiting.append(Request(source=source, asked=asked))
 
+    def is_waiting_for(self, job: ids.JobId) -> bool:
+        """Tell whether a question for a job's tasks waits."""
+        return any(each.asked.job == job for each in self._waiting)
+
     def forget(self, source: link.Link, job: ids.JobId | None = None) -> None:
         """Drop a coordinator's questions, or those for one job."""
         self._waiting = [
@@ -72,10 +91,12 @@
 
     def due(self, now: float) -> list[Request]:
         """Return the questions that can be answered now."""
-        if not self._waiting or self.is_syncing(now):
-            return []
-        found = self._waiting
-        self._waiting = []
+        found: list[Request] = []
+        left: list[Request] = []
+        for each in self._waiting:
+            waits = self.must_wait(each.asked, now)
+            (left if waits else found).append(each)
+        self._waiting = left
         return found
 
     def tick(self, now: float) -> None:
@@ -86,23 +107,25 @@
                 each.stop_unknown()
 
     def resume(
-        self, batch: runs.Batch, asked: messages.Submit, now: float
+        self, batch: runs.Batch, tasks: dict[int, int], now: float
     ) -> dict[int, int]:
         """Put into a batch what still runs of it, and answer what ended.
 
+        ``tasks`` gives the number of the next run of each task.
+
         Returns the tasks of which nothing is known and that may start anew,
         with the numbers of their next runs.
         """
         missing = {
             index: number
-            for index, number in asked.tasks
+            for index, number in tasks.items()
             if not self._adopt(batch, index, now)
         }
-        is_sure = self.knows_all_runs()
+        is_sure = batch.stored or self.knows_all_runs()
         _LOG.info(
             'Job resumed.',
             extra={
-                'job': asked.job,
+                'job': batch.job,
                 'adopted': sorted(batch.tasks),
                 'missing': sorted(missing),
                 'all_workers_known': is_sure,
@@ -139,6 +162,8 @@
             batch=batch,
             index=index,
             worker=owner.worker.worker,
+            work_s=batch.work_s
+            * placement.distance(batch, owner, self._cfg.remote_factor),
             ordered_at=now,
         )
         owner.adopt(run, now)
@@ -148,7 +173,7 @@
     def _find_done(self, task: workers.TaskName) -> workers.End | None:
         """Return a task's end if a worker lists that it ended well."""
         for each in self._agents.values():
-            end = each.ledger.foreign_ends.get(task)
-            if end is not None and end.how is workers.Ending.DONE:
+            end = each.held.find_done(task)
+            if end is not None:
                 return end
         return None
--- a/sardineproxy/process/cells/times.py
+++ b/sardineproxy/process/cells/times.py
@@ -45,6 +45,10 @@
     standstill_s: float = 0.4
     standstill_share: float = 0.05
 
+    #: Pause between looks at a worker that lists ends which are not stored
+    #: yet: it answers at once then. A commit takes about this long.
+    held_pause_s: float = 0.025
+
     #: Pause before a look that only acknowledges ends.
     ack_pause_s: float = 0.2
 
@@ -71,6 +75,15 @@
     #: this time.
     adopt_s: float = 0.5
 
+    #: After this time no run of a former owner exists on a worker that has
+    #: not reported: an owner that is cut off stops to extend leases after
+    #: ``unconfirmed_s``, and they last for 1 s, 1.02 s by a slow clock.
+    former_runs_s: float = 3.5
+
+    #: An owner that has neither heard from the store nor from all its heirs
+    #: for this long no longer extends the leases of stored jobs' runs.
+    unconfirmed_s: float = 2.0
+
     #: Runs of a coordinator whose link is lost are stopped after this time.
     orphan_s: float = 0.3
 
@@ -81,3 +94,6 @@
     #: Multiple of the time in which a job is on time after which it is worth
     #: nothing.
     late_factor: float = 3.0
+
+    #: A task takes this many times as long on racks without its data.
+    remote_factor: float = 2.0
--- a/sardineproxy/process/cells/watch.py
+++ b/sardineproxy/process/cells/watch.py
@@ -87,15 +87,22 @@
         self._silent_looks = 0
         self._ack_sent = 0
         self._wake = asyncio.Event()
+        self._released = asyncio.Event()
         self._look: asyncio.Task[object] | None = None
 
     def wake(self) -> None:
         """Look again if that is needed now."""
         self._wake.set()
 
+    def acknowledge(self) -> None:
+        """Let the worker forget ends that were held."""
+        self._released.set()
+        self._wake.set()
+
     def restart(self) -> None:
         """Give up the present look and make a new one at once."""
         self.in_doubt = True
+        self._released.set()
         if self._look is not None:
             self._look.cancel()
         self._wake.set()
@@ -137,9 +144,11 @@
             await self._take(look, answer, now)
 
     async def _until_needed(self) -> None:
+        if self._is_needed():
+            await self._rest_while_held()
         while not self._is_needed():
             self._wake.clear()
-            has_acks = self._reports.acked > self._ack_sent
+            has_acks = self._reports.held.acked > self._ack_sent
             pause_s = (
                 self._cfg.ack_pause_s if has_acks else self._cfg.idle_pause_s
             )
@@ -149,6 +158,21 @@
             except TimeoutError:
                 return
 
+    async def _rest_while_held(self) -> None:
+        """Pause before a look that the worker would answer at once.
+
+        It does not wait for a new end while it lists one that is not
+        acknowledged.
+        """
+        self._released.clear()
+        if self._reports.held.is_empty or self.in_doubt:
+            return
+        try:
+            async with asyncio.timeout(self._cfg.held_pause_s):
+                await self._released.wait()
+        except TimeoutError:
+            return
+
     def _is_needed(self) -> bool:
         if self.in_doubt or self.silent_since is not None:
             return True
@@ -168,7 +192,7 @@
         at_once = self.in_doubt or self._ledger.is_empty
         return workers.Look(
             fence=self._subject.fence,
-            acked=self._reports.acked,
+            acked=self._reports.held.acked,
             expires_ms=expires_ms,
             wait_s=0 if at_once else self._cfg.look_wait_s,
         )
@@ -268,7 +292,7 @@
             # Orders to the former life may still be carried out.
             self._subject.doubt('started anew')
         self.born_ms = report.born_ms
-        self._reports.acked = 0
+        self._reports.held.reset()
         self._ack_sent = 0
         self._lease.forget_clock()
         self._ledger.unknown.clear()
--- a/sardineproxy/process/cells/workers.py
+++ b/sardineproxy/process/cells/workers.py
@@ -148,6 +148,9 @@
     running: tuple[Running, ...]
     ended: tuple[End, ...]
 
+    #: False if there may be more ends than are listed.
+    is_whole: bool = True
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Look:
--- /dev/null
+++ b/sardineproxy/process/keeping/__init__.py
@@ -0,0 +1,1 @@
+"""Stored jobs: where they are kept and how they are carried out."""
--- /dev/null
+++ b/sardineproxy/process/keeping/guarded_rows.py
@@ -0,0 +1,223 @@
+"""Rows of one cell's stored jobs that only the cell's newest owner writes.
+
+Each call holds only while the guard row is unchanged, which a new owner of
+the cell rewrites, and while the rows are as they were last written. So a
+write whose answer was lost cannot take effect after a later one of the same
+row, nor after a takeover.
+"""
+
+import dataclasses
+import enum
+from typing import Mapping
+
+import msgpack
+import result
+
+from sardineproxy import ids, logs
+from sardineproxy.process import metrics, store
+from sardineproxy.process.cells import fences
+
+#: Table of stored jobs in the platform's store, in one part for each cell.
+TABLE = 'sardineproxy_jobs'
+
+GUARD_KEY = f'{TABLE}/guard'
+
+_LOG = logs.get_logger('jobs')
+
+
+class Sent(enum.Enum):
+    """What became of a call."""
+
+    DONE = 'done'
+
+    #: It had no effect and never will have.
+    NOT_SENT = 'not_sent'
+    UNKNOWN = 'unknown'
+
+    #: A newer owner writes the rows.
+    SUPERSEDED = 'superseded'
+
+
+#: New contents of rows by key, None for rows that are to be removed.
+Changes = Mapping[str, bytes | None]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Guard:
+    """Who writes the rows."""
+
+    right: fences.Right
+    incarnation: ids.Incarnation
+
+
+class GuardedRows:
+    """Calls to the store for the rows of one cell."""
+
+    def __init__(
+        self,
+        *,
+        cell: ids.CellId,
+        guard: Guard,
+        store: store.Store,
+        metrics: metrics.Metrics,
+    ) -> None:
+        """Prepare; ``take`` comes before all else."""
+        self.cell = cell
+        self.guard = guard
+        self._store = store
+        self._metrics = metrics
+        self._guard_revision = 0
+        self._revisions: dict[str, int] = {}
+
+        #: Calls in a row that did not succeed.
+        self.failures = 0
+
+    async def take(self) -> Sent:
+        """Become the writer of the rows."""
+        self._count_call()
+        found = await self._store.get(GUARD_KEY, part=self.cell)
+        if isinstance(found, result.Err):
+            self._note_failure(found.err_value)
+            return Sent.UNKNOWN
+        row = found.ok_value
+        if row is not None:
+            self._guard_revision = row.revision
+            guard = _decode_guard(row)
+            if guard == self.guard:
+                return Sent.DONE
+            if guard.right > self.guard.right:
+                return Sent.SUPERSEDED
+        return await self._write_guard()
+
+    async def read(self) -> tuple[store.Row, ...] | None:
+        """Return all rows, None if the store does not tell them."""
+        self._count_call()
+        answer = await self._store.read(TABLE, part=self.cell)
+        if isinstance(answer, result.Err):
+            self._note_failure(answer.err_value)
+            return None
+        rows = answer.ok_value.rows
+        self._revisions = {row.key: row.revision for row in rows}
+        return rows
+
+    async def send(self, changes: Changes) -> Sent:
+        """Change rows; after UNKNOWN the same changes may be sent again."""
+        self._count_call()
+        answer = await self._store.transact(
+            conditions=(
+                self._condition(GUARD_KEY, self._guard_revision),
+                *(
+                    self._condition(key, self._revisions.get(key, 0))
+                    for key in changes
+                ),
+            ),
+            writes=tuple(
+                store.Write(key=key, part=self.cell, body=body)
+                for key, body in changes.items()
+                if body is not None
+            ),
+            removals=tuple(
+                store.Removal(key=key, part=self.cell)
+                for key, body in changes.items()
+                if body is None and key in self._revisions
+            ),
+        )
+        if isinstance(answer, result.Ok):
+            self.failures = 0
+            self._note_revisions(changes, answer.ok_value)
+            return Sent.DONE
+        self._note_failure(answer.err_value)
+        match answer.err_value.kind:
+            case store.ErrorKind.CONFLICT:
+                return await self._explain_conflict(changes)
+            case store.ErrorKind.UNAVAILABLE:
+                return Sent.NOT_SENT
+            case _:
+                return Sent.UNKNOWN
+
+    async def _write_guard(self) -> Sent:
+        self._count_call()
+        answer = await self._store.transact(
+            conditions=(self._condition(GUARD_KEY, self._guard_revision),),
+            writes=(
+                store.Write(
+                    key=GUARD_KEY,
+                    part=self.cell,
+                    body=_encode_guard(self.guard),
+                ),
+            ),
+        )
+        if isinstance(answer, result.Err):
+            self._note_failure(answer.err_value)
+            return Sent.UNKNOWN
+        self.failures = 0
+        self._guard_revision = answer.ok_value
+        return Sent.DONE
+
+    async def _explain_conflict(self, changes: Changes) -> Sent:
+        """Tell who wrote what is in the way of a call.
+
+        While the guard is that of this owner, it was an earlier call for the
+        same changes whose answer was lost.
+        """
+        guard = await self._get(GUARD_KEY)
+        if guard is None:
+            return Sent.UNKNOWN
+        if guard.revision != self._guard_revision:
+            return Sent.SUPERSEDED
+        written = [key for key, body in changes.items() if body is not None]
+        row = await self._get(written[0]) if written else guard
+        if row is None:
+            return Sent.UNKNOWN
+        self._note_revisions(changes, row.revision)
+        return Sent.DONE
+
+    async def _get(self, key: str) -> store.Row | None:
+        """Return a row, None if the store does not tell it."""
+        self._count_call()
+        answer = await self._store.get(key, part=self.cell)
+        if isinstance(answer, result.Err):
+            self._note_failure(answer.err_value)
+            return None
+        return answer.ok_value
+
+    def _condition(self, key: str, revision: int) -> store.Condition:
+        return store.Condition(key=key, part=self.cell, revision=revision)
+
+    def _note_revisions(self, changes: Changes, revision: int) -> None:
+        for key, body in changes.items():
+            if body is None:
+                self._revisions.pop(key, None)
+            else:
+                self._revisions[key] = revision
+
+    def _count_call(self) -> None:
+        self._metrics.count('store_calls_total', table=TABLE)
+
+    def _note_failure(self, error: store.StoreError) -> None:
+        self.failures += 1
+        _LOG.info(
+            'Store did not answer well.',
+            extra={
+                'cell': self.cell,
+                'epoch': self.guard.right.epoch,
+                'kind': error.kind.value,
+                'cause': error.detail,
+                'failures': self.failures,
+            },
+        )
+
+
+def _encode_guard(guard: Guard) -> bytes:
+    packed: bytes = msgpack.packb(
+        [guard.right.epoch, guard.right.rank, guard.incarnation]
+    )
+    return packed
+
+
+def _decode_guard(row: store.Row) -> Guard:
+    epoch, rank, incarnation = msgpack.unpackb(row.body or b'')
+    return Guard(
+        right=fences.Right(epoch=epoch, rank=rank),
+        incarnation=ids.Incarnation(incarnation),
+    )
--- /dev/null
+++ b/sardineproxy/process/keeping/keeper.py
@@ -0,0 +1,346 @@
+"""All stored jobs of one cell, at the process that owns the cell."""
+
+import asyncio
+import collections
+import enum
+from typing import Iterable
+
+import result
+
+from sardineproxy import background, clock, ids, logs
+from sardineproxy.connection import link, messages
+from sardineproxy.process import metrics, store
+from sardineproxy.process.keeping import execution, records, table
+from sardineproxy.request import open_tasks
+
+#: Most stored jobs of a cell that have not ended, as a bound on memory: some
+#: 3 KB each.
+MAX_OPEN_JOBS = 5000
+
+#: An accepted job is on its way to the store after this time, in seconds.
+ACCEPT_WITHIN_S = 0.002
+
+#: Longest wait for the store before a job is refused or said to be unknown,
+#: in seconds. A commit takes 10 ms, a slow store 0.6 s.
+STORE_WAIT_S = 1.0
+
+#: Wait of a question for a change of a job that runs, in seconds. Clients ask
+#: as a job should end, and again a quarter of a second later; the end of a
+#: run is known here up to a pause between looks after it.
+CHANGE_WAIT_S = 0.04
+
+#: Wait of a question for the state of a job whose end is being stored, in
+#: seconds. A commit takes 10 ms; in most cases the new state is told.
+END_WAIT_S = 0.1
+
+#: States are kept this much longer than they are asked for, in seconds.
+TIDY_SLACK_S = 10.0
+
+#: Time between two searches for states that can be removed, in seconds.
+TIDY_PERIOD_S = 5.0
+
+_LOG = logs.get_logger('jobs')
+
+
+class KeeperAnswer(enum.Enum):
+    """What a keeper answers about a job."""
+
+    #: The job is stored, now or since an earlier request.
+    ACCEPTED = 'accepted'
+
+    #: The job is not stored and never will be by this request.
+    REFUSED = 'refused'
+
+    #: Nobody knows the jobs of this cell at the moment; nothing was done.
+    UNAVAILABLE = 'unavailable'
+
+    #: It may be stored, or cancelled.
+    UNKNOWN = 'unknown'
+
+    #: No such job is stored.
+    ABSENT = 'absent'
+    QUEUED = 'queued'
+    RUNNING = 'running'
+    COMPLETED = 'completed'
+    FAILED = 'failed'
+    CANCELLED = 'cancelled'
+
+
+class Keeper:
+    """Accepts, carries out and cancels the stored jobs of a cell."""
+
+    def __init__(
+        self,
+        *,
+        rows: table.JobTable,
+        router: execution.Router,
+        clock: clock.Clock,
+        metrics: metrics.Metrics,
+        status_s: float,
+    ) -> None:
+        """Prepare; ``run`` takes the jobs over that are stored.
+
+        States of ended jobs are kept for ``status_s``.
+        """
+        self.cell = rows.cell
+        self._rows = rows
+        self._router = router
+        self._clock = clock
+        self._metrics = metrics
+        self._status_s = status_s
+        self._open: dict[ids.JobId, execution.Execution] = {}
+        self._ended: dict[ids.JobId, records.StoredJob] = {}
+        self._accepting: dict[ids.JobId, asyncio.Future[bool]] = {}
+        self._tasks = background.Tasks()
+        self._is_loaded = False
+
+    @property
+    def is_loaded(self) -> bool:
+        """Tell whether all stored jobs are known and written only here."""
+        return self._is_loaded and not self._rows.is_superseded
+
+    def start(self) -> None:
+        """Take the stored jobs over, and keep the table written."""
+        self._tasks.spawn(self._run())
+
+    async def close(self) -> None:
+        """Stop writing; jobs and their runs go on with the next keeper."""
+        await self._tasks.close()
+        await self._rows.close()
+
+    def pending(self) -> dict[ids.RouteId, int]:
+        """Return how many jobs of each route have not begun."""
+        return collections.Counter(
+            each.stored.route.route
+            for each in self._open.values()
+            if not each.has_begun
+        )
+
+    async def accept(self, stored: records.StoredJob) -> KeeperAnswer:
+        """Store a job, unless it is stored already."""
+        job = stored.job.job
+        if not self.is_loaded:
+            return KeeperAnswer.UNAVAILABLE
+        if job in self._open or job in self._ended:
+            return KeeperAnswer.ACCEPTED
+        if job not in self._accepting:
+            if len(self._open) >= MAX_OPEN_JOBS:
+                return KeeperAnswer.REFUSED
+            self._accepting[job] = self._store(stored)
+        return await self._await_stored(job, self._accepting[job])
+
+    async def ask(self, job: ids.JobId) -> KeeperAnswer:
+        """Return the state of a job as it is stored."""
+        if not self.is_loaded:
+            return KeeperAnswer.UNAVAILABLE
+        known = self._open.get(job)
+        if known is not None:
+            return await self._tell_state(known)
+        ended = self._ended.get(job)
+        if ended is not None:
+            return KeeperAnswer(ended.state.value)
+        if job in self._accepting:
+            return KeeperAnswer.UNKNOWN
+        return KeeperAnswer.ABSENT
+
+    async def cancel(self, job: ids.JobId) -> KeeperAnswer:
+        """Cancel a job that has not ended; return its state then."""
+        known = self._open.get(job)
+        if known is None:
+            return await self.ask(job)
+        known.tell(execution.Cancelled())
+        await asyncio.wait((known.ended,), timeout=STORE_WAIT_S)
+        if known.ended.done() and known.ended.result():
+            return KeeperAnswer(known.state().value)
+        return KeeperAnswer.UNKNOWN
+
+    def tell(
+        self,
+        source: link.Link,
+        message: messages.Ended | messages.Declined | messages.JobBegun,
+    ) -> None:
+        """Hand a message to its job."""
+        known = self._open.get(message.job)
+        if known is not None:
+            known.tell(message)
+        elif isinstance(message, messages.Ended):
+            # Nothing of the job will start any more, or it is not stored.
+            if self.is_loaded:
+                source.send(
+                    messages.EndsNoted(
+                        cell=message.cell,
+                        job=message.job,
+                        step=message.step,
+                        ends=((message.index, message.run),),
+                    )
+                )
+
+    def tell_all(
+        self, event: open_tasks.OwnerLost | open_tasks.OwnerFound
+    ) -> None:
+        """Tell all jobs of a change of a cell's owner."""
+        for each in self._open.values():
+            each.tell(event)
+
+    def state(self, now: float) -> dict[str, object]:
+        """Return what is kept, for the state dump."""
+        return {
+            'cell': self.cell,
+            'loaded': self._is_loaded,
+            'unstored_s': round(self._rows.unstored_s(now), 3),
+            'superseded': self._rows.is_superseded,
+            'open': {
+                job: each.state().value for job, each in self._open.items()
+            },
+            'ended': len(self._ended),
+        }
+
+    # Internals.
+
+    async def _tell_state(self, known: execution.Execution) -> KeeperAnswer:
+        if known.state() is records.JobState.RUNNING:
+            await asyncio.wait((known.ended,), timeout=CHANGE_WAIT_S)
+        if known.is_ending:
+            await asyncio.wait((known.ended,), timeout=END_WAIT_S)
+        return KeeperAnswer(known.state().value)
+
+    async def _run(self) -> None:
+        found = await self._rows.open()
+        if found is None:
+            return
+        self._load(found)
+        self._tasks.spawn(self._keep_tidy())
+        await self._rows.run()
+
+    def _load(self, found: Iterable[store.Row]) -> None:
+        """Take over the jobs that are stored."""
+        progress = {
+            row.key.removeprefix(table.PROGRESS_PREFIX): row
+            for row in found
+            if row.key.startswith(table.PROGRESS_PREFIX)
+        }
+        for row in found:
+            if row.key.startswith(table.JOB_PREFIX):
+                name = row.key.removeprefix(table.JOB_PREFIX)
+                self._load_job(row, progress.get(name))
+        self._is_loaded = True
+        _LOG.info(
+            'Stored jobs taken over.',
+            extra={
+                'cell': self.cell,
+                'epoch': self._rows.epoch,
+                'open': len(self._open),
+                'ended': len(self._ended),
+            },
+        )
+
+    def _load_job(self, row: store.Row, of_tasks: store.Row | None) -> None:
+        decoded = records.decode_job(row.body or b'')
+        if isinstance(decoded, result.Err):
+            _LOG.error(
+                'Stored job not understood.',
+                extra={'key': row.key, 'cause': decoded.err_value},
+            )
+            return
+        stored = decoded.ok_value
+        if stored.state.is_final:
+            self._ended[stored.job.job] = stored
+            return
+        progress = records.Progress()
+        if of_tasks is not None:
+            known = records.decode_progress(of_tasks.body or b'')
+            if isinstance(known, result.Err):
+                _LOG.error(
+                    'Progress not understood.',
+                    extra={'key': of_tasks.key, 'cause': known.err_value},
+                )
+                return
+            progress = known.ok_value
+        self._carry_out(stored, progress, resumed=True)
+
+    def _carry_out(
+        self,
+        stored: records.StoredJob,
+        progress: records.Progress,
+        *,
+        resumed: bool,
+    ) -> None:
+        started = execution.Execution(
+            stored=stored,
+            progress=progress,
+            home=self.cell,
+            router=self._router,
+            rows=self._rows,
+            clock=self._clock,
+            on_end=self._note_end,
+            resumed=resumed,
+        )
+        self._open[stored.job.job] = started
+        started.begin()
+        self._tasks.spawn(started.run())
+
+    def _note_end(self, ended: records.StoredJob) -> None:
+        self._metrics.count('stored_jobs_ended_total', state=ended.state.value)
+        self._metrics.observe(
+            'stored_job_seconds',
+            max(0, ended.ended_at - ended.accepted_at),
+            state=ended.state.value,
+        )
+        self._open.pop(ended.job.job)
+        self._ended[ended.job.job] = ended
+
+    def _store(self, stored: records.StoredJob) -> asyncio.Future[bool]:
+        job = stored.job.job
+        done = self._rows.put(
+            f'{table.JOB_PREFIX}{job}',
+            records.encode_job(stored),
+            within_s=ACCEPT_WITHIN_S,
+        )
+
+        def begin(done: asyncio.Future[bool]) -> None:  # noqa: WPS430
+            self._accepting.pop(job, None)
+            if not done.cancelled() and done.result():
+                self._metrics.count('stored_jobs_total')
+                self._carry_out(stored, records.Progress(), resumed=False)
+
+        done.add_done_callback(begin)
+        return done
+
+    async def _await_stored(
+        self, job: ids.JobId, done: asyncio.Future[bool]
+    ) -> KeeperAnswer:
+        await asyncio.wait((done,), timeout=STORE_WAIT_S)
+        if done.cancelled():
+            return KeeperAnswer.REFUSED
+        if done.done():
+            # An owner that was replaced cannot tell what the store has.
+            return (
+                KeeperAnswer.ACCEPTED if done.result() else KeeperAnswer.UNKNOWN
+            )
+        if self._rows.withdraw(f'{table.JOB_PREFIX}{job}'):
+            return KeeperAnswer.REFUSED
+        return KeeperAnswer.UNKNOWN
+
+    async def _keep_tidy(self) -> None:
+        """Remove the states of jobs that nobody asks for any more."""
+        while True:
+            await asyncio.sleep(TIDY_PERIOD_S)
+            oldest = self._clock.wall() - self._status_s - TIDY_SLACK_S
+            old = [
+                job
+                for job, ended in self._ended.items()
+                if ended.ended_at < oldest
+            ]
+            for job in old:
+                self._ended.pop(job)
+                for prefix in (table.JOB_PREFIX, table.PROGRESS_PREFIX):
+                    self._rows.put(
+                        f'{prefix}{job}',
+                        None,
+                        within_s=execution.PROGRESS_WITHIN_S,
+                    )
+            if old:
+                _LOG.info(
+                    'States removed.',
+                    extra={'cell': self.cell, 'jobs': len(old)},
+                )
--- /dev/null
+++ b/sardineproxy/process/keeping/records.py
@@ -0,0 +1,264 @@
+"""Stored jobs and their progress as rows of the store, msgpack encoded."""
+
+import dataclasses
+import enum
+from typing import Any
+
+import msgpack
+import result
+
+from sardineproxy import ids
+from sardineproxy.request import jobs, open_tasks
+from sardineproxy.version import routes
+
+#: First item of each row; rows with another one are not understood.
+FORMAT = 1
+
+
+class JobState(enum.Enum):
+    """What is known of a stored job."""
+
+    QUEUED = 'queued'
+    RUNNING = 'running'
+    COMPLETED = 'completed'
+
+    #: A task has failed as often as its route allows.
+    FAILED = 'failed'
+    CANCELLED = 'cancelled'
+
+    @property
+    def is_final(self) -> bool:
+        """Tell whether the job has ended."""
+        return self not in {JobState.QUEUED, JobState.RUNNING}
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class StoredJob:
+    """A job as it was accepted, or how it ended."""
+
+    job: jobs.Job
+
+    #: The route that accepted it.
+    route: routes.Route
+
+    #: Unix times of acceptance and end, in seconds, 0 for no end.
+    accepted_at: float
+    ended_at: float = 0
+    state: JobState = JobState.QUEUED
+
+    def end(self, state: JobState, wall: float) -> 'StoredJob':
+        """Return the job without what is needed only while it runs."""
+        return dataclasses.replace(
+            self,
+            job=dataclasses.replace(self.job, payload='', steps=()),
+            state=state,
+            ended_at=wall,
+        )
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class TaskProgress:
+    """What is known of a task that has not ended well."""
+
+    failures: int = 0
+
+    #: Number of its next run.
+    number: int = 1
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class Progress:
+    """Which tasks of a job have ended well or failed, and where they are."""
+
+    done: set[open_tasks.TaskKey] = dataclasses.field(default_factory=set)
+    failed: dict[open_tasks.TaskKey, TaskProgress] = dataclasses.field(
+        default_factory=dict
+    )
+
+    #: Cells of the tasks that were sent on from the job's home cell.
+    moved: dict[open_tasks.TaskKey, ids.CellId] = dataclasses.field(
+        default_factory=dict
+    )
+
+    def is_counted(self, key: open_tasks.TaskKey, run: int) -> bool:
+        """Tell whether the end of a task's run was counted before."""
+        known = self.failed.get(key)
+        return key in self.done or (known is not None and run < known.number)
+
+    def count_done(self, key: open_tasks.TaskKey) -> None:
+        """Count a good end."""
+        self.done.add(key)
+        self.failed.pop(key, None)
+
+    def count_failure(self, key: open_tasks.TaskKey, run: int) -> int:
+        """Count a failed run; return how many there are of the task."""
+        known = self.failed.setdefault(key, TaskProgress())
+        known.failures += 1
+        known.number = run + 1
+        return known.failures
+
+
+def encode_job(stored: StoredJob) -> bytes:
+    """Return the row of a job."""
+    route = stored.route
+    packed: bytes = msgpack.packb(
+        [
+            FORMAT,
+            stored.job.job,
+            stored.job.payload,
+            [_pack_step(step) for step in stored.job.steps],
+            [
+                route.route,
+                route.host,
+                route.path_prefix,
+                route.service,
+                float(route.stretch),
+                float(route.slack_s),
+                route.priority,
+                route.max_attempts,
+            ],
+            stored.accepted_at,
+            stored.ended_at,
+            stored.state.value,
+        ]
+    )
+    return packed
+
+
+def decode_job(body: bytes) -> result.Result[StoredJob, str]:
+    """Read the row of a job; the error is one sentence."""
+    try:
+        return result.Ok(_unpack_job(*_unpack(body)))
+    except (ValueError, TypeError, KeyError) as exc:
+        return result.Err(f'not a stored job: {exc}')
+
+
+def encode_progress(progress: Progress) -> bytes:
+    """Return the row of a job's progress."""
+    packed: bytes = msgpack.packb(
+        [
+            FORMAT,
+            sorted(progress.done),
+            [
+                (*key, task.failures, task.number)
+                for key, task in progress.failed.items()
+            ],
+            [(*key, cell) for key, cell in progress.moved.items()],
+        ]
+    )
+    return packed
+
+
+def decode_progress(body: bytes) -> result.Result[Progress, str]:
+    """Read the row of a job's progress; the error is one sentence."""
+    try:
+        done, failed, moved = _unpack(body)
+        return result.Ok(
+            Progress(
+                done={(int(step), int(index)) for step, index in done},
+                failed={
+                    (int(step), int(index)): TaskProgress(
+                        failures=int(failures), number=int(number)
+                    )
+                    for step, index, failures, number in failed
+                },
+                moved={
+                    (int(step), int(index)): ids.CellId(cell)
+                    for step, index, cell in moved
+                },
+            )
+        )
+    except (ValueError, TypeError) as exc:
+        return result.Err(f'not the progress of a job: {exc}')
+
+
+def _unpack(body: bytes) -> list[Any]:
+    document = msgpack.unpackb(body)
+    if not isinstance(document, list) or document[:1] != [FORMAT]:
+        raise ValueError('unknown format')
+    return document[1:]
+
+
+def _pack_step(step: jobs.Step) -> list[object]:
+    return [
+        step.count,
+        step.shape.millicores,
+        step.shape.memory_mb,
+        step.shape.gpus,
+        float(step.estimate_s),
+        list(step.after),
+        step.requires,
+        step.rack,
+        step.per_worker,
+    ]
+
+
+def _unpack_job(  # noqa: WPS211
+    job: str,
+    payload: str,
+    steps: list[list[Any]],
+    route: list[Any],
+    accepted_at: float,
+    ended_at: float,
+    state: str,
+) -> StoredJob:
+    return StoredJob(
+        job=jobs.Job(
+            job=ids.JobId(job),
+            payload=payload,
+            steps=tuple(_unpack_step(*step) for step in steps),
+            stored=True,
+        ),
+        route=_unpack_route(*route),
+        accepted_at=float(accepted_at),
+        ended_at=float(ended_at),
+        state=JobState(state),
+    )
+
+
+def _unpack_step(  # noqa: WPS211
+    count: int,
+    millicores: int,
+    memory_mb: int,
+    gpus: int,
+    estimate_s: float,
+    after: list[int],
+    requires: str,
+    rack: str,
+    per_worker: int,
+) -> jobs.Step:
+    return jobs.Step(
+        count=int(count),
+        shape=jobs.Shape(
+            millicores=int(millicores),
+            memory_mb=int(memory_mb),
+            gpus=int(gpus),
+        ),
+        estimate_s=float(estimate_s),
+        after=tuple(map(int, after)),
+        requires=str(requires),
+        rack=str(rack),
+        per_worker=int(per_worker),
+    )
+
+
+def _unpack_route(  # noqa: WPS211
+    route: str,
+    host: str,
+    path_prefix: str,
+    service: str,
+    stretch: float,
+    slack_s: float,
+    priority: int,
+    max_attempts: int,
+) -> routes.Route:
+    return routes.Route(
+        route=ids.RouteId(route),
+        host=str(host),
+        path_prefix=str(path_prefix),
+        service=ids.ServiceId(service),
+        stretch=float(stretch),
+        slack_s=float(slack_s),
+        priority=int(priority),
+        max_attempts=int(max_attempts),
+    )
--- /dev/null
+++ b/sardineproxy/process/keeping/table.py
@@ -0,0 +1,271 @@
+"""The stored jobs of one cell as rows of the store, with group commits."""
+
+import asyncio
+import dataclasses
+import random
+from typing import Iterable
+
+from sardineproxy import background, clock, ids, logs
+from sardineproxy.process import metrics, store
+from sardineproxy.process.keeping import guarded_rows
+
+JOB_PREFIX = f'{guarded_rows.TABLE}/job/'
+PROGRESS_PREFIX = f'{guarded_rows.TABLE}/progress/'
+
+#: Most rows of one commit; the store takes 100 with the guard.
+MAX_ROWS = 90
+
+#: Most bytes of one commit; the store takes 1 MB, a third of it for base64.
+MAX_BYTES = 500_000
+
+#: Most commits that are under way at a time.
+MAX_COMMITS = 4
+
+#: Shortest and longest pause after a failed call, in seconds. The store's
+#: rates are shared by all entry VMs.
+BACK_OFF_MIN_S = 0.05
+BACK_OFF_MAX_S = 0.5
+
+_LOG = logs.get_logger('jobs')
+
+_Sent = guarded_rows.Sent
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class _Change:
+    body: bytes | None
+    done: asyncio.Future[bool]
+
+    #: Local times at which it was made and must be sent, in seconds.
+    made_at: float
+    send_at: float
+
+
+_Batch = dict[str, _Change]
+
+
+class JobTable:
+    """Changes of one cell's stored jobs on their way to the store."""
+
+    def __init__(
+        self,
+        *,
+        cell: ids.CellId,
+        guard: guarded_rows.Guard,
+        store: store.Store,
+        clock: clock.Clock,
+        rng: random.Random,
+        metrics: metrics.Metrics,
+    ) -> None:
+        """Prepare; ``open`` must end well before anything is written."""
+        self.cell = cell
+        self.epoch = guard.right.epoch
+        self._rows = guarded_rows.GuardedRows(
+            cell=cell, guard=guard, store=store, metrics=metrics
+        )
+        self._clock = clock
+        self._rng = rng
+        self._metrics = metrics
+        self._waiting: _Batch = {}
+        self._under_way: _Batch = {}
+        self._commits = 0
+        self._wake = asyncio.Event()
+        self._tasks = background.Tasks()
+
+        #: True once another owner writes the table.
+        self.is_superseded = False
+
+    async def open(self) -> tuple[store.Row, ...] | None:
+        """Become the only writer and return all rows.
+
+        Repeats until the store answers; None if a newer owner writes.
+        """
+        while not self.is_superseded:
+            sent = await self._rows.take()
+            if sent is _Sent.SUPERSEDED:
+                self._supersede()
+            if sent is _Sent.DONE:
+                # What the former owner wrote is known from here on.
+                rows = await self._rows.read()
+                if rows is not None:
+                    return rows
+            await asyncio.sleep(self._pause_s())
+        return None
+
+    async def close(self) -> None:
+        """Stop all commits; what they do to the store is not known."""
+        await self._tasks.close()
+
+    def unstored_s(self, now: float) -> float:
+        """Return for how long the oldest change has not been stored."""
+        made_at = min(
+            (
+                change.made_at
+                for changes in (self._waiting, self._under_way)
+                for change in changes.values()
+            ),
+            default=now,
+        )
+        return now - made_at
+
+    def put(
+        self, key: str, body: bytes | None, *, within_s: float
+    ) -> asyncio.Future[bool]:
+        """Write or remove a row; the newest contents of a key count.
+
+        The future is true once the row is stored, and false if another owner
+        has taken the table over. The change waits up to ``within_s`` for
+        others to join its commit.
+        """
+        now = self._clock.now()
+        known = self._waiting.get(key)
+        if known is not None:
+            known.body = body
+            known.send_at = min(known.send_at, now + within_s)
+            self._wake.set()
+            return known.done
+        change = _Change(
+            body=body,
+            done=asyncio.get_running_loop().create_future(),
+            made_at=now,
+            send_at=now + within_s,
+        )
+        if self.is_superseded:
+            change.done.set_result(False)
+            return change.done
+        self._waiting[key] = change
+        self._wake.set()
+        return change.done
+
+    def withdraw(self, key: str) -> bool:
+        """Take a change back; tell whether it certainly was not sent."""
+        change = self._waiting.pop(key, None)
+        if change is None:
+            return False
+        change.done.cancel()
+        return True
+
+    async def run(self) -> None:
+        """Commit changes until another owner has taken the table over."""
+        while not self.is_superseded:
+            await self._until_due()
+            batch = self._take_batch()
+            if batch:
+                self._commits += 1
+                self._under_way.update(batch)
+                self._tasks.spawn(self._commit(batch))
+
+    async def _until_due(self) -> None:
+        while not self.is_superseded:
+            self._wake.clear()
+            left_s = self._until_next_s(self._clock.now())
+            if left_s is not None and left_s <= 0:
+                return
+            try:
+                async with asyncio.timeout(left_s):
+                    await self._wake.wait()
+            except TimeoutError:
+                return
+
+    def _until_next_s(self, now: float) -> float | None:
+        """Return how long nothing is to be sent, None if nothing waits."""
+        if self._commits >= MAX_COMMITS:
+            return None
+        times = (
+            change.send_at
+            for key, change in self._waiting.items()
+            if key not in self._under_way
+        )
+        first = min(times, default=None)
+        return None if first is None else first - now
+
+    def _take_batch(self) -> _Batch:
+        batch: _Batch = {}
+        size = 0
+        for key, change in self._waiting.items():
+            if key in self._under_way:
+                continue
+            size += len(change.body or b'')
+            if batch and (len(batch) >= MAX_ROWS or size > MAX_BYTES):
+                break
+            batch[key] = change
+        for taken in batch:
+            self._waiting.pop(taken)
+        return batch
+
+    async def _commit(self, batch: _Batch) -> None:
+        """Send a batch until it is stored or certainly was not sent."""
+        began_at = self._clock.now()
+        sent = await self._send_until_sure(batch)
+        self._metrics.observe(
+            'commit_seconds', self._clock.now() - began_at, outcome=sent.value
+        )
+        self._commits -= 1
+        for key in batch:
+            self._under_way.pop(key)
+        match sent:
+            case _Sent.DONE:
+                _settle(batch.values(), stored=True)
+            case _Sent.SUPERSEDED:
+                _settle(batch.values(), stored=False)
+                self._supersede()
+            case _:
+                self._return(batch)
+        self._wake.set()
+
+    async def _send_until_sure(self, batch: _Batch) -> guarded_rows.Sent:
+        changes = {key: change.body for key, change in batch.items()}
+        may_be_stored = False
+        while True:
+            sent = await self._rows.send(changes)
+            is_over = sent in {_Sent.DONE, _Sent.SUPERSEDED}
+            if is_over or (sent is _Sent.NOT_SENT and not may_be_stored):
+                return sent
+            # The same call again: one of them takes effect.
+            may_be_stored = True
+            await asyncio.sleep(self._pause_s())
+
+    def _return(self, batch: _Batch) -> None:
+        """Let changes wait again, unless newer ones of their rows do."""
+        send_at = self._clock.now() + self._pause_s()
+        for key, change in batch.items():
+            newer = self._waiting.get(key)
+            if newer is None:
+                change.send_at = send_at
+                self._waiting[key] = change
+            else:
+                newer.send_at = send_at
+                _follow(change, newer)
+
+    def _pause_s(self) -> float:
+        longest = min(
+            BACK_OFF_MIN_S * 2 ** min(self._rows.failures, 8), BACK_OFF_MAX_S
+        )
+        return longest * self._rng.uniform(0.5, 1)
+
+    def _supersede(self) -> None:
+        if self.is_superseded:
+            return
+        self.is_superseded = True
+        _LOG.warning(
+            'Another owner writes the jobs.',
+            extra={'cell': self.cell, 'epoch': self.epoch},
+        )
+        _settle(self._waiting.values(), stored=False)
+        self._waiting.clear()
+
+
+def _settle(changes: Iterable[_Change], *, stored: bool) -> None:
+    for change in changes:
+        if not change.done.done():
+            change.done.set_result(stored)
+
+
+def _follow(change: _Change, newer: _Change) -> None:
+    """End an older change of a row as the newer one ends."""
+
+    def settle(done: asyncio.Future[bool]) -> None:  # noqa: WPS430
+        if not change.done.done():
+            change.done.set_result(not done.cancelled() and done.result())
+
+    newer.done.add_done_callback(settle)
--- /dev/null
+++ b/sardineproxy/process/membership/keepers.py
@@ -0,0 +1,42 @@
+"""Which VMs keep the stored jobs of the cells that they own."""
+
+import dataclasses
+from typing import Iterable
+
+from sardineproxy import ids
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Kept:
+    """A VM knows all stored jobs of a cell, and has asked for their tasks."""
+
+    vm: ids.VmId
+
+    #: Local time since when it says so, in seconds.
+    since: float
+
+
+class Keepers:
+    """Newest words of owners about the stored jobs of their cells."""
+
+    def __init__(self) -> None:
+        """Start without words."""
+        self._by_cell: dict[ids.CellId, Kept] = {}
+
+    def note(
+        self, vm: ids.VmId, cells: Iterable[ids.CellId], now: float
+    ) -> None:
+        """Note of which cells a VM knows all stored jobs."""
+        kept = set(cells)
+        for cell, known in list(self._by_cell.items()):
+            if known.vm == vm and cell not in kept:
+                self._by_cell.pop(cell)
+        for cell in kept:
+            known_here = self._by_cell.get(cell)
+            if known_here is None or known_here.vm != vm:
+                self._by_cell[cell] = Kept(vm=vm, since=now)
+
+    def get(self, cell: ids.CellId, owner: ids.VmId | None) -> Kept | None:
+        """Return what a cell's owner has said, None if nothing."""
+        known = self._by_cell.get(cell)
+        return known if known is not None and known.vm == owner else None
--- a/sardineproxy/process/membership/owners.py
+++ b/sardineproxy/process/membership/owners.py
@@ -6,6 +6,7 @@
 from sardineproxy import ids, logs
 from sardineproxy.connection import messages
 from sardineproxy.process.cells import fences, rooms
+from sardineproxy.process.membership import keepers
 
 _LOG = logs.get_logger('owners')
 
@@ -28,21 +29,28 @@
         """Start without owners."""
         self._me = me
         self._offers: dict[ids.VmId, dict[ids.CellId, fences.Right]] = {}
-
         #: Owner of each cell.
         self.by_cell: dict[ids.CellId, ids.VmId] = {}
 
         #: How much room each cell has.
         self.rooms = rooms.Rooms()
 
-    def take(
-        self, vm: ids.VmId, offers: tuple[messages.Offer, ...], now: float
-    ) -> bool:
+        #: Which owners know the stored jobs of their cells.
+        self.keepers = keepers.Keepers()
+
+        #: Stored jobs that have not begun, by VM that owns their cells.
+        self._pending: dict[ids.VmId, tuple[messages.Pending, ...]] = {}
+
+    def take(self, vm: ids.VmId, beat: messages.Beat, now: float) -> bool:
         """Note what a VM owns; tell whether that has changed."""
         rights: dict[ids.CellId, fences.Right] = {}
-        for cell, epoch, rank, free in offers:
+        for cell, epoch, rank, free, _ in beat.cells:
             rights[cell] = fences.Right(epoch=epoch, rank=rank)
             self.rooms.note(cell, free, now)
+        self.keepers.note(
+            vm, (offer[0] for offer in beat.cells if offer[-1]), now
+        )
+        self._pending[vm] = beat.pending
         changed = self._offers.get(vm) != rights
         self._offers[vm] = rights
         return changed
@@ -51,9 +59,20 @@
         """Forget what a VM owns, or that it owns one cell."""
         if cell is None:
             self._offers.pop(vm, None)
+            self._pending.pop(vm, None)
+            self.keepers.note(vm, (), 0)
         else:
             self._offers.get(vm, {}).pop(cell, None)
 
+    def pending(self, route: ids.RouteId) -> int:
+        """Return how many stored jobs of a route wait at other VMs."""
+        return sum(
+            count
+            for of_vm in self._pending.values()
+            for waiting, count in of_vm
+            if waiting == route
+        )
+
     def choose(self, own: Mapping[ids.CellId, fences.Right]) -> Change:
         """Use the owner with the highest right for each cell.
 
--- a/sardineproxy/process/node/holdings.py
+++ b/sardineproxy/process/node/holdings.py
@@ -2,13 +2,14 @@
 
 import asyncio
 import dataclasses
-from typing import Iterable, Protocol
+from typing import Callable, Iterable, Protocol
 
 from sardineproxy import background, clock, ids, logs
 from sardineproxy.connection import link, messages
 from sardineproxy.process import metrics
 from sardineproxy.process.cells import cell as cells
 from sardineproxy.process.cells import fences, rooms, times, workers
+from sardineproxy.process.keeping import homes, keeper
 from sardineproxy.process.membership import links
 from sardineproxy.process.node import claiming
 
@@ -24,7 +25,7 @@
 _LOG = logs.get_logger('node')
 
 
-class Surroundings(Protocol):
+class Surroundings(cells.Surroundings, Protocol):
     """What the holdings need to know, and who hears of their changes."""
 
     @property
@@ -48,12 +49,6 @@
     def knows_all_workers(self) -> bool:
         """Tell whether no worker can be missing from the list."""
 
-    def listed_at(self) -> float:
-        """Return the local time of the list of workers, in seconds."""
-
-    def list_answers(self) -> bool:
-        """Tell whether the store answers about the list of workers."""
-
     def is_alone(self) -> bool:
         """Tell whether no other VM of several is in reach."""
 
@@ -72,6 +67,7 @@
     clock: clock.Clock
     metrics: metrics.Metrics
     cfg: times.Cell
+    new_keeper: Callable[[ids.CellId, fences.Right], keeper.Keeper]
 
 
 class Holdings:  # noqa: WPS214
@@ -84,10 +80,12 @@
         claims: claiming.Claiming,
         links: links.Links,
         around: Surroundings,
+        homes: homes.Homes,
         tasks: background.Tasks,
     ) -> None:
         """Start without cells."""
         self._tools = tools
+        self._homes = homes
         self._claims = claims
         self._links = links
         self._around = around
@@ -116,6 +114,7 @@
                 owned.right.epoch,
                 owned.right.rank,
                 owned.free_tasks(now),
+                self._homes.keepers[owned.cell].is_loaded,
             )
             for owned in self.cells.values()
         )
@@ -142,6 +141,12 @@
         if owned is not None:
             owned.withdraw(source, job)
 
+    def note_ends(self, noted: messages.EndsNoted) -> None:
+        """Let workers forget ends that are stored."""
+        owned = self.cells.get(noted.cell)
+        if owned is not None:
+            owned.note_ends(noted)
+
     def link_lost(self, lost: link.Link, now: float) -> None:
         """Tell all cells that a coordinator's link is lost."""
         for owned in self.cells.values():
@@ -178,10 +183,11 @@
             metrics=self._tools.metrics,
             events=self,
             others=self._around.rooms,
-            listing=self._around,
+            around=self._around,
             cfg=self._tools.cfg,
         )
         self.cells[cell] = owned
+        self._homes.add(self._tools.new_keeper(cell, right))
         self._give_workers(owned)
         self._around.gained(cell)
 
@@ -197,6 +203,7 @@
                 'cause': cause,
             },
         )
+        self._homes.drop(cell)
         self._tasks.spawn(lost.close())
         self._around.lost(cell)
 
--- a/sardineproxy/process/node/intake.py
+++ b/sardineproxy/process/node/intake.py
@@ -1,8 +1,9 @@
 """Jobs of clients at one node, from arrival to answer."""
 
-from sardineproxy import clock, logs
+from sardineproxy import clock, ids, logs
 from sardineproxy.process import metrics
-from sardineproxy.request import board, coordinator, jobs
+from sardineproxy.process.keeping import homes, keeper, records
+from sardineproxy.request import board, coordinator, jobs, open_tasks
 from sardineproxy.version import in_force, routes
 
 #: When to come back after a refusal by a process that ends, in seconds; other
@@ -18,13 +19,15 @@
     def __init__(
         self,
         *,
+        homes: homes.Homes,
         board: board.Board,
-        router: coordinator.Router,
+        router: open_tasks.Router,
         versions: in_force.InForce,
         clock: clock.Clock,
         metrics: metrics.Metrics,
     ) -> None:
         """Run jobs on ``board``."""
+        self._homes = homes
         self._board = board
         self._router = router
         self._versions = versions
@@ -62,6 +65,51 @@
         )
         return outcome
 
+    async def keep(
+        self, job: jobs.Job, route: routes.Route, wait_s: float
+    ) -> keeper.KeeperAnswer:
+        """Store a job for a client that waits ``wait_s`` seconds."""
+        now = self._clock.now()
+        answer = await self._homes.keep(
+            records.StoredJob(
+                job=job, route=route, accepted_at=self._clock.wall()
+            ),
+            wait_s,
+        )
+        self._note_question('Job handed in.', job.job, answer, now)
+        return answer
+
+    async def ask(
+        self, job: ids.JobId, wait_s: float, *, cancel: bool
+    ) -> keeper.KeeperAnswer:
+        """Return the state of a stored job, or cancel it."""
+        now = self._clock.now()
+        answer = await self._homes.ask(job, wait_s, cancel=cancel)
+        text = 'Job cancelled.' if cancel else 'State asked.'
+        self._note_question(text, job, answer, now)
+        return answer
+
+    def _note_question(
+        self,
+        text: str,
+        job: ids.JobId,
+        answer: keeper.KeeperAnswer,
+        asked_at: float,
+    ) -> None:
+        self._metrics.count(
+            'stored_job_questions_total', question=text, answer=answer.value
+        )
+        _LOG.info(
+            text,
+            extra={
+                'job': job,
+                'answer': answer.value,
+                'home': self._homes.home_of(job),
+                'version': self._versions.number,
+                'took_s': round(self._clock.now() - asked_at, 4),
+            },
+        )
+
     def _refuse(
         self, job: jobs.Job, route: routes.Route, now: float
     ) -> jobs.Outcome | None:
--- a/sardineproxy/process/node/node.py
+++ b/sardineproxy/process/node/node.py
@@ -11,8 +11,10 @@
 from sardineproxy.connection import link, messages
 from sardineproxy.process import metrics, store
 from sardineproxy.process.cells import fences, rooms, workers
+from sardineproxy.process.keeping import guarded_rows, homes, keeper, table
 from sardineproxy.process.membership import (
     following,
+    keepers,
     links,
     owners,
     registry,
@@ -28,8 +30,8 @@
     policy,
     sharing,
 )
-from sardineproxy.request import board
-from sardineproxy.version import in_force
+from sardineproxy.request import board, open_tasks
+from sardineproxy.version import in_force, routes
 
 #: Time between two rounds of what is due, in seconds: half a beat, and less
 #: for owners of cells, whose queues move on with time.
@@ -124,6 +126,8 @@
             address=cfg.peers,
             cores=cfg.cores,
         )
+        self._outside = outside
+        self.homes = homes.Homes(around=self, clock=self._clock)
         self._claims = claiming.Claiming(
             store=outside.store,
             directory=self.directory,
@@ -136,10 +140,12 @@
                 clock=self._clock,
                 metrics=self.metrics,
                 cfg=rules.cell,
+                new_keeper=self._new_keeper,
             ),
             claims=self._claims,
             links=self.links,
             around=self,
+            homes=self.homes,
             tasks=self._tasks,
         )
         self._feeds = feeds.Feeds(
@@ -153,6 +159,7 @@
             metrics=self.metrics,
         )
         self.intake = intake.Intake(
+            homes=self.homes,
             board=self.board,
             router=self,
             versions=self.versions,
@@ -179,6 +186,7 @@
     async def close(self) -> None:
         """Stop everything."""
         await self._tasks.close()
+        await self.homes.close()
         await self.holdings.close()
         await self.links.close()
 
@@ -236,15 +244,20 @@
     def closed(self, closed: link.Link) -> None:
         """Forget what the link told."""
         self.holdings.link_lost(closed, self._clock.now())
+        self.homes.closed(closed)
         if self.links.to(closed.peer.vm) is None:
             self.owners.forget(closed.peer.vm)
         self._choose_owners()
         for cell in self.all_cells:
-            self.board.owner_lost(cell, closed)
+            self._tell_lost(cell, closed)
 
     def received(self, source: link.Link, message: messages.Message) -> None:
         """Act on a message."""
+        if self.homes.received(source, message):
+            return
         match message:
+            case messages.EndsNoted():
+                self.holdings.note_ends(message)
             case messages.Submit():
                 self.holdings.submit(source, message, self._clock.now())
             case messages.Withdraw(cell=cell, job=job):
@@ -279,6 +292,28 @@
         """Return which VM owns a cell."""
         return self.owners.by_cell.get(cell)
 
+    def kept(self, job: ids.JobId) -> keepers.Kept | None:
+        """Return who keeps a stored job, None if that is not known."""
+        home = self.homes.home_of(job)
+        return self.owners.keepers.get(home, self.owner_of(home))
+
+    def keeper_of(self, job: ids.JobId) -> link.Link | None:
+        """Return the link to the owner of a stored job's home cell."""
+        return self.owner(self.homes.home_of(job))
+
+    def route(self, route: ids.RouteId) -> routes.Route | None:
+        """Return a route of the version in force, None if it was removed."""
+        table = self.versions.table
+        return None if table is None else table.get(route)
+
+    def waiting_for(self, route: ids.RouteId) -> int:
+        """Return how many jobs of a route have not begun."""
+        return (
+            self.board.waiting_for(route)
+            + self.homes.pending().get(route, 0)
+            + self.owners.pending(route)
+        )
+
     def workers_of(self, cell: ids.CellId) -> list[workers.Worker]:
         """Return the listed workers of a cell."""
         return self.workers.of_cell(cell)
@@ -310,7 +345,7 @@
         self.links.send_all(messages.Disowned(cell=cell))
         self.links.send_all(self._beat(self._clock.now()))
         self._choose_owners()
-        self.board.owner_lost(cell, self._local)
+        self._tell_lost(cell, self._local)
 
     def state(self) -> dict[str, object]:
         """Return what this process believes, for the state dump."""
@@ -333,6 +368,7 @@
                 for cell, claim in self.directory.claims.items()
             },
             'jobs': self.board.state(),
+            'kept': [kept.state(now) for kept in self.homes.keepers.values()],
             'cells': [
                 owned.state(now) for owned in self.holdings.cells.values()
             ],
@@ -375,6 +411,7 @@
     def _tick(self, now: float) -> None:
         self._check_stall(now)
         self._ticked_at = now
+        self.owners.keepers.note(self.cfg.vm, self.homes.loaded(), now)
         self.links.tick(now, self._beat(now))
         self.holdings.tick(now, may_claim=not self.draining)
 
@@ -403,7 +440,9 @@
 
     def _beat(self, now: float) -> messages.Beat:
         return messages.Beat(
-            version=self.versions.number, cells=self.holdings.offers(now)
+            version=self.versions.number,
+            cells=self.holdings.offers(now),
+            pending=tuple(self.homes.pending().items()),
         )
 
     def _take_ownership(
@@ -413,9 +452,9 @@
     ) -> None:
         """Act on a message about owners of cells."""
         match message:
-            case messages.Beat(version=version, cells=cells):
+            case messages.Beat(version=version):
                 now = self._clock.now()
-                if self.owners.take(source.peer.vm, cells, now):
+                if self.owners.take(source.peer.vm, message, now):
                     self._choose_owners()
                 self._sharing.heard(
                     source,
@@ -426,7 +465,7 @@
             case messages.Disowned(cell=cell):
                 self.owners.forget(source.peer.vm, cell)
                 self._choose_owners()
-                self.board.owner_lost(cell, source)
+                self._tell_lost(cell, source)
             case messages.TakeOver(cell=cell):
                 self.holdings.start_claim(cell)
 
@@ -438,6 +477,32 @@
                 self.holdings.lose(cell, f'{vm} has a higher right')
         for found in change.found:
             self.board.owner_found(found)
+            self.homes.tell_all(open_tasks.OwnerFound(cell=found))
+
+    def _tell_lost(self, cell: ids.CellId, source: link.Link) -> None:
+        self.board.owner_lost(cell, source)
+        self.homes.tell_all(open_tasks.OwnerLost(cell=cell, source=source))
+
+    def _new_keeper(
+        self, cell: ids.CellId, right: fences.Right
+    ) -> keeper.Keeper:
+        """Return the keeper of a cell that this process owns now."""
+        return keeper.Keeper(
+            rows=table.JobTable(
+                cell=cell,
+                guard=guarded_rows.Guard(
+                    right=right, incarnation=self.me.incarnation
+                ),
+                store=self._outside.store,
+                clock=self._clock,
+                rng=self._outside.rng,
+                metrics=self.metrics,
+            ),
+            router=self,
+            clock=self._clock,
+            metrics=self.metrics,
+            status_s=self.cfg.bounds.status_s,
+        )
 
     def _call_others(self) -> None:
         """Keep links to all members, and to the seeds while there are none."""
--- a/sardineproxy/process/node/policy.py
+++ b/sardineproxy/process/node/policy.py
@@ -41,7 +41,10 @@
             stop_retry_s=max(calls.stop_retry_s, STOPS * bounds.stop_s),
         )
         return dataclasses.replace(
-            self, cell=dataclasses.replace(self.cell, calls=fitted)
+            self,
+            cell=dataclasses.replace(
+                self.cell, calls=fitted, remote_factor=bounds.remote_factor
+            ),
         )
 
 
--- a/sardineproxy/process/node/service.py
+++ b/sardineproxy/process/node/service.py
@@ -7,7 +7,7 @@
 import result
 from aiohttp import web
 
-from sardineproxy import clock, deployment, logs
+from sardineproxy import clock, deployment, ids, logs
 from sardineproxy.connection import admin
 from sardineproxy.platform import (
     configuration,
@@ -18,6 +18,7 @@
     worker_http,
 )
 from sardineproxy.process import metrics
+from sardineproxy.process.keeping import keeper
 from sardineproxy.process.node import node, policy
 from sardineproxy.request import jobs
 from sardineproxy.version import routes
@@ -181,9 +182,21 @@
         """Run a job for a client that waits ``wait_s`` seconds."""
         return await self._own.intake.run(job, route, wait_s)
 
+    async def keep_job(
+        self, job: jobs.Job, route: routes.Route, wait_s: float
+    ) -> keeper.KeeperAnswer:
+        """Store a job for a client that waits ``wait_s`` seconds."""
+        return await self._own.intake.keep(job, route, wait_s)
+
+    async def ask_job(
+        self, job: ids.JobId, wait_s: float, *, cancel: bool
+    ) -> keeper.KeeperAnswer:
+        """Return the state of a stored job, or cancel it."""
+        return await self._own.intake.ask(job, wait_s, cancel=cancel)
+
     def waiting_for(self, route: routes.Route) -> int:
         """Return how many jobs of a route wait for their first start."""
-        return self._own.board.waiting_for(route.route)
+        return self._own.waiting_for(route.route)
 
 
 def platform_formats() -> node.Formats:
--- a/sardineproxy/process/store.py
+++ b/sardineproxy/process/store.py
@@ -56,6 +56,9 @@
     key: str
     revision: int
 
+    #: Part of the table that holds the row.
+    part: str = ''
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Write:
@@ -64,6 +67,18 @@
     key: str
     body: bytes
 
+    #: Part of the table that holds the row. All rows of a transaction are in
+    #: one part.
+    part: str = ''
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Removal:
+    """A row that is to exist no longer."""
+
+    key: str
+    part: str = ''
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Rows:
@@ -78,8 +93,15 @@
 class Store(Protocol):
     """Tables of rows with transactions and a feed of changes."""
 
-    async def read(self, table: str) -> result.Result[Rows, StoreError]:
-        """Return all rows of a table; linearizable."""
+    async def read(
+        self, table: str, *, part: str = ''
+    ) -> result.Result[Rows, StoreError]:
+        """Return all rows of a part of a table; linearizable page by page."""
+
+    async def get(
+        self, key: str, *, part: str = ''
+    ) -> result.Result[Row | None, StoreError]:
+        """Return one row, None if there is none; linearizable."""
 
     async def changes(
         self, table: str, *, after: int, wait_s: float
@@ -90,6 +112,10 @@
         """
 
     async def transact(
-        self, *, conditions: tuple[Condition, ...], writes: tuple[Write, ...]
+        self,
+        *,
+        conditions: tuple[Condition, ...],
+        writes: tuple[Write, ...],
+        removals: tuple[Removal, ...] = (),
     ) -> result.Result[int, StoreError]:
-        """Write all rows if all conditions hold; return the new revision."""
+        """Make all changes if all conditions hold; return the new revision."""
--- a/sardineproxy/request/board.py
+++ b/sardineproxy/request/board.py
@@ -5,7 +5,7 @@
 
 from sardineproxy import ids, logs
 from sardineproxy.connection import link, messages
-from sardineproxy.request import coordinator, jobs
+from sardineproxy.request import coordinator, jobs, open_tasks
 
 _LOG = logs.get_logger('job')
 
@@ -55,11 +55,11 @@
 
     def owner_lost(self, cell: ids.CellId, source: link.Link) -> None:
         """Tell all jobs that a cell's owner is lost."""
-        self._tell_all(coordinator.OwnerLost(cell=cell, source=source))
+        self._tell_all(open_tasks.OwnerLost(cell=cell, source=source))
 
     def owner_found(self, cell: ids.CellId) -> None:
         """Tell all jobs that a cell has an owner."""
-        self._tell_all(coordinator.OwnerFound(cell=cell))
+        self._tell_all(open_tasks.OwnerFound(cell=cell))
 
     def stalled(self) -> None:
         """Tell all jobs that this process stood still."""
--- a/sardineproxy/request/jobs.py
+++ b/sardineproxy/request/jobs.py
@@ -66,10 +66,17 @@
     #: Label that a worker must have, empty for none.
     requires: str = ''
 
+    #: Rack that has the tasks' data, empty for none. On other racks a task
+    #: takes longer.
+    rack: str = ''
+
+    #: Most tasks of the step on one worker, 0 for any number.
+    per_worker: int = 0
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Job:
-    """A job that is answered when it has ended, and that is not stored."""
+    """What a client asks for under one id."""
 
     job: ids.JobId
 
@@ -77,6 +84,10 @@
     payload: str
     steps: tuple[Step, ...]
 
+    #: True if it is answered once it is stored, and must survive all
+    #: processes; otherwise it is answered when it has ended.
+    stored: bool = False
+
     @property
     def expected_s(self) -> float:
         """Return the client's estimate for the steps in a row, in seconds."""
--- /dev/null
+++ b/sardineproxy/request/open_tasks.py
@@ -0,0 +1,245 @@
+"""Tasks of one job that have not ended, and where each was sent.
+
+The side that answers for a job alone decides to send a task elsewhere, so
+that a task never has runs in two cells.
+"""
+
+import dataclasses
+from typing import Iterable, Protocol, Sequence
+
+from sardineproxy import clock, ids
+from sardineproxy.connection import link, messages
+from sardineproxy.request import jobs
+from sardineproxy.version import routes
+
+#: Step and index of a task.
+TaskKey = tuple[int, int]
+
+
+class Router(Protocol):
+    """Finds the owners of cells."""
+
+    def home(self) -> ids.CellId | None:
+        """Return the cell that takes this VM's jobs, None if there is none."""
+
+    def owner(self, cell: ids.CellId) -> link.Link | None:
+        """Return the link to a cell's owner."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class OwnerLost:
+    """The link to a cell's owner is closed, or it gave the cell up."""
+
+    cell: ids.CellId
+    source: link.Link
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class OwnerFound:
+    """A cell has an owner."""
+
+    cell: ids.CellId
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class OpenTask:
+    """A task that has not ended."""
+
+    step: int
+    index: int
+    cell: ids.CellId
+
+    #: Number of its next run.
+    number: int = 1
+
+    #: Runs that failed by the task's own fault.
+    failures: int = 0
+
+    #: True once it was sent to another cell than its first.
+    was_moved: bool = False
+
+    #: True while its new cell is not stored yet.
+    is_moving: bool = False
+
+    #: Owner that has the task, None while it has none.
+    source: link.Link | None = None
+
+    #: True if an owner that was lost may have ordered it.
+    resumed: bool = False
+
+    @property
+    def key(self) -> TaskKey:
+        """Return the step and the index."""
+        return self.step, self.index
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Times:
+    """When a job came and until when it is wanted."""
+
+    #: Local times, in seconds.
+    arrived_at: float
+    deadline: float
+
+
+class OpenTasks:
+    """Sends tasks to the owners of cells, and knows which have them."""
+
+    def __init__(
+        self,
+        *,
+        job: jobs.Job,
+        route: routes.Route,
+        router: Router,
+        clock: clock.Clock,
+        times: Times,
+    ) -> None:
+        """Start without tasks."""
+        self.job = job
+        self.route = route
+        self._router = router
+        self._clock = clock
+        self._times = times
+        self._open: dict[TaskKey, OpenTask] = {}
+
+    def __len__(self) -> int:
+        """Return the number of open tasks."""
+        return len(self._open)
+
+    def all(self) -> list[OpenTask]:
+        """Return all open tasks."""
+        return list(self._open.values())
+
+    def get(self, key: TaskKey) -> OpenTask | None:
+        """Return an open task."""
+        return self._open.get(key)
+
+    def add(self, tasks: Iterable[OpenTask]) -> None:
+        """Open tasks; ``send`` submits them."""
+        self._open.update({task.key: task for task in tasks})
+
+    def end(self, key: TaskKey) -> bool:
+        """Close a task; tell whether its step has no other open task."""
+        self._open.pop(key)
+        return not any(step == key[0] for step, _ in self._open)
+
+    def in_cell(
+        self, step: int, indices: Iterable[int], cell: ids.CellId
+    ) -> list[OpenTask]:
+        """Return the open tasks among ``indices`` that are in a cell."""
+        found = [self._open.get((step, index)) for index in indices]
+        return [
+            task for task in found if task is not None and task.cell == cell
+        ]
+
+    def has_stranded(self) -> bool:
+        """Tell whether a task has no owner."""
+        return any(task.source is None for task in self._open.values())
+
+    def send(
+        self, tasks: Sequence[OpenTask], *, firm: bool, begun: bool
+    ) -> None:
+        """Submit tasks of one step to their cell.
+
+        They may not be sent on to another cell if ``firm``; other tasks of
+        the job may have started if ``begun``.
+        """
+        now = self._clock.now()
+        first = tasks[0]
+        step = self.job.steps[first.step]
+        source = self._router.owner(first.cell)
+        for stranded in tasks:
+            stranded.source = None
+        if source is None:
+            return
+        resumed = any(task.resumed for task in tasks)
+        sent = source.send(
+            messages.Submit(
+                cell=first.cell,
+                job=self.job.job,
+                step=first.step,
+                route=self.route.route,
+                service=self.route.service,
+                priority=self.route.priority,
+                payload=self.job.payload,
+                tasks=tuple((task.index, task.number) for task in tasks),
+                millicores=step.shape.millicores,
+                memory_mb=step.shape.memory_mb,
+                gpus=step.shape.gpus,
+                requires=step.requires,
+                rack=step.rack,
+                per_worker=step.per_worker,
+                estimate_s=float(step.estimate_s),
+                age_s=now - self._times.arrived_at,
+                left_s=self._times.deadline - now,
+                stretch=float(self.route.stretch),
+                slack_s=float(self.route.slack_s),
+                resumed=resumed,
+                begun=begun or self._has_others(tasks),
+                firm=firm,
+                stored=self.job.stored,
+            )
+        )
+        if sent:
+            for submitted in tasks:
+                submitted.source = source
+
+    def move(
+        self, tasks: Sequence[OpenTask], cell: ids.CellId, *, begun: bool
+    ) -> None:
+        """Send tasks to another cell, which may not send them on."""
+        for task in tasks:
+            task.cell = cell
+            task.was_moved = True
+            task.is_moving = False
+        self.send(tasks, firm=True, begun=begun)
+
+    def strand(self, lost: OwnerLost) -> list[OpenTask]:
+        """Note that an owner is lost; return the tasks that it had."""
+        stranded = [
+            task
+            for task in self._open.values()
+            if task.cell == lost.cell and task.source is lost.source
+        ]
+        for waiting in stranded:
+            waiting.source = None
+            waiting.resumed = True
+        return stranded
+
+    def resume(self, cell: ids.CellId, *, begun: bool) -> None:
+        """Ask a cell's new owner for the tasks that the former one had."""
+        by_step: dict[int, list[OpenTask]] = {}
+        for task in self._open.values():
+            if task.cell == cell and not task.source and not task.is_moving:
+                by_step.setdefault(task.step, []).append(task)
+        for tasks in by_step.values():
+            self.send(tasks, firm=True, begun=begun)
+
+    def withdraw(self) -> None:
+        """Tell the owners that nothing more is wanted."""
+        places = {
+            (task.cell, task.source)
+            for task in self._open.values()
+            if task.source is not None
+        }
+        for cell, source in places:
+            if source is not None:
+                source.send(messages.Withdraw(cell=cell, job=self.job.job))
+        self._open.clear()
+
+    def _has_others(self, tasks: Sequence[OpenTask]) -> bool:
+        """Tell whether an owner has tasks other than these."""
+        these = {task.key for task in tasks}
+        return any(
+            task.source is not None
+            for key, task in self._open.items()
+            if key not in these
+        )
+
+
+def new_tasks(job: jobs.Job, number: int, cell: ids.CellId) -> list[OpenTask]:
+    """Return the tasks of a step as they are before their first run."""
+    return [
+        OpenTask(step=number, index=index, cell=cell)
+        for index in range(job.steps[number].count)
+    ]
--- a/sardineproxy/standin/row_store.py
+++ b/sardineproxy/standin/row_store.py
@@ -28,13 +28,17 @@
     rows: tuple[store.Row, ...]
 
 
+#: Part and key of a row; the key starts with the table's name and a slash.
+_Place = tuple[str, str]
+
+
 class RowStore:
-    """All tables; keys start with the table's name and a slash."""
+    """All tables, each in parts of any name."""
 
     def __init__(self) -> None:
         """Start empty."""
         self.revision = 0
-        self._rows: dict[str, store.Row] = {}
+        self._rows: dict[_Place, store.Row] = {}
         self._log: list[store.Row] = []
         self._forgotten = 0
 
@@ -43,32 +47,28 @@
         *,
         conditions: tuple[store.Condition, ...],
         writes: tuple[store.Write, ...],
-        removals: tuple[str, ...] = (),
+        removals: tuple[store.Removal, ...] = (),
     ) -> int | Conflict:
         """Apply all changes if all conditions hold; return the revision."""
+        present = [self._rows.get((each.part, each.key)) for each in conditions]
         held = all(
-            self._revision_of(each.key) == each.revision for each in conditions
+            each.revision == _revision_of(row)
+            for each, row in zip(conditions, present)
         )
         if not held:
-            return Conflict(
-                rows=tuple(
-                    self._rows[each.key]
-                    for each in conditions
-                    if each.key in self._rows
-                )
-            )
+            return Conflict(rows=tuple(row for row in present if row))
         self.revision += 1
         for write in writes:
-            self._put(write.key, write.body)
-        for key in removals:
-            if key in self._rows:
-                self._put(key, None)
+            self._put(write.part, write.key, write.body)
+        for removal in removals:
+            self._put(removal.part, removal.key, None)
         return self.revision
 
     def put(self, key: str, body: bytes | None) -> int:
         """Write or remove one row without a condition."""
         if body is None:
-            done = self.transact(conditions=(), writes=(), removals=(key,))
+            removals = (store.Removal(key=key),)
+            done = self.transact(conditions=(), writes=(), removals=removals)
         else:
             done = self.transact(
                 conditions=(), writes=(store.Write(key=key, body=body),)
@@ -77,17 +77,26 @@
         return done
 
     def read(
-        self, table: str, *, start: str = '', limit: int = PAGE_ROWS
+        self,
+        table: str,
+        *,
+        part: str = '',
+        start: str = '',
+        end: str = '',
+        limit: int = PAGE_ROWS,
     ) -> Page:
-        """Return rows of a table from a key on, in order of their keys."""
+        """Return rows of a part between two keys, in order of their keys."""
         prefix = f'{table}/'
         keys = sorted(
             key
-            for key in self._rows
-            if key.startswith(prefix) and key >= f'{prefix}{start}'
+            for of_part, key in self._rows
+            if of_part == part
+            and key.startswith(prefix)
+            and key >= f'{prefix}{start}'
+            and (not end or key < f'{prefix}{end}')
         )
         return Page(
-            rows=tuple(self._rows[key] for key in keys[:limit]),
+            rows=tuple(self._rows[(part, key)] for key in keys[:limit]),
             revision=self.revision,
             has_more=len(keys) > limit,
         )
@@ -115,22 +124,22 @@
         self._forgotten = self.revision
         self._log.clear()
 
-    def get(self, key: str) -> store.Row | None:
+    def get(self, key: str, *, part: str = '') -> store.Row | None:
         """Return a row."""
-        return self._rows.get(key)
+        return self._rows.get((part, key))
 
-    def _revision_of(self, key: str) -> int:
-        row = self._rows.get(key)
-        return row.revision if row else 0
-
-    def _put(self, key: str, body: bytes | None) -> None:
+    def _put(self, part: str, key: str, body: bytes | None) -> None:
         row = store.Row(key=key, revision=self.revision, body=body)
-        if body is None:
-            self._rows.pop(key)
-        else:
-            self._rows[key] = row
+        if body is not None:
+            self._rows[(part, key)] = row
+        elif self._rows.pop((part, key), None) is None:
+            return
         self._log.append(row)
 
 
 def _by_revision(row: store.Row) -> tuple[int, str]:
     return row.revision, row.key
+
+
+def _revision_of(row: store.Row | None) -> int:
+    return row.revision if row else 0
--- a/sardineproxy/standin/worker_model.py
+++ b/sardineproxy/standin/worker_model.py
@@ -5,7 +5,6 @@
 """
 
 import dataclasses
-import operator
 from typing import Callable
 
 from sardineproxy.process.cells import workers
@@ -29,6 +28,12 @@
     ended_at: float | None = None
     how: workers.Ending | None = None
 
+    #: True if the lease expired before the end was acknowledged.
+    has_lapsed: bool = False
+
+    #: Time at which the end was acknowledged.
+    acked_at: float | None = None
+
 
 @dataclasses.dataclass(kw_only=True, slots=True)
 class _Running:
@@ -54,7 +59,7 @@
 WorkOf = Callable[[workers.TaskName, int], Work]
 
 
-class WorkerModel:
+class WorkerModel:  # noqa: WPS214
     """One worker with its lives."""
 
     def __init__(
@@ -88,6 +93,9 @@
         self._ends: list[workers.End] = []
         self._end_count = 0
 
+        #: Runs that have ended and are not acknowledged, by number.
+        self._unacked: dict[int, Record] = {}
+
     def clock_ms(self, now: float) -> int:
         """Return what the worker's clock shows."""
         elapsed_s = (now - self._born_at) * self._clock_rate
@@ -152,6 +160,7 @@
             return _refused(workers.Refusal.OLD_RUN)
         if order.expires_ms <= self.clock_ms(now):
             return _refused(workers.Refusal.EXPIRED)
+        self._note_lapsed(now)
         self._extend(order.expires_ms, now)
         running = self._running.get(order.task)
         if running is not None:
@@ -181,9 +190,11 @@
         self.advance(now)
         if not self._passes(look.fence):
             return _refused(workers.Refusal.FENCED)
+        self._note_lapsed(now)
         if look.expires_ms is not None:
             self._extend(look.expires_ms, now)
         self._ends = [end for end in self._ends if end.number > look.acked]
+        self._note_acked(look.acked, now)
         return workers.Report(
             clock_ms=self.clock_ms(now),
             born_ms=self.worker.born_ms,
@@ -196,6 +207,7 @@
                 for task, running in self._running.items()
             ),
             ended=tuple(self._ends[:MAX_ENDS]),
+            is_whole=len(self._ends) < MAX_ENDS,
         )
 
     def has_ends(self, acked: int) -> bool:
@@ -209,6 +221,17 @@
         self._barred = {}
         self._ends = []
         self._end_count = 0
+        self._unacked = {}
+
+    def _note_lapsed(self, now: float) -> None:
+        if self.clock_ms(now) > self._lease_end_ms:
+            for record in self._unacked.values():
+                record.has_lapsed = True
+
+    def _note_acked(self, acked: int, now: float) -> None:
+        numbers = [each for each in self._unacked if each <= acked]
+        for number in numbers:
+            self._unacked.pop(number).acked_at = now
 
     def _passes(self, fence: int) -> bool:
         if fence < self._fence:
@@ -262,6 +285,7 @@
             record.run, self._barred.get(record.task, 0)
         )
         self._end_count += 1
+        self._unacked[self._end_count] = record
         self._ends.append(
             workers.End(
                 number=self._end_count,
@@ -283,20 +307,3 @@
 
 def _refused(why: workers.Refusal) -> workers.Refused:
     return workers.Refused(why=why)
-
-
-def find_doubles(records: list[Record]) -> list[str]:
-    """Return a sentence for each two runs of a task at the same time."""
-    found = []
-    by_task: dict[workers.TaskName, list[Record]] = {}
-    for record in records:
-        by_task.setdefault(record.task, []).append(record)
-    for task, of_task in by_task.items():
-        of_task.sort(key=operator.attrgetter('started_at'))
-        for first, second in zip(of_task, of_task[1:]):
-            if first.ended_at is None or second.started_at < first.ended_at:
-                found.append(
-                    f'{task}: run {first.run} on {first.worker} and run '
-                    f'{second.run} on {second.worker} at the same time'
-                )
-    return found
--- a/sardineproxy/version/in_force.py
+++ b/sardineproxy/version/in_force.py
@@ -70,7 +70,7 @@
                 'version': table.number,
                 'before': self.number,
                 'source': source,
-                'routes': len(table.services),
+                'routes': len(table),
             },
         )
         self.body = body
--- a/sardineproxy/version/routes.py
+++ b/sardineproxy/version/routes.py
@@ -1,7 +1,6 @@
 """One configuration version: routes from requests to services."""
 
 import dataclasses
-from typing import Mapping
 
 from sardineproxy import ids
 
@@ -48,9 +47,15 @@
             host: sorted(set(map(len, of_host)), reverse=True)
             for host, of_host in self._by_host.items()
         }
-        self.services: Mapping[ids.RouteId, ids.ServiceId] = {
-            each.route: each.service for each in routes
-        }
+        self._by_id = {each.route: each for each in routes}
+
+    def __len__(self) -> int:
+        """Return the number of routes."""
+        return len(self._by_id)
+
+    def get(self, route: ids.RouteId) -> Route | None:
+        """Return a route by its name."""
+        return self._by_id.get(route)
 
     def find(self, host: str, path: str) -> Route | None:
         """Return the route with the longest prefix of ``path``."""
--- a/tests/platform/samples.py
+++ b/tests/platform/samples.py
@@ -22,6 +22,7 @@
 cores = 2
 [bounds]
 max_hold_ms = 1000
+remote_factor = 2
 stop_timeout_ms = 50
 grace_s = 6
 config_apply_ms = 2000
--- a/tests/platform/store_server.py
+++ b/tests/platform/store_server.py
@@ -92,18 +92,25 @@
     def _transact(self, document: Any) -> web.Response:
         done = self.rows.transact(
             conditions=tuple(
-                store.Condition(key=_key(row), revision=row['ver'])
+                store.Condition(
+                    key=_key(row), part=row['part'], revision=row['ver']
+                )
                 for row in document['expected']
             ),
             writes=tuple(
                 self.rewrite(
                     store.Write(
-                        key=_key(row), body=base64.b64decode(row['value'])
+                        key=_key(row),
+                        part=row['part'],
+                        body=base64.b64decode(row['value']),
                     )
                 )
                 for row in document['writes']
             ),
-            removals=tuple(map(_key, document['remove'])),
+            removals=tuple(
+                store.Removal(key=_key(row), part=row['part'])
+                for row in document['remove']
+            ),
         )
         if isinstance(done, row_store.Conflict):
             return self._reply(412, rows=[_encode(row) for row in done.rows])
@@ -112,7 +119,9 @@
     def _read(self, query: Any) -> web.Response:
         page = self.rows.read(
             query['table'],
+            part=query['part'],
             start=query.get('from', ''),
+            end=query.get('target', ''),
             limit=min(row_store.PAGE_ROWS, int(query.get('limit', 500))),
         )
         return self._reply(
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -146,10 +146,22 @@
             job.steps[0],
         )
 
+    def test_job_that_is_not_burstable_is_stored(self) -> None:
+        """Guards against accepted jobs that end with their process."""
+        self.assertFalse(_decode_job(samples.job()).ok_value.stored)
+        document = samples.job(burstable=False)
+        self.assertTrue(_decode_job(document).ok_value.stored)
+
+    def test_placement_wishes_are_decoded(self) -> None:
+        """Guards against tasks far from their data or side by side."""
+        step = {'count': 1, 'affinity': 'r1-3', 'anti_affinity': 2}
+        decoded = _decode_job(samples.job(steps=[step])).ok_value.steps[0]
+        self.assertEqual(('r1-3', 2), (decoded.rack, decoded.per_worker))
+
     def test_feature_that_is_not_built_is_named(self) -> None:
         """Guards against a job that runs without what it asks for."""
         for feature, document in (
-            ('stored jobs', samples.job(burstable=False)),
+            ('daemon', samples.job(steps=[{'count': 1, 'daemon': True}])),
             ('times', samples.job(times=3)),
             ('gang', samples.job(steps=[{'count': 1, 'gang': True}])),
         ):
--- a/tests/platform/test_front_http.py
+++ b/tests/platform/test_front_http.py
@@ -7,8 +7,9 @@
 import aiohttp
 import testtools
 
-from sardineproxy import deployment
+from sardineproxy import deployment, ids
 from sardineproxy.platform import configuration, front_http
+from sardineproxy.process.keeping import keeper
 from sardineproxy.request import jobs
 from sardineproxy.version import routes
 from tests.platform import samples
@@ -30,6 +31,8 @@
         self.ready = True
         self.recovering = False
         self.outcome: jobs.Outcome = jobs.Completed()
+        self.answer = keeper.KeeperAnswer.ABSENT
+        self.asked: list[tuple[ids.JobId, bool]] = []
         self.waits: list[float] = []
         self.cancelled = 0
         self.holds = asyncio.Event()
@@ -55,6 +58,17 @@
             raise
         return self.outcome
 
+    async def keep_job(
+        self, job: jobs.Job, route: routes.Route, wait_s: float
+    ) -> keeper.KeeperAnswer:
+        return self.answer
+
+    async def ask_job(
+        self, job: ids.JobId, wait_s: float, *, cancel: bool
+    ) -> keeper.KeeperAnswer:
+        self.asked.append((job, cancel))
+        return self.answer
+
     def waiting_for(self, route: routes.Route) -> int:
         return 3
 
@@ -128,7 +142,7 @@
                 ('/other/5c0e7a21d94b36f8', samples.job(), 404),
                 (JOB, b'{', 400),
                 (JOB, b'x' * 300_000, 400),
-                (JOB, samples.job(burstable=False), 503),
+                (JOB, samples.job(daemon=True), 503),
                 ('/jobs/no-id', samples.job(), 400),
             ):
                 status, _, _ = await rig.call('POST', path, body)
@@ -184,6 +198,34 @@
         async def scenario(rig: Rig) -> None:
             self.assertEqual(410, (await rig.call('GET', JOB))[0])
             self.assertEqual(410, (await rig.call('DELETE', JOB))[0])
+            job = ids.JobId('5c0e7a21d94b36f8')
+            self.assertEqual([(job, False), (job, True)], rig.asked)
+
+        with_rig(scenario)
+
+    def test_answers_of_keepers_have_their_status(self) -> None:
+        """Guards against refusals of jobs that may be stored."""
+
+        async def scenario(rig: Rig) -> None:
+            answers = keeper.KeeperAnswer
+            for answer, accepted, asked in (
+                (answers.REFUSED, 503, 503),
+                (answers.UNAVAILABLE, 503, 503),
+                (answers.UNKNOWN, 504, 504),
+                (answers.ACCEPTED, 200, None),
+                (answers.RUNNING, None, 200),
+                (answers.CANCELLED, None, 200),
+            ):
+                rig.answer = answer
+                if accepted:
+                    body = samples.job(burstable=False)
+                    reply = await rig.call('POST', JOB, body)
+                    self.assertEqual(accepted, reply[0], answer)
+                if asked:
+                    status, text, _ = await rig.call('GET', JOB)
+                    self.assertEqual(asked, status, answer)
+                if asked == 200:
+                    self.assertEqual({'state': answer.value}, json.loads(text))
 
         with_rig(scenario)
 
--- a/tests/process/cells/samples.py
+++ b/tests/process/cells/samples.py
@@ -8,8 +8,9 @@
 from sardineproxy.process import metrics
 from sardineproxy.process.cells import cell as cells
 from sardineproxy.process.cells import fences, rooms, times, workers
+from sardineproxy.process.membership import keepers
 from sardineproxy.request import jobs
-from sardineproxy.standin import worker_model
+from sardineproxy.standin import run_checks, worker_model
 from tests import virtual_time
 from tests.process.cells import wire
 
@@ -81,6 +82,8 @@
         'memory_mb': 64,
         'gpus': 0,
         'requires': '',
+        'rack': '',
+        'per_worker': 0,
         'estimate_s': 0.2,
         'age_s': float(0),
         'left_s': 3.0,
@@ -89,6 +92,7 @@
         'resumed': False,
         'begun': False,
         'firm': False,
+        'stored': False,
     }
     return messages.Submit(**{**fields, **changes})
 
@@ -108,6 +112,25 @@
     )
 
 
+class NoKeeper:
+    """Says of all ends that their jobs are not stored."""
+
+    def __init__(self) -> None:
+        self.cells: list[cells.Cell] = []
+
+    def send(self, message: Any) -> bool:
+        for each in self.cells:
+            each.note_ends(
+                messages.EndsNoted(
+                    cell=message.cell,
+                    job=message.job,
+                    step=message.step,
+                    ends=((message.index, message.run),),
+                )
+            )
+        return True
+
+
 class Rig:
     """Modelled workers and owners of one cell."""
 
@@ -131,7 +154,8 @@
         self.list_is_new = True
         self.superseded_cells: list[cells.Cell] = []
         self.others = rooms.Rooms()
-        self.cells: list[cells.Cell] = []
+        self.unkept = NoKeeper()
+        self.cells = self.unkept.cells
         self._tickers: list[asyncio.Task[None]] = []
 
     def listed_at(self) -> float:
@@ -140,6 +164,12 @@
     def list_answers(self) -> bool:
         return True
 
+    def kept(self, job: ids.JobId) -> keepers.Kept | None:
+        return keepers.Kept(vm=ids.VmId('vm-1'), since=0)
+
+    def keeper_of(self, job: ids.JobId) -> Any:
+        return self.unkept
+
     def superseded(self, lost: cells.Cell) -> None:
         self.superseded_cells.append(lost)
 
@@ -150,6 +180,7 @@
         api: Any = None,
         complete: bool = True,
         ticks: bool = True,
+        around: Any = None,
     ) -> cells.Cell:
         owned = cells.Cell(
             cell=CELL,
@@ -159,7 +190,7 @@
             metrics=metrics.Metrics(),
             events=self,
             others=self.others,
-            listing=self,
+            around=around or self,
             cfg=self.cfg,
         )
         self.list_workers(owned, list(self.models.values()), complete=complete)
@@ -200,7 +231,7 @@
             for model in self.models.values()
             for complaint in model.complaints
         ]
-        return found + worker_model.find_doubles(self.records())
+        return found + run_checks.find_doubles(self.records())
 
     async def _tick(self, owned: cells.Cell) -> None:
         while owned not in self.superseded_cells:
--- /dev/null
+++ b/tests/process/keeping/test_keeper.py
@@ -0,0 +1,249 @@
+"""Stored jobs at the owner of their cell, and at the next one."""
+
+import asyncio
+from typing import Any, Callable, Coroutine
+
+import testtools
+
+from sardineproxy.process.keeping import keeper, table
+from tests import virtual_time
+from tests.process.cells import samples
+from tests.process.keeping import world as worlds
+
+_Answer = keeper.KeeperAnswer
+
+
+def with_world(
+    scenario: Callable[[worlds.World], Coroutine[Any, Any, None]],
+    **settings: Any,
+) -> None:
+    async def main() -> None:
+        world = worlds.World(**settings)
+        await asyncio.sleep(0.1)
+        await scenario(world)
+
+    virtual_time.run(main)
+
+
+class TestJobs(testtools.TestCase):
+    def test_accepted_job_is_stored_and_completes(self) -> None:
+        """Guards against an answer for a job that nobody keeps."""
+
+        async def scenario(world: worlds.World) -> None:
+            stored = worlds.make_job(1, 3)
+            answer = await world.owner.keeper.accept(stored)
+            self.assertEqual(_Answer.ACCEPTED, answer)
+            key = f'{table.JOB_PREFIX}{stored.job.job}'
+            self.assertIsNotNone(world.store.rows.get(key, part=samples.CELL))
+            self.assertEqual('completed', await world.settle(stored.job.job))
+            self.assertEqual(3, len(world.rig.records()))
+            self.assertEqual([], world.complaints())
+
+        with_world(scenario)
+
+    def test_same_id_remains_one_job(self) -> None:
+        """Guards against a second run for a request that came twice."""
+
+        async def scenario(world: worlds.World) -> None:
+            stored = worlds.make_job(1, 1)
+            answers = await asyncio.gather(
+                *(world.owner.keeper.accept(stored) for _ in range(3))
+            )
+            self.assertEqual([_Answer.ACCEPTED] * 3, answers)
+            await world.settle(stored.job.job)
+            answer = await world.owner.keeper.accept(stored)
+            self.assertEqual(_Answer.ACCEPTED, answer)
+            await asyncio.sleep(2)
+            self.assertEqual(1, len(world.rig.records()))
+
+        with_world(scenario)
+
+    def test_step_waits_for_earlier_ones(self) -> None:
+        """Guards against tasks whose input does not exist yet."""
+
+        async def scenario(world: worlds.World) -> None:
+            stored = worlds.make_job(1, 2, 3, 1)
+            await world.owner.keeper.accept(stored)
+            self.assertEqual('completed', await world.settle(stored.job.job))
+            spans: dict[str, list[tuple[float, float]]] = {}
+            for record in world.rig.records():
+                step = record.task.split('.')[2]
+                spans.setdefault(step, []).append(
+                    (record.started_at, record.ended_at or 0)
+                )
+            for before, after in (('0', '1'), ('1', '2')):
+                ended = max(end for _, end in spans[before])
+                begun = min(start for start, _ in spans[after])
+                self.assertLess(ended, begun)
+
+        with_world(scenario)
+
+    def test_task_that_fails_too_often_fails_the_job(self) -> None:
+        """Guards against attempts beyond the route's limit."""
+
+        async def scenario(world: worlds.World) -> None:
+            stored = worlds.make_job(1, 1)
+            await world.owner.keeper.accept(stored)
+            self.assertEqual('failed', await world.settle(stored.job.job))
+            self.assertEqual(worlds.MAX_ATTEMPTS, len(world.rig.records()))
+
+        with_world(scenario, failing_percent=100)
+
+    def test_cancelled_job_stops_and_starts_no_more(self) -> None:
+        """Guards against work for a job that was called off."""
+
+        async def scenario(world: worlds.World) -> None:
+            stored = worlds.make_job(1, 30)
+            await world.owner.keeper.accept(stored)
+            await asyncio.sleep(0.03)
+            answer = await world.owner.keeper.cancel(stored.job.job)
+            self.assertEqual(_Answer.CANCELLED, answer)
+            await asyncio.sleep(0.05)
+            before = len(world.rig.records())
+            await asyncio.sleep(2)
+            self.assertEqual(before, len(world.rig.records()))
+            for record in world.rig.records():
+                self.assertIsNotNone(record.ended_at)
+
+        with_world(scenario)
+
+    def test_job_is_refused_while_the_store_is_away(self) -> None:
+        """Guards against a refused job that runs later."""
+
+        async def scenario(world: worlds.World) -> None:
+            stored = worlds.make_job(1, 1)
+            world.store.is_down = True
+            answer = await world.owner.keeper.accept(stored)
+            self.assertEqual(_Answer.REFUSED, answer)
+            world.store.is_down = False
+            await asyncio.sleep(5)
+            self.assertEqual([], world.rig.records())
+            answer = await world.owner.keeper.ask(stored.job.job)
+            self.assertEqual(_Answer.ABSENT, answer)
+
+        with_world(scenario)
+
+    def test_ends_are_acknowledged_once_they_are_stored(self) -> None:
+        """Guards against done tasks that a new owner does not know."""
+
+        async def scenario(world: worlds.World) -> None:
+            stored = worlds.make_job(1, 4)
+            await world.owner.keeper.accept(stored)
+            world.store.is_down = True
+            await asyncio.sleep(3)
+            records = world.rig.records()
+            self.assertEqual(4, len(records))
+            self.assertEqual([None] * 4, [each.acked_at for each in records])
+            world.store.is_down = False
+            self.assertEqual('completed', await world.settle(stored.job.job))
+            await asyncio.sleep(1)
+            for each in world.rig.records():
+                self.assertIsNotNone(each.acked_at)
+
+        with_world(scenario)
+
+    def test_states_are_removed_when_nobody_asks_any_more(self) -> None:
+        """Guards against a table that grows without end."""
+
+        async def scenario(world: worlds.World) -> None:
+            stored = worlds.make_job(1, 1)
+            await world.owner.keeper.accept(stored)
+            await world.settle(stored.job.job)
+            await asyncio.sleep(150)
+            answer = await world.owner.keeper.ask(stored.job.job)
+            self.assertEqual(_Answer.ABSENT, answer)
+            key = f'{table.JOB_PREFIX}{stored.job.job}'
+            self.assertIsNone(world.store.rows.get(key, part=samples.CELL))
+
+        with_world(scenario)
+
+
+class TestTakeover(testtools.TestCase):
+    def test_next_owner_goes_on_with_what_runs(self) -> None:
+        """Guards against accepted jobs that end with their process."""
+
+        async def scenario(world: worlds.World) -> None:
+            stored = worlds.make_job(1, 6)
+            await world.owner.keeper.accept(stored)
+            await asyncio.sleep(0.15)
+            await world.replace()
+            self.assertEqual('completed', await world.settle(stored.job.job))
+            self.assertEqual(6, len(world.rig.records()))
+            self.assertEqual([], world.complaints())
+
+        with_world(scenario)
+
+    def test_ended_job_is_known_to_the_next_owner(self) -> None:
+        """Guards against states that are lost with a process."""
+
+        async def scenario(world: worlds.World) -> None:
+            stored = worlds.make_job(1, 1)
+            await world.owner.keeper.accept(stored)
+            await world.settle(stored.job.job)
+            await world.replace()
+            await asyncio.sleep(0.2)
+            answer = await world.owner.keeper.ask(stored.job.job)
+            self.assertEqual(_Answer.COMPLETED, answer)
+
+        with_world(scenario)
+
+    def test_former_owner_stores_nothing_more(self) -> None:
+        """Guards against two owners that both accept jobs of a cell."""
+
+        async def scenario(world: worlds.World) -> None:
+            former = world.owner
+            world.take_over()
+            await asyncio.sleep(0.2)
+            answer = await former.keeper.accept(worlds.make_job(1, 1))
+            self.assertEqual(_Answer.UNKNOWN, answer)
+            answer = await former.keeper.accept(worlds.make_job(2, 1))
+            self.assertEqual(_Answer.UNAVAILABLE, answer)
+            await asyncio.sleep(2)
+            self.assertEqual([], world.rig.records())
+
+        with_world(scenario)
+
+    def test_done_task_is_not_repeated_after_a_crash(self) -> None:
+        """Guards against a second original of what an owner saw done."""
+
+        async def scenario(world: worlds.World) -> None:
+            stored = worlds.make_job(1, 4)
+            await world.owner.keeper.accept(stored)
+            # The ends are known to the owner and listed, but not stored.
+            world.store.is_down = True
+            await asyncio.sleep(1.2)
+            await world.replace()
+            await asyncio.sleep(2)
+            world.store.is_down = False
+            self.assertEqual('completed', await world.settle(stored.job.job))
+            self.assertEqual(4, len(world.rig.records()))
+            self.assertEqual([], world.complaints())
+
+        with_world(scenario)
+
+    def test_failures_count_across_owners(self) -> None:
+        """Guards against attempts beyond the limit after a crash."""
+
+        async def scenario(world: worlds.World) -> None:
+            stored = worlds.make_job(1, 2)
+            await world.owner.keeper.accept(stored)
+            for _ in range(3):
+                await asyncio.sleep(0.12)
+                await world.replace()
+            self.assertEqual('failed', await world.settle(stored.job.job))
+            self.assertEqual([], world.complaints())
+
+        with_world(scenario, failing_percent=100)
+
+    def test_lost_link_to_the_keeper_does_not_stop_its_runs(self) -> None:
+        """Guards against work thrown away for a reset connection."""
+
+        async def scenario(world: worlds.World) -> None:
+            stored = worlds.make_job(1, 4)
+            await world.owner.keeper.accept(stored)
+            await asyncio.sleep(0.1)
+            world.owner.relink()
+            self.assertEqual('completed', await world.settle(stored.job.job))
+            self.assertEqual(4, len(world.rig.records()))
+
+        with_world(scenario)
--- /dev/null
+++ b/tests/process/keeping/world.py
@@ -0,0 +1,301 @@
+"""Processes that own a cell in turn, a store, and workers, under faults."""
+
+import asyncio
+import random
+from typing import Any
+
+import result
+
+from sardineproxy import ids
+from sardineproxy.connection import messages
+from sardineproxy.process import metrics, store
+from sardineproxy.process.cells import cell as cells
+from sardineproxy.process.cells import fences, times, workers
+from sardineproxy.process.keeping import guarded_rows, keeper, records, table
+from sardineproxy.process.membership import keepers
+from sardineproxy.request import jobs, open_tasks
+from sardineproxy.standin import row_store, run_checks, worker_model
+from sardineproxy.version import routes
+from tests import virtual_time
+from tests.process.cells import samples, wire
+
+MAX_ATTEMPTS = 3
+
+ROUTE = routes.Route(
+    route=ids.RouteId('r'),
+    host='a.example',
+    path_prefix='/r/',
+    service=samples.SERVICE,
+    stretch=1.6,
+    slack_s=0.06,
+    priority=0,
+    max_attempts=MAX_ATTEMPTS,
+)
+
+
+def make_job(number: int, *counts: int) -> Any:
+    """Return a job with one step after another of ``counts`` tasks."""
+    steps = tuple(
+        jobs.Step(
+            count=count,
+            shape=samples.usual_work('', 1).shape,
+            estimate_s=0.2,
+            after=(position - 1,) if position else (),
+        )
+        for position, count in enumerate(counts)
+    )
+    job = jobs.Job(
+        job=ids.JobId(f'{number:016x}'),
+        payload='text',
+        steps=steps,
+        stored=True,
+    )
+    return records.StoredJob(
+        job=job,
+        route=ROUTE,
+        accepted_at=virtual_time.LoopClock().wall(),
+    )
+
+
+class FaultyStore:
+    """A store whose calls take time, and whose answers get lost."""
+
+    def __init__(self, rng: random.Random, fault_share: float) -> None:
+        self.rows = row_store.RowStore()
+        self.rng = rng
+        self.fault_share = fault_share
+        self.is_down = False
+        self.calls = 0
+        self._late: set[asyncio.Task[None]] = set()
+
+    async def read(self, name: str, *, part: str = '') -> Any:
+        if not await self._passes():
+            return _failed(store.ErrorKind.UNAVAILABLE)
+        page = self.rows.read(name, part=part, limit=10**6)
+        return result.Ok(store.Rows(rows=page.rows, revision=page.revision))
+
+    async def get(self, key: str, *, part: str = '') -> Any:
+        if not await self._passes():
+            return _failed(store.ErrorKind.UNAVAILABLE)
+        return result.Ok(self.rows.get(key, part=part))
+
+    async def transact(self, **changes: Any) -> Any:
+        if not await self._passes():
+            return _failed(store.ErrorKind.UNAVAILABLE)
+        if self.rng.random() < self.fault_share:
+            self._do_later(changes)
+            return _failed(store.ErrorKind.UNKNOWN)
+        done = self.rows.transact(**changes)
+        if self.rng.random() < self.fault_share:
+            return _failed(store.ErrorKind.UNKNOWN)
+        if isinstance(done, row_store.Conflict):
+            return _failed(store.ErrorKind.CONFLICT)
+        return result.Ok(done)
+
+    async def _passes(self) -> bool:
+        self.calls += 1
+        await asyncio.sleep(self.rng.uniform(0.004, 0.012))
+        return not self.is_down and self.rng.random() >= self.fault_share
+
+    def _do_later(self, changes: Any) -> None:
+        async def later() -> None:
+            await asyncio.sleep(self.rng.uniform(0.1, 4))
+            self.rows.transact(**changes)
+
+        task = asyncio.create_task(later())
+        self._late.add(task)
+        task.add_done_callback(self._late.discard)
+
+
+class Link:
+    """Messages from a process to itself, until it crashes."""
+
+    def __init__(self, process: 'Process') -> None:
+        self.process = process
+        self.peer = messages.Greeting(
+            vm=ids.VmId(f'vm{process.epoch}'),
+            incarnation=ids.Incarnation('1'),
+            zone=ids.ZoneId('zone-a'),
+        )
+
+    def send(self, message: Any) -> bool:
+        asyncio.get_running_loop().call_soon(self.process.receive, message)
+        return True
+
+    def is_closing(self) -> bool:
+        return False
+
+
+class Process:
+    """An owner of the cell with its keeper."""
+
+    def __init__(self, world: 'World', epoch: int) -> None:
+        self.world = world
+        self.epoch = epoch
+        self.is_up = True
+        self.link: Any = Link(self)
+        api = wire.Wire(
+            models=world.rig.models,
+            clock=world.rig.clock,
+            fate_of=world.fate_of,
+            delay_s=lambda: world.rng.uniform(0.0001, 0.003),
+        )
+        api.late_s = world.rng.uniform(0.5, 4)
+        self.cell: cells.Cell = world.rig.own(epoch=epoch, api=api, around=self)
+        self.keeper = keeper.Keeper(
+            rows=table.JobTable(
+                cell=samples.CELL,
+                guard=guarded_rows.Guard(
+                    right=fences.Right(epoch=epoch, rank=0),
+                    incarnation=ids.Incarnation(f'i{epoch}'),
+                ),
+                store=world.store,
+                clock=world.rig.clock,
+                rng=world.rng,
+                metrics=metrics.Metrics(),
+            ),
+            router=self,
+            clock=world.rig.clock,
+            metrics=metrics.Metrics(),
+            status_s=120,
+        )
+        self._keepers = keepers.Keepers()
+        self.keeper.start()
+
+    def kept(self, job: ids.JobId) -> keepers.Kept | None:
+        vm = self.link.peer.vm
+        cells_kept = [samples.CELL] if self.keeper.is_loaded else []
+        self._keepers.note(vm, cells_kept, self.world.rig.clock.now())
+        return self._keepers.get(samples.CELL, vm)
+
+    def keeper_of(self, job: ids.JobId) -> Any:
+        return self.link
+
+    def listed_at(self) -> float:
+        return self.world.rig.clock.now()
+
+    def list_answers(self) -> bool:
+        return True
+
+    def home(self) -> ids.CellId | None:
+        return samples.CELL
+
+    def owner(self, cell: ids.CellId) -> Any:
+        return self.link
+
+    def route(self, route: ids.RouteId) -> routes.Route | None:
+        return None
+
+    def receive(self, message: Any) -> None:
+        if self.is_up:
+            self._take(message)
+
+    async def crash(self) -> None:
+        """End without a word."""
+        self.is_up = False
+        self.world.rig.superseded_cells.append(self.cell)
+        await self.keeper.close()
+        await self.cell.close()
+
+    def relink(self) -> None:
+        """Lose the link between keeper and cell, and open a new one."""
+        lost = self.link
+        self.link = Link(self)
+        self.cell.link_lost(lost, self.world.rig.clock.now())
+        self.keeper.tell_all(
+            open_tasks.OwnerLost(cell=samples.CELL, source=lost)
+        )
+
+    def _take(self, message: Any) -> None:
+        now = self.world.rig.clock.now()
+        match message:
+            case messages.Submit():
+                self.cell.submit(self.link, message, now)
+            case messages.Withdraw(job=job):
+                self.cell.withdraw(self.link, job)
+            case messages.EndsNoted():
+                self.cell.note_ends(message)
+            case _:
+                self.keeper.tell(self.link, message)
+
+
+class World:
+    """What several processes in turn see."""
+
+    def __init__(
+        self,
+        seed: int = 1,
+        *,
+        fault_share: float = 0,
+        count: int = 4,
+        failing_percent: int = 0,
+        cfg: times.Cell | None = None,
+    ) -> None:
+        self.rng = random.Random(seed)
+        self.fault_share = fault_share
+        self.failing_percent = failing_percent
+        self.rig = samples.Rig(count=count, work_of=self.work_of, cfg=cfg)
+        self.store = FaultyStore(self.rng, fault_share)
+        self.epoch = 0
+        self.owner = self.take_over()
+
+    def work_of(self, task: workers.TaskName, run: int) -> worker_model.Work:
+        draw = random.Random(f'{task}.{run}').randrange(100)
+        is_failing = draw < self.failing_percent
+        return worker_model.Work(
+            shape=samples.usual_work(task, run).shape,
+            work_s=random.Random(task).choice((0.06, 0.2, 0.9)),
+            how=workers.Ending.FAILED if is_failing else workers.Ending.DONE,
+        )
+
+    def fate_of(self, kind: str) -> wire.Fate:
+        if self.rng.random() >= self.fault_share:
+            return wire.Fate.DONE
+        return self.rng.choice(
+            (
+                wire.Fate.REQUEST_LOST,
+                wire.Fate.ANSWER_LOST,
+                wire.Fate.LATE,
+                wire.Fate.REFUSED,
+            )
+        )
+
+    def take_over(self) -> Process:
+        """Give the cell to a new process; the former one goes on."""
+        self.epoch += 1
+        self.owner = Process(self, self.epoch)
+        return self.owner
+
+    async def replace(self) -> Process:
+        """Let the owner crash, and give the cell to a new process."""
+        await self.owner.crash()
+        return self.take_over()
+
+    def restart_workers(self) -> None:
+        for each in self.rig.models.values():
+            if not each.is_up:
+                each.restart(self.rig.clock.now())
+        self.rig.list_workers(self.owner.cell, list(self.rig.models.values()))
+
+    async def settle(self, job: ids.JobId, limit_s: float = 30) -> str:
+        """Wait for the end of a job; return its last state."""
+        until = self.rig.clock.now() + limit_s
+        answer = keeper.KeeperAnswer.UNAVAILABLE
+        while self.rig.clock.now() < until:
+            answer = await self.owner.keeper.ask(job)
+            if answer.value in {'completed', 'failed', 'cancelled'}:
+                break
+            await asyncio.sleep(0.05)
+        return answer.value
+
+    def complaints(self) -> list[str]:
+        found = self.rig.records()
+        return [
+            *self.rig.complaints(),
+            *run_checks.find_repeats(found),
+            *run_checks.find_excess(found, MAX_ATTEMPTS),
+        ]
+
+
+def _failed(kind: store.ErrorKind) -> Any:
+    return result.Err(store.StoreError(kind=kind, detail=kind.value))
--- a/tests/process/membership/test_owners.py
+++ b/tests/process/membership/test_owners.py
@@ -3,6 +3,7 @@
 import testtools
 
 from sardineproxy import ids
+from sardineproxy.connection import messages
 from sardineproxy.process.cells import fences
 from sardineproxy.process.membership import owners
 
@@ -12,11 +13,18 @@
 SECOND = ids.VmId('second')
 
 
+def beat(*rights: tuple[ids.CellId, int, int, int]) -> messages.Beat:
+    """Return the words of a VM that owns cells."""
+    return messages.Beat(
+        version=1, cells=tuple((*right, True) for right in rights), pending=()
+    )
+
+
 def make_owners(**epochs: int) -> owners.Owners:
     """Return owners after each VM has told its epoch of the cell."""
     tested = owners.Owners(me=ME)
     for vm, epoch in epochs.items():
-        tested.take(ids.VmId(vm), ((CELL, epoch, 0, 5),), 0)
+        tested.take(ids.VmId(vm), beat((CELL, epoch, 0, 5)), 0)
     return tested
 
 
@@ -30,8 +38,8 @@
     def test_rank_decides_within_an_epoch(self) -> None:
         """Guards against two heirs that are both believed."""
         tested = owners.Owners(me=ME)
-        tested.take(FIRST, ((CELL, 3, 1, 0),), 0)
-        tested.take(SECOND, ((CELL, 3, 2, 0),), 0)
+        tested.take(FIRST, beat((CELL, 3, 1, 0)), 0)
+        tested.take(SECOND, beat((CELL, 3, 2, 0)), 0)
         tested.choose({})
         self.assertEqual({CELL: SECOND}, tested.by_cell)
 
@@ -68,7 +76,7 @@
         """Guards against all cells of a VM lost with one of them."""
         other = ids.CellId('zone-b')
         tested = owners.Owners(me=ME)
-        tested.take(FIRST, ((CELL, 1, 0, 0), (other, 1, 0, 0)), 0)
+        tested.take(FIRST, beat((CELL, 1, 0, 0), (other, 1, 0, 0)), 0)
         tested.forget(FIRST, CELL)
         tested.choose({})
         self.assertEqual({other: FIRST}, tested.by_cell)
--- a/tests/process/node/samples.py
+++ b/tests/process/node/samples.py
@@ -36,8 +36,14 @@
         self.is_down = False
         self.calls = 0
 
-    async def read(self, table: str) -> Any:
-        return self._answer(self.rows.read(table))
+    async def read(self, table: str, *, part: str = '') -> Any:
+        return self._answer(self.rows.read(table, part=part))
+
+    async def get(self, key: str, *, part: str = '') -> Any:
+        self.calls += 1
+        if self.is_down:
+            return _unavailable()
+        return result.Ok(self.rows.get(key, part=part))
 
     async def changes(self, table: str, *, after: int, wait_s: float) -> Any:
         return self._answer(self.rows.changes(table, after=after))
--- a/tests/request/test_coordinator.py
+++ b/tests/request/test_coordinator.py
@@ -8,7 +8,7 @@
 
 from sardineproxy import ids
 from sardineproxy.connection import messages
-from sardineproxy.request import coordinator, jobs
+from sardineproxy.request import coordinator, jobs, open_tasks
 from tests import virtual_time
 from tests.process.cells import samples as cell_samples
 from tests.process.node import samples
@@ -63,6 +63,7 @@
                 index=index,
                 run=run,
                 how=how,
+                stored=False,
             )
         )
         await asyncio.sleep(0.001)
@@ -79,13 +80,14 @@
                 other=other,
                 cause='no room in time',
                 retry_s=1.0,
+                stored=False,
             )
         )
         await asyncio.sleep(0.001)
 
     async def lose_owner(self) -> None:
         lost = self.links.pop(HOME)
-        self.tested.tell(coordinator.OwnerLost(cell=HOME, source=lost))
+        self.tested.tell(open_tasks.OwnerLost(cell=HOME, source=lost))
         await asyncio.sleep(0.001)
 
 
@@ -199,7 +201,7 @@
             await rig.end(0)
             await rig.lose_owner()
             rig.links[HOME] = cell_samples.FakeLink('vm-3')
-            rig.tested.tell(coordinator.OwnerFound(cell=HOME))
+            rig.tested.tell(open_tasks.OwnerFound(cell=HOME))
             await asyncio.sleep(0.001)
             asked = cell_samples.only(rig.submitted())
             self.assertTrue(asked.resumed)
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -4,7 +4,7 @@
 from typing import Iterator
 
 from sardineproxy.process.cells import workers
-from sardineproxy.standin import worker_model
+from sardineproxy.standin import run_checks, worker_model
 from tests.soak import fleet, trace
 
 #: Bounds of the deployment, in seconds.
@@ -60,7 +60,7 @@
             sent = around.trace.jobs.get(job)
             if sent is None or sent.payload != payload:
                 yield f'{task} was ordered with {payload!r}'
-    yield from worker_model.find_doubles(_records(around))
+    yield from run_checks.find_doubles(_records(around))
 
 
 def _check_answers(around: fleet.Fleet) -> Iterator[str]:
