Soak with stored jobs; runs of stored jobs lapse when ownership is not confirmed

The next owner of a cell starts a stored job's task elsewhere once a silent worker's lease must have expired.

Half of the soak's clients hand in stored jobs, cancel some and follow them to their end.

--- a/sardineproxy/process/cells/agent.py
+++ b/sardineproxy/process/cells/agent.py
@@ -93,6 +93,10 @@
             cfg=cfg,
         )
         self.count = count
+
+        #: False while another process may own the cell: runs of stored jobs
+        #: must lapse then.
+        self.is_confirmed = True
         self._leaving = False
         self._tasks = background.Tasks()
 
@@ -140,8 +144,16 @@
             and self._lease.has_expired(now)
         )
 
+    @property
+    def extends_lease(self) -> bool:
+        """Tell whether the lease of what runs may be extended."""
+        return self.is_confirmed or not self.ledger.has_stored
+
     def takes_work(self, now: float) -> bool:
         """Tell whether runs may be ordered."""
+        if not self.extends_lease:
+            # An order extends the lease of all that runs.
+            return False
         if self._leaving or self.is_silent or not self.is_synced:
             return False
         if self.worker.state is not workers.WorkerState.READY:
--- a/sardineproxy/process/cells/cell.py
+++ b/sardineproxy/process/cells/cell.py
@@ -49,6 +49,13 @@
 class Surroundings(Listing, stored_ends.Homes, Protocol):
     """What a cell must know of the rest of its process."""
 
+    def confirmed_at(self, cell: ids.CellId, now: float) -> float:
+        """Return when this process last knew that it owns a cell.
+
+        Local time, in seconds: the store has answered, or all that may
+        inherit the cell were in reach.
+        """
+
 
 class Cell:  # noqa: WPS214
     """The workers of one cell and the tasks for them."""
@@ -74,7 +81,7 @@
         self._metrics = metrics
         self._events = events
         self._others = others
-        self._listing: Listing = around
+        self._around = around
         self._cfg = cfg
         self._opened_at = clock.now()
         self._agents: dict[ids.WorkerId, agent.Agent] = {}
@@ -86,6 +93,7 @@
         )
         self._typical_millicores = TYPICAL_MILLICORES
         self._best_speed = 1.0
+        self._is_confirmed = True
         self._takeover = takeover.Takeover(
             agents=self._agents,
             backlog=self._backlog,
@@ -190,6 +198,7 @@
         self._takeover.tick(now)
         self._drop_gone(now)
         self._stored_ends.report(now)
+        self._check_confirmed(now)
         for batch in self._backlog.all():
             if batch.link is None and self._stored_ends.is_abandoned(
                 batch, now
@@ -200,7 +209,11 @@
 
     def dispatch(self, now: float) -> None:
         """Order runs of waiting tasks as far as there is room."""
-        waiting = self._backlog.waiting()
+        waiting = [
+            batch
+            for batch in self._backlog.waiting()
+            if self._is_confirmed or not batch.stored
+        ]
         if not waiting or not self._knows_list(now):
             return
         candidates = placement.usable(self._agents.values(), now)
@@ -285,10 +298,32 @@
 
         A VM that does not own a cell reads the list seldom.
         """
-        if self._listing.listed_at() >= self._opened_at:
+        if self._around.listed_at() >= self._opened_at:
             return True
         waited = now >= self._opened_at + self._cfg.list_wait_s
-        return waited or not self._listing.list_answers()
+        return waited or not self._around.list_answers()
+
+    def _check_confirmed(self, now: float) -> None:
+        """Let stored jobs' runs lapse while another owner may exist.
+
+        The next owner starts them elsewhere even if their worker is silent.
+        """
+        unconfirmed_s = now - self._around.confirmed_at(self.cell, now)
+        is_confirmed = unconfirmed_s < self._cfg.unconfirmed_s
+        if is_confirmed is not self._is_confirmed:
+            self._is_confirmed = is_confirmed
+            _LOG.warning(
+                'Ownership confirmed again.'
+                if is_confirmed
+                else 'Ownership not confirmed, runs of stored jobs may lapse.',
+                extra={
+                    'cell': self.cell,
+                    'epoch': self.right.epoch,
+                    'unconfirmed_s': round(unconfirmed_s, 3),
+                },
+            )
+        for each in self._agents.values():
+            each.is_confirmed = is_confirmed
 
     def _drop_gone(self, now: float) -> None:
         """Forget workers that have left for good."""
@@ -423,7 +458,7 @@
                     'due_s': round(batch.due_at - now, 4),
                     'epoch': self.right.epoch,
                     'rank': self.right.rank,
-                    'list_age_s': round(now - self._listing.listed_at(), 3),
+                    'list_age_s': round(now - self._around.listed_at(), 3),
                 },
             )
 
--- a/sardineproxy/process/cells/ledger.py
+++ b/sardineproxy/process/cells/ledger.py
@@ -24,6 +24,11 @@
         """Tell whether nothing may run."""
         return not self.runs and not self.unknown
 
+    @property
+    def has_stored(self) -> bool:
+        """Tell whether a run of a stored job may exist."""
+        return any(run.batch.stored for run in self.runs.values())
+
     def hold(self, run: runs.Run) -> None:
         """Take room for a run."""
         self.runs[run.task] = run
--- a/sardineproxy/process/cells/watch.py
+++ b/sardineproxy/process/cells/watch.py
@@ -35,6 +35,10 @@
     def fence(self) -> int:
         """Return the fence of calls from now on."""
 
+    @property
+    def extends_lease(self) -> bool:
+        """Tell whether the lease of what runs may be extended."""
+
     def doubt(self, why: str) -> None:
         """Order nothing until a report under a higher fence is known."""
 
@@ -186,7 +190,8 @@
         expires_ms = None
         # The runs of a silent worker must end some time, heard or not.
         is_heard = self.silent_since is None
-        if is_heard and self._lease.is_known:
+        may_extend = is_heard and self._subject.extends_lease
+        if may_extend and self._lease.is_known:
             if wanted or self._ledger.unknown:
                 expires_ms = self._lease.extend(now)
         at_once = self.in_doubt or self._ledger.is_empty
--- a/sardineproxy/process/node/claiming.py
+++ b/sardineproxy/process/node/claiming.py
@@ -155,6 +155,11 @@
             if member.vm != self._me.vm
         )[: fences.MAX_HEIRS]
 
+    def heirs_of_claim(self, cell: ids.CellId) -> list[ids.VmId]:
+        """Return the VMs that may inherit a cell by its present claim."""
+        claim = self._directory.claims.get(cell)
+        return [] if claim is None else [vm for vm, _ in claim.heirs]
+
     def is_heir(self) -> bool:
         """Tell whether this VM is among the first to own its zone's cell."""
         first = self._candidates(ids.CellId(self._me.zone))[:LINKED_CANDIDATES]
--- a/sardineproxy/process/node/feeds.py
+++ b/sardineproxy/process/node/feeds.py
@@ -118,6 +118,13 @@
         """Return the local time of the list of workers, in seconds."""
         return self.roster.answered_at or 0
 
+    def heard_at(self) -> float:
+        """Return the local time of the store's last answer, in seconds."""
+        return max(
+            each.answered_at or 0
+            for each in (self.configuration, self.directory, self.roster)
+        )
+
     def list_answers(self) -> bool:
         """Tell whether the store answers about the list of workers."""
         return self.roster.sound_since is not None
--- a/sardineproxy/process/node/node.py
+++ b/sardineproxy/process/node/node.py
@@ -326,6 +326,13 @@
         """Return the local time of the list of workers, in seconds."""
         return self._feeds.listed_at()
 
+    def confirmed_at(self, cell: ids.CellId, now: float) -> float:
+        """Return when this process last knew that it owns a cell."""
+        heirs = self._claims.heirs_of_claim(cell)
+        if all(self.links.to(vm) is not None for vm in heirs):
+            return now
+        return self._feeds.heard_at()
+
     def list_answers(self) -> bool:
         """Tell whether the store answers about the list of workers."""
         return self._feeds.list_answers()
--- a/tests/process/cells/samples.py
+++ b/tests/process/cells/samples.py
@@ -152,6 +152,7 @@
         }
         self.wire = wire.Wire(models=self.models, clock=self.clock)
         self.list_is_new = True
+        self.is_confirmed = True
         self.superseded_cells: list[cells.Cell] = []
         self.others = rooms.Rooms()
         self.unkept = NoKeeper()
@@ -161,6 +162,9 @@
     def listed_at(self) -> float:
         return self.clock.now() if self.list_is_new else 0
 
+    def confirmed_at(self, cell: ids.CellId, now: float) -> float:
+        return now if self.is_confirmed else 0
+
     def list_answers(self) -> bool:
         return True
 
--- a/tests/process/keeping/world.py
+++ b/tests/process/keeping/world.py
@@ -171,6 +171,9 @@
     def keeper_of(self, job: ids.JobId) -> Any:
         return self.link
 
+    def confirmed_at(self, cell: ids.CellId, now: float) -> float:
+        return now
+
     def listed_at(self) -> float:
         return self.world.rig.clock.now()
 
@@ -184,7 +187,7 @@
         return self.link
 
     def route(self, route: ids.RouteId) -> routes.Route | None:
-        return None
+        return self.world.routes.get(route)
 
     def receive(self, message: Any) -> None:
         if self.is_up:
@@ -236,6 +239,7 @@
         self.failing_percent = failing_percent
         self.rig = samples.Rig(count=count, work_of=self.work_of, cfg=cfg)
         self.store = FaultyStore(self.rng, fault_share)
+        self.routes = {ROUTE.route: ROUTE}
         self.epoch = 0
         self.owner = self.take_over()
 
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -29,6 +29,7 @@
         *around.trace.exits,
         *_check_workers(around),
         *_check_answers(around),
+        *_check_stored(around),
         *_check_waits(around.trace),
         *_check_shutdowns(around.trace),
         *_check_versions(around),
@@ -60,7 +61,16 @@
             sent = around.trace.jobs.get(job)
             if sent is None or sent.payload != payload:
                 yield f'{task} was ordered with {payload!r}'
-    yield from run_checks.find_doubles(_records(around))
+    records = _records(around)
+    yield from run_checks.find_doubles(records)
+    yield from run_checks.find_repeats(
+        [each for each in records if _is_stored(around, each)]
+    )
+
+
+def _is_stored(around: fleet.Fleet, record: worker_model.Record) -> bool:
+    job = around.trace.jobs.get(record.task.partition('.')[0])
+    return job is not None and job.is_stored
 
 
 def _check_answers(around: fleet.Fleet) -> Iterator[str]:
@@ -85,6 +95,27 @@
             yield f'{job} was answered with {odd}'
 
 
+def _check_stored(around: fleet.Fleet) -> Iterator[str]:
+    """Accepted jobs are known, and end as their tasks did."""
+    done: dict[str, set[str]] = {}
+    for record in _records(around):
+        if record.how is workers.Ending.DONE:
+            job = record.task.partition('.')[0]
+            done.setdefault(job, set()).add(record.task)
+    for name, sent in around.trace.jobs.items():
+        attempts = around.trace.attempts[name]
+        is_accepted = any(attempt.status == 200 for attempt in attempts)
+        if not sent.is_stored or not is_accepted:
+            continue
+        allowed = {'completed', 'failed'}
+        if sent.is_cancelled:
+            allowed.add('cancelled')
+        if sent.state not in allowed:
+            yield f'{name} was accepted and is {sent.state or "not known"}'
+        if sent.state == 'completed' and len(done.get(name, ())) != sent.tasks:
+            yield f'{name} is said to be completed with {done.get(name)}'
+
+
 def _check_waits(seen: trace.Trace) -> Iterator[str]:
     """A calm VM answers each request in the client's time."""
     for attempts in seen.attempts.values():
--- a/tests/soak/client.py
+++ b/tests/soak/client.py
@@ -53,15 +53,29 @@
         """Send a new job; its answer is awaited elsewhere."""
         job = f'{self._rng.getrandbits(64):016x}'
         tasks = self._rng.randint(1, 4)
-        self._trace.jobs[job] = trace.SentJob(
-            payload=f'payload of {job}', tasks=tasks
-        )
-        task = asyncio.create_task(self._send_until_answered(job))
+        sent = trace.SentJob(payload=f'payload of {job}', tasks=tasks)
+        sent.is_stored = 'burstable' not in self.body(sent)
+        self._trace.jobs[job] = sent
+        task = asyncio.create_task(self.carry(job))
         self._jobs.add(task)
         task.add_done_callback(self._jobs.discard)
 
-    async def _send_until_answered(self, job: str) -> None:
+    async def carry(self, job: str) -> None:
+        """Send a job until it is answered, or leave."""
         leaves = self._rng.random() < LEAVE_SHARE
+        await self._send_until_answered(job, leaves=leaves)
+
+    def body(self, sent: trace.SentJob) -> dict[str, object]:
+        """Return the body of a job."""
+        step = {
+            'count': sent.tasks,
+            'cpu': 14_000,
+            'mem_mb': 64,
+            'estimate_ms': 300,
+        }
+        return {'spec': sent.payload, 'burstable': True, 'steps': [step]}
+
+    async def _send_until_answered(self, job: str, *, leaves: bool) -> None:
         for _ in range(MAX_SENDINGS):
             attempt = await self._send(job, leaves=leaves)
             if leaves or attempt.status in {200, 503}:
@@ -93,21 +107,9 @@
     async def _exchange(
         self, attempt: trace.Attempt, sent: trace.SentJob, port: int
     ) -> None:
-        document = {
-            'spec': sent.payload,
-            'burstable': True,
-            'steps': [
-                {
-                    'count': sent.tasks,
-                    'cpu': 14_000,
-                    'mem_mb': 64,
-                    'estimate_ms': 300,
-                }
-            ],
-        }
         async with self._session.post(
             f'http://127.0.0.1:{port}{PREFIX}{attempt.job}',
-            json=document,
+            json=self.body(sent),
             headers={'Host': HOST, 'Deadline-Ms': str(int(WAIT_S * 1000))},
         ) as reply:
             body = await reply.read()
--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -5,7 +5,7 @@
 import pathlib
 import random
 
-from tests.soak import checks, client, faults, fleet
+from tests.soak import checks, client, faults, fleet, stored_client
 
 #: Longest time until all VMs are ready, at the start and after the last
 #: fault, in seconds.
@@ -69,8 +69,9 @@
         )
     disturber = faults.Faults(around=around, rng=random.Random(seed))
     plan = disturber.draw(count=size.faults, length_s=size.length_s)
+    kinds = (client.Client, stored_client.StoredClient)
     clients = [
-        client.Client(
+        kinds[number // size.zones % len(kinds)](
             zone=around.zones[number % size.zones],
             around=around,
             rng=random.Random(f'{seed}.{number}'),
@@ -88,7 +89,11 @@
     await asyncio.sleep(AFTER_S)
     for sender in senders:
         sender.cancel()
-    fresh = set(around.trace.jobs).difference(known)
+    fresh = {
+        job
+        for job, sent in around.trace.jobs.items()
+        if job not in known and not sent.is_stored
+    }
     await asyncio.gather(*(each.close() for each in clients))
     share = checks.share_completed(around.trace, fresh)
     if share < checks.RECOVERED_SHARE:
--- a/tests/soak/trace.py
+++ b/tests/soak/trace.py
@@ -27,12 +27,17 @@
     cause: str = ''
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+@dataclasses.dataclass(kw_only=True, slots=True)
 class SentJob:
-    """A job as its client sent it."""
+    """A job as its client sent it, and what a client of stored ones saw."""
 
     payload: str
     tasks: int
+    is_stored: bool = False
+    is_cancelled: bool = False
+
+    #: Newest state of a stored job.
+    state: str = ''
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -68,6 +68,12 @@
     def find_worker(self, name: str) -> _Worker:
         return self.worker
 
+    def store(self, state: str) -> None:
+        """Accept the job as a stored one, which is last seen in a state."""
+        self.trace.jobs[JOB].is_stored = True
+        self.trace.jobs[JOB].state = state
+        self.answer(state='queued')
+
     def answer(self, **changes: Any) -> None:
         fields: dict[str, Any] = {
             'job': JOB,
@@ -180,3 +186,26 @@
         around.trace.note_draining('w0', 'zone-0', 5)
         around.worker.ran(begin=9)
         self.assertThat(around.complaints()[0], matchers.Contains('draining'))
+
+    def test_accepted_job_that_is_lost_is_found(self) -> None:
+        around = _Fleet()
+        around.store('')
+        self.assertThat(around.complaints()[0], matchers.Contains('not known'))
+
+    def test_job_that_nobody_cancelled_is_found(self) -> None:
+        around = _Fleet()
+        around.store('cancelled')
+        self.assertThat(around.complaints()[0], matchers.Contains('cancelled'))
+
+    def test_stored_job_without_all_tasks_is_found(self) -> None:
+        around = _Fleet()
+        around.store('completed')
+        self.assertThat(around.complaints()[0], matchers.Contains('completed'))
+
+    def test_repeated_task_of_a_stored_job_is_found(self) -> None:
+        around = _Fleet()
+        around.store('completed')
+        around.worker.ran(begin=10)
+        around.worker.ran(begin=12)
+        around.worker.model.records[0].acked_at = 10.5
+        self.assertThat(around.complaints()[0], matchers.Contains('after'))
