--- a/sardineproxy/process/node/policy.py
+++ b/sardineproxy/process/node/policy.py
@@ -76,6 +76,9 @@
     return result.Ok(Policy(cell=cell_cfg))
 
 
+#: Fields that the platform's bounds set, and no settings file.
+_OF_PLATFORM = frozenset(('remote_factor',))
+
 _SECTIONS = types.MappingProxyType(
     {'cell': 'times of a cell', 'workers': 'times of calls to workers'}
 )
@@ -90,7 +93,7 @@
     known = {
         field.name
         for field in dataclasses.fields(kind)
-        if field.type in {float, 'float'}
+        if field.type in {float, 'float'} and field.name not in _OF_PLATFORM
     }
     for key, found in document.items():
         error = _check(f'{name}.{key}', found, known=key in known)
