A SIGHUP during the start does not end a process

The signal came while the program was imported, before its handler. It is ignored until then; the settings are read at the start anyway. Ruled out: a port in use (the process died before it read its settings).

--- a/sardineproxy/__main__.py
+++ b/sardineproxy/__main__.py
@@ -1,6 +1,7 @@
 """Run a program: ``python -m sardineproxy NAME [flags]``."""
 
 import importlib
+import signal
 import sys
 import types
 
@@ -30,6 +31,9 @@
             f'Unknown program "{name}"; expected one of: {accepted}.\n'
         )
         return exit_status.ExitStatus.USAGE
+    # Programs that read their settings again on this signal install a handler
+    # once they run; until then it must not end them.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     module = importlib.import_module(PROGRAMS[name])
     return module.main([f'sardineproxy-{name}', *argv[2:]])
 
--- a/tests/process/cells/test_cell.py
+++ b/tests/process/cells/test_cell.py
@@ -515,6 +515,26 @@
         samples.with_rig(scenario)
 
 
+class TestEstimates(testtools.TestCase):
+    def test_task_without_an_estimate_runs(self) -> None:
+        """Guards against a watch that ends over an expected time of 0."""
+
+        async def scenario(rig: samples.Rig) -> None:
+            owned = await rig.ready()
+            link = samples.FakeLink()
+            owned.submit(
+                link,
+                samples.make_submit(estimate_s=float(0), slack_s=5.0),
+                rig.clock.now(),
+            )
+            await asyncio.sleep(2)
+            self.assertEqual({0: 'done'}, link.ends())
+
+        samples.with_rig(
+            scenario, work_of=lambda task, run: samples.usual_work(task, run, 1)
+        )
+
+
 class TestPlacement(testtools.TestCase):
     def test_task_goes_to_the_rack_of_its_data(self) -> None:
         """Guards against tasks that take longer for want of their data."""
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -241,6 +241,7 @@
                 if each.has_ended():
                     each.is_wanted = False
                     self.trace.exits.append(
-                        f'{each.name} ended by itself; see {each.log_path}'
+                        f'{each.name} ended by itself with status '
+                        f'{each.exit_status}; see {each.log_path}'
                     )
             await asyncio.sleep(CHECK_S)
--- a/tests/soak/vm.py
+++ b/tests/soak/vm.py
@@ -136,6 +136,11 @@
             with contextlib.suppress(ProcessLookupError):
                 self._process.send_signal(number)
 
+    @property
+    def exit_status(self) -> int | None:
+        """Return how the last process ended, a signal as a negative number."""
+        return None if self._process is None else self._process.returncode
+
     def has_ended(self) -> bool:
         """Tell whether the process ended though nobody asked it to."""
         return (
--- a/tests/test_main.py
+++ b/tests/test_main.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import io
+import signal
 
 import testtools
 from testtools import matchers
@@ -36,6 +37,13 @@
             )
             self.assertThat(err, matchers.Contains('no-such-flag'), name)
 
+    def test_request_to_reload_does_not_end_a_program_that_starts(self) -> None:
+        """Guards against a SIGHUP that comes before its handler."""
+        former = signal.signal(signal.SIGHUP, signal.SIG_DFL)
+        self.addCleanup(signal.signal, signal.SIGHUP, former)
+        run('node', '--help')
+        self.assertIs(signal.SIG_IGN, signal.getsignal(signal.SIGHUP))
+
     def test_unknown_program_names_the_known_ones(self) -> None:
         status, _, err = run('nope')
         self.assertThat(status, matchers.Equals(exit_status.ExitStatus.USAGE))
