--- a/sardineproxy/process/cells/cell.py
+++ b/sardineproxy/process/cells/cell.py
@@ -10,7 +10,7 @@
     agent,
     backlog,
     fences,
-    placement,
+    ordering,
     rooms,
     runs,
     stored_ends,
@@ -23,12 +23,6 @@
 _LOG = logs.get_logger('cell')
 
 
-#: Size of a task before any is known, in thousandths of a core, and weight of
-#: a new one in the average, which tells other cells how much room there is.
-TYPICAL_MILLICORES = 14_000.0
-TYPICAL_WEIGHT = 0.05
-
-
 class Events(Protocol):
     """Hears of the cell's end."""
 
@@ -36,17 +30,7 @@
         """Another process has taken the cell over."""
 
 
-class Listing(Protocol):
-    """Tells how old the list of workers is."""
-
-    def listed_at(self) -> float:
-        """Return the local time of the list of workers, in seconds."""
-
-    def list_answers(self) -> bool:
-        """Tell whether the store answers about the list of workers."""
-
-
-class Surroundings(Listing, stored_ends.Homes, Protocol):
+class Surroundings(ordering.Listing, stored_ends.Homes, Protocol):
     """What a cell must know of the rest of its process."""
 
     def confirmed_at(self, cell: ids.CellId, now: float) -> float:
@@ -80,7 +64,6 @@
         self._clock = clock
         self._metrics = metrics
         self._events = events
-        self._others = others
         self._around = around
         self._cfg = cfg
         self._opened_at = clock.now()
@@ -91,8 +74,6 @@
         self._backlog = backlog.Backlog(
             cell=cell, clock=clock, metrics=metrics, recall_s=cfg.recall_s
         )
-        self._typical_millicores = TYPICAL_MILLICORES
-        self._best_speed = 1.0
         self._is_confirmed = True
         self._takeover = takeover.Takeover(
             agents=self._agents,
@@ -108,6 +89,16 @@
             clock=clock,
             cfg=cfg,
         )
+        self._ordering = ordering.Ordering(
+            cell=cell,
+            right=right,
+            agents=self._agents,
+            backlog=self._backlog,
+            others=others,
+            listing=around,
+            metrics=metrics,
+            cfg=cfg,
+        )
 
     async def close(self) -> None:
         """Stop all calls to workers; what runs there runs on."""
@@ -155,7 +146,7 @@
         """Drop all tasks of a job."""
         for batch in self._backlog.all():
             if batch.job == job and batch.link is source:
-                self._drop(batch, 'withdrawn')
+                self._ordering.drop(batch, 'withdrawn')
         self._takeover.forget(source, job)
 
     def link_lost(self, lost: link.Link, now: float) -> None:
@@ -173,15 +164,12 @@
 
     def free_tasks(self, now: float) -> int:
         """Return how many more average tasks could start now."""
-        free = placement.count_free(
-            int(self._typical_millicores),
-            placement.usable(self._agents.values(), now),
-        )
-        return max(0, free - self._backlog.count_waiting())
+        return self._ordering.free_tasks(now)
 
     def renew(self, right: fences.Right) -> None:
         """Use a higher right of this owner from now on."""
         self.right = right
+        self._ordering.right = right
         self._former_counts.clear()
         for each in self._agents.values():
             each.renew(right)
@@ -203,27 +191,14 @@
             if batch.link is None and self._stored_ends.is_abandoned(
                 batch, now
             ):
-                self._drop(batch, 'coordinator lost')
+                self._ordering.drop(batch, 'coordinator lost')
         self._backlog.expire(now)
         self.dispatch(now)
 
     def dispatch(self, now: float) -> None:
         """Order runs of waiting tasks as far as there is room."""
-        waiting = [
-            batch
-            for batch in self._backlog.waiting()
-            if self._is_confirmed or not batch.stored
-        ]
-        if not waiting or not self._knows_list(now):
-            return
-        candidates = placement.usable(self._agents.values(), now)
-        if candidates:
-            self._best_speed = placement.best_speed(candidates)
-        waiting.sort(key=self._urgency)
-        for batch in waiting:
-            self._place(batch, candidates, now)
-            if batch.waiting():
-                self._review(batch, now)
+        if self._knows_list(now):
+            self._ordering.dispatch(with_stored=self._is_confirmed, now=now)
 
     def state(self, now: float) -> dict[str, object]:
         """Return workers and queue for the state dump."""
@@ -362,6 +337,7 @@
             if index not in known.tasks
         }
         self._backlog.rejoin(known, source, {})
+        self._ordering.tell_begun_anew(known)
         if others and asked.resumed:
             if self._takeover.must_wait(asked, now):
                 self._takeover.wait(
@@ -381,6 +357,7 @@
         tasks = self._stored_ends.answer(batch, source, asked)
         fresh = self._takeover.resume(batch, tasks, now)
         self._backlog.add(batch)
+        self._ordering.tell_begun_anew(batch)
         if fresh:
             self._take(source, asked, fresh, now)
 
@@ -399,122 +376,10 @@
         if not batch.tasks:
             return
         self._backlog.add(batch)
-        self._typical_millicores += TYPICAL_WEIGHT * (
-            asked.millicores - self._typical_millicores
-        )
-        self._move_overflow(batch, now)
+        self._ordering.note_size(asked.millicores)
+        self._ordering.move_overflow(batch, now)
         self.dispatch(now)
 
-    def _move_overflow(self, batch: runs.Batch, now: float) -> None:
-        """Send tasks that find no room here to cells that have some."""
-        if batch.firm:
-            return
-        mine = len(batch.waiting())
-        free = placement.count_free(
-            batch.shape.millicores,
-            placement.usable(self._agents.values(), now),
-        )
-        excess = min(mine, self._backlog.count_waiting() - free)
-        for cell, room in self._others.free(now).items():
-            count = min(excess, room)
-            if cell == self.cell or count <= 0:
-                continue
-            excess -= count
-            self._backlog.decline(
-                batch,
-                batch.waiting()[-count:],
-                cause='more room there',
-                other=cell,
-            )
-
-    def _place(
-        self, batch: runs.Batch, candidates: list[agent.Agent], now: float
-    ) -> None:
-        placed: dict[int, ids.WorkerId] = {}
-        for index in batch.waiting():
-            if batch.task_name(index) in self._backlog.live:
-                continue
-            chosen = placement.choose(
-                batch,
-                candidates,
-                best=self._best_speed,
-                remote_factor=self._cfg.remote_factor,
-                now=now,
-            )
-            if chosen is None:
-                break
-            self._start(batch, index, chosen, now)
-            placed[index] = chosen.worker.worker
-        if placed:
-            _tell_begun(batch, self.cell)
-            _LOG.info(
-                'Tasks ordered.',
-                extra={
-                    'job': batch.job,
-                    'step': batch.step,
-                    'placed': placed,
-                    'waiting': len(batch.waiting()),
-                    'age_s': round(now - batch.arrived_at, 4),
-                    'due_s': round(batch.due_at - now, 4),
-                    'epoch': self.right.epoch,
-                    'rank': self.right.rank,
-                    'list_age_s': round(now - self._around.listed_at(), 3),
-                },
-            )
-
-    def _start(
-        self, batch: runs.Batch, index: int, chosen: agent.Agent, now: float
-    ) -> None:
-        task = batch.tasks[index]
-        run = runs.Run(
-            task=batch.task_name(index),
-            number=task.number,
-            batch=batch,
-            index=index,
-            worker=chosen.worker.worker,
-            work_s=batch.work_s
-            * placement.distance(batch, chosen, self._cfg.remote_factor),
-            ordered_at=now,
-        )
-        task.number += 1
-        task.run = run
-        batch.started = True
-        self._backlog.live[run.task] = run
-        self._metrics.count('runs_ordered_total')
-        chosen.start(run, now)
-
-    def _review(self, batch: runs.Batch, now: float) -> None:
-        """Give a batch up whose tasks wait too long."""
-        if batch.stored:
-            return
-        if not batch.started and now > self._latest_start(batch):
-            self._backlog.decline(
-                batch, batch.waiting(), cause='no room in time'
-            )
-        elif now + batch.work_s > min(batch.late_at, batch.deadline):
-            self._give_up(batch)
-
-    def _urgency(self, batch: runs.Batch) -> tuple[int, float]:
-        """Return the order of the queue, the most urgent first."""
-        return batch.priority, self._latest_start(batch)
-
-    def _latest_start(self, batch: runs.Batch) -> float:
-        """Return when a task must start to be on time, in local seconds."""
-        return batch.due_at - batch.work_s / self._best_speed
-
-    def _give_up(self, batch: runs.Batch) -> None:
-        for index in list(batch.tasks):
-            self._backlog.send_end(
-                batch, index, batch.tasks[index].number, jobs.TaskEnd.LATE
-            )
-        self._drop(batch, 'too late')
-
-    def _drop(self, batch: runs.Batch, cause: str) -> None:
-        self._backlog.drop(batch, cause, self._stop)
-
-    def _stop(self, run: runs.Run) -> None:
-        self._agents[run.worker].stop(run)
-
     def _settle(
         self, run: runs.Run, how: workers.Ending, *, is_suspect: bool
     ) -> None:
@@ -538,10 +403,3 @@
         return runs.make_batch(
             asked, link=source, late_factor=self._cfg.late_factor, now=now
         )
-
-
-def _tell_begun(batch: runs.Batch, cell: ids.CellId) -> None:
-    """Tell the keeper of a stored job that one of its tasks was ordered."""
-    if batch.stored and not batch.told_begun and batch.link is not None:
-        batch.told_begun = True
-        batch.link.send(messages.JobBegun(cell=cell, job=batch.job))
--- /dev/null
+++ b/sardineproxy/process/node/environment.py
@@ -0,0 +1,61 @@
+"""What a node gets from outside, and what is built from it."""
+
+import dataclasses
+import random
+from typing import Callable
+
+from sardineproxy import clock, ids
+from sardineproxy.process import metrics, store
+from sardineproxy.process.cells import workers
+from sardineproxy.process.keeping import execution, guarded_rows, keeper, table
+from sardineproxy.process.membership import worker_list
+from sardineproxy.version import in_force
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Formats:
+    """Decoders of the platform's rows."""
+
+    configuration_table: str
+    configuration_row: str
+    roster_table: str
+    decode_configuration: in_force.Decode
+    worker_id: Callable[[store.Row], ids.WorkerId]
+    decode_worker: worker_list.Decode
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Outside:
+    """What the outside world provides, replaced by tests."""
+
+    clock: clock.Clock
+    rng: random.Random
+    store: store.Store
+    workers: workers.WorkerApi
+    formats: Formats
+    registry: metrics.Metrics
+
+
+def new_keeper(
+    outside: Outside,
+    *,
+    cell: ids.CellId,
+    guard: guarded_rows.Guard,
+    router: execution.Router,
+    status_s: float,
+) -> keeper.Keeper:
+    """Return the keeper of a cell that this process owns from now on."""
+    return keeper.Keeper(
+        rows=table.JobTable(
+            cell=cell,
+            guard=guard,
+            store=outside.store,
+            clock=outside.clock,
+            rng=outside.rng,
+            metrics=outside.registry,
+        ),
+        router=router,
+        clock=outside.clock,
+        metrics=outside.registry,
+        status_s=status_s,
+    )
--- a/sardineproxy/process/node/node.py
+++ b/sardineproxy/process/node/node.py
@@ -1,17 +1,14 @@
 """The entry process: accepts jobs, and owns cells if it falls to it."""
 
 import asyncio
-import dataclasses
-import random
 import secrets
-from typing import Callable, Iterable
+from typing import Iterable
 
-
-from sardineproxy import background, clock, deployment, ids, logs
+from sardineproxy import background, deployment, ids, logs
 from sardineproxy.connection import link, messages
-from sardineproxy.process import metrics, store
+from sardineproxy.process import store
 from sardineproxy.process.cells import fences, rooms, workers
-from sardineproxy.process.keeping import guarded_rows, homes, keeper, table
+from sardineproxy.process.keeping import guarded_rows, homes, keeper
 from sardineproxy.process.membership import (
     following,
     keepers,
@@ -22,6 +19,7 @@
 )
 from sardineproxy.process.node import (
     claiming,
+    environment,
     feeds,
     holdings,
     intake,
@@ -29,6 +27,7 @@
     peering,
     policy,
     sharing,
+    state_dump,
 )
 from sardineproxy.request import board, open_tasks
 from sardineproxy.version import in_force, routes
@@ -51,30 +50,6 @@
 _LOG = logs.get_logger('node')
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Formats:
-    """Decoders of the platform's rows."""
-
-    configuration_table: str
-    configuration_row: str
-    roster_table: str
-    decode_configuration: in_force.Decode
-    worker_id: Callable[[store.Row], ids.WorkerId]
-    decode_worker: worker_list.Decode
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Outside:
-    """What the outside world provides, replaced by tests."""
-
-    clock: clock.Clock
-    rng: random.Random
-    store: store.Store
-    workers: workers.WorkerApi
-    formats: Formats
-    registry: metrics.Metrics
-
-
 class Node:  # noqa: WPS214, WPS230
     """All parts of one entry process."""
 
@@ -83,7 +58,7 @@
         *,
         cfg: deployment.Deployment,
         rules: policy.Policy,
-        outside: Outside,
+        outside: environment.Outside,
     ) -> None:
         """Prepare the process; ``start`` opens its listener for links."""
         self.cfg = cfg
@@ -356,30 +331,7 @@
 
     def state(self) -> dict[str, object]:
         """Return what this process believes, for the state dump."""
-        now = self._clock.now()
-        return {
-            'vm': self.cfg.vm,
-            'incarnation': self.me.incarnation,
-            'config': {
-                'number': self.versions.number,
-                'digest': self.versions.digest,
-            },
-            'ready': self.is_ready(),
-            'draining': self.draining,
-            'owners': dict(self.owners.by_cell),
-            'rooms': self.rooms.state(now),
-            'links': {vm: len(of_vm) for vm, of_vm in self.links.open.items()},
-            'members': sorted(self.directory.members),
-            'claims': {
-                cell: dataclasses.asdict(claim)
-                for cell, claim in self.directory.claims.items()
-            },
-            'jobs': self.board.state(),
-            'kept': [kept.state(now) for kept in self.homes.keepers.values()],
-            'cells': [
-                owned.state(now) for owned in self.holdings.cells.values()
-            ],
-        }
+        return state_dump.describe(self, self._clock.now())
 
     # Rows of the store.
 
@@ -494,20 +446,13 @@
         self, cell: ids.CellId, right: fences.Right
     ) -> keeper.Keeper:
         """Return the keeper of a cell that this process owns now."""
-        return keeper.Keeper(
-            rows=table.JobTable(
-                cell=cell,
-                guard=guarded_rows.Guard(
-                    right=right, incarnation=self.me.incarnation
-                ),
-                store=self._outside.store,
-                clock=self._clock,
-                rng=self._outside.rng,
-                metrics=self.metrics,
+        return environment.new_keeper(
+            self._outside,
+            cell=cell,
+            guard=guarded_rows.Guard(
+                right=right, incarnation=self.me.incarnation
             ),
             router=self,
-            clock=self._clock,
-            metrics=self.metrics,
             status_s=self.cfg.bounds.status_s,
         )
 
--- a/sardineproxy/process/node/service.py
+++ b/sardineproxy/process/node/service.py
@@ -19,7 +19,7 @@
 )
 from sardineproxy.process import metrics
 from sardineproxy.process.keeping import keeper
-from sardineproxy.process.node import node, policy
+from sardineproxy.process.node import environment, node, policy
 from sardineproxy.request import jobs
 from sardineproxy.version import routes
 
@@ -61,7 +61,7 @@
         self._node = node.Node(
             cfg=cfg,
             rules=rules.fit(cfg.bounds),
-            outside=node.Outside(
+            outside=environment.Outside(
                 clock=clock,
                 rng=random.Random(),
                 store=self._store,
@@ -199,9 +199,9 @@
         return self._own.waiting_for(route.route)
 
 
-def platform_formats() -> node.Formats:
+def platform_formats() -> environment.Formats:
     """Return the decoders of the platform's rows."""
-    return node.Formats(
+    return environment.Formats(
         configuration_table=configuration.TABLE,
         configuration_row=configuration.ROW,
         roster_table=roster.TABLE,
--- /dev/null
+++ b/sardineproxy/process/node/state_dump.py
@@ -0,0 +1,32 @@
+"""The state dump of a node."""
+
+import dataclasses
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from sardineproxy.process.node import node
+
+
+def describe(own: 'node.Node', now: float) -> dict[str, object]:
+    """Return what a process believes."""
+    return {
+        'vm': own.cfg.vm,
+        'incarnation': own.me.incarnation,
+        'config': {
+            'number': own.versions.number,
+            'digest': own.versions.digest,
+        },
+        'ready': own.is_ready(),
+        'draining': own.draining,
+        'owners': dict(own.owners.by_cell),
+        'rooms': own.rooms.state(now),
+        'links': {vm: len(of_vm) for vm, of_vm in own.links.open.items()},
+        'members': sorted(own.directory.members),
+        'claims': {
+            cell: dataclasses.asdict(claim)
+            for cell, claim in own.directory.claims.items()
+        },
+        'jobs': own.board.state(),
+        'kept': [kept.state(now) for kept in own.homes.keepers.values()],
+        'cells': [owned.state(now) for owned in own.holdings.cells.values()],
+    }
--- a/tests/process/cells/wire.py
+++ b/tests/process/cells/wire.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import enum
+import random
 from typing import Any, Callable
 
 from sardineproxy.process.cells import workers
@@ -23,6 +24,15 @@
     REFUSED = 'refused'
 
 
+def draw_fate(rng: random.Random, fault_share: float) -> Fate:
+    """Return what becomes of a call, a share of which is disturbed."""
+    if rng.random() >= fault_share:
+        return Fate.DONE
+    return rng.choice(
+        (Fate.REQUEST_LOST, Fate.ANSWER_LOST, Fate.LATE, Fate.REFUSED)
+    )
+
+
 class Wire:
     """Implements ``workers.WorkerApi`` for one owner."""
 
--- a/tests/process/keeping/world.py
+++ b/tests/process/keeping/world.py
@@ -253,16 +253,7 @@
         )
 
     def fate_of(self, kind: str) -> wire.Fate:
-        if self.rng.random() >= self.fault_share:
-            return wire.Fate.DONE
-        return self.rng.choice(
-            (
-                wire.Fate.REQUEST_LOST,
-                wire.Fate.ANSWER_LOST,
-                wire.Fate.LATE,
-                wire.Fate.REFUSED,
-            )
-        )
+        return wire.draw_fate(self.rng, self.fault_share)
 
     def take_over(self) -> Process:
         """Give the cell to a new process; the former one goes on."""
