Commits of stored jobs keep to the store's 100 entries

A commit has a condition and a change for each row, so that 90 rows were 181 entries, which the store refuses; a commit of this size would have been repeated without end. The stand-in refuses such transactions now; test_many_jobs_at_once_are_all_accepted failed before.

--- a/sardineproxy/connection/messages.py
+++ b/sardineproxy/connection/messages.py
@@ -248,9 +248,6 @@
     #: A ``KeeperAnswer`` value.
     answer: str = codec.checked(codec.text)
 
-    #: Why, in a few words.
-    cause: str = codec.checked(codec.text)
-
 
 Message = (
     Greeting
--- a/sardineproxy/process/keeping/homes.py
+++ b/sardineproxy/process/keeping/homes.py
@@ -210,9 +210,7 @@
         self, source: link.Link, asked: messages.KeepJob | messages.AskJob
     ) -> None:
         answer = await self._find_answer(asked)
-        source.send(
-            messages.TellJob(token=asked.token, answer=answer.value, cause='')
-        )
+        source.send(messages.TellJob(token=asked.token, answer=answer.value))
 
     async def _find_answer(
         self, asked: messages.KeepJob | messages.AskJob
--- a/sardineproxy/process/keeping/table.py
+++ b/sardineproxy/process/keeping/table.py
@@ -12,8 +12,9 @@
 JOB_PREFIX = f'{guarded_rows.TABLE}/job/'
 PROGRESS_PREFIX = f'{guarded_rows.TABLE}/progress/'
 
-#: Most rows of one commit; the store takes 100 with the guard.
-MAX_ROWS = 90
+#: Most rows of one commit. The store takes 100 entries: a condition and a
+#: change for each row, and the condition on the guard.
+MAX_ROWS = 49
 
 #: Most bytes of one commit; the store takes 1 MB, a third of it for base64.
 MAX_BYTES = 500_000
--- a/sardineproxy/standin/row_store.py
+++ b/sardineproxy/standin/row_store.py
@@ -28,6 +28,9 @@
     rows: tuple[store.Row, ...]
 
 
+#: Most conditions, writes and removals of a transaction together.
+MAX_ENTRIES = 100
+
 #: Part and key of a row; the key starts with the table's name and a slash.
 _Place = tuple[str, str]
 
@@ -50,6 +53,9 @@
         removals: tuple[store.Removal, ...] = (),
     ) -> int | Conflict:
         """Apply all changes if all conditions hold; return the revision."""
+        entries = len(conditions) + len(writes) + len(removals)
+        if entries > MAX_ENTRIES:
+            raise ValueError(f'{entries} entries in a transaction')
         present = [self._rows.get((each.part, each.key)) for each in conditions]
         held = all(
             each.revision == _revision_of(row)
--- a/tests/process/keeping/test_keeper.py
+++ b/tests/process/keeping/test_keeper.py
@@ -41,6 +41,20 @@
 
         with_world(scenario)
 
+    def test_many_jobs_at_once_are_all_accepted(self) -> None:
+        """Guards against commits that the store refuses for their size."""
+
+        async def scenario(world: worlds.World) -> None:
+            answers = await asyncio.gather(
+                *(
+                    world.owner.keeper.accept(worlds.make_job(number, 1))
+                    for number in range(120)
+                )
+            )
+            self.assertEqual([_Answer.ACCEPTED] * 120, answers)
+
+        with_world(scenario)
+
     def test_same_id_remains_one_job(self) -> None:
         """Guards against a second run for a request that came twice."""
 
