The progress of a stored job stays until its end is stored

The next keeper found the job as running without progress and without ends in the workers' lists. The new test fails with the former order of the two writes.

--- a/sardineproxy/process/keeping/execution.py
+++ b/sardineproxy/process/keeping/execution.py
@@ -145,17 +145,18 @@
             },
         )
         notes = self._take_notes()
-        self._rows.put(
-            f'{table.PROGRESS_PREFIX}{ended.job.job}',
-            None,
-            within_s=END_WITHIN_S,
-        )
         is_stored = await self._rows.put(
             f'{table.JOB_PREFIX}{ended.job.job}',
             records.encode_job(ended),
             within_s=END_WITHIN_S,
         )
         if is_stored:
+            # Not before: the next keeper would start done tasks again.
+            self._rows.put(
+                f'{table.PROGRESS_PREFIX}{ended.job.job}',
+                None,
+                within_s=PROGRESS_WITHIN_S,
+            )
             self.stored = ended
             self._send_notes([*notes, *self._late_notes()])
             self._on_end(ended)
--- a/tests/process/keeping/test_keeper.py
+++ b/tests/process/keeping/test_keeper.py
@@ -235,6 +235,25 @@
 
         with_world(scenario)
 
+    def test_progress_stays_until_the_end_of_the_job_is_stored(self) -> None:
+        """Guards against done tasks of a job that is stored as running."""
+
+        async def scenario(world: worlds.World) -> None:
+            stored = worlds.make_job(1, 4)
+            await world.owner.keeper.accept(stored)
+            world.store.refused_prefix = table.JOB_PREFIX
+            await asyncio.sleep(3)
+            await world.replace()
+            await asyncio.sleep(1)
+            world.store.refused_prefix = ''
+            self.assertEqual('completed', await world.settle(stored.job.job))
+            self.assertEqual(4, len(world.rig.records()))
+            self.assertEqual([], world.complaints())
+
+        # Each row goes into a commit of its own, as in a commit that is full.
+        self.patch(table, 'MAX_ROWS', 1)
+        with_world(scenario)
+
     def test_failures_count_across_owners(self) -> None:
         """Guards against attempts beyond the limit after a crash."""
 
--- a/tests/process/keeping/world.py
+++ b/tests/process/keeping/world.py
@@ -66,6 +66,9 @@
         self.fault_share = fault_share
         self.is_down = False
         self.calls = 0
+
+        #: Rows whose writing is refused begin so, none if empty.
+        self.refused_prefix = ''
         self._late: set[asyncio.Task[None]] = set()
 
     async def read(self, name: str, *, part: str = '') -> Any:
@@ -80,7 +83,7 @@
         return result.Ok(self.rows.get(key, part=part))
 
     async def transact(self, **changes: Any) -> Any:
-        if not await self._passes():
+        if not await self._passes() or self._refuses(changes['writes']):
             return _failed(store.ErrorKind.UNAVAILABLE)
         if self.rng.random() < self.fault_share:
             self._do_later(changes)
@@ -97,6 +100,12 @@
         await asyncio.sleep(self.rng.uniform(0.004, 0.012))
         return not self.is_down and self.rng.random() >= self.fault_share
 
+    def _refuses(self, writes: tuple[store.Write, ...]) -> bool:
+        prefix = self.refused_prefix
+        return bool(prefix) and any(
+            write.key.startswith(prefix) for write in writes
+        )
+
     def _do_later(self, changes: Any) -> None:
         async def later() -> None:
             await asyncio.sleep(self.rng.uniform(0.1, 4))
