--- a/sardineproxy/deployment.py
+++ b/sardineproxy/deployment.py
@@ -34,11 +34,11 @@
     version_s: float
 
     #: Time for which the state of a stored job is asked for after its end.
-    status_s: float
+    states_s: float
 
     #: A task takes this many times as long on racks without its data; no
     #: time.
-    remote_factor: float
+    distance_factor: float
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/sardineproxy/platform/settings.py
+++ b/sardineproxy/platform/settings.py
@@ -89,6 +89,6 @@
         stop_s=fields.number(document, 'stop_timeout_ms') / _MS_PER_S,
         grace_s=fields.number(document, 'grace_s'),
         version_s=fields.number(document, 'config_apply_ms') / _MS_PER_S,
-        status_s=fields.number(document, 'status_s', STATUS_S),
-        remote_factor=fields.number(document, 'remote_factor', 1),
+        states_s=fields.number(document, 'status_s', STATUS_S),
+        distance_factor=fields.number(document, 'remote_factor', 1),
     )
--- a/sardineproxy/process/cells/ordering.py
+++ b/sardineproxy/process/cells/ordering.py
@@ -141,7 +141,7 @@
                 batch,
                 candidates,
                 best=self._best_speed,
-                remote_factor=self._cfg.remote_factor,
+                distance_factor=self._cfg.distance_factor,
                 now=now,
             )
             if chosen is None:
@@ -176,7 +176,7 @@
             index=index,
             worker=chosen.worker.worker,
             work_s=batch.work_s
-            * placement.distance(batch, chosen, self._cfg.remote_factor),
+            * placement.distance(batch, chosen, self._cfg.distance_factor),
             ordered_at=now,
         )
         task.number += 1
--- a/sardineproxy/process/cells/placement.py
+++ b/sardineproxy/process/cells/placement.py
@@ -15,12 +15,12 @@
 
 
 def distance(
-    batch: runs.Batch, candidate: agent.Agent, remote_factor: float
+    batch: runs.Batch, candidate: agent.Agent, distance_factor: float
 ) -> float:
     """Return how many times as long a task takes for want of its data."""
     if not batch.rack or batch.rack in candidate.worker.labels:
         return 1
-    return remote_factor
+    return distance_factor
 
 
 def best_speed(candidates: Iterable[agent.Agent]) -> float:
@@ -33,20 +33,20 @@
     candidates: Iterable[agent.Agent],
     *,
     best: float,
-    remote_factor: float,
+    distance_factor: float,
     now: float,
 ) -> agent.Agent | None:
     """Return the usable worker where a task ends soonest, or None.
 
     A task that would be late on a slow worker waits for a faster one as long
     as that one could still be in time; ``best`` is the fastest one's speed.
-    On racks without its data a task takes ``remote_factor`` times as long.
+    On racks without its data a task takes ``distance_factor`` times as long.
     """
     least_speed = _least_speed(batch, best, now)
     chosen: agent.Agent | None = None
     least_cost: float = 0
     for candidate in candidates:
-        factor = distance(batch, candidate, remote_factor)
+        factor = distance(batch, candidate, distance_factor)
         if candidate.health.speed < least_speed * factor:
             continue
         if not _has_room(batch, candidate):
--- a/sardineproxy/process/cells/takeover.py
+++ b/sardineproxy/process/cells/takeover.py
@@ -163,7 +163,7 @@
             index=index,
             worker=owner.worker.worker,
             work_s=batch.work_s
-            * placement.distance(batch, owner, self._cfg.remote_factor),
+            * placement.distance(batch, owner, self._cfg.distance_factor),
             ordered_at=now,
         )
         owner.adopt(run, now)
--- a/sardineproxy/process/cells/times.py
+++ b/sardineproxy/process/cells/times.py
@@ -96,4 +96,4 @@
     late_factor: float = 3.0
 
     #: A task takes this many times as long on racks without its data.
-    remote_factor: float = 2.0
+    distance_factor: float = 2.0
--- a/sardineproxy/process/keeping/execution.py
+++ b/sardineproxy/process/keeping/execution.py
@@ -11,15 +11,16 @@
 from sardineproxy.request import jobs, open_tasks
 from sardineproxy.version import routes
 
-#: Ends that do not end their job wait this long for others to join their
-#: commit, in seconds.
+#: Ends of tasks whose job goes on wait this long for others to join their
+#: commit, in seconds. A shorter wait means more calls to the store, a longer
+#: one more looks at workers.
 PROGRESS_WITHIN_S = 0.025
 
-#: The same for what a client waits for.
+#: The same for the end of a job, which clients wait for.
 END_WITHIN_S = 0.005
 
-#: Wait of a job that no client waits for a moment for, in seconds: far more
-#: than any job runs.
+#: Deadline of a job from its acceptance, in seconds. No client waits for its
+#: end, and the owners of cells do not give it up.
 UNLIMITED_S = 1e6
 
 _LOG = logs.get_logger('jobs')
--- a/sardineproxy/process/keeping/keeper.py
+++ b/sardineproxy/process/keeping/keeper.py
@@ -76,18 +76,18 @@
         router: execution.Router,
         clock: clock.Clock,
         metrics: metrics.Metrics,
-        status_s: float,
+        states_s: float,
     ) -> None:
         """Prepare; ``run`` takes the jobs over that are stored.
 
-        States of ended jobs are kept for ``status_s``.
+        States of ended jobs are kept for ``states_s``.
         """
         self.cell = rows.cell
         self._rows = rows
         self._router = router
         self._clock = clock
         self._metrics = metrics
-        self._status_s = status_s
+        self._status_s = states_s
         self._open: dict[ids.JobId, execution.Execution] = {}
         self._ended: dict[ids.JobId, records.StoredJob] = {}
         self._accepting: dict[ids.JobId, asyncio.Future[bool]] = {}
--- a/sardineproxy/process/node/environment.py
+++ b/sardineproxy/process/node/environment.py
@@ -42,7 +42,7 @@
     cell: ids.CellId,
     guard: guarded_rows.Guard,
     router: execution.Router,
-    status_s: float,
+    states_s: float,
 ) -> keeper.Keeper:
     """Return the keeper of a cell that this process owns from now on."""
     return keeper.Keeper(
@@ -57,5 +57,5 @@
         router=router,
         clock=outside.clock,
         metrics=outside.registry,
-        status_s=status_s,
+        states_s=states_s,
     )
--- a/sardineproxy/process/node/node.py
+++ b/sardineproxy/process/node/node.py
@@ -453,7 +453,7 @@
                 right=right, incarnation=self.me.incarnation
             ),
             router=self,
-            status_s=self.cfg.bounds.status_s,
+            states_s=self.cfg.bounds.states_s,
         )
 
     def _call_others(self) -> None:
--- a/sardineproxy/process/node/policy.py
+++ b/sardineproxy/process/node/policy.py
@@ -43,7 +43,7 @@
         return dataclasses.replace(
             self,
             cell=dataclasses.replace(
-                self.cell, calls=fitted, remote_factor=bounds.remote_factor
+                self.cell, calls=fitted, distance_factor=bounds.distance_factor
             ),
         )
 
@@ -77,7 +77,7 @@
 
 
 #: Fields that the platform's bounds set, and no settings file.
-_OF_PLATFORM = frozenset(('remote_factor',))
+_OF_PLATFORM = frozenset(('distance_factor',))
 
 _SECTIONS = types.MappingProxyType(
     {'cell': 'times of a cell', 'workers': 'times of calls to workers'}
--- a/tests/process/keeping/world.py
+++ b/tests/process/keeping/world.py
@@ -166,7 +166,7 @@
             router=self,
             clock=world.rig.clock,
             metrics=metrics.Metrics(),
-            status_s=120,
+            states_s=120,
         )
         self._keepers = keepers.Keepers()
         self.keeper.start()
--- a/tests/process/node/test_policy.py
+++ b/tests/process/node/test_policy.py
@@ -33,7 +33,7 @@
             ('{"cell": {"recall_s": true}}', 'cell.recall_s'),
             ('{"cell": {"calls": 1}}', 'cell.calls'),
             ('{"cell": 3}', 'cell'),
-            ('{"cell": {"remote_factor": 3}}', 'cell.remote_factor'),
+            ('{"cell": {"distance_factor": 3}}', 'cell.distance_factor'),
         ):
             error = policy.parse(text).err_value
             self.assertThat(error, matchers.StartsWith(f'{place}: '))
