The node program writes its help to the present standard output

The stream was bound when the module was imported; the new test of SIGHUP imports it first, under a stream of its own, if it runs before in the same process. Run in that order, the two tests failed before and pass now.

--- a/sardineproxy/process/node/core.py
+++ b/sardineproxy/process/node/core.py
@@ -33,9 +33,13 @@
     argv: list[str],
     *,
     environ: Mapping[str, str] = os.environ,
-    out: TextIO = sys.stdout,
+    out: TextIO | None = None,
 ) -> exit_status.ExitStatus:
-    """Check arguments and settings, then serve until SIGTERM or SIGINT."""
+    """Check arguments and settings, then serve until SIGTERM or SIGINT.
+
+    Help goes to ``out``, the standard output if None.
+    """
+    out = out or sys.stdout
     parsed = cli.parse(argv)
     if isinstance(parsed, result.Err):
         return _fail(parsed.err_value, _STATUS.USAGE)
