--- a/sardineproxy/process/borrowing.py
+++ b/sardineproxy/process/borrowing.py
@@ -57,8 +57,7 @@
     min_lot: int = 16
 
     #: Time for which a lender keeps a request that it could not meet, and
-    #: slots that come free for it. With 0.3 a trial on 6 VMs that all had a
-    #: backlog kept 95 % of the slots busy, with 0.1 it kept 99 % busy.
+    #: slots that come free for it. Slots that are kept longer stay idle.
     pending_s: float = 0.1
 
     #: Shortest time between requests to a lender without free slots.
--- a/sardineproxy/process/keeping/keeper.py
+++ b/sardineproxy/process/keeping/keeper.py
@@ -21,7 +21,7 @@
 ACCEPT_WITHIN_S = 0.002
 
 #: Longest wait for the store before a job is refused or said to be unknown,
-#: in seconds. A commit takes 10 ms, a slow store 0.6 s.
+#: in seconds. A commit takes 16 ms, a slow store 0.6 s.
 STORE_WAIT_S = 1.0
 
 #: Wait of a question for a change of a job that runs, in seconds. Clients ask
@@ -30,7 +30,7 @@
 CHANGE_WAIT_S = 0.04
 
 #: Wait of a question for the state of a job whose end is being stored, in
-#: seconds. A commit takes 10 ms; in most cases the new state is told.
+#: seconds. A commit takes 16 ms; in most cases the new state is told.
 END_WAIT_S = 0.1
 
 #: States are kept this much longer than they are asked for, in seconds.
