Bounded decoder for all documents from outside

Cause: an entry nested 20,000 levels deep, or with a port of 5,000 digits, raised past worker_entries.decode; the follower of the table failed, and with it the process, again at each start. Capacities of 10^400, addresses that no URL can hold and text that cannot be encoded were accepted and broke calls or links later. A job with a lone surrogate raised, and one with an affinity of 300 characters was accepted and closed the link to its leader. One odd row hid its whole page, and a value outside ASCII ended the follower.

Ruled out: the depth check of json_text alone, as the parser raises first.

Change: json_text.decode_object (orjson, size, depth, no huge integers or lone surrogates) for entries, rows, configurations, responses and jobs; ranges of fields as named constants in fields.py, used by settings too. A worker with a malformed entry gets no orders at once, its running work goes on; counted, logged once with its id, shown in the state dump.

--- a/sardineproxy/connection/codec.py
+++ b/sardineproxy/connection/codec.py
@@ -139,10 +139,13 @@
         }
 
     def encode(self, message: Any, *, header: int) -> result.Result[bytes, str]:
-        """Return a frame with its length prefix, Err if it is too large."""
+        """Return a frame with its length prefix, Err if it cannot be sent."""
         kind = type(message)
         fields = [getattr(message, name) for name in self._field_names[kind]]
-        body = msgpack.packb([self._type_numbers[kind], header, *fields])
+        try:
+            body = msgpack.packb([self._type_numbers[kind], header, *fields])
+        except (ValueError, OverflowError) as exc:
+            return result.Err(f'{kind.__name__} cannot be encoded: {exc}')
         if len(body) > MAX_FRAME_BYTES:
             return result.Err(
                 f'{kind.__name__} frame of {len(body)} bytes is too large; '
--- a/sardineproxy/json_text.py
+++ b/sardineproxy/json_text.py
@@ -1,10 +1,11 @@
-"""Parser of JSON with comments and limits, for files and requests."""
+"""Bounded decoders of JSON, for documents from outside and for files."""
 
 import json
 import re
 from typing import Any
 
 import jsonc
+import orjson
 import result
 
 #: Deepest nesting of arrays and objects that is accepted.
@@ -17,6 +18,39 @@
 Document = dict[str, Any]
 
 
+def decode_object(
+    body: bytes, *, max_bytes: int
+) -> result.Result[Document, str]:
+    """Decode one JSON object of another system; never raises.
+
+    Rejects bodies of more than ``max_bytes``, deep nesting, NaN, infinities and
+    text that cannot be encoded again. Integers of more than 64 bits become
+    floats. The error is one sentence.
+    """
+    if len(body) > max_bytes:
+        return result.Err(
+            f'document has {len(body)} bytes, at most {max_bytes} allowed'
+        )
+    try:
+        document = orjson.loads(body)
+    except ValueError as exc:
+        return result.Err(f'not valid JSON: {exc}')
+    if not isinstance(document, dict):
+        return result.Err(
+            f'expected a JSON object, found {type(document).__name__}'
+        )
+    # Few brackets cannot nest deeply, which saves most documents the check.
+    bracket_count = body.count(b'[') + body.count(b'{')
+    if bracket_count > MAX_DEPTH and _is_too_deep(document):
+        return result.Err(f'nesting is deeper than {MAX_DEPTH} levels')
+    return result.Ok(document)
+
+
+def encode(document: Any) -> bytes:
+    """Encode a document for another system."""
+    return orjson.dumps(document)
+
+
 def parse_object(
     text: str, *, max_bytes: int, comments: bool = True
 ) -> result.Result[Document, str]:
--- a/sardineproxy/platform/http_calls.py
+++ b/sardineproxy/platform/http_calls.py
@@ -3,13 +3,13 @@
 import asyncio
 import dataclasses
 import functools
-import json
 from typing import Any, Mapping
 
 import aiohttp
+import result
 import yarl
 
-from sardineproxy import deployment
+from sardineproxy import deployment, json_text
 
 #: Largest response body that is accepted, in bytes. A page of the store has
 #: up to 1 MB of row contents, and base64 adds a third.
@@ -87,7 +87,7 @@
     headers: Mapping[str, str] | None = None,
 ) -> Response | NoResponse:
     """Send one request and read the response."""
-    body = None if document is None else json.dumps(document).encode()
+    body = None if document is None else json_text.encode(document)
     request_headers = dict(headers or {})
     if body is not None:
         request_headers['Content-Type'] = _CONTENT_TYPE
@@ -116,11 +116,9 @@
     if length is not None and length > MAX_RESPONSE_BYTES:
         raise ValueError(f'response of {length} bytes is too large')
     body = await response.read()
-    if len(body) > MAX_RESPONSE_BYTES:
-        raise ValueError(f'response of {len(body)} bytes is too large')
     if not body:
         return Response(status=response.status, document={})
-    document = json.loads(body)
-    if not isinstance(document, dict):
-        raise ValueError('response is not a JSON object')
-    return Response(status=response.status, document=document)
+    decoded = json_text.decode_object(body, max_bytes=MAX_RESPONSE_BYTES)
+    if isinstance(decoded, result.Err):
+        raise ValueError(decoded.err_value)
+    return Response(status=response.status, document=decoded.ok_value)
--- a/sardineproxy/platform/settings.py
+++ b/sardineproxy/platform/settings.py
@@ -6,8 +6,7 @@
 
 import result
 
-from sardineproxy import deployment, ids
-from sardineproxy.platform import fields
+from sardineproxy import deployment, fields, ids
 
 #: Environment variable with the path of the settings file.
 PATH_ENV_VARIABLE = 'SARDINEPROXY_CONFIG'
@@ -38,7 +37,7 @@
     """Decode the contents of a settings file; unknown fields are ignored."""
     try:
         document = tomllib.loads(body.decode())
-    except ValueError as exc:
+    except (ValueError, RecursionError) as exc:
         return result.Err(f'settings file is not valid TOML: {exc}')
     try:
         return result.Ok(_to_deployment(document))
@@ -80,9 +79,9 @@
     ports = fields.get_list(document, 'port_range')
     if not ports or not isinstance(ports[0], int):
         raise fields.FormatError(
-            f'port_range: expected two ports, found {ports!r:.60}'
+            f'port_range: expected two ports, found {fields.describe(ports)}'
         )
-    return deployment.Address(host=host, port=ports[0])
+    return fields.make_address(host, ports[0], f'port_range {ports}')
 
 
 def _decode_seeds(
@@ -90,7 +89,9 @@
 ) -> tuple[deployment.Address, ...]:
     seeds = document.get('seeds', [])
     if not isinstance(seeds, list):
-        raise fields.FormatError(f'seeds: expected a list, found {seeds!r:.60}')
+        raise fields.FormatError(
+            f'seeds: expected a list, found {fields.describe(seeds)}'
+        )
     return tuple(fields.parse_address(str(seed)) for seed in seeds)
 
 
--- a/sardineproxy/platform/store_http.py
+++ b/sardineproxy/platform/store_http.py
@@ -1,14 +1,13 @@
 """Client of the platform's metadata store."""
 
 import base64
-import binascii
-from typing import Any
+from typing import Any, Mapping
 
 import aiohttp
 import result
 
-from sardineproxy import deployment
-from sardineproxy.platform import fields, http_calls
+from sardineproxy import deployment, fields, logs
+from sardineproxy.platform import http_calls
 from sardineproxy.process import store
 
 #: Timeout of a call, in seconds, in addition to the time for which a feed may
@@ -33,6 +32,8 @@
 _Error = store.StoreError
 _Kind = store.ErrorKind
 
+_LOG = logs.get_logger('store')
+
 
 class HttpStore:
     """Implements ``store.Store``."""
@@ -56,7 +57,7 @@
         query: dict[str, str | int] = {'table': table, 'part': part}
         for _ in range(MAX_PAGES):
             response = await self._get('/v1/rows-get', query, wait_s=0)
-            page = _decode_rows(table, response)
+            page = decode_rows(table, response)
             if isinstance(page, result.Err):
                 return page
             rows.extend(page.ok_value.rows)
@@ -88,7 +89,7 @@
             },
             wait_s=0,
         )
-        page = _decode_rows(table, response)
+        page = decode_rows(table, response)
         if isinstance(page, result.Err):
             return page
         return result.Ok(next(iter(page.ok_value.rows), None))
@@ -106,7 +107,7 @@
             },
             wait_s=wait_s,
         )
-        return _decode_rows(table, response)
+        return decode_rows(table, response)
 
     async def transact(
         self,
@@ -165,26 +166,27 @@
     return key.partition('/')[2]
 
 
-def _decode_rows(
+def decode_rows(
     table: str, response: http_calls.Response | http_calls.NoResponse
 ) -> result.Result[store.Rows, _Error]:
+    """Return the rows of a page; rows that name no key are left out."""
     if isinstance(response, http_calls.NoResponse):
         return _error(_Kind.UNAVAILABLE, f'reading {table}: {response.cause}')
     if response.status != _OK:
         kind = _READ_ERROR_KINDS.get(response.status, _Kind.INVALID)
         return _error(kind, f'reading {table}: status {response.status}')
     try:
-        return result.Ok(
-            store.Rows(
-                rows=tuple(
-                    _decode_row(table, row)
-                    for row in fields.get_list(response.document, 'rows')
-                ),
-                revision=fields.get_integer(response.document, 'ver'),
-            )
-        )
-    except (fields.FormatError, binascii.Error) as exc:
+        revision = fields.get_integer(response.document, 'ver')
+        listed = fields.get_list(response.document, 'rows')
+    except fields.FormatError as exc:
         return _error(_Kind.INVALID, f'reading {table}: {exc}')
+    decoded = (_decode_row(table, row) for row in listed)
+    return result.Ok(
+        store.Rows(
+            rows=tuple(row for row in decoded if row is not None),
+            revision=revision,
+        )
+    )
 
 
 _READ_ERROR_KINDS = {  # noqa: WPS407
@@ -194,18 +196,37 @@
 }
 
 
-def _decode_row(table: str, row: Any) -> store.Row:
+def _decode_row(table: str, row: Any) -> store.Row | None:
+    """Decode a row, None if it does not even have a key and a revision.
+
+    One odd row must not hide the others. A value that cannot be decoded becomes
+    an empty body, which the reader of the table rejects with the row's key.
+    """
     if not isinstance(row, dict):
-        raise fields.FormatError(f'row: expected an object, found {row!r:.60}')
-    key = fields.get_string(row, 'key')
-    body = None
-    if not fields.get_boolean(row, 'tombstone'):
-        body = base64.b64decode(fields.get_string(row, 'value'), validate=True)
-    return store.Row(
-        key=f'{table}/{key}',
-        revision=fields.get_integer(row, 'ver', 0),
-        body=body,
-    )
+        _LOG.error('Odd row ignored.', extra={'table': table})
+        return None
+    try:
+        key = fields.get_string(row, 'key')
+        revision = fields.get_integer(row, 'ver', 0)
+    except fields.FormatError as exc:
+        _LOG.error(
+            'Odd row ignored.', extra={'table': table, 'cause': str(exc)}
+        )
+        return None
+    body = None if row.get('tombstone') is True else _decode_value(row)
+    return store.Row(key=f'{table}/{key}', revision=revision, body=body)
+
+
+def _decode_value(row: Mapping[str, Any]) -> bytes:
+    """Return the contents of a row, empty if they cannot be decoded."""
+    encoded = row.get('value')
+    if not isinstance(encoded, str):
+        return b''
+    try:
+        return base64.b64decode(encoded, validate=True)
+    except ValueError:
+        # Its reader logs an empty body as malformed, with the row's key.
+        return b''
 
 
 def _decode_write(
--- a/sardineproxy/platform/submissions.py
+++ b/sardineproxy/platform/submissions.py
@@ -1,15 +1,14 @@
 """Decodes clients' requests and encodes the responses."""
 
 import dataclasses
-import json
 import math
 import re
 from typing import Any, Mapping
 
 import result
 
-from sardineproxy import ids
-from sardineproxy.platform import fields, worker_entries
+from sardineproxy import fields, ids, json_text
+from sardineproxy.platform import worker_entries
 from sardineproxy.process.stored_jobs import job_manager
 from sardineproxy.request import jobs
 
@@ -22,6 +21,12 @@
 MAX_STEPS = 64
 MAX_TASKS = 10_000
 
+#: Longest estimate of a task's run time, in milliseconds: a year.
+MAX_ESTIMATE_MS = 31_536_000_000
+
+#: Most digits of a wait in milliseconds, which is over 11 days.
+MAX_WAIT_DIGITS = 9
+
 #: Header with the time that the client waits for a response, in milliseconds.
 DEADLINE_HEADER = 'Deadline-Ms'
 
@@ -61,18 +66,17 @@
     name: str, body: bytes
 ) -> result.Result[jobs.Job, Malformed | Unsupported]:
     """Decode the body of a request to run or store the job ``name``."""
-    try:
-        document = json.loads(body)
-    except (ValueError, RecursionError) as exc:
-        return result.Err(Malformed(detail=f'not JSON: {exc}'))
     job_id = decode_job_id(name)
-    if job_id is None or not isinstance(document, dict):
+    if job_id is None:
         return result.Err(
             Malformed(
-                detail='expected a job id of 16 hexadecimal digits in lower case '
-                'and a JSON object as the body'
+                detail='expected a job id of 16 hexadecimal digits in lower case'
             )
         )
+    decoded = json_text.decode_object(body, max_bytes=MAX_BODY_BYTES)
+    if isinstance(decoded, result.Err):
+        return result.Err(Malformed(detail=decoded.err_value))
+    document = decoded.ok_value
     try:
         feature = _find_unsupported_feature(document)
         if feature is not None:
@@ -94,7 +98,7 @@
 
 
 def _to_job(job_id: ids.JobId, document: Mapping[str, Any]) -> jobs.Job:
-    payload = fields.get_string(document, 'spec')
+    payload = fields.get_string(document, 'spec', max_chars=MAX_PAYLOAD_BYTES)
     if len(payload.encode()) > MAX_PAYLOAD_BYTES:
         raise fields.FormatError(
             f'spec: expected at most {MAX_PAYLOAD_BYTES} bytes, '
@@ -130,17 +134,22 @@
     )
     if not is_valid:
         raise fields.FormatError(
-            f'after: expected indices of earlier steps, found {after!r:.60} '
-            f'in step {index}'
+            'after: expected indices of earlier steps, found '
+            f'{fields.describe(after)} in step {index}'
         )
     return jobs.Step(
-        count=fields.get_integer(document, 'count', 1),
+        count=fields.get_integer(document, 'count', 1, maximum=MAX_TASKS),
         resources=worker_entries.decode_resources(document),
-        estimate_s=fields.get_number(document, 'estimate_ms', 0) / _MS_PER_S,
+        estimate_s=fields.get_number(
+            document, 'estimate_ms', 0, maximum=MAX_ESTIMATE_MS
+        )
+        / _MS_PER_S,
         after=tuple(after),
         requires=fields.get_string(document, 'requires', ''),
         rack=fields.get_string(document, 'affinity', ''),
-        per_worker=fields.get_integer(document, 'anti_affinity', 0),
+        per_worker=fields.get_integer(
+            document, 'anti_affinity', 0, maximum=MAX_TASKS
+        ),
     )
 
 
@@ -151,7 +160,9 @@
 
 def decode_wait_s(header: str | None) -> float | None:
     """Return how long the client waits, in seconds; None if not stated."""
-    if header is None or not header.isdecimal():
+    if header is None or len(header) > MAX_WAIT_DIGITS:
+        return None
+    if not (header.isascii() and header.isdecimal()):
         return None
     return int(header) / _MS_PER_S
 
--- a/sardineproxy/platform/worker_http.py
+++ b/sardineproxy/platform/worker_http.py
@@ -4,7 +4,8 @@
 
 import aiohttp
 
-from sardineproxy.platform import fields, http_calls
+from sardineproxy import fields
+from sardineproxy.platform import http_calls
 from sardineproxy.process.shards import workers
 
 _MS_PER_S = 1000
@@ -102,7 +103,7 @@
         assert isinstance(response, http_calls.Response)
         try:
             return _decode_report(response.document)
-        except (fields.FormatError, KeyError) as exc:
+        except fields.FormatError as exc:
             return _malformed_response(f'report: {exc}')
 
     async def _post(
@@ -128,10 +129,11 @@
     if isinstance(response, http_calls.NoResponse):
         return workers.Unanswered(unsent=response.unsent, cause=response.cause)
     if response.status == _OK:
-        clock_ms = response.document.get('clock_ms')
-        if isinstance(clock_ms, int):
-            return workers.Accepted(clock_ms=clock_ms)
-        return _malformed_response('the response has no clock')
+        try:
+            clock_ms = fields.get_integer(response.document, 'clock_ms')
+        except fields.FormatError as exc:
+            return _malformed_response(str(exc))
+        return workers.Accepted(clock_ms=clock_ms)
     if response.status == _CONFLICT:
         reason = response.document.get('reason')
         refusal = _REFUSALS.get(str(reason), workers.Refusal.NOT_EXECUTED)
@@ -165,7 +167,7 @@
                 position=row[0],
                 task=row[1],
                 run=row[2],
-                result=_RESULTS[row[3]],
+                result=_decode_result(row[3]),
             )
             for row in map(_check_finished, finished)
         ),
@@ -173,6 +175,16 @@
     )
 
 
+def _decode_result(how: str) -> workers.RunResult:
+    decoded = _RESULTS.get(how)
+    if decoded is None:
+        raise fields.FormatError(
+            f'result: expected one of {", ".join(_RESULTS)}, '
+            f'found {fields.describe(how)}'
+        )
+    return decoded
+
+
 def _check_active(row: Any) -> list[Any]:
     _check_row(row, (str, int, str, (int, float)))
     return row
@@ -186,4 +198,4 @@
 def _check_row(row: Any, types: tuple[Any, ...]) -> None:
     is_row = isinstance(row, list) and len(row) >= len(types)
     if not is_row or not all(map(isinstance, row, types)):
-        raise fields.FormatError(f'malformed row {row!r:.80}')
+        raise fields.FormatError(f'malformed row {fields.describe(row)}')
--- a/sardineproxy/process/membership/registry.py
+++ b/sardineproxy/process/membership/registry.py
@@ -1,15 +1,20 @@
 """Registry table: members (entry VMs) and their claims on shards."""
 
 import dataclasses
-import json
 from typing import Any, Iterable
 
-from sardineproxy import deployment, ids, logs
+import result
+
+from sardineproxy import deployment, fields, ids, json_text, logs
 from sardineproxy.process import store
+from sardineproxy.process.shards import fencing
 
 #: Table of this project in the platform's store.
 TABLE = 'sardineproxy'
 
+#: Largest row, in bytes: the largest that the platform's store accepts.
+MAX_ROW_BYTES = 65_536
+
 _MEMBER_PREFIX = f'{TABLE}/member/'
 _SHARD_PREFIX = f'{TABLE}/cell/'
 
@@ -91,7 +96,7 @@
                 self._decode_member(row)
             elif row.key.startswith(_SHARD_PREFIX):
                 self._decode_claim(row)
-        except (ValueError, KeyError, TypeError) as exc:
+        except fields.FormatError as exc:
             _LOG.error(
                 'Malformed registry row ignored.',
                 extra={'key': row.key, 'cause': str(exc)},
@@ -102,15 +107,17 @@
         if row.body is None:
             self.members.pop(vm, None)
             return
-        document = json.loads(row.body)
+        document = _decode_object(row.body)
+        host = fields.get_string(document, 'host')
+        port = fields.get_integer(document, 'port')
         self.members[vm] = Member(
             vm=vm,
-            incarnation=ids.Incarnation(str(document['incarnation'])),
-            zone=ids.ZoneId(str(document['zone'])),
-            address=deployment.Address(
-                host=str(document['host']), port=int(document['port'])
+            incarnation=ids.Incarnation(
+                fields.get_string(document, 'incarnation')
             ),
-            cores=float(document['cores']),
+            zone=ids.ZoneId(fields.get_string(document, 'zone')),
+            address=fields.make_address(host, port, f'{host}:{port}'),
+            cores=fields.get_number(document, 'cores'),
         )
 
     def _decode_claim(self, row: store.Row) -> None:
@@ -118,19 +125,35 @@
         if row.body is None:
             self.claims.pop(shard, None)
             return
-        document = json.loads(row.body)
+        document = _decode_object(row.body)
+        heirs = fields.get_list(
+            document, 'heirs', max_items=fencing.MAX_SUCCESSORS
+        )
         self.claims[shard] = Claim(
             cell=shard,
-            epoch=int(document['epoch']),
-            owner=_to_process_id(document['owner']),
-            heirs=tuple(map(_to_process_id, document['heirs'])),
+            epoch=fields.get_integer(
+                document, 'epoch', maximum=fencing.MAX_EPOCH
+            ),
+            owner=_to_process_id(document.get('owner')),
+            heirs=tuple(map(_to_process_id, heirs)),
             revision=row.revision,
         )
 
 
+def _decode_object(body: bytes) -> json_text.Document:
+    decoded = json_text.decode_object(body, max_bytes=MAX_ROW_BYTES)
+    if isinstance(decoded, result.Err):
+        raise fields.FormatError(decoded.err_value)
+    return decoded.ok_value
+
+
 def _to_process_id(pair: Any) -> ProcessId:
-    vm, incarnation = pair
-    return ids.VmId(str(vm)), ids.Incarnation(str(incarnation))
+    is_pair = isinstance(pair, list) and len(pair) == 2
+    if not is_pair or not all(isinstance(text, str) for text in pair):
+        raise fields.FormatError(
+            f'expected a VM and an incarnation, found {fields.describe(pair)}'
+        )
+    return ids.VmId(pair[0]), ids.Incarnation(pair[1])
 
 
 def member_write(member: Member) -> store.Write:
@@ -143,7 +166,7 @@
         'cores': member.cores,
     }
     return store.Write(
-        key=f'{_MEMBER_PREFIX}{member.vm}', body=json.dumps(document).encode()
+        key=f'{_MEMBER_PREFIX}{member.vm}', body=json_text.encode(document)
     )
 
 
@@ -160,5 +183,5 @@
         'heirs': claim.heirs,
     }
     return store.Write(
-        key=shard_key(claim.cell), body=json.dumps(document).encode()
+        key=shard_key(claim.cell), body=json_text.encode(document)
     )
--- a/sardineproxy/process/membership/worker_list.py
+++ b/sardineproxy/process/membership/worker_list.py
@@ -5,7 +5,7 @@
 import result
 
 from sardineproxy import ids, logs
-from sardineproxy.process import store
+from sardineproxy.process import metrics, store
 from sardineproxy.process.shards import workers
 from sardineproxy.process.membership import table_follower
 
@@ -28,24 +28,31 @@
         *,
         worker_id: Callable[[store.Row], ids.WorkerId],
         decode: DecodeWorker,
+        metrics: metrics.Metrics,
     ) -> None:
         """Create an empty list."""
         self._worker_id = worker_id
         self._decode = decode
+        self._metrics = metrics
         self._workers: dict[ids.WorkerId, workers.Worker] = {}
         self._removed_at: dict[ids.WorkerId, float] = {}
 
+        #: Why the current entry of a worker is malformed.
+        self._malformed: dict[ids.WorkerId, str] = {}
+
     def update(self, rows: tuple[store.Row, ...], now: float) -> None:
         """Apply changed rows."""
         for row in rows:
             worker_id = self._worker_id(row)
             if row.body is None:
+                self._malformed.pop(worker_id, None)
                 self._removed_at.setdefault(worker_id, now)
                 continue
             decoded = self._decode(row)
             if isinstance(decoded, result.Err):
                 self._mark_malformed(worker_id, decoded.err_value, now)
             else:
+                self._malformed.pop(worker_id, None)
                 self._removed_at.pop(worker_id, None)
                 self._workers[worker_id] = decoded.ok_value
 
@@ -63,19 +70,27 @@
                 self._workers.pop(worker_id, None)
 
     def of_shard(self, shard: ids.ShardId) -> list[workers.Worker]:
-        """Return the workers of a shard."""
+        """Return the workers of a shard whose entries are well formed."""
         return [
-            worker for worker in self._workers.values() if worker.zone == shard
+            worker
+            for worker_id, worker in self._workers.items()
+            if worker.zone == shard and worker_id not in self._malformed
         ]
 
+    def malformed_entries(self) -> dict[ids.WorkerId, str]:
+        """Return the workers with malformed entries and the cause of each."""
+        return dict(self._malformed)
+
     def _mark_malformed(
         self, worker_id: ids.WorkerId, cause: str, now: float
     ) -> None:
         """Treat a worker with a malformed entry as removed."""
-        if worker_id in self._workers:
+        self._metrics.count('malformed_worker_entries_total')
+        if self._malformed.get(worker_id) != cause:
+            self._malformed[worker_id] = cause
             _LOG.error(
                 'Malformed worker entry; treated as removed.',
-                extra={'cause': cause},
+                extra={'worker': worker_id, 'cause': cause},
             )
         self._removed_at.setdefault(worker_id, now)
 
--- a/sardineproxy/process/node/node.py
+++ b/sardineproxy/process/node/node.py
@@ -89,6 +89,7 @@
         self.workers = worker_list.WorkerList(
             worker_id=dependencies.formats.worker_id,
             decode=dependencies.formats.decode_worker,
+            metrics=self.metrics,
         )
         self.links = links.Links(
             clock=self._clock,
--- a/sardineproxy/process/shards/fencing.py
+++ b/sardineproxy/process/shards/fencing.py
@@ -11,6 +11,10 @@
 _RANK_BITS = 4
 _COUNT_BITS = 18
 
+#: Largest epoch. Its fences have at most 62 bits, so that every worker can
+#: read them as a signed integer of 64 bits.
+MAX_EPOCH = 2**40
+
 #: Largest number of successors of a claim.
 MAX_SUCCESSORS = 2**_RANK_BITS - 1
 
--- a/sardineproxy/process/shards/reconciler.py
+++ b/sardineproxy/process/shards/reconciler.py
@@ -86,14 +86,31 @@
             self.unacked.last_position = finished_run.position
             self._ledger.unrequested.pop(finished_run.task, None)
             run = self._ledger.find(finished_run.task, finished_run.run)
-            if run is None or run.batch.stored:
-                self.unacked.add(finished_run, now)
             if run is None:
+                self._keep_unknown(finished_run, now)
                 continue
+            if run.batch.stored:
+                self.unacked.add(finished_run, now)
             self._ledger.remove(run)
             self._health.record_result(run, finished_run.result, now)
             self._events.run_finished(run, finished_run.result)
 
+    def _keep_unknown(
+        self, finished_run: workers.FinishedRun, now: float
+    ) -> None:
+        """Keep the result of a run that this process did not start.
+
+        The manager of a stored job may ask for it. A name that is not one of
+        this system belongs to no job, so that its result may be acknowledged.
+        """
+        if runs.is_task_name(finished_run.task):
+            self.unacked.add(finished_run, now)
+        else:
+            _LOG.error(
+                'Worker lists the result of an unknown kind of task.',
+                extra={'worker': self._worker, 'task': finished_run.task[:80]},
+            )
+
     def _apply_active(
         self, listed: Mapping[workers.TaskName, workers.ActiveRun], now: float
     ) -> None:
--- a/sardineproxy/process/shards/runs.py
+++ b/sardineproxy/process/shards/runs.py
@@ -2,12 +2,16 @@
 
 import dataclasses
 import enum
+import re
 
 from sardineproxy import ids
 from sardineproxy.connection import link, messages
 from sardineproxy.process.shards import workers
 from sardineproxy.request import jobs
 
+#: Job, occurrence, step and index.
+_TASK_NAME = re.compile(r'[^.]{1,64}\.0\.[0-9]{1,9}\.[0-9]{1,9}')
+
 
 class RunState(enum.Enum):
     """State of a run at its worker."""
@@ -172,8 +176,13 @@
     return ids.JobId(task.partition('.')[0])
 
 
+def is_task_name(task: workers.TaskName) -> bool:
+    """Return whether a name that a worker reports is one of this system."""
+    return _TASK_NAME.fullmatch(task) is not None
+
+
 def split_task(task: workers.TaskName) -> tuple[ids.JobId, int, int]:
-    """Return job, step and index of a task."""
+    """Return job, step and index of a task; see ``is_task_name``."""
     job, _, step, index = task.split('.')
     return ids.JobId(job), int(step), int(index)
 
--- a/sardineproxy/process/stored_jobs/records.py
+++ b/sardineproxy/process/stored_jobs/records.py
@@ -14,6 +14,15 @@
 #: First item of each row. Rows with another value are rejected.
 FORMAT_VERSION = 1
 
+#: What msgpack and the conversions below raise for a malformed row.
+_DECODE_ERRORS = (
+    ValueError,
+    TypeError,
+    KeyError,
+    OverflowError,
+    RecursionError,
+)
+
 
 class JobState(enum.Enum):
     """State of a stored job."""
@@ -131,7 +140,7 @@
     """Decode the row of a job, or return why it is malformed."""
     try:
         return result.Ok(_unpack_job(*_unpack(body)))
-    except (ValueError, TypeError, KeyError) as exc:
+    except _DECODE_ERRORS as exc:
         return result.Err(f'malformed job row: {exc}')
 
 
@@ -170,7 +179,7 @@
                 },
             )
         )
-    except (ValueError, TypeError) as exc:
+    except _DECODE_ERRORS as exc:
         return result.Err(f'malformed progress row: {exc}')
 
 
--- a/tests/process/membership/test_worker_list.py
+++ b/tests/process/membership/test_worker_list.py
@@ -19,7 +19,9 @@
 
 def make_list() -> worker_list.WorkerList:
     return worker_list.WorkerList(
-        worker_id=worker_entries.parse_worker_id, decode=worker_entries.decode
+        worker_id=worker_entries.parse_worker_id,
+        decode=worker_entries.decode,
+        metrics=metrics.Metrics(),
     )
 
 
@@ -68,6 +70,25 @@
         tested.drop_removed(healthy_since=0, now=30)
         self.assertEqual([], tested.of_shard(SHARD))
 
+    def test_malformed_entry_leaves_the_others_and_may_return(self) -> None:
+        """Guards against an odd entry that hides the list behind it.
+
+        Its worker gets no orders while the entry is malformed, and is used
+        again with the worker's next heartbeat.
+        """
+        tested = make_list()
+        deep = b'[' * 20_000
+        odd = store.Row(key='servers/i-1', revision=2, body=deep)
+        tested.update((row(samples.worker_entry()),), 10)
+        tested.update((odd, row(samples.worker_entry(), 'i-2')), 11)
+        self.assertEqual(
+            ['i-2'], [worker.worker for worker in tested.of_shard(SHARD)]
+        )
+        self.assertEqual(['i-1'], list(tested.malformed_entries()))
+        tested.update((row(samples.worker_entry()),), 12)
+        self.assertEqual(2, len(tested.of_shard(SHARD)))
+        self.assertEqual({}, tested.malformed_entries())
+
     def test_list_is_complete_once_the_store_has_been_healthy(self) -> None:
         """Guards against a new leader that misses a worker with runs.
 
