Decisions on waiting work as a subsystem without input or output

Cause: one pass over a full shard cost waiting jobs times workers, for each submission, each end and each tick; the queue and all workers were counted once more for each submission. A job for which no shard has room was declined only when its latest start had passed, although the leader knew on arrival.

Change: process/load: a pool of usable workers by free capacity and cost, the queue's order with counts and due checks, a forecast of the ends of active runs, admission on arrival with rejection at once, and return times spread by the rate of ends. An event considers only what it could change: the worker whose run ended, or the batch that arrived. The capacity of another shard is reserved for tasks that were referred to it. Durations are recorded in the histograms when they are read.

--- a/sardineproxy/process/metrics.py
+++ b/sardineproxy/process/metrics.py
@@ -1,5 +1,6 @@
 """Counters and latency histograms in Prometheus text format."""
 
+import collections
 from typing import Iterator
 
 from hdrh import histogram
@@ -8,6 +9,11 @@
 MAX_MICROSECONDS = 3_600_000_000
 SIGNIFICANT_DIGITS = 2
 MICROSECONDS_PER_SECOND = 1_000_000
+
+#: Leading bits of a duration that are retained until it is recorded, which is
+#: slow: the error is below that of the histogram.
+PENDING_BITS = 9
+
 PERCENTILES = (50.0, 90.0, 99.0, 99.9)
 
 Labels = tuple[tuple[str, str], ...]
@@ -19,25 +25,29 @@
     def __init__(self) -> None:
         """Create an empty registry."""
         self._counters: dict[tuple[str, Labels], int] = {}
+
+        #: Counts of durations that the histograms do not contain yet.
+        self._pending: dict[tuple[str, Labels], collections.Counter[int]] = {}
         self._durations: dict[tuple[str, Labels], histogram.HdrHistogram] = {}
 
     def count(self, name: str, by: int = 1, **labels: str) -> None:
         """Add ``by`` to the counter ``name``, which ends in ``_total``."""
-        key = (name, tuple(sorted(labels.items())))
+        key = (name, _sort_labels(labels))
         self._counters[key] = self._counters.get(key, 0) + by
 
     def observe(self, name: str, seconds: float, **labels: str) -> None:
         """Record a duration under ``name``, which ends in ``_seconds``."""
-        key = (name, tuple(sorted(labels.items())))
-        durations = self._durations.get(key)
-        if durations is None:
-            durations = histogram.HdrHistogram(
+        key = (name, _sort_labels(labels))
+        pending = self._pending.get(key)
+        if pending is None:
+            pending = collections.Counter()
+            self._pending[key] = pending
+            self._durations[key] = histogram.HdrHistogram(
                 1, MAX_MICROSECONDS, SIGNIFICANT_DIGITS
             )
-            self._durations[key] = durations
-        durations.record_value(
-            max(1, int(seconds * MICROSECONDS_PER_SECOND)),
-        )
+        micros = max(1, int(seconds * MICROSECONDS_PER_SECOND))
+        dropped_bits = max(0, micros.bit_length() - PENDING_BITS)
+        pending[micros >> dropped_bits << dropped_bits] += 1
 
     def counters(self) -> dict[str, int]:
         """Return all counters, for the state dump."""
@@ -51,6 +61,7 @@
         return '\n'.join(self._lines()) + '\n'
 
     def _lines(self) -> Iterator[str]:
+        self._record_pending()
         for (name, labels), count in sorted(self._counters.items()):
             yield f'sardineproxy_{name}{_render_labels(labels)} {count}'
         for (name, labels), durations in sorted(
@@ -58,6 +69,17 @@
         ):
             yield from _render_summary(name, labels, durations)
 
+    def _record_pending(self) -> None:
+        for key, pending in self._pending.items():
+            durations = self._durations[key]
+            for micros, count in pending.items():
+                durations.record_value(micros, count)
+            pending.clear()
+
+
+def _sort_labels(labels: dict[str, str]) -> Labels:
+    return tuple(sorted(labels.items())) if labels else ()
+
 
 def _render_summary(
     name: str, labels: Labels, durations: histogram.HdrHistogram
--- a/sardineproxy/process/node/led_shards.py
+++ b/sardineproxy/process/node/led_shards.py
@@ -113,14 +113,14 @@
         for leader in list(self.shards.values()):
             leader.tick(now)
 
-    def shard_statuses(self, now: float) -> tuple[messages.ShardStatus, ...]:
+    def shard_statuses(self) -> tuple[messages.ShardStatus, ...]:
         """Return the status of every led shard, for the heartbeat."""
         return tuple(
             (
                 leader.shard,
                 leader.token.epoch,
                 leader.token.rank,
-                leader.count_startable_tasks(now),
+                leader.count_startable_tasks(),
                 self._job_service.managers[leader.shard].is_loaded,
             )
             for leader in self.shards.values()
--- a/sardineproxy/process/node/node.py
+++ b/sardineproxy/process/node/node.py
@@ -420,7 +420,7 @@
     def _heartbeat(self, now: float) -> messages.Heartbeat:
         return messages.Heartbeat(
             version=self.versions.number,
-            shards=self.led_shards.shard_statuses(now),
+            shards=self.led_shards.shard_statuses(),
             pending=tuple(self.job_service.pending().items()),
         )
 
--- a/sardineproxy/process/shards/agent.py
+++ b/sardineproxy/process/shards/agent.py
@@ -34,8 +34,8 @@
 class Events(reconciler.Events, Protocol):
     """Receives the events of one worker and its runs."""
 
-    def capacity_freed(self) -> None:
-        """Handle newly available capacity."""
+    def capacity_freed(self, agent: 'Agent') -> None:
+        """Handle newly available capacity of a worker."""
 
     def superseded(self, agent: 'Agent') -> None:
         """Handle a worker that has seen the fence of a newer leader."""
@@ -279,7 +279,7 @@
         if unrequested:
             self._events.unrequested_runs(self, unrequested)
         if is_newly_confirmed:
-            self._events.capacity_freed()
+            self._events.capacity_freed(self)
 
     def handle_lease_expired(self, run: runs.Run) -> None:
         """Report a run as lost whose lease expired without a response."""
--- a/sardineproxy/process/shards/backlog.py
+++ b/sardineproxy/process/shards/backlog.py
@@ -8,10 +8,6 @@
 from sardineproxy.process.shards import recent_results, runs, workers
 from sardineproxy.request import jobs
 
-#: Suggested retry delay after a refusal for lack of capacity, in seconds. Some
-#: of the longest typical tasks have finished by then.
-NO_CAPACITY_RETRY_S = 1.0
-
 _LOG = logs.get_logger('cell')
 
 
@@ -34,6 +30,7 @@
             retention_s=result_retention_s
         )
         self._batches: dict[runs.BatchKey, runs.Batch] = {}
+        self._steps: dict[ids.JobId, set[runs.BatchKey]] = {}
 
         #: Runs that may exist, including those of dropped tasks.
         self.live_runs: dict[workers.TaskName, runs.Run] = {}
@@ -50,19 +47,16 @@
         """Add a batch if it has tasks."""
         if batch.tasks:
             self._batches[batch.key] = batch
+            self._steps.setdefault(batch.job, set()).add(batch.key)
+
+    def of_job(self, job: ids.JobId) -> list[runs.Batch]:
+        """Return the batches of a job."""
+        return [self._batches[key] for key in self._steps.get(job, ())]
 
     def all(self) -> list[runs.Batch]:
         """Return all batches."""
         return list(self._batches.values())
 
-    def waiting(self) -> list[runs.Batch]:
-        """Return the batches with tasks that have no run."""
-        return [batch for batch in self._batches.values() if batch.waiting()]
-
-    def count_waiting(self) -> int:
-        """Return the number of tasks without a run."""
-        return sum(len(batch.waiting()) for batch in self._batches.values())
-
     def expire(self, now: float) -> None:
         """Remove recent results that are older than the retention time."""
         self._recent_results.expire(now)
@@ -78,15 +72,20 @@
             task = batch.tasks[run.index]
             task.next_run_number = max(task.next_run_number, run.number + 1)
 
-    def requeue(self, run: runs.Run) -> None:
-        """Return the task of a run that no longer exists to the queue."""
+    def requeue(self, run: runs.Run) -> bool:
+        """Let the task of a run that no longer exists wait again.
+
+        Returns False if the task was dropped or has another run.
+        """
         task = run.batch.tasks.get(run.index)
-        if task is not None and task.run is run:
-            task.run = None
+        if task is None or task.run is not run:
+            return False
+        run.batch.requeue(run.index)
+        return True
 
     def finish_task(self, run: runs.Run, result: jobs.TaskResult) -> None:
         """Remove a finished task and send its result to the coordinator."""
-        run.batch.tasks.pop(run.index)
+        run.batch.remove_task(run.index)
         self._remove_if_empty(run.batch)
         self.send_result(run.batch, run.index, run.number, result)
 
@@ -126,7 +125,7 @@
                 continue
             recent_result = self._recent_results.find(batch.task_name(index))
             if recent_result is None or run_number > recent_result.run:
-                batch.tasks[index] = runs.Task(next_run_number=run_number)
+                batch.add_task(index, run_number)
             else:
                 self.send_result(
                     batch, index, recent_result.run, recent_result.result
@@ -169,11 +168,15 @@
         indices: list[int],
         *,
         cause: str,
+        retry_after_s: float,
         suggested_shard: str = '',
     ) -> None:
-        """Notify the coordinator that tasks will not start in this shard."""
+        """Notify the coordinator that tasks will not start in this shard.
+
+        ``retry_after_s`` is for a client whose job ends because of that.
+        """
         for index in indices:
-            batch.tasks.pop(index)
+            batch.remove_task(index)
         self._remove_if_empty(batch)
         _LOG.info(
             'Tasks declined.',
@@ -184,6 +187,7 @@
                 'other': suggested_shard,
                 'age_s': round(self._clock.now() - batch.arrived_at, 4),
                 'batches': len(self._batches),
+                'retry_after_s': round(retry_after_s, 3),
             },
         )
         self._metrics.count('tasks_declined_total', len(indices))
@@ -196,7 +200,7 @@
                     indices=tuple(indices),
                     suggested_shard=suggested_shard,
                     cause=cause,
-                    retry_after_s=NO_CAPACITY_RETRY_S,
+                    retry_after_s=retry_after_s,
                     stored=batch.stored,
                 )
             )
@@ -215,8 +219,7 @@
                 'age_s': round(self._clock.now() - batch.arrived_at, 4),
             },
         )
-        tasks = list(batch.tasks.values())
-        batch.tasks.clear()
+        tasks = batch.clear()
         self._remove_if_empty(batch)
         for task in tasks:
             if task.run is not None:
@@ -254,3 +257,7 @@
     def _remove_if_empty(self, batch: runs.Batch) -> None:
         if not batch.tasks and self._batches.get(batch.key) is batch:
             self._batches.pop(batch.key)
+            steps = self._steps[batch.job]
+            steps.discard(batch.key)
+            if not steps:
+                self._steps.pop(batch.job)
--- a/sardineproxy/process/shards/runs.py
+++ b/sardineproxy/process/shards/runs.py
@@ -142,8 +142,45 @@
     #: True once the manager of a stored job was notified of its start.
     start_reported: bool = False
 
+    #: Unfinished tasks by index; the methods below change them.
     tasks: dict[int, Task] = dataclasses.field(default_factory=dict)
 
+    #: Indices of the tasks without a run, in order; used as an ordered set.
+    _waiting: dict[int, None] = dataclasses.field(default_factory=dict)
+
+    def add_task(self, index: int, next_run_number: int) -> None:
+        """Add a task without a run."""
+        self.tasks[index] = Task(next_run_number=next_run_number)
+        self._waiting[index] = None
+
+    def add_running(self, index: int, run: Run) -> None:
+        """Add a task with a run that was started before."""
+        self.tasks[index] = Task(next_run_number=run.number + 1, run=run)
+
+    def assign(self, index: int, run: Run) -> None:
+        """Give a waiting task a run."""
+        task = self.tasks[index]
+        task.next_run_number = run.number + 1
+        task.run = run
+        self._waiting.pop(index)
+
+    def requeue(self, index: int) -> None:
+        """Return a task whose run no longer exists to the waiting ones."""
+        self.tasks[index].run = None
+        self._waiting[index] = None
+
+    def remove_task(self, index: int) -> Task:
+        """Remove and return a task."""
+        self._waiting.pop(index, None)
+        return self.tasks.pop(index)
+
+    def clear(self) -> list[Task]:
+        """Remove and return all tasks."""
+        removed = list(self.tasks.values())
+        self.tasks.clear()
+        self._waiting.clear()
+        return removed
+
     @property
     def key(self) -> BatchKey:
         """Return the key of the batch."""
@@ -158,9 +195,14 @@
         """Return a task's name at its worker."""
         return task_name(self.job, self.step, index)
 
+    @property
+    def waiting_count(self) -> int:
+        """Return the number of tasks without a run."""
+        return len(self._waiting)
+
     def waiting(self) -> list[int]:
         """Return the indices of the tasks without a run."""
-        return [index for index, task in self.tasks.items() if not task.run]
+        return list(self._waiting)
 
 
 def task_name(job: ids.JobId, step: int, index: int) -> workers.TaskName:
--- a/sardineproxy/process/shards/scheduler.py
+++ b/sardineproxy/process/shards/scheduler.py
@@ -1,15 +1,22 @@
-"""Scheduling of a shard's waiting tasks: order, placement and expiry."""
+"""Scheduling of a shard's waiting tasks: admission, placement and expiry."""
 
+import dataclasses
 from typing import Mapping, Protocol
 
 from sardineproxy import ids, logs
 from sardineproxy.connection import messages
 from sardineproxy.process import metrics
+from sardineproxy.process.load import (
+    admission,
+    forecast,
+    order,
+    placement,
+    returns,
+)
 from sardineproxy.process.shards import (
     agent,
     backlog,
     fencing,
-    placement,
     shard_capacities,
     runs,
     times,
@@ -22,6 +29,13 @@
 INITIAL_TASK_MILLICORES = 14_000.0
 TASK_SIZE_WEIGHT = 0.05
 
+#: Batches that are tried for the freed capacity of one worker.
+MAX_BATCHES_TRIED = 32
+
+#: Interval at which all workers are checked again, in seconds: an ejection
+#: ends without an event.
+REFRESH_INTERVAL_S = 0.1
+
 _LOG = logs.get_logger('cell')
 
 
@@ -35,7 +49,19 @@
         """Return whether the worker list can be read from the store."""
 
 
-class Scheduler:
+@dataclasses.dataclass(kw_only=True, slots=True)
+class Permissions:
+    """What the leader may start at present."""
+
+    #: True once the list of workers is recent enough.
+    is_list_current: bool = False
+
+    #: True while no other process can lead the shard. Tasks of stored jobs
+    #: are started only then.
+    is_leadership_confirmed: bool = True
+
+
+class Scheduler:  # noqa: WPS214
     """Starts waiting tasks, and declines those that cannot be on time."""
 
     def __init__(
@@ -62,76 +88,94 @@
         self._metrics = metrics
         self._cfg = cfg
         self._average_millicores = INITIAL_TASK_MILLICORES
-        self._fastest_speed = 1.0
+        self._pool = placement.WorkerPool()
+        self._queue = order.WaitingQueue()
+        self._ends = forecast.EndForecast()
+        self._returns = returns.ReturnSchedule()
+        self._refreshed_at: float = 0
 
         #: Fencing token of the leader, for the log.
         self.token = token
+        self.permissions = Permissions()
 
-    def count_startable_tasks(self, now: float) -> int:
+    @property
+    def waiting_count(self) -> int:
+        """Return the number of tasks without a run."""
+        return self._queue.task_count
+
+    def count_startable_tasks(self) -> int:
         """Return how many additional tasks of average size could start."""
-        startable_count = placement.count_startable(
-            int(self._average_millicores),
-            placement.usable_workers(self._agents.values(), now),
+        startable_count = self._pool.count_startable(
+            int(self._average_millicores)
         )
-        return max(0, startable_count - self._backlog.count_waiting())
+        return max(0, startable_count - self._queue.task_count)
 
-    def record_task_size(self, millicores: int) -> None:
-        """Include the size of a new task in the average."""
+    def submit(self, batch: runs.Batch, now: float) -> None:
+        """Admit the waiting tasks of a new batch, and start what fits."""
         self._average_millicores += TASK_SIZE_WEIGHT * (
-            millicores - self._average_millicores
+            batch.resources.millicores - self._average_millicores
         )
+        if not self._admit(batch, now):
+            return
+        self.retry(batch, now)
+        if batch.waiting_count and not batch.pinned:
+            self._refer_excess(batch, now)
 
-    def dispatch(self, *, with_stored: bool, now: float) -> None:
-        """Start waiting tasks as far as free capacity allows.
+    def retry(self, batch: runs.Batch, now: float) -> None:
+        """Start waiting tasks of a batch, for example after a lost run."""
+        if self._may_start(batch):
+            self._place(batch, now)
+        if not batch.waiting_count:
+            self._queue.discard(batch)
+            return
+        self._queue.update(batch)
+        self._queue.check_at(batch, self._next_check_at(batch, now))
 
-        Tasks of stored jobs are started only if ``with_stored`` is true.
-        """
-        waiting = [
-            batch
-            for batch in self._backlog.waiting()
-            if with_stored or not batch.stored
-        ]
-        if not waiting:
+    def worker_changed(self, worker: ids.WorkerId, now: float) -> None:
+        """Start waiting tasks on a worker that may have free capacity."""
+        worker_agent = self._agents.get(worker)
+        if worker_agent is None:
+            self._pool.discard(worker)
             return
-        candidates = placement.usable_workers(self._agents.values(), now)
-        if candidates:
-            self._fastest_speed = placement.find_fastest_speed(candidates)
-        waiting.sort(key=self._urgency_key)
-        for batch in waiting:
-            self._place(batch, candidates, now)
-            if batch.waiting():
-                self._decline_or_drop(batch, now)
-
-    def decline_excess(self, batch: runs.Batch, now: float) -> None:
-        """Decline tasks that exceed the free capacity of this shard.
-
-        Their coordinator is referred to shards with free capacity.
-        """
-        if batch.pinned:
+        self._pool.refresh(worker_agent, now)
+        while worker in self._pool:
+            batch = self._find_batch_for(worker_agent, now)
+            if batch is None:
+                return
+            self._start_on(batch, worker_agent, now)
+
+    def run_adopted(self, run: runs.Run, now: float) -> None:
+        """Include a run of the former leader in the forecast."""
+        speed = self._agents[run.worker].health.speed
+        self._ends.add(run, run.expected_s / speed, now)
+
+    def run_ended(self, run: runs.Run) -> None:
+        """Remove a run that no longer exists from the forecast."""
+        self._ends.discard(run)
+
+    def update_queue(self, batch: runs.Batch) -> None:
+        """Apply tasks that were removed from a batch."""
+        self._queue.update(batch)
+
+    def tick(self, now: float) -> None:
+        """Decline or drop what is late, and check all workers again."""
+        if not self.permissions.is_list_current:
             return
-        waiting_count = len(batch.waiting())
-        startable_count = placement.count_startable(
-            batch.resources.millicores,
-            placement.usable_workers(self._agents.values(), now),
-        )
-        excess = min(
-            waiting_count, self._backlog.count_waiting() - startable_count
-        )
-        for shard, free_count in self._capacities.find_available(now).items():
-            count = min(excess, free_count)
-            if shard == self._shard or count <= 0:
-                continue
-            excess -= count
-            self._backlog.decline(
-                batch,
-                batch.waiting()[-count:],
-                cause='more room there',
-                suggested_shard=shard,
-            )
+        for batch in self._queue.pop_due(now):
+            self._check_late(batch, now)
+        if now - self._refreshed_at >= REFRESH_INTERVAL_S:
+            self._refresh(now)
+
+    def refresh_all(self, now: float) -> None:
+        """Check all workers again, and start what fits on them."""
+        for worker_agent in self._agents.values():
+            self._pool.refresh(worker_agent, now)
+        self._refresh(now)
 
     def drop(self, batch: runs.Batch, cause: str) -> None:
         """Remove a batch and stop its runs."""
         self._backlog.drop(batch, cause, self._stop)
+        self._queue.discard(batch)
 
     def report_start_again(self, batch: runs.Batch) -> None:
         """Report to a reattached job manager that tasks were started."""
@@ -139,50 +183,171 @@
         if any(task.run for task in batch.tasks.values()):
             self._report_start(batch)
 
-    def _place(
-        self, batch: runs.Batch, candidates: list[agent.Agent], now: float
+    def _refresh(self, now: float) -> None:
+        """Check the workers that were not usable, and start what fits."""
+        self._refreshed_at = now
+        for worker_id, worker_agent in self._agents.items():
+            if worker_id not in self._pool:
+                self._pool.refresh(worker_agent, now)
+        self._pool.update_fastest_speed()
+        if self._pool.count_startable(self._queue.smallest_millicores, 1):
+            for batch in self._queue.all():
+                self.retry(batch, now)
+
+    # Admission.
+
+    def _admit(self, batch: runs.Batch, now: float) -> bool:
+        """Reject a batch that cannot be on time; return whether it is kept.
+
+        Only a job of which nothing can have started may be rejected.
+        """
+        if batch.started or batch.stored or not self._may_start(batch):
+            return True
+        decision = admission.decide(
+            self._measure_demand(batch, now), self._ends, now
+        )
+        match decision:
+            case admission.Accept():
+                return True
+            case admission.Reject(expected_start=expected_start):
+                self._reject(batch, expected_start, now)
+        return False
+
+    def _measure_demand(
+        self, batch: runs.Batch, now: float
+    ) -> admission.Demand:
+        startable_here = self._pool.count_startable(
+            batch.resources.millicores, batch.waiting_count
+        )
+        startable_elsewhere = 0
+        if not batch.pinned:
+            startable_elsewhere = sum(self._other_capacities(now).values())
+        return admission.Demand(
+            task_count=batch.waiting_count,
+            startable_here=startable_here,
+            startable_elsewhere=startable_elsewhere,
+            tasks_ahead=self._queue.count_ahead(batch.priority),
+            latest_start=self._latest_start(batch),
+        )
+
+    def _reject(
+        self, batch: runs.Batch, expected_start: float, now: float
     ) -> None:
+        retry_after_s = self._returns.assign(
+            task_count=batch.waiting_count,
+            expected_start=expected_start,
+            ends_per_s=self._ends.ends_per_s(),
+            now=now,
+        )
+        self._backlog.decline(
+            batch,
+            batch.waiting(),
+            cause='no room in time',
+            retry_after_s=retry_after_s,
+        )
+        self._queue.update(batch)
+
+    def _refer_excess(self, batch: runs.Batch, now: float) -> None:
+        """Refer waiting tasks to shards with free capacity."""
+        for shard, free_count in self._other_capacities(now).items():
+            count = min(batch.waiting_count, free_count)
+            if not count:
+                return
+            self._capacities.reserve(shard, count)
+            self._backlog.decline(
+                batch,
+                batch.waiting()[-count:],
+                cause='more room there',
+                suggested_shard=shard,
+                retry_after_s=returns.MIN_RETRY_S,
+            )
+            self._queue.update(batch)
+
+    def _other_capacities(self, now: float) -> dict[ids.ShardId, int]:
+        """Return the free capacities of other shards, the largest first."""
+        return {
+            shard: free_count
+            for shard, free_count in self._capacities.find_available(
+                now
+            ).items()
+            if shard != self._shard
+        }
+
+    # Placement.
+
+    def _may_start(self, batch: runs.Batch) -> bool:
+        """Return whether tasks of a batch may be started at present."""
+        if not self.permissions.is_list_current:
+            return False
+        return self.permissions.is_leadership_confirmed or not batch.stored
+
+    def _place(self, batch: runs.Batch, now: float) -> None:
+        """Start the waiting tasks of a batch for which there is capacity."""
         placed: dict[int, ids.WorkerId] = {}
         for index in batch.waiting():
             if batch.task_name(index) in self._backlog.live_runs:
                 continue
-            chosen = placement.choose_worker(
-                batch,
-                candidates,
-                fastest_speed=self._fastest_speed,
-                distance_factor=self._cfg.distance_factor,
-                now=now,
+            chosen = self._pool.choose(
+                batch, distance_factor=self._cfg.distance_factor, now=now
             )
             if chosen is None:
                 break
-            self._start(batch, index, chosen, now)
-            placed[index] = chosen.worker.worker
+            worker = chosen.worker.worker
+            self._start(batch, index, self._agents[worker], now)
+            placed[index] = worker
         if placed:
-            self._report_start(batch)
-            _LOG.info(
-                'Tasks started on workers.',
-                extra={
-                    'job': batch.job,
-                    'step': batch.step,
-                    'placed': placed,
-                    'waiting': len(batch.waiting()),
-                    'age_s': round(now - batch.arrived_at, 4),
-                    'due_s': round(batch.due_at - now, 4),
-                    'epoch': self.token.epoch,
-                    'rank': self.token.rank,
-                    'list_age_s': round(
-                        now - self._list_status.workers_listed_at(), 3
-                    ),
-                },
-            )
+            self._record_start(batch, placed, now)
+
+    def _find_batch_for(
+        self, worker_agent: agent.Agent, now: float
+    ) -> runs.Batch | None:
+        """Return the most urgent batch with a task for a worker."""
+        free_millicores = worker_agent.ledger.free_capacity.millicores
+        if free_millicores < self._queue.smallest_millicores:
+            return None
+        for batch in self._queue.first(MAX_BATCHES_TRIED):
+            if self._may_start_on(batch, worker_agent, now):
+                return batch
+        return None
+
+    def _may_start_on(
+        self, batch: runs.Batch, worker_agent: agent.Agent, now: float
+    ) -> bool:
+        """Return whether a waiting task should be started on a worker."""
+        if not self._may_start(batch):
+            return False
+        speed = placement.required_speed(batch, self._pool.fastest_speed, now)
+        penalty = placement.distance_penalty(
+            batch, worker_agent, self._cfg.distance_factor
+        )
+        if worker_agent.health.speed < speed * penalty:
+            return False
+        if self._startable_index(batch) is None:
+            return False
+        return placement.is_suitable(batch, worker_agent, now)
+
+    def _startable_index(self, batch: runs.Batch) -> int | None:
+        """Return a waiting task of which no earlier run can exist."""
+        for index in batch.waiting():
+            if batch.task_name(index) not in self._backlog.live_runs:
+                return index
+        return None
+
+    def _start_on(
+        self, batch: runs.Batch, worker_agent: agent.Agent, now: float
+    ) -> None:
+        index = self._startable_index(batch)
+        assert index is not None
+        self._start(batch, index, worker_agent, now)
+        self._queue.update(batch)
+        self._record_start(batch, {index: worker_agent.worker.worker}, now)
 
     def _start(
         self, batch: runs.Batch, index: int, chosen: agent.Agent, now: float
     ) -> None:
-        task = batch.tasks[index]
         run = runs.Run(
             task=batch.task_name(index),
-            number=task.next_run_number,
+            number=batch.tasks[index].next_run_number,
             batch=batch,
             index=index,
             worker=chosen.worker.worker,
@@ -192,35 +357,70 @@
             ),
             ordered_at=now,
         )
-        task.next_run_number += 1
-        task.run = run
+        batch.assign(index, run)
         batch.started = True
         self._backlog.live_runs[run.task] = run
         self._metrics.count('runs_ordered_total')
+        self._ends.add(run, run.expected_s / chosen.health.speed, now)
         chosen.start(run, now)
+        self._pool.refresh(chosen, now)
 
-    def _decline_or_drop(self, batch: runs.Batch, now: float) -> None:
+    def _record_start(
+        self,
+        batch: runs.Batch,
+        placed: Mapping[int, ids.WorkerId],
+        now: float,
+    ) -> None:
+        """Log started tasks, and report them to a stored job's manager."""
+        self._report_start(batch)
+        _LOG.info(
+            'Tasks started on workers.',
+            extra={
+                'job': batch.job,
+                'step': batch.step,
+                'placed': placed,
+                'waiting': batch.waiting_count,
+                'age_s': round(now - batch.arrived_at, 4),
+                'due_s': round(batch.due_at - now, 4),
+                'epoch': self.token.epoch,
+                'rank': self.token.rank,
+                'list_age_s': round(
+                    now - self._list_status.workers_listed_at(), 3
+                ),
+            },
+        )
+
+    # Expiry.
+
+    def _next_check_at(self, batch: runs.Batch, now: float) -> float:
+        """Return when a waiting batch is checked for being late."""
+        latest_start = self._latest_start(batch)
+        if now <= latest_start:
+            return latest_start
+        return max(now, self._last_useful_start(batch))
+
+    def _check_late(self, batch: runs.Batch, now: float) -> None:
         """Decline or drop a batch whose tasks have waited too long.
 
         It is declined if it cannot complete on time and no run of it may have
         started, and dropped if its result would be of no use.
         """
-        if batch.stored:
+        # After the latest start any worker may be used.
+        self.retry(batch, now)
+        if not batch.waiting_count or batch.stored:
             return
-        if not batch.started and now > self._latest_start(batch):
-            self._backlog.decline(
-                batch, batch.waiting(), cause='no room in time'
-            )
-        elif now + batch.expected_s > min(batch.useful_until, batch.deadline):
+        if not batch.started:
+            if now >= self._latest_start(batch):
+                self._reject(batch, now, now)
+        elif now >= self._last_useful_start(batch):
             self._drop_as_late(batch)
 
-    def _urgency_key(self, batch: runs.Batch) -> tuple[int, float]:
-        """Return the sort key of the queue, the most urgent batch first."""
-        return batch.priority, self._latest_start(batch)
-
     def _latest_start(self, batch: runs.Batch) -> float:
         """Return the latest start that is on time, in local seconds."""
-        return batch.due_at - batch.expected_s / self._fastest_speed
+        return batch.due_at - batch.expected_s / self._pool.fastest_speed
+
+    def _last_useful_start(self, batch: runs.Batch) -> float:
+        return min(batch.useful_until, batch.deadline) - batch.expected_s
 
     def _drop_as_late(self, batch: runs.Batch) -> None:
         for index in list(batch.tasks):
--- a/sardineproxy/process/shards/shard.py
+++ b/sardineproxy/process/shards/shard.py
@@ -84,6 +84,10 @@
             result_retention_s=cfg.recall_s,
         )
         self._is_leadership_confirmed = True
+
+        #: Batches without a link to their coordinator.
+        self._detached: dict[runs.BatchKey, runs.Batch] = {}
+        self._unlisted: set[ids.WorkerId] = set()
         self._takeover = takeover.Takeover(
             agents=self._agents,
             backlog=self._backlog,
@@ -131,9 +135,12 @@
                 self._add(worker)
             elif existing.worker != worker:
                 existing.update(worker)
+        self._unlisted.difference_update(by_id)
         for worker_id, worker_agent in self._agents.items():
             if worker_id not in by_id:
                 worker_agent.mark_unlisted()
+                self._unlisted.add(worker_id)
+        self._scheduler.refresh_all(self._clock.now())
 
     def submit(
         self, source: link.Link, message: messages.Submit, now: float
@@ -143,8 +150,7 @@
         if existing and message.stored:
             self._reattach_stored(existing, source, message, now)
         elif existing:
-            self._backlog.reattach(existing, source, dict(message.tasks))
-            self.dispatch(now)
+            self._reattach(existing, source, dict(message.tasks), now)
         elif message.resumed and self._takeover.must_defer(message, now):
             self._takeover.defer(source, message)
         elif message.resumed:
@@ -154,8 +160,8 @@
 
     def withdraw(self, source: link.Link, job: ids.JobId) -> None:
         """Drop all tasks of a job and stop their runs."""
-        for batch in self._backlog.all():
-            if batch.job == job and batch.link is source:
+        for batch in self._backlog.of_job(job):
+            if batch.link is source:
                 self._scheduler.drop(batch, 'withdrawn')
         self._takeover.discard(source, job)
 
@@ -168,6 +174,7 @@
             if batch.link is lost_link:
                 batch.link = None
                 batch.detached_at = now
+                self._detached[batch.key] = batch
         self._stored_results.release_claims(lost_link)
         self._takeover.discard(lost_link)
 
@@ -175,9 +182,9 @@
         """Acknowledge stored results to their workers."""
         self._stored_results.acknowledge(message)
 
-    def count_startable_tasks(self, now: float) -> int:
+    def count_startable_tasks(self) -> int:
         """Return how many additional tasks of average size could start."""
-        return self._scheduler.count_startable_tasks(now)
+        return self._scheduler.count_startable_tasks()
 
     def renew_token(self, token: fencing.FencingToken) -> None:
         """Use a higher fencing token of this leader from now on."""
@@ -197,23 +204,12 @@
         for deferred in self._takeover.pop_ready(now):
             self.submit(deferred.source, deferred.submit, now)
         self._takeover.stop_unresumed(now)
+        self._update_permissions(now)
         self._remove_unlisted(now)
         self._stored_results.send_unclaimed(now)
-        self._update_confirmation(now)
-        for batch in self._backlog.all():
-            if batch.link is None and self._stored_results.is_abandoned(
-                batch, now
-            ):
-                self._scheduler.drop(batch, 'coordinator lost')
+        self._drop_abandoned(now)
         self._backlog.expire(now)
-        self.dispatch(now)
-
-    def dispatch(self, now: float) -> None:
-        """Start waiting tasks as far as free capacity allows."""
-        if self._is_list_current(now):
-            self._scheduler.dispatch(
-                with_stored=self._is_leadership_confirmed, now=now
-            )
+        self._scheduler.tick(now)
 
     def state(self, now: float) -> dict[str, object]:
         """Return the workers and queue lengths for the state dump."""
@@ -226,7 +222,7 @@
                 for worker_agent in self._agents.values()
             ],
             'batches': len(self._backlog),
-            'waiting': self._backlog.count_waiting(),
+            'waiting': self._scheduler.waiting_count,
         }
 
     # Implementation of agent.Events.
@@ -234,7 +230,7 @@
     def run_finished(self, run: runs.Run, result: workers.RunResult) -> None:
         """Apply the result of a run that its worker reports as finished."""
         worker_agent = self._agents[run.worker]
-        self._backlog.release(run)
+        self._release(run)
         duration_s = self._clock.now() - run.ordered_at
         self._metrics.count('runs_ended_total', how=result.value)
         self._metrics.observe('run_seconds', duration_s, how=result.value)
@@ -251,14 +247,15 @@
                     'suspect': worker_agent.health.is_suspect,
                 },
             )
+        now = self._clock.now()
         self._apply_result(
-            run, result, is_suspect=worker_agent.health.is_suspect
+            run, result, is_suspect=worker_agent.health.is_suspect, now=now
         )
-        self.dispatch(self._clock.now())
+        self._scheduler.worker_changed(run.worker, now)
 
     def run_lost(self, run: runs.Run, cause: str) -> None:
         """Requeue the task of a run that no longer exists."""
-        self._backlog.release(run)
+        self._release(run)
         _LOG.info(
             'Run lost, task requeued.',
             extra={
@@ -270,12 +267,13 @@
             },
         )
         self._metrics.count('runs_lost_total')
-        self._backlog.requeue(run)
-        self.dispatch(self._clock.now())
+        now = self._clock.now()
+        self._requeue(run, now)
+        self._scheduler.worker_changed(run.worker, now)
 
-    def capacity_freed(self) -> None:
-        """Dispatch waiting tasks to the freed capacity."""
-        self.dispatch(self._clock.now())
+    def capacity_freed(self, source: agent.Agent) -> None:
+        """Start waiting tasks on the freed capacity of a worker."""
+        self._scheduler.worker_changed(source.worker.worker, self._clock.now())
 
     def superseded(self, source: agent.Agent) -> None:
         """Report that a worker has seen the fence of a newer leader."""
@@ -302,6 +300,25 @@
         has_waited = now >= self._leader_since + self._cfg.list_wait_s
         return has_waited or not self._context.is_worker_list_available()
 
+    def _update_permissions(self, now: float) -> None:
+        """Update what may be started; start what was not permitted before."""
+        permissions = self._scheduler.permissions
+        self._update_confirmation(now)
+        permissions.is_leadership_confirmed = self._is_leadership_confirmed
+        was_current = permissions.is_list_current
+        permissions.is_list_current = self._is_list_current(now)
+        if permissions.is_list_current and not was_current:
+            self._scheduler.refresh_all(now)
+
+    def _drop_abandoned(self, now: float) -> None:
+        """Drop detached batches that no coordinator has submitted again."""
+        for key, batch in list(self._detached.items()):
+            if batch.link is not None or not batch.tasks:
+                self._detached.pop(key)
+            elif self._stored_results.is_abandoned(batch, now):
+                self._detached.pop(key)
+                self._scheduler.drop(batch, 'coordinator lost')
+
     def _update_confirmation(self, now: float) -> None:
         """Let leases of stored jobs' runs expire if leadership is unconfirmed.
 
@@ -312,29 +329,33 @@
             self.shard, now
         )
         is_confirmed = unconfirmed_s < self._cfg.unconfirmed_s
-        if is_confirmed is not self._is_leadership_confirmed:
-            self._is_leadership_confirmed = is_confirmed
-            _LOG.warning(
-                'Leadership confirmed again.'
-                if is_confirmed
-                else 'Leadership not confirmed, '
-                'leases of stored jobs are no longer extended.',
-                extra={
-                    'cell': self.shard,
-                    'epoch': self.token.epoch,
-                    'unconfirmed_s': round(unconfirmed_s, 3),
-                },
-            )
+        if is_confirmed is self._is_leadership_confirmed:
+            return
+        self._is_leadership_confirmed = is_confirmed
+        _LOG.warning(
+            'Leadership confirmed again.'
+            if is_confirmed
+            else 'Leadership not confirmed, '
+            'leases of stored jobs are no longer extended.',
+            extra={
+                'cell': self.shard,
+                'epoch': self.token.epoch,
+                'unconfirmed_s': round(unconfirmed_s, 3),
+            },
+        )
         for worker_agent in self._agents.values():
             worker_agent.is_leadership_confirmed = is_confirmed
 
     def _remove_unlisted(self, now: float) -> None:
         """Remove unlisted workers on which nothing can run any more."""
-        for worker_id, worker_agent in list(self._agents.items()):
+        for worker_id in list(self._unlisted):
+            worker_agent = self._agents[worker_id]
             if worker_agent.is_removable(now):
+                self._unlisted.discard(worker_id)
                 self._agents.pop(worker_id)
                 self._former_fence_counts[worker_id] = worker_agent.fence_count
                 worker_agent.abandon()
+                self._scheduler.worker_changed(worker_id, now)
 
     def _add(self, worker: workers.Worker) -> None:
         worker_agent = agent.Agent(
@@ -375,9 +396,30 @@
                     ),
                 )
                 return
-            new_tasks = self._takeover.resume(batch, new_tasks, now)
-        self._backlog.reattach(batch, source, new_tasks)
-        self.dispatch(now)
+            new_tasks = self._adopt(batch, new_tasks, now)
+        self._reattach(batch, source, new_tasks, now)
+
+    def _reattach(
+        self,
+        batch: runs.Batch,
+        source: link.Link,
+        tasks: dict[int, int],
+        now: float,
+    ) -> None:
+        """Assign an existing batch to a coordinator, with further tasks."""
+        self._backlog.reattach(batch, source, tasks)
+        self._scheduler.retry(batch, now)
+
+    def _adopt(
+        self, batch: runs.Batch, tasks: dict[int, int], now: float
+    ) -> dict[int, int]:
+        """Adopt the runs of a batch; return the tasks that have none."""
+        adopted_before = set(batch.tasks)
+        unstarted = self._takeover.resume(batch, tasks, now)
+        for index, task in batch.tasks.items():
+            if index not in adopted_before and task.run is not None:
+                self._scheduler.run_adopted(task.run, now)
+        return unstarted
 
     def _resume(
         self, source: link.Link, message: messages.Submit, now: float
@@ -385,7 +427,7 @@
         """Adopt the runs that a former leader started for a coordinator."""
         batch = self._make_batch(source, message, now)
         tasks = self._stored_results.send_listed(batch, source, message)
-        unstarted = self._takeover.resume(batch, tasks, now)
+        unstarted = self._adopt(batch, tasks, now)
         self._backlog.add(batch)
         self._scheduler.report_start_again(batch)
         if unstarted:
@@ -404,16 +446,19 @@
         for index, run_number in self._backlog.report_done(
             batch, tasks
         ).items():
-            batch.tasks[index] = runs.Task(next_run_number=run_number)
+            batch.add_task(index, run_number)
         if not batch.tasks:
             return
         self._backlog.add(batch)
-        self._scheduler.record_task_size(message.millicores)
-        self._scheduler.decline_excess(batch, now)
-        self.dispatch(now)
+        self._scheduler.submit(batch, now)
 
     def _apply_result(
-        self, run: runs.Run, result: workers.RunResult, *, is_suspect: bool
+        self,
+        run: runs.Run,
+        result: workers.RunResult,
+        *,
+        is_suspect: bool,
+        now: float,
     ) -> None:
         """Finish, requeue or ignore the task of a finished run."""
         is_pending = run.index in run.batch.tasks
@@ -427,7 +472,17 @@
             case workers.RunResult.FAILED if run.batch.stored or not is_suspect:
                 self._backlog.finish_task(run, jobs.TaskResult.FAILED)
             case _:
-                self._backlog.requeue(run)
+                self._requeue(run, now)
+
+    def _release(self, run: runs.Run) -> None:
+        """Remove a run that no longer exists."""
+        self._backlog.release(run)
+        self._scheduler.run_ended(run)
+
+    def _requeue(self, run: runs.Run, now: float) -> None:
+        """Start the task of a run that no longer exists again."""
+        if self._backlog.requeue(run):
+            self._scheduler.retry(run.batch, now)
 
     def _make_batch(
         self, source: link.Link, message: messages.Submit, now: float
--- a/sardineproxy/process/shards/shard_capacities.py
+++ b/sardineproxy/process/shards/shard_capacities.py
@@ -36,6 +36,15 @@
             startable_tasks=startable_tasks, reported_at=now
         )
 
+    def reserve(self, shard: ids.ShardId, task_count: int) -> None:
+        """Subtract tasks that were referred to a shard since its report."""
+        capacity = self._capacities.get(shard)
+        if capacity is not None:
+            self._capacities[shard] = dataclasses.replace(
+                capacity,
+                startable_tasks=capacity.startable_tasks - task_count,
+            )
+
     def remove(self, shard: ids.ShardId) -> None:
         """Remove the report of a shard without a leader."""
         self._capacities.pop(shard, None)
--- a/sardineproxy/process/shards/takeover.py
+++ b/sardineproxy/process/shards/takeover.py
@@ -9,10 +9,10 @@
 
 from sardineproxy import ids, logs
 from sardineproxy.connection import link, messages
+from sardineproxy.process.load import placement
 from sardineproxy.process.shards import (
     agent,
     backlog,
-    placement,
     runs,
     times,
     workers,
@@ -150,9 +150,7 @@
         for worker_agent in self._agents.values():
             if name in worker_agent.ledger.unrequested:
                 run = self._adopt_run(worker_agent, batch, index, now)
-                batch.tasks[index] = runs.Task(
-                    next_run_number=run.number + 1, run=run
-                )
+                batch.add_running(index, run)
                 batch.started = True
                 return True
         finished_run = self._find_done_run(name)
