Started VMs look for the leader before they claim; own HTTP server; faster start

Change: a shard with a claim is not claimed while its leader has neither been linked nor failed to be dialed, and larger VMs count as candidates until then (at most 2 s). A leader hands its shard to a linked VM with twice its cores.

--- a/sardineproxy/platform/client_http.py
+++ b/sardineproxy/platform/client_http.py
@@ -1,23 +1,21 @@
 """HTTP listeners for clients and for the load balancer's readiness checks."""
 
 import asyncio
-from typing import Awaitable, Callable, Protocol
+from typing import Protocol
 
 import result
-from aiohttp import web
 
 from sardineproxy import deployment, ids, logs
+from sardineproxy.connection import http_server
 from sardineproxy.platform import submissions
 from sardineproxy.process.stored_jobs import job_manager
 from sardineproxy.request import jobs
 from sardineproxy.version import routes
 
-#: Timeout for reading a request body, in seconds; the platform specifies 3 s.
-READ_TIMEOUT_S = 3
-
-#: Maximum length of the request line and of each header field, in bytes; the
-#: platform allows the same number for all headers together.
-MAX_HEADER_BYTES = 16_384
+#: Limits of requests. The platform specifies 3 s for reading one.
+SERVER_CONFIG = http_server.ServerConfig(
+    max_body_bytes=submissions.MAX_BODY_BYTES, read_timeout_s=3
+)
 
 #: Response timeout of a request without a valid ``Deadline-Ms``, in seconds.
 DEFAULT_WAIT_S = 30.0
@@ -26,8 +24,6 @@
 #: from a stall, or because of an unsupported feature, in seconds.
 RETRY_AFTER_S = 1.0
 
-Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
-
 _LOG = logs.get_logger('front')
 
 
@@ -73,7 +69,12 @@
     def __init__(self, *, request_handler: RequestHandler) -> None:
         """Create a server that passes requests to ``request_handler``."""
         self._request_handler = request_handler
-        self._runners: list[web.ServerRunner] = []
+        self._client_server = http_server.HttpServer(
+            handler=self._handle_request, cfg=SERVER_CONFIG
+        )
+        self._readiness_server = http_server.HttpServer(
+            handler=self._handle_readiness_check, cfg=SERVER_CONFIG
+        )
 
         #: Number of requests in progress.
         self.active_requests = 0
@@ -84,52 +85,42 @@
         readiness_listener: deployment.Address,
     ) -> None:
         """Open both listeners."""
-        await self._listen(self._handle_request, client_listener)
-        await self._listen(self._handle_readiness_check, readiness_listener)
+        await self._client_server.start(client_listener)
+        await self._readiness_server.start(readiness_listener)
 
     async def close(self) -> None:
         """Close both listeners and all connections."""
-        await asyncio.gather(*(runner.cleanup() for runner in self._runners))
-
-    async def _listen(
-        self, handler: Handler, address: deployment.Address
-    ) -> None:
-        server = web.Server(
-            handler,
-            handler_cancellation=True,
-            access_log=None,
-            max_line_size=MAX_HEADER_BYTES,
-            max_field_size=MAX_HEADER_BYTES,
+        await asyncio.gather(
+            self._client_server.close(), self._readiness_server.close()
         )
-        runner = web.ServerRunner(server, shutdown_timeout=0)
-        await runner.setup()
-        site = web.TCPSite(runner, address.host, address.port, backlog=1024)
-        await site.start()
-        self._runners.append(runner)
 
     async def _handle_readiness_check(
-        self, _: web.BaseRequest
-    ) -> web.StreamResponse:
+        self, _: http_server.Request
+    ) -> http_server.Response:
         status = 200 if self._request_handler.is_ready() else 503
-        return web.Response(status=status)
+        return http_server.Response(status=status)
 
-    async def _handle_request(self, req: web.BaseRequest) -> web.StreamResponse:
+    async def _handle_request(
+        self, req: http_server.Request
+    ) -> http_server.Response:
         self.active_requests += 1
         try:
             reply = await self._route_request(req)
         finally:
             self.active_requests -= 1
-        response = web.Response(
+        headers = dict(reply.headers)
+        if reply.body:
+            headers['Content-Type'] = 'application/json'
+        return http_server.Response(
             status=reply.status,
             body=reply.body,
-            headers=dict(reply.headers),
-            content_type='application/json' if reply.body else None,
+            headers=headers,
+            close=self._request_handler.draining,
         )
-        if self._request_handler.draining:
-            response.force_close()
-        return response
 
-    async def _route_request(self, req: web.BaseRequest) -> submissions.Reply:
+    async def _route_request(
+        self, req: http_server.Request
+    ) -> submissions.Reply:
         table = self._request_handler.routing_table
         if table is None:
             self._log(req, 'Request refused: no configuration received yet.')
@@ -164,19 +155,15 @@
         return submissions.NO_JOB
 
     async def _submit(
-        self, req: web.BaseRequest, route: routes.Route, job_name: str
+        self, req: http_server.Request, route: routes.Route, job_name: str
     ) -> submissions.Reply:
         if self._request_handler.is_recovering():
             self._log(req, 'Request refused: recovering from a stall.')
             return submissions.make_refusal(RETRY_AFTER_S)
-        body = await _read_body(req)
-        if body is None:
-            self._log(
-                req,
-                'Request rejected: its body is too large or arrives too slowly.',
-            )
+        if req.body is None:
+            self._log(req, 'Request rejected: its body is too large.')
             return submissions.MALFORMED
-        decoded = submissions.decode_job(job_name, body)
+        decoded = submissions.decode_job(job_name, req.body)
         if isinstance(decoded, result.Err):
             self._log(
                 req,
@@ -194,27 +181,13 @@
         outcome = await self._request_handler.run_job(job, route, _wait_s(req))
         return submissions.encode_outcome(outcome)
 
-    def _log(self, req: web.BaseRequest, message: str, **extra: object) -> None:
+    def _log(
+        self, req: http_server.Request, message: str, **extra: object
+    ) -> None:
         _LOG.info(message, extra={'path': req.path, 'host': req.host, **extra})
 
 
-def _wait_s(req: web.BaseRequest) -> float:
+def _wait_s(req: http_server.Request) -> float:
     """Return how long the client waits for a response, in seconds."""
-    header = req.headers.get(submissions.DEADLINE_HEADER)
+    header = req.headers.get(submissions.DEADLINE_HEADER.lower())
     return submissions.decode_wait_s(header) or DEFAULT_WAIT_S
-
-
-async def _read_body(req: web.BaseRequest) -> bytes | None:
-    """Return the body, None if it is too large or times out."""
-    chunks = []
-    size = 0
-    try:
-        async with asyncio.timeout(READ_TIMEOUT_S):
-            async for chunk in req.content.iter_any():
-                chunks.append(chunk)
-                size += len(chunk)
-                if size > submissions.MAX_BODY_BYTES:
-                    return None
-    except TimeoutError:
-        return None
-    return b''.join(chunks)
--- a/sardineproxy/platform/settings.py
+++ b/sardineproxy/platform/settings.py
@@ -21,6 +21,12 @@
 
 def load(path: pathlib.Path) -> result.Result[deployment.Deployment, str]:
     """Read and decode the settings file; the error is one sentence."""
+    body = read(path)
+    return body if isinstance(body, result.Err) else decode(body.ok_value)
+
+
+def read(path: pathlib.Path) -> result.Result[bytes, str]:
+    """Read the settings file; the error is one sentence."""
     try:
         body = path.read_bytes()
     except OSError as exc:
@@ -30,7 +36,7 @@
             f'settings file {path} has {len(body)} bytes, at most '
             f'{MAX_SETTINGS_BYTES} are accepted'
         )
-    return decode(body)
+    return result.Ok(body)
 
 
 def decode(body: bytes) -> result.Result[deployment.Deployment, str]:
--- a/sardineproxy/process/membership/links.py
+++ b/sardineproxy/process/membership/links.py
@@ -78,6 +78,9 @@
     retry_at: float = 0
     failures: int = 0
     is_dialing: bool = False
+
+    #: True once the peer was linked or could not be dialed.
+    is_checked: bool = False
     vm: ids.VmId | None = None
 
 
@@ -196,6 +199,16 @@
         if target is not None:
             target.vm = vm
 
+    def unchecked_vms(self) -> frozenset[ids.VmId]:
+        """Return the VMs that have not been linked or dialed in vain yet."""
+        return frozenset(
+            target.vm
+            for target in self._targets.values()
+            if not target.is_checked
+            and target.vm is not None
+            and self.get(target.vm) is None
+        )
+
     def _close_timed_out(self, open_link: link.Link, now: float) -> None:
         _LOG.warning(
             'Link closed: heartbeat timeout.',
@@ -283,6 +296,7 @@
         self._back_off(target)
 
     def _back_off(self, target: _Target) -> None:
+        target.is_checked = True
         max_delay_s = min(
             BACK_OFF_MIN_S * 2 ** min(target.failures, 8), BACK_OFF_MAX_S
         )
--- a/sardineproxy/process/membership/registry.py
+++ b/sardineproxy/process/membership/registry.py
@@ -72,6 +72,7 @@
     def __init__(self) -> None:
         """Create an empty registry."""
         self._rows: dict[str, store.Row] = {}
+        self._by_size: dict[ids.ZoneId, tuple[Member, ...]] = {}
         self.members: dict[ids.VmId, Member] = {}
         self.claims: dict[ids.ShardId, Claim] = {}
 
@@ -84,8 +85,27 @@
                 self._rows[row.key] = row
                 self._decode(row)
                 changed = True
+        if changed:
+            self._by_size.clear()
         return changed
 
+    def members_by_size(self, zone: ids.ZoneId) -> tuple[Member, ...]:
+        """Return the VMs of a zone, those with most cores first."""
+        members = self._by_size.get(zone)
+        if members is None:
+            members = tuple(
+                sorted(
+                    (
+                        member
+                        for member in self.members.values()
+                        if member.zone == zone
+                    ),
+                    key=lambda member: (-member.cores, member.vm),
+                )
+            )
+            self._by_size[zone] = members
+        return members
+
     def rows(self) -> tuple[store.Row, ...]:
         """Return all rows that are not deleted, for a response to a peer."""
         return tuple(row for row in self._rows.values() if row.body is not None)
--- a/sardineproxy/process/node/claiming.py
+++ b/sardineproxy/process/node/claiming.py
@@ -43,6 +43,14 @@
 #: this many candidates of its own zone.
 LINKED_CANDIDATES = 3
 
+#: Longest time for which a process waits until it has linked or failed to dial
+#: the VMs that may lead a shard or go before it, in seconds. A dial takes up to
+#: 0.3 s and begins up to 0.5 s after the VM is known.
+CHECK_TIMEOUT_S = 2.0
+
+#: A leader hands its shard to a VM with this many times its cores.
+LARGER_FACTOR = 2
+
 #: Delay before another attempt to claim a shard, in seconds.
 CLAIM_RETRY_S = 0.2
 
@@ -79,9 +87,13 @@
         *,
         leader: ids.VmId | None,
         connected_vms: frozenset[ids.VmId],
+        unchecked_vms: frozenset[ids.VmId],
         now: float,
     ) -> bool:
-        """Return whether this process should claim a shard now."""
+        """Return whether this process should claim a shard now.
+
+        ``unchecked_vms`` have neither been linked nor failed to be dialed.
+        """
         if leader is not None:
             self._had_leader.add(shard)
             self._leaderless_since.pop(shard, None)
@@ -98,6 +110,10 @@
         since = self._leaderless_since.setdefault(shard, now)
         if now < self._retry_at.get(shard, 0):
             return False
+        if now - since < CHECK_TIMEOUT_S:
+            if claim is not None and claim.owner[0] in unchecked_vms:
+                return False
+            connected_vms |= unchecked_vms
         return now - since >= self._claim_delay_s(shard, connected_vms)
 
     def postpone(self, shard: ids.ShardId, now: float) -> None:
@@ -178,6 +194,17 @@
         claim = self._registry.claims.get(shard)
         return [] if claim is None else [vm for vm, _ in claim.heirs]
 
+    def find_larger(self) -> ids.VmId | None:
+        """Return the largest VM of this zone if it is much larger than this.
+
+        None if there is no such VM.
+        """
+        candidates = self._candidates(ids.ShardId(self._member.zone))
+        if not candidates:
+            return None
+        is_larger = candidates[0].cores >= LARGER_FACTOR * self._member.cores
+        return candidates[0].vm if is_larger else None
+
     def is_among_first_candidates(self) -> bool:
         """Return whether this VM is among the first candidates of its zone."""
         first_candidates = self._candidates(ids.ShardId(self._member.zone))[
@@ -253,14 +280,9 @@
     def _process_id(self) -> registry.ProcessId:
         return self._member.vm, self._member.incarnation
 
-    def _candidates(self, shard: ids.ShardId) -> list[registry.Member]:
+    def _candidates(self, shard: ids.ShardId) -> tuple[registry.Member, ...]:
         """Return the VMs of the shard's zone, those with most cores first."""
-        members = [
-            member
-            for member in self._registry.members.values()
-            if member.zone == shard
-        ]
-        return sorted(members, key=lambda member: (-member.cores, member.vm))
+        return self._registry.members_by_size(ids.ZoneId(shard))
 
     def _claim_delay_s(
         self, shard: ids.ShardId, connected_vms: frozenset[ids.VmId]
--- a/sardineproxy/process/node/core.py
+++ b/sardineproxy/process/node/core.py
@@ -87,6 +87,7 @@
         self._path = path
         self._args = args
         self._node_policy = node_policy
+        self._settings_body = b''
         self._stop_requested: asyncio.Event | None = None
         self._has_failed = False
 
@@ -150,14 +151,12 @@
             except TimeoutError:
                 pass  # noqa: WPS420
             reload_requested.clear()
-            loaded = settings.load(self._path)
-            if isinstance(loaded, result.Err):
-                _LOG.error(
-                    'Settings file is invalid; keeping the current settings.',
-                    extra={'cause': loaded.err_value},
-                )
-            else:
-                node_service.update_settings(loaded.ok_value)
+            body = settings.read(self._path)
+            if isinstance(body, result.Err):
+                _log_invalid_settings(body.err_value)
+            elif body.ok_value != self._settings_body:
+                self._settings_body = body.ok_value
+                _apply_settings(node_service, body.ok_value)
 
 
 #: Interval at which the settings are reloaded without a signal, in seconds,
@@ -172,6 +171,21 @@
     gc.set_threshold(*GC_THRESHOLDS)
 
 
+def _apply_settings(node_service: service.Service, body: bytes) -> None:
+    decoded = settings.decode(body)
+    if isinstance(decoded, result.Err):
+        _log_invalid_settings(decoded.err_value)
+    else:
+        node_service.update_settings(decoded.ok_value)
+
+
+def _log_invalid_settings(cause: str) -> None:
+    _LOG.error(
+        'Settings file is invalid; keeping the current settings.',
+        extra={'cause': cause},
+    )
+
+
 def _fail(
     message: str, status: exit_status.ExitStatus
 ) -> exit_status.ExitStatus:
--- a/sardineproxy/process/node/led_shards.py
+++ b/sardineproxy/process/node/led_shards.py
@@ -247,10 +247,15 @@
         if now >= self._next_return_at:
             self._return_shards(now)
         connected_vms = frozenset(self._links.open_links)
+        unchecked_vms = self._links.unchecked_vms()
         for shard in self._context.all_shards:
             vm = self._context.leader_of(shard)
             if self._claimer.should_claim(
-                shard, leader=vm, connected_vms=connected_vms, now=now
+                shard,
+                leader=vm,
+                connected_vms=connected_vms,
+                unchecked_vms=unchecked_vms,
+                now=now,
             ):
                 self.start_claim(shard)
 
@@ -264,31 +269,41 @@
                 self.start_claim(shard)
 
     def _return_shards(self, now: float) -> None:
-        """Return shards of other zones to VMs of those zones."""
+        """Hand shards to VMs that should rather lead them.
+
+        Shards of other zones go to VMs of those zones, and the home shard to a
+        much larger VM.
+        """
         for shard in self.shards:
             if shard == self._context.home_shard:
-                continue
-            successor = self._stable_successor(shard, now)
+                successor = self._stable_link(self._claimer.find_larger(), now)
+            else:
+                successor = self._stable_successor(shard, now)
             if successor is not None:
                 self._next_return_at = now + RETURN_AFTER_S
+                _LOG.info(
+                    'Shard handover requested.',
+                    extra={'cell': shard, 'to': successor.peer.vm},
+                )
                 successor.send(messages.TakeOver(shard=shard))
 
     def _stable_successor(
         self, shard: ids.ShardId, now: float
     ) -> link.Link | None:
-        """Return the link to a successor that has a stable connection.
-
-        It is stable once it has been open for more than ``RETURN_AFTER_S``.
-        """
+        """Return the link to a successor that has a stable connection."""
         for vm, _ in self._claimer.successors(shard):
-            successor = self._links.get(vm)
-            if (
-                successor is not None
-                and now - successor.opened_at > RETURN_AFTER_S
-            ):
+            successor = self._stable_link(vm, now)
+            if successor is not None:
                 return successor
         return None
 
+    def _stable_link(self, vm: ids.VmId | None, now: float) -> link.Link | None:
+        """Return the link to a VM if it has been open for some time."""
+        open_link = None if vm is None else self._links.get(vm)
+        if open_link is None or now - open_link.opened_at <= RETURN_AFTER_S:
+            return None
+        return open_link
+
     async def _claim(self, shard: ids.ShardId) -> None:
         try:
             if (
--- a/sardineproxy/process/node/node.py
+++ b/sardineproxy/process/node/node.py
@@ -462,7 +462,7 @@
                 self.leaders.remove(source.peer.vm, shard)
                 self._choose_leaders()
                 self._notify_leader_lost(shard, source)
-            case messages.TakeOver(shard=shard):
+            case messages.TakeOver(shard=shard) if not self.draining:
                 self.led_shards.start_claim(shard)
 
     def _choose_leaders(self) -> None:
--- a/sardineproxy/process/node/service.py
+++ b/sardineproxy/process/node/service.py
@@ -5,10 +5,9 @@
 import random
 
 import result
-from aiohttp import web
 
 from sardineproxy import clock, deployment, ids, logs
-from sardineproxy.connection import admin
+from sardineproxy.connection import admin_pages, http_server
 from sardineproxy.platform import (
     configuration,
     client_http,
@@ -73,7 +72,12 @@
         self._client_server = client_http.ClientServer(
             request_handler=_RequestHandler(node=self._node)
         )
-        self._admin_server: web.AppRunner | None = None
+        self._admin_pages = admin_pages.AdminPages(
+            process=self._node, metrics=self._node.metrics
+        )
+        self._admin_server = http_server.HttpServer(
+            handler=self._show_admin_page, cfg=client_http.SERVER_CONFIG
+        )
 
     async def start(self) -> result.Result[None, str]:
         """Open all listeners; return an error sentence on failure."""
@@ -118,24 +122,29 @@
         await self._drain()
         await self._client_server.close()
         await self._node.close()
-        if self._admin_server is not None:
-            await self._admin_server.cleanup()
+        await self._admin_server.close()
         await self._client.aclose()
         _LOG.info('Stopped.', extra={'vm': self._cfg.vm})
 
     async def _open(self) -> None:
         await self._node.start()
         await self._client_server.start(self._cfg.front, self._cfg.ready)
-        if self._metrics_port is None:
-            return
-        self._admin_server = web.AppRunner(
-            admin.build_app(process=self._node, metrics=self._node.metrics),
-            access_log=None,
+        if self._metrics_port is not None:
+            await self._admin_server.start(
+                deployment.Address(
+                    host=self._cfg.ready.host, port=self._metrics_port
+                )
+            )
+
+    async def _show_admin_page(
+        self, req: http_server.Request
+    ) -> http_server.Response:
+        page = self._admin_pages.render(req.path)
+        return http_server.Response(
+            status=page.status,
+            body=page.text.encode(),
+            headers={'Content-Type': page.content_type},
         )
-        await self._admin_server.setup()
-        await web.TCPSite(
-            self._admin_server, self._cfg.ready.host, self._metrics_port
-        ).start()
 
     async def _drain(self) -> None:
         """Hand over the shards and wait for requests in progress.
--- a/tests/process/membership/test_links.py
+++ b/tests/process/membership/test_links.py
@@ -1,11 +1,12 @@
 """Heartbeats and heartbeat timeouts on links."""
 
+import asyncio
 import random
 from typing import Any
 
 import testtools
 
-from sardineproxy import ids
+from sardineproxy import deployment, ids
 from sardineproxy.connection import messages
 from sardineproxy.process.membership import links
 from tests import virtual_time
@@ -88,6 +89,21 @@
         self.assertTrue(rig.tick(2.5, is_late=True))
         self.assertFalse(rig.tick(2.6))
 
+    def test_vm_is_unchecked_until_it_is_linked_or_unreachable(self) -> None:
+        """Guards against treating a VM as failed before it was dialed."""
+
+        async def main() -> None:
+            rig = Rig()
+            address = deployment.Address(host='127.0.0.1', port=1)
+            rig.tested.set_targets({address: 0})
+            rig.tested.set_peer_vm(address, ids.VmId('c'))
+            self.assertEqual({'c'}, rig.tested.unchecked_vms())
+            rig.tick(1)
+            await asyncio.sleep(1)
+            self.assertEqual(frozenset(), rig.tested.unchecked_vms())
+
+        virtual_time.run(main)
+
     def test_link_without_heartbeats_is_closed_and_reported(self) -> None:
         """Guards against a VM that still counts as leader after it failed."""
         rig = Rig()
--- a/tests/process/node/test_claiming.py
+++ b/tests/process/node/test_claiming.py
@@ -61,6 +61,7 @@
             SHARD,
             leader=changes.get('leader'),
             connected_vms=changes.get('connected_vms', NO_VMS),
+            unchecked_vms=changes.get('unchecked_vms', NO_VMS),
             now=1000 + now,
         )
 
@@ -132,6 +133,59 @@
 
         run(scenario)
 
+    def test_started_process_looks_for_the_leader_first(self) -> None:
+        """Guards against a takeover by each VM that is added or restarted.
+
+        A new process finds the claim in the store before its link to the
+        leader is open. On the large site, each added VM took over its zone's
+        shard 0.2 s after its start, and small ones could not carry the load.
+        """
+
+        async def scenario() -> None:
+            leader = Rig(make_member('b'))
+            await leader.claim()
+            unchecked = frozenset((ids.VmId('b'),))
+            started = Rig(make_member('a'), leader.store)
+            for tenth in range(15):
+                self.assertFalse(
+                    started.should_claim(tenth / 10, unchecked_vms=unchecked)
+                )
+            self.assertTrue(started.should_claim(1.5))
+
+        run(scenario)
+
+    def test_started_process_does_not_look_for_the_leader_forever(self) -> None:
+        """Guards against a zone without a leader while dialing hangs."""
+
+        async def scenario() -> None:
+            leader = Rig(make_member('b'))
+            await leader.claim()
+            unchecked = frozenset((ids.VmId('b'),))
+            started = Rig(make_member('a'), leader.store)
+            self.assertFalse(started.should_claim(0, unchecked_vms=unchecked))
+            self.assertTrue(started.should_claim(2.1, unchecked_vms=unchecked))
+
+        run(scenario)
+
+    def test_small_vm_waits_until_larger_ones_are_checked(self) -> None:
+        """Guards against a small leader after all VMs have restarted."""
+        small = Rig(make_member('small'))
+        small.register(make_member('large', cores=2))
+        unchecked = frozenset((ids.VmId('large'),))
+        self.assertFalse(small.should_claim(0, unchecked_vms=unchecked))
+        self.assertFalse(small.should_claim(0.7, unchecked_vms=unchecked))
+        self.assertTrue(small.should_claim(0.7))
+
+    def test_large_vm_is_preferred_to_a_small_leader(self) -> None:
+        """Guards against a leader that cannot carry the load of its zone."""
+        small = Rig(make_member('small'))
+        small.register(
+            make_member('medium', cores=1.5), make_member('other', 'y', cores=9)
+        )
+        self.assertIsNone(small.claimer.find_larger())
+        small.register(make_member('large', cores=2))
+        self.assertEqual('large', small.claimer.find_larger())
+
     def test_workers_must_be_reachable_for_the_whole_delay(self) -> None:
         """Guards against claims by the isolated side of a partition.
 
