Errors are confined to one link, worker, table or job

Cause: any exception in a background task ended the process: an error while handling one message of a peer, one row of a list or one call to a worker. As lists are read again at each start, one odd row could end all VMs again and again.

Change: background.Tasks confine an error to a named unit, and restart pollers and followers with growing pauses; rows are passed on one by one after an error; a start or stop that fails counts as unanswered; a tick may fail up to 20 times in a row. The error is logged with its trace, counted (confined_errors_total) and shown by unit in the state dump. What still ends the process: failing ticks, and a failed task that belongs to no unit.

--- a/sardineproxy/process/membership/links.py
+++ b/sardineproxy/process/membership/links.py
@@ -256,7 +256,11 @@
         for address, target in self._targets.items():
             if self._is_missing(target) and now >= target.retry_at:
                 target.is_dialing = True
-                self._tasks.spawn(self._dial(address, target))
+                self._tasks.spawn(
+                    self._dial(address, target),
+                    unit=f'link to {target.vm or address}',
+                    on_failure=functools.partial(self._back_off, target),
+                )
 
     def _is_missing(self, target: _Target) -> bool:
         if target.is_dialing:
@@ -274,7 +278,8 @@
                     writer=writer,
                     dialed=False,
                 )
-            )
+            ),
+            unit='accepted link',
         )
 
     async def _dial(self, address: deployment.Address, target: _Target) -> None:
--- a/sardineproxy/process/membership/table_follower.py
+++ b/sardineproxy/process/membership/table_follower.py
@@ -7,7 +7,7 @@
 
 import result
 
-from sardineproxy import clock, logs
+from sardineproxy import background, clock, logs
 from sardineproxy.process import metrics, store
 
 #: Minimum and maximum backoff after a failed call, in seconds. All entry VMs
@@ -44,7 +44,7 @@
         on_rows: Callable[[tuple[store.Row, ...]], None],
     ) -> None:
         """Create a follower that passes changed rows to ``on_rows``."""
-        self._table = table
+        self.table = table
         self._store = source
         self._timing = timing
         self._clock = clock
@@ -90,13 +90,13 @@
     async def _fetch_changes(
         self,
     ) -> result.Result[store.Rows, store.StoreError]:
-        self._metrics.count('store_calls_total', table=self._table)
+        self._metrics.count('store_calls_total', table=self.table)
         if self._revision is None:
             return await self._fetch_all()
         # After a failure, do not long-poll: an immediate response shows that
         # the store is available again.
         response = await self._store.changes(
-            self._table,
+            self.table,
             after=self._revision,
             wait_s=0 if self._failures else self._timing().wait_s,
         )
@@ -104,14 +104,14 @@
             if response.err_value.kind is store.ErrorKind.HISTORY_LOST:
                 _LOG.info(
                     'Change history is not available; reading the whole table.',
-                    extra={'table': self._table},
+                    extra={'table': self.table},
                 )
                 return await self._fetch_all()
         return response
 
     async def _fetch_all(self) -> result.Result[store.Rows, store.StoreError]:
         """Read the whole table; report absent rows as removed."""
-        response = await self._store.read(self._table)
+        response = await self._store.read(self.table)
         if isinstance(response, result.Err):
             return response
         present = {row.key for row in response.ok_value.rows}
@@ -135,7 +135,17 @@
         is_first = self._revision is None
         self._revision = changed.revision
         if changed.rows or is_first:
-            self._on_rows(changed.rows)
+            self._pass_on(changed.rows)
+
+    def _pass_on(self, rows: tuple[store.Row, ...]) -> None:
+        """Pass rows on; if that fails, without those that cause the error."""
+        try:
+            self._on_rows(rows)
+        except Exception as exc:
+            background.report(f'table {self.table}', exc)
+            if len(rows) > 1:
+                for row in rows:
+                    self._pass_on((row,))
 
     def _record_outcome(
         self, response: result.Result[store.Rows, store.StoreError]
@@ -151,7 +161,7 @@
                 _LOG.info(
                     'Store available again.',
                     extra={
-                        'table': self._table,
+                        'table': self.table,
                         'away_s': round(now - self._outage_since, 3),
                     },
                 )
@@ -164,7 +174,7 @@
             _LOG.warning(
                 'Store unavailable.',
                 extra={
-                    'table': self._table,
+                    'table': self.table,
                     'cause': response.err_value.detail,
                 },
             )
--- a/sardineproxy/process/node/core.py
+++ b/sardineproxy/process/node/core.py
@@ -90,6 +90,7 @@
         self._settings_body = b''
         self._stop_requested: asyncio.Event | None = None
         self._has_failed = False
+        self._service: service.Service | None = None
 
     async def serve(self, cfg: deployment.Deployment) -> exit_status.ExitStatus:
         """Serve until SIGTERM, SIGINT or a fatal error."""
@@ -108,6 +109,7 @@
             metrics_port=self._args.metrics_port,
             clock=clock.BootClock(),
         )
+        self._service = node_service
         started = await node_service.start()
         if isinstance(started, result.Err):
             return _fail(f'{started.err_value}.', _STATUS.UNAVAILABLE)
@@ -130,9 +132,18 @@
         continue without one of its background tasks, and misbehave unnoticed.
         """
         is_fatal = bool(context.get(background.FATAL))
+        unit = context.get(background.UNIT)
+        if unit is not None and self._service is not None:
+            self._service.record_failure(unit)
         _LOG.error(
-            'Unhandled error in the event loop.',
-            extra={'what': context.get('message'), 'ends': is_fatal},
+            'Error confined to one unit.'
+            if unit
+            else 'Unhandled error in the event loop.',
+            extra={
+                'what': context.get('message'),
+                'unit': unit,
+                'ends': is_fatal,
+            },
             exc_info=context.get('exception'),
         )
         if is_fatal and self._stop_requested is not None:
--- a/sardineproxy/process/node/feeds.py
+++ b/sardineproxy/process/node/feeds.py
@@ -2,11 +2,11 @@
 
 import asyncio
 import random
-from typing import Callable, Coroutine, Protocol
+from typing import Callable, Protocol
 
 import result
 
-from sardineproxy import clock, logs
+from sardineproxy import background, clock, logs
 from sardineproxy.process import metrics, store
 from sardineproxy.process.membership import (
     table_follower,
@@ -111,16 +111,11 @@
         self.registry = followers[1]
         self.worker_list = followers[2]
 
-    def coroutines(
-        self, member: registry.Member
-    ) -> list[Coroutine[None, None, None]]:
-        """Return the coroutines to run: the followers and the registration."""
-        return [
-            self.configuration.run(),
-            self.registry.run(),
-            self.worker_list.run(),
-            self._register(member),
-        ]
+    def start(self, member: registry.Member, tasks: background.Tasks) -> None:
+        """Start the followers and the registration."""
+        for follower in (self.configuration, self.registry, self.worker_list):
+            tasks.spawn_restarting(follower.run, f'table {follower.table}')
+        tasks.spawn_restarting(lambda: self._register(member), 'registration')
 
     def is_configuration_available(self) -> bool:
         """Return whether the store currently serves the configuration."""
--- a/sardineproxy/process/node/led_shards.py
+++ b/sardineproxy/process/node/led_shards.py
@@ -180,7 +180,9 @@
         """Start claiming a shard unless a claim is in progress."""
         if shard not in self._claims_in_progress:
             self._claims_in_progress.add(shard)
-            self._tasks.spawn(self._claim(shard))
+            self._tasks.spawn(
+                self._claim(shard), unit=f'claim of shard {shard}'
+            )
 
     def lead(self, shard: ids.ShardId, token: fencing.FencingToken) -> None:
         """Start to lead a shard, or renew the token if it is led already."""
--- a/sardineproxy/process/node/node.py
+++ b/sardineproxy/process/node/node.py
@@ -1,6 +1,7 @@
 """The entry process: accepts jobs, and leads shards that it has claimed."""
 
 import asyncio
+import collections
 import secrets
 from typing import Iterable
 
@@ -54,6 +55,10 @@
 #: may have abandoned the connections during the stall.
 STALL_REFUSAL_S = 0.05
 
+#: Failed ticks in a row after which the process ends: without them it neither
+#: sends heartbeats nor detects that others have replaced it.
+MAX_FAILED_TICKS = 20
+
 INCARNATION_BYTES = 6
 
 _LOG = logs.get_logger('node')
@@ -158,16 +163,24 @@
         )
         self._last_tick_at = self._clock.now()
         self._refusing_until: float = 0
+        self._failed_ticks = 0
+
+        #: Errors that were confined to one unit, by unit.
+        self.failures: collections.Counter[str] = collections.Counter()
 
     async def start(self) -> None:
         """Open the listener for links and start the background tasks."""
         await self.links.start(self.cfg.peers)
         self._update_links()
         self._last_tick_at = self._clock.now()
-        for coroutine in self._feeds.coroutines(self.member):
-            self._tasks.spawn(coroutine)
+        self._feeds.start(self.member, self._tasks)
         self._tasks.spawn(self._run_ticks())
 
+    def record_failure(self, unit: str) -> None:
+        """Count an error that was confined to one unit of the process."""
+        self.failures[unit] += 1
+        self.metrics.count('confined_errors_total')
+
     def update_settings(self, cfg: deployment.Deployment) -> None:
         """Apply changed settings."""
         self.cfg = cfg
@@ -385,7 +398,7 @@
     async def _run_ticks(self) -> None:
         while True:
             now = self._clock.now()
-            self._tick(now)
+            self._tick_or_report(now)
             next_tick_at = now + TICK_S
             while self.led_shards.shards and now < next_tick_at:
                 self.led_shards.check_queues(now)
@@ -393,6 +406,18 @@
                 now = self._clock.now()
             await asyncio.sleep(max(0, next_tick_at - now))
 
+    def _tick_or_report(self, now: float) -> None:
+        """Tick; an error that does not recur must not end the process."""
+        try:
+            self._tick(now)
+        except Exception as exc:
+            self._failed_ticks += 1
+            if self._failed_ticks > MAX_FAILED_TICKS:
+                raise
+            background.report('tick', exc)
+        else:
+            self._failed_ticks = 0
+
     def _tick(self, now: float) -> None:
         self._check_stall(now)
         is_late = now - self._last_tick_at > TICK_S + LATE_TICK_S
--- a/sardineproxy/process/node/service.py
+++ b/sardineproxy/process/node/service.py
@@ -97,6 +97,10 @@
         )
         return result.Ok(None)
 
+    def record_failure(self, unit: str) -> None:
+        """Count an error that was confined to one unit of the process."""
+        self._node.record_failure(unit)
+
     def update_settings(self, cfg: deployment.Deployment) -> None:
         """Apply changed settings, except those fixed at the start."""
         changed = [
--- a/sardineproxy/process/node/state_dump.py
+++ b/sardineproxy/process/node/state_dump.py
@@ -29,6 +29,7 @@
             shard: dataclasses.asdict(claim)
             for shard, claim in process.registry.claims.items()
         },
+        'confined_errors': dict(process.failures),
         'malformed_workers': process.workers.malformed_entries(),
         'jobs': process.active_jobs.state(),
         'kept': [
--- a/sardineproxy/process/shards/agent.py
+++ b/sardineproxy/process/shards/agent.py
@@ -105,7 +105,7 @@
 
     def open(self) -> None:
         """Start polling the worker."""
-        self._tasks.spawn(self._poller.run())
+        self._tasks.spawn_restarting(self._poller.run, self._unit)
 
     async def close(self) -> None:
         """Stop all calls and wait for their end."""
@@ -210,7 +210,11 @@
         run.fence = self.fence
         run.expires_ms = self._lease.extend(now)
         self.ledger.add(run)
-        self._tasks.spawn(self._send_start(run))
+        self._tasks.spawn(
+            self._send_start(run),
+            unit=self._unit,
+            on_failure=lambda: self._handle_failed_start(run),
+        )
         self._poller.wake()
 
     def stop(self, run: runs.Run) -> None:
@@ -220,17 +224,17 @@
         run.state = _State.STOPPING
         run.stop_sent_at = self._clock.now()
         if run.is_sent:
-            self._tasks.spawn(self._send_stop(run.task, run.number, run))
+            self._spawn_stop(run.task, run.number, run)
         self._poller.wake()
 
     def retry_stop(self, run: runs.Run) -> None:
         """Send the stop of a run again."""
-        self._tasks.spawn(self._send_stop(run.task, run.number, run))
+        self._spawn_stop(run.task, run.number, run)
 
     def stop_unrequested(self) -> None:
         """Stop runs of another process that no coordinator resumed."""
         for task, active_run in self.ledger.unrequested.items():
-            self._tasks.spawn(self._send_stop(task, active_run.run))
+            self._spawn_stop(task, active_run.run)
         self._poller.wake()
 
     def adopt(self, run: runs.Run, now: float) -> None:
@@ -303,6 +307,28 @@
             'health': self.health.state(now),
         }
 
+    @property
+    def _unit(self) -> str:
+        """Return the name of the worker for reports of errors."""
+        return f'worker {self.worker.worker}'
+
+    def _handle_failed_start(self, run: runs.Run) -> None:
+        """Handle an error after which it is unknown whether a run exists."""
+        self._mark_run_unconfirmed(run)
+        self.mark_unconfirmed(f'start of {run.task} failed')
+
+    def _spawn_stop(
+        self,
+        task: workers.TaskName,
+        run_number: int,
+        run: runs.Run | None = None,
+    ) -> None:
+        self._tasks.spawn(
+            self._send_stop(task, run_number, run),
+            unit=self._unit,
+            on_failure=lambda: self.mark_unconfirmed(f'stop of {task} failed'),
+        )
+
     async def _send_start(self, run: runs.Run) -> None:
         if run.state is _State.STOPPING:
             self._handle_not_started(run, 'stopped before its start was sent')
--- a/sardineproxy/process/stored_jobs/job_manager.py
+++ b/sardineproxy/process/stored_jobs/job_manager.py
@@ -103,7 +103,7 @@
 
     def start(self) -> None:
         """Load and resume the stored jobs, and start writing the table."""
-        self._tasks.spawn(self._run())
+        self._tasks.spawn(self._run(), unit=f'stored jobs of {self.shard}')
 
     async def close(self) -> None:
         """Stop writing; the next leader resumes the jobs and their runs."""
@@ -219,7 +219,9 @@
         if rows is None:
             return
         self._load(rows)
-        self._tasks.spawn(self._clean_up())
+        self._tasks.spawn_restarting(
+            self._clean_up, f'removal of stored jobs of {self.shard}'
+        )
         await self._table.run()
 
     def _load(self, rows: Iterable[store.Row]) -> None:
@@ -232,7 +234,10 @@
         for row in rows:
             if row.key.startswith(job_table.JOB_PREFIX):
                 job = row.key.removeprefix(job_table.JOB_PREFIX)
-                self._load_job(row, progress_rows.get(job))
+                try:
+                    self._load_job(row, progress_rows.get(job))
+                except Exception as exc:
+                    background.report(f'row {row.key}', exc)
         self._is_loaded = True
         _LOG.info(
             'Stored jobs loaded.',
@@ -287,7 +292,9 @@
         )
         self._executions[stored_job.job.job_id] = job_execution
         job_execution.start()
-        self._tasks.spawn(job_execution.run())
+        self._tasks.spawn(
+            job_execution.run(), unit=f'job {stored_job.job.job_id}'
+        )
 
     def _record_finished(self, ended_job: records.StoredJob) -> None:
         self._metrics.count(
--- a/sardineproxy/process/stored_jobs/job_service.py
+++ b/sardineproxy/process/stored_jobs/job_service.py
@@ -81,7 +81,7 @@
         """Stop managing the jobs of a shard that this process led."""
         manager = self.managers.pop(shard, None)
         if manager is not None:
-            self._tasks.spawn(manager.close())
+            self._tasks.spawn(manager.close(), unit='closing of a job manager')
 
     # Requests from this process.
 
@@ -133,7 +133,9 @@
         """Handle a message; return False if it concerns no stored job."""
         match message:
             case messages.StoreJob() | messages.QueryJob():
-                self._tasks.spawn(self._serve(source, message))
+                self._tasks.spawn(
+                    self._serve(source, message), unit='stored job request'
+                )
             case messages.JobResponse(request_id=request_id, reply=reply):
                 reply_fut = self._pending_replies.get(request_id)
                 if reply_fut is not None and not reply_fut.done():
--- a/sardineproxy/process/stored_jobs/job_table.py
+++ b/sardineproxy/process/stored_jobs/job_table.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import functools
 import random
 from typing import Iterable
 
@@ -159,7 +160,11 @@
             if batch:
                 self._active_commits += 1
                 self._in_flight.update(batch)
-                self._tasks.spawn(self._commit(batch))
+                self._tasks.spawn(
+                    self._commit(batch),
+                    unit='commit of stored jobs',
+                    on_failure=functools.partial(self._abandon, batch),
+                )
 
     async def _wait_until_due(self) -> None:
         while not self.is_superseded:
@@ -223,6 +228,11 @@
                 self._requeue(batch)
         self._wake.set()
 
+    def _abandon(self, batch: _Batch) -> None:
+        """Give up the table after an error: what is stored is not known."""
+        _resolve(batch.values(), stored=False)
+        self._mark_superseded()
+
     async def _commit_until_resolved(
         self, batch: _Batch
     ) -> fenced_rows.WriteOutcome:
--- a/tests/process/membership/test_links.py
+++ b/tests/process/membership/test_links.py
@@ -2,14 +2,16 @@
 
 import asyncio
 import random
+import time
 from typing import Any
 
 import testtools
 
-from sardineproxy import deployment, ids
+from sardineproxy import background, clock, deployment, ids
 from sardineproxy.connection import messages
 from sardineproxy.process.membership import links
 from tests import virtual_time
+from tests.soak import vm
 
 HEARTBEAT = messages.Heartbeat(version=1, shards=(), pending=())
 
@@ -40,6 +42,52 @@
         return self.is_aborted
 
 
+class FailingEvents:
+    """Fails for each message."""
+
+    def __init__(self) -> None:
+        self.received_count = 0
+
+    def opened(self, opened: Any) -> None:
+        """Ignore the event."""
+
+    def closed(self, closed: Any) -> None:
+        """Ignore the event."""
+
+    def received(self, source: Any, message: Any) -> None:
+        self.received_count += 1
+        raise RuntimeError('unexpected')
+
+
+def make_links(name: str, events: Any) -> links.Links:
+    return links.Links(
+        clock=clock.SystemClock(),
+        rng=random.Random(1),
+        identity=messages.Greeting(
+            vm=ids.VmId(name),
+            incarnation=ids.Incarnation('1'),
+            zone=ids.ZoneId('z'),
+        ),
+        events=events,
+        heartbeat_timing=lambda _: links.IDLE_HEARTBEAT,
+    )
+
+
+def make_heartbeat() -> messages.Heartbeat:
+    return HEARTBEAT
+
+
+async def send_and_lose_link(dialing: links.Links) -> None:
+    """Dial, send a message that the peer fails to handle, await the close."""
+    async with asyncio.timeout(20):
+        while not dialing.open_links:
+            dialing.tick(time.monotonic(), make_heartbeat)
+            await asyncio.sleep(0.01)
+        dialing.broadcast(messages.RegistryRequest())
+        while dialing.open_links:
+            await asyncio.sleep(0.01)
+
+
 class Rig:
     """Links of one VM, with one link open since time 1000 s."""
 
@@ -74,6 +122,36 @@
         return not self.link.is_aborted
 
 
+class TestErrors(testtools.TestCase):
+    def test_error_while_handling_a_message_closes_only_its_link(self) -> None:
+        """Guards against a message of one peer that ends the process."""
+
+        async def main() -> None:
+            contexts: list[dict[str, Any]] = []
+            asyncio.get_running_loop().set_exception_handler(
+                lambda _, context: contexts.append(context)
+            )
+            events = FailingEvents()
+            accepting = make_links('a', events)
+            dialing = make_links('b', FailingEvents())
+            address = deployment.Address(
+                host='127.0.0.1', port=vm.free_ports('127.0.0.1')[0]
+            )
+            await accepting.start(address)
+            dialing.set_targets({address: 0})
+            await send_and_lose_link(dialing)
+            await send_and_lose_link(dialing)
+            self.assertEqual(2, events.received_count)
+            self.assertEqual(
+                [False, False],
+                [bool(context.get(background.FATAL)) for context in contexts],
+            )
+            await dialing.close()
+            await accepting.close()
+
+        asyncio.run(main())
+
+
 class TestTick(testtools.TestCase):
     def test_delayed_process_reads_before_it_closes_a_link(self) -> None:
         """Guards against taking a delay of this process for a silent peer.
--- a/tests/process/membership/test_table_follower.py
+++ b/tests/process/membership/test_table_follower.py
@@ -77,6 +77,32 @@
 
         with_rig(scenario)
 
+    def test_row_that_causes_an_error_leaves_the_others(self) -> None:
+        """Guards against one odd row that ends the process or the following.
+
+        The reader of the table fails for the row in a way that nobody thought
+        of.
+        """
+
+        async def scenario(rig: Rig) -> None:
+            received: list[str] = []
+
+            def receive(rows: tuple[store.Row, ...]) -> None:
+                if any(row.key == 't/odd' for row in rows):
+                    raise KeyError('odd')
+                received.extend(row.key for row in rows)
+
+            asyncio.get_running_loop().set_exception_handler(lambda *_: None)
+            rig.follower._on_rows = receive
+            for key in ('a', 'odd', 'b'):
+                rig.store.rows.put(f't/{key}', b'1')
+            await asyncio.sleep(1)
+            rig.store.rows.put('t/c', b'1')
+            await asyncio.sleep(1)
+            self.assertEqual(['t/a', 't/b', 't/c'], received)
+
+        with_rig(scenario)
+
     def test_outage_is_detected_with_back_off(self) -> None:
         """Guards against a high call rate to a store that is down."""
 
--- a/tests/process/shards/faults.py
+++ b/tests/process/shards/faults.py
@@ -23,6 +23,9 @@
     LATE = 'late'
     REFUSED = 'refused'
 
+    #: The call is executed and an unexpected exception is raised.
+    RAISED = 'raised'
+
 
 def draw_fault(rng: random.Random, fault_share: float) -> CallFault:
     """Return the outcome of a call; ``fault_share`` of the calls fail."""
@@ -120,6 +123,8 @@
                     self._call_later(model, call)
                     await asyncio.sleep(timeout_s)
                 response = call(model, self.clock.now())
+                if fault is CallFault.RAISED:
+                    raise RuntimeError('unexpected')
                 if fault is CallFault.RESPONSE_LOST:
                     await asyncio.sleep(timeout_s)
                 if wait_s and isinstance(response, workers.Report):
--- a/tests/process/shards/test_agent.py
+++ b/tests/process/shards/test_agent.py
@@ -1,6 +1,7 @@
 """Orders to one worker: lost responses, delayed orders, outages, restarts."""
 
 import asyncio
+from typing import Any
 
 import testtools
 from testtools import matchers
@@ -53,6 +54,39 @@
 
         samples.with_rig(scenario)
 
+    def test_unexpected_errors_are_confined_to_the_worker(self) -> None:
+        """Guards against one error that ends the process, or the polls.
+
+        Whether the order was executed is unknown after the error, as after a
+        lost response.
+        """
+
+        async def scenario(rig: samples.Rig) -> None:
+            contexts: list[dict[str, Any]] = []
+            asyncio.get_running_loop().set_exception_handler(
+                lambda _, context: contexts.append(context)
+            )
+            raised = faults.CallFault.RAISED
+            for kind in ('start', 'poll', 'stop'):
+                rig.api.fault_of = _with_faults(raised, raised, kind=kind)
+                link = samples.FakeLink()
+                leader = await rig.lead_and_sync(epoch=len(contexts) + 1)
+                submit = samples.make_submit(f'j-{kind}', slack_s=5.0)
+                leader.submit(link, submit, rig.clock.now())
+                await asyncio.sleep(0.1)
+                if kind == 'stop':
+                    leader.withdraw(link, submit.job)
+                    leader.submit(link, submit, rig.clock.now())
+                await asyncio.sleep(3)
+                self.assertEqual({0: 'done'}, link.results(), kind)
+                await leader.close()
+            self.assertEqual([], rig.violations())
+            self.assertEqual(
+                {'worker w0'}, {context['unit'] for context in contexts}
+            )
+
+        samples.with_rig(scenario)
+
     def test_lost_response_does_not_start_a_second_run(self) -> None:
         """Guards against a second run if only the response to an order is lost.
 
