Review cases 1 and 4: accepted jobs that never go on

Cause: a leader that returns from a cut submits its jobs' tasks to the leaders of other zones before it learns of its successor; the valid job manager takes the reply as its own replacement and drops the job.

Cause: the shard of a lost zone is claimed only while its workers respond, and only its leader serves the stored jobs that belong to it.

--- a/review/standin/cluster.py
+++ b/review/standin/cluster.py
@@ -124,6 +124,7 @@
         self.front, self.ready, self.control = _free_ports(host)
         self.process = None
         self.relay = None
+        self.store_gate = http.Gate()
         self.store_port = 0
 
     def signal(self, number):
@@ -178,7 +179,8 @@
                 await vm.relay.listen(vm.host)
             self.store.translate = self._list_relay
         for vm in self.vms.values():
-            vm.store_port = await self.store.listen('127.0.0.1')
+            vm.store_port = await self.store.listen(
+                '127.0.0.1', vm.store_gate)
         for vm in self.vms.values():
             await self.start_vm(vm)
         await self.wait_ready(30)
@@ -233,16 +235,23 @@
         vm.signal(signal.SIGCONT)
         self.log(f'{vm.name}: SIGCONT')
 
-    def cut(self, vm):
-        """Partition a VM from all other VMs, both ways."""
-        self.log(f'{vm.name}: cut off from all other entry VMs')
+    def cut(self, vm, *, store=True):
+        """Partition a VM from all other VMs and the store, both ways.
+
+        Clients and workers still reach it, as on the users' bench.
+        """
+        self.log(f'{vm.name}: cut off from all other entry VMs'
+                 f'{" and from the store" if store else ""}')
         for other in self.vms.values():
             other.relay.cut(vm.name)
+        if store:
+            vm.store_gate.close()
 
     def heal(self, vm):
         self.log(f'{vm.name}: connected again')
         for other in self.vms.values():
             other.relay.heal(vm.name)
+        vm.store_gate.open()
 
     async def wait_ready(self, limit_s):
         until = time.monotonic() + limit_s
@@ -262,19 +271,20 @@
 
     # Clients.
 
-    def new_job(self, home=None):
-        """Return a job id; of a given home zone if the product's hash is
-        to be met (only used to choose ids that matter for the case)."""
+    def new_job(self):
         return f'{self.rng.getrandbits(64):016x}'
 
     async def submit(self, vm, job, *, work_s, count=1, cpu=14000,
                      stored=True, deadline_ms=4000, estimate_ms=None,
-                     after_steps=0):
+                     later_s=None):
+        """Hand a job in; with ``later_s`` a second step follows the first."""
         step = {'count': count, 'cpu': cpu, 'mem_mb': 64,
                 'estimate_ms': estimate_ms or int(work_s * 1000)}
         document = {'spec': f'work={work_s} {job}', 'steps': [step]}
-        for number in range(after_steps):
-            document['steps'].append({**step, 'after': [number]})
+        if later_s is not None:
+            document['spec'] = f'work={work_s},{later_s} {job}'
+            document['steps'].append({
+                **step, 'estimate_ms': int(later_s * 1000), 'after': [0]})
         if not stored:
             document['burstable'] = True
         return await self._ask('POST', vm, job, deadline_ms, document)
@@ -301,7 +311,22 @@
                      f'after {took_s:.3f} s')
         return status, body
 
-    # End.
+    # The store and the workers, to trace a case and to check it.
+
+    def claims(self):
+        """Return owner and epoch of each shard's claim in the store."""
+        found = {}
+        for (table, _, key), (_, value) in sorted(self.store.rows.items()):
+            if table == 'sardineproxy' and key.startswith('cell/'):
+                claim = json.loads(value)
+                found[key.removeprefix('cell/')] = (
+                    claim['owner'][0], claim['epoch'])
+        return found
+
+    def log_claims(self):
+        for zone, (owner, epoch) in self.claims().items():
+            self.log(f'store: shard {zone} is claimed by {owner}, '
+                     f'epoch {epoch}')
 
     def runs(self):
         return [run for worker in self.workers.values() for run in worker.runs]
--- a/review/standin/http.py
+++ b/review/standin/http.py
@@ -39,13 +39,45 @@
     return lines[0], headers
 
 
-async def serve(handler, host, port=0):
+class Gate:
+    """A partition on the way to a server.
+
+    While it is closed, nothing passes: what is under way arrives afterwards,
+    unless the client has closed its connection by then, and a connection that
+    was opened meanwhile never works (its client has to open a new one).
+    """
+
+    def __init__(self):
+        self.is_closed = False
+        self._opened = asyncio.Event()
+
+    def close(self):
+        self.is_closed = True
+
+    def open(self):
+        self.is_closed = False
+        self._opened.set()
+        self._opened = asyncio.Event()
+
+    async def wait(self):
+        while self.is_closed:
+            opened = self._opened
+            await opened.wait()
+
+
+async def serve(handler, host, port=0, gate=None):
     """Serve ``handler``, which returns a status and a JSON document.
 
     A handler that returns None closes the connection without a response.
     """
+    gate = gate or Gate()
+
     async def run(reader, writer):
         with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+            if gate.is_closed:
+                await reader.read()
+                writer.transport.abort()
+                return
             while True:
                 head = await read_head(reader)
                 if head is None:
@@ -53,7 +85,11 @@
                 method, target, _ = head[0].split(' ')
                 length = int(head[1].get('content-length', 0))
                 body = await reader.readexactly(length) if length else b''
+                await gate.wait()
+                if reader.at_eof() or writer.is_closing():
+                    break
                 answer = await handler(Request(method, target, head[1], body))
+                await gate.wait()
                 if answer is None:
                     writer.transport.abort()
                     break
--- a/review/standin/relay.py
+++ b/review/standin/relay.py
@@ -2,7 +2,8 @@
 
 While a VM is cut off, bytes between it and the VM behind the relay are held,
 as in a partition without resets; they are passed on when it has healed, unless
-a side has closed the connection by then.
+a side has closed the connection by then. A connection that is opened meanwhile
+never works, so that its caller has to open a new one.
 """
 
 import asyncio
@@ -41,7 +42,11 @@
         if not first or caller is None:
             writer.transport.abort()
             return
-        await self._wait_healed(caller)
+        if caller in self._cut or self.vm.name in self._cut:
+            with contextlib.suppress(ConnectionError):
+                await reader.read()
+            writer.transport.abort()
+            return
         try:
             target_reader, target = await asyncio.open_connection(
                 self.vm.host, self.vm.control)
--- a/review/standin/store.py
+++ b/review/standin/store.py
@@ -34,8 +34,8 @@
         self.translate = lambda table, key, value: value
         self._changed = asyncio.Event()
 
-    async def listen(self, host):
-        server = await http.serve(self.handle, host)
+    async def listen(self, host, gate):
+        server = await http.serve(self.handle, host, gate=gate)
         return server.sockets[0].getsockname()[1]
 
     def put(self, table, key, value, part=''):
--- a/review/standin/worker.py
+++ b/review/standin/worker.py
@@ -1,9 +1,11 @@
 """Stand-in of a worker (PROTOCOL.md, "Running tasks").
 
-The text ``spec`` of a job says how long its tasks take: ``work=SECONDS``.
+The text ``spec`` of a job says how long its tasks take: ``work=SECONDS``, or
+``work=SECONDS,SECONDS`` for the tasks of the first step and of the others.
 """
 
 import asyncio
+import json
 import re
 import time
 
@@ -120,8 +122,10 @@
             return 200, self._document()
         if current is not None or number <= self.closed.get(task, 0):
             return self._refuse('old')
-        found = re.search(r'work=([0-9.]+)', document['spec'])
-        run = Run(task, number, self.name, float(found.group(1)))
+        found = re.search(r'work=([0-9.]+)(?:,([0-9.]+))?', document['spec'])
+        is_first_step = task.split('.')[2] == '0'
+        work_s = found.group(1) if is_first_step else found.group(2) or found[1]
+        run = Run(task, number, self.name, float(work_s))
         self.runs.append(run)
         self.running[task] = run
         self.log(f'{self.name}: {task} run {number} starts, '
@@ -211,5 +215,4 @@
 
 
 def _encode(document):
-    import json
     return json.dumps(document).encode()
