--- a/review/standin/cluster.py
+++ b/review/standin/cluster.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import contextlib
+import ctypes
 import json
 import os
 import pathlib
@@ -31,6 +32,7 @@
 PREFIX = '/jobs/'
 SERVICE = 'service'
 METRICS_PORT = 9464
+PR_SET_PDEATHSIG = 1
 
 SETTINGS = """
 node = "{name}"
@@ -215,12 +217,11 @@
         environ = {name: os.environ[name] for name in ('PATH', 'HOME', 'LANG')
                    if name in os.environ}
         environ['PYTHONPATH'] = str(ROOT / 'target' / 'deps')
-        environ['PYTHONDONTWRITEBYTECODE'] = '1'
         environ['SARDINEPROXY_CONFIG'] = str(path)
         with (self.temp / f'{vm.name}.log').open('ab') as output:
             vm.process = await asyncio.create_subprocess_exec(
                 *words, cwd=ROOT, env=environ, stdin=asyncio.subprocess.DEVNULL,
-                stdout=output, stderr=output)
+                stdout=output, stderr=output, preexec_fn=_end_with_parent)
         self.log(f'{vm.name}: process {vm.process.pid} started')
 
     async def kill_vm(self, vm):
@@ -292,23 +293,15 @@
     async def query(self, vm, job, deadline_ms=2000):
         return await self._ask('GET', vm, job, deadline_ms)
 
-    async def cancel(self, vm, job, deadline_ms=2000):
-        return await self._ask('DELETE', vm, job, deadline_ms)
-
-    async def pending(self, vm, deadline_ms=2000):
-        return await self._ask('GET', vm, '', deadline_ms, quiet=True)
-
-    async def _ask(self, method, vm, job, deadline_ms, document=None,
-                   quiet=False):
+    async def _ask(self, method, vm, job, deadline_ms, document=None):
         sent_at = time.monotonic()
         status, body = await http.call(
             vm.host, vm.front, method, PREFIX + job,
             headers={'Host': HOST, 'Deadline-Ms': str(deadline_ms)},
             document=document, timeout_s=deadline_ms / 1000)
-        if not quiet:
-            took_s = time.monotonic() - sent_at
-            self.log(f'client: {method} {job} at {vm.name} -> {status} {body} '
-                     f'after {took_s:.3f} s')
+        took_s = time.monotonic() - sent_at
+        self.log(f'client: {method} {job} at {vm.name} -> {status} {body} '
+                 f'after {took_s:.3f} s')
         return status, body
 
     # The store and the workers, to trace a case and to check it.
@@ -363,6 +356,11 @@
         return value
 
 
+def _end_with_parent():
+    """Let the kernel kill this process when the script's process ends."""
+    ctypes.CDLL(None).prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+
+
 def _free_ports(host):
     with socket.socket() as metrics:
         try:
