--- a/sardineproxy/process/membership/links.py
+++ b/sardineproxy/process/membership/links.py
@@ -33,15 +33,17 @@
 HOME_LEADER_HEARTBEAT = HeartbeatTiming(interval_s=0.1, timeout_s=0.4)
 
 #: Between two leaders, and between a VM and the leader of another shard that
-#: has tasks of it. A longer timeout loses more of the tasks that were sent to
-#: another zone, and prolongs the idle time of a zone that has lost all its VMs.
+#: has tasks of it, which must also have ended before the client's retry. A
+#: longer timeout loses more of the tasks that were sent to another zone, and
+#: prolongs the idle time of a zone that has lost all its VMs.
 LEADER_HEARTBEAT = HeartbeatTiming(interval_s=0.2, timeout_s=0.7)
 
 #: On all other links. They are most of the links of a large deployment.
 IDLE_HEARTBEAT = HeartbeatTiming(interval_s=0.5, timeout_s=1.7)
 
-#: A link is in use for this time after its last message other than a heartbeat,
-#: in seconds. Both ends see the same messages.
+#: A link is in use while tasks that were submitted over it have not ended, and
+#: for this time after its last message other than a heartbeat, in seconds. Both
+#: ends see the same messages.
 USED_S = 2.0
 
 #: Timeout for opening a connection, in seconds.
@@ -94,7 +96,7 @@
         rng: random.Random,
         identity: messages.Greeting,
         events: LinkEvents,
-        heartbeat_timing: Callable[[link.Link], HeartbeatTiming],
+        heartbeat_timing: Callable[[link.Link, float], HeartbeatTiming],
         connect: link.Connect = asyncio.open_connection,
         listen: Listen = asyncio.start_server,
     ) -> None:
@@ -162,7 +164,7 @@
         """
         heartbeat = functools.cache(make_heartbeat)
         for open_link in self._all_links():
-            heartbeat_timing = self._heartbeat_timing(open_link)
+            heartbeat_timing = self._heartbeat_timing(open_link, now)
             silent_s = self._silent_s(open_link, heartbeat_timing, now)
             if silent_s >= heartbeat_timing.timeout_s and not is_late:
                 self._close_timed_out(open_link, now)
--- a/sardineproxy/process/node/led_shards.py
+++ b/sardineproxy/process/node/led_shards.py
@@ -161,6 +161,14 @@
         if leader is not None:
             leader.acknowledge_results(message)
 
+    def coordinator_links(self) -> set[link.Link]:
+        """Return the links to the coordinators of unfinished tasks."""
+        return {
+            coordinator_link
+            for leader in self.shards.values()
+            for coordinator_link in leader.coordinator_links()
+        }
+
     def link_lost(self, lost: link.Link, now: float) -> None:
         """Notify all led shards that the link to a coordinator was lost."""
         for leader in self.shards.values():
--- a/sardineproxy/process/node/node.py
+++ b/sardineproxy/process/node/node.py
@@ -27,6 +27,7 @@
     dependencies,
     feeds,
     led_shards,
+    link_timing,
     job_intake,
     local_link,
     peering,
@@ -101,12 +102,13 @@
             decode=dependencies.formats.decode_worker,
             metrics=self.metrics,
         )
+        self._link_timing = link_timing.LinkTiming(process=self)
         self.links = links.Links(
             clock=self._clock,
             rng=dependencies.rng,
             identity=self.identity,
             events=self,
-            heartbeat_timing=self._heartbeat_timing,
+            heartbeat_timing=self._link_timing.choose,
         )
         self._local_link = local_link.LocalLink(
             identity=self.identity, receiver=self
@@ -395,6 +397,18 @@
             return feeds.CANDIDATE_POLL_TIMING
         return feeds.FOLLOWER_POLL_TIMING
 
+    def tick(self, now: float) -> None:
+        """Run the periodic work of links and led shards."""
+        self._check_stall(now)
+        is_late = now - self._last_tick_at > TICK_S + LATE_TICK_S
+        self._last_tick_at = now
+        self.leaders.loaded_shards.update(
+            self.cfg.vm, self.job_service.loaded_shards(), now
+        )
+        self._link_timing.update()
+        self.links.tick(now, self._heartbeat, is_late=is_late)
+        self.led_shards.tick(now, may_claim=not self.draining)
+
     async def _run_ticks(self) -> None:
         while True:
             now = self._clock.now()
@@ -409,7 +423,7 @@
     def _tick_or_report(self, now: float) -> None:
         """Tick; an error that does not recur must not end the process."""
         try:
-            self._tick(now)
+            self.tick(now)
         except Exception as exc:
             self._failed_ticks += 1
             if self._failed_ticks > MAX_FAILED_TICKS:
@@ -418,16 +432,6 @@
         else:
             self._failed_ticks = 0
 
-    def _tick(self, now: float) -> None:
-        self._check_stall(now)
-        is_late = now - self._last_tick_at > TICK_S + LATE_TICK_S
-        self._last_tick_at = now
-        self.leaders.loaded_shards.update(
-            self.cfg.vm, self.job_service.loaded_shards(), now
-        )
-        self.links.tick(now, self._heartbeat, is_late=is_late)
-        self.led_shards.tick(now, may_claim=not self.draining)
-
     def _check_stall(self, now: float) -> None:
         gap_s = now - self._last_tick_at
         if gap_s < STALL_S:
@@ -440,23 +444,6 @@
         self.links.abort_all()
         self.led_shards.mark_all_unconfirmed('process stalled')
 
-    def _heartbeat_timing(self, open_link: link.Link) -> links.HeartbeatTiming:
-        """Return the heartbeat timing of a link; both ends find the same."""
-        peer = open_link.peer
-        leads_home = self.home_shard in self.led_shards.shards
-        if leads_home and peer.zone == self.cfg.zone:
-            return links.HOME_LEADER_HEARTBEAT
-        if self.leader_of(self.home_shard) == peer.vm:
-            return links.HOME_LEADER_HEARTBEAT
-        leads = bool(self.led_shards.shards)
-        peer_leads = peer.vm in self.leaders.by_shard.values()
-        if leads and peer_leads:
-            return links.LEADER_HEARTBEAT
-        is_used = self._clock.now() - open_link.last_used_at < links.USED_S
-        if (leads or peer_leads) and is_used:
-            return links.LEADER_HEARTBEAT
-        return links.IDLE_HEARTBEAT
-
     def _heartbeat(self) -> messages.Heartbeat:
         return messages.Heartbeat(
             version=self.versions.number,
--- a/sardineproxy/process/shards/shard.py
+++ b/sardineproxy/process/shards/shard.py
@@ -183,6 +183,14 @@
         self._stored_results.release_claims(lost_link)
         self._takeover.discard(lost_link)
 
+    def coordinator_links(self) -> set[link.Link]:
+        """Return the links to the coordinators of unfinished tasks."""
+        return {
+            batch.link
+            for batch in self._backlog.all()
+            if batch.link is not None
+        }
+
     def acknowledge_results(self, message: messages.ResultsStored) -> None:
         """Acknowledge stored results to their workers."""
         self._stored_results.acknowledge(message)
--- a/sardineproxy/request/active_jobs.py
+++ b/sardineproxy/request/active_jobs.py
@@ -93,6 +93,14 @@
             for active in self._jobs.values()
         )
 
+    def leader_links(self) -> set[link.Link]:
+        """Return the links to the leaders that open tasks are assigned to."""
+        return {
+            leader
+            for active in self._jobs.values()
+            for leader in active.coordinator.leader_links()
+        }
+
     def state(self) -> dict[str, object]:
         """Return the routes of the jobs, for the state dump."""
         return {
--- a/sardineproxy/request/coordinator.py
+++ b/sardineproxy/request/coordinator.py
@@ -87,6 +87,14 @@
         """
         return self._may_have_run
 
+    def leader_links(self) -> set[link.Link]:
+        """Return the links to the leaders that open tasks are assigned to."""
+        return {
+            task.leader
+            for task in self._open_tasks.all()
+            if task.leader is not None
+        }
+
     def post_event(self, event: Event) -> None:
         """Queue an event for ``run``."""
         self._events.put_nowait(event)
--- a/tests/process/membership/test_links.py
+++ b/tests/process/membership/test_links.py
@@ -69,7 +69,7 @@
             zone=ids.ZoneId('z'),
         ),
         events=events,
-        heartbeat_timing=lambda _: links.IDLE_HEARTBEAT,
+        heartbeat_timing=lambda *_: links.IDLE_HEARTBEAT,
     )
 
 
@@ -101,7 +101,7 @@
             rng=random.Random(1),
             identity=FakeLink(0).peer,
             events=self,
-            heartbeat_timing=lambda _: self.heartbeat_timing,
+            heartbeat_timing=lambda *_: self.heartbeat_timing,
         )
         self.link = FakeLink(1000)
         self.tested.open_links[self.link.peer.vm] = [self.link]  # type: ignore[list-item]
