Runs of jobs that are not stored end with the wait of their client

A leader whose own ticks are late closes no links, and a withdrawal can be lost on a connection that never responds again.

Cause: only the coordinator acted on the end of the client's wait. The leader knows it as well (Submit.timeout_s), but used it for waiting tasks only.

Change: the leader drops batches of jobs that are not stored at their deadline and stops their runs. A job that another VM submits while it runs keeps the later deadline. Stored jobs go on.

--- a/sardineproxy/process/shards/runs.py
+++ b/sardineproxy/process/shards/runs.py
@@ -185,6 +185,13 @@
         self._waiting.clear()
         return removed
 
+    def extend_deadline(self, deadline: float) -> None:
+        """Keep the batch until a client that sent its job again stops waiting.
+
+        ``deadline`` is local time, in seconds.
+        """
+        self.deadline = max(self.deadline, deadline)
+
     @property
     def key(self) -> BatchKey:
         """Return the key of the batch."""
--- a/sardineproxy/process/shards/scheduler.py
+++ b/sardineproxy/process/shards/scheduler.py
@@ -185,6 +185,16 @@
         self._backlog.drop(batch, cause, self._stop)
         self._queue.discard(batch)
 
+    def drop_expired(self, now: float) -> None:
+        """Drop unstored batches whose clients no longer wait.
+
+        Their coordinators withdraw them by then, unless they do not respond or
+        cannot reach this leader.
+        """
+        for batch in self._backlog.all():
+            if not batch.stored and now >= batch.deadline:
+                self._drop_as_late(batch, 'deadline passed')
+
     def report_start_again(self, batch: runs.Batch) -> None:
         """Report to a reattached job manager that tasks were started."""
         batch.start_reported = False
@@ -407,7 +417,7 @@
             if now >= self._latest_start(batch):
                 self._reject(batch, now, now)
         elif now >= self._last_useful_start(batch):
-            self._drop_as_late(batch)
+            self._drop_as_late(batch, 'too late')
 
     def _latest_start(self, batch: runs.Batch) -> float:
         """Return the latest start that is on time, in local seconds."""
@@ -416,7 +426,7 @@
     def _last_useful_start(self, batch: runs.Batch) -> float:
         return min(batch.useful_until, batch.deadline) - batch.expected_s
 
-    def _drop_as_late(self, batch: runs.Batch) -> None:
+    def _drop_as_late(self, batch: runs.Batch, cause: str) -> None:
         for index in list(batch.tasks):
             self._backlog.send_result(
                 batch,
@@ -424,7 +434,7 @@
                 batch.tasks[index].next_run_number,
                 jobs.TaskResult.LATE,
             )
-        self.drop(batch, 'too late')
+        self.drop(batch, cause)
 
     def _stop(self, run: runs.Run) -> None:
         self._agents[run.worker].stop(run)
--- a/sardineproxy/process/shards/shard.py
+++ b/sardineproxy/process/shards/shard.py
@@ -155,6 +155,7 @@
         if existing and message.stored:
             self._reattach_stored(existing, source, message, now)
         elif existing:
+            existing.extend_deadline(now + message.timeout_s)
             self._reattach(existing, source, dict(message.tasks), now)
         elif message.resumed and self._takeover.must_defer(message, now):
             self._takeover.defer(source, message)
@@ -224,6 +225,7 @@
         self._remove_unlisted(now)
         self._stored_results.send_unclaimed(now)
         self._drop_abandoned(now)
+        self._scheduler.drop_expired(now)
         self._backlog.expire(now)
         self._scheduler.refresh(now)
         self._scheduler.check_queue(now)
--- a/tests/process/shards/test_shard.py
+++ b/tests/process/shards/test_shard.py
@@ -321,6 +321,64 @@
 
         samples.with_rig(scenario, work_of=_work_of_1_s)
 
+    def test_runs_end_with_the_wait_of_their_client(self) -> None:
+        """Guards against a task that runs twice at the same time.
+
+        The client sends its job again 1.3 s after the end of its wait. The
+        coordinator has frozen, and its link counts as open: a leader that is
+        itself late does not close it.
+        """
+
+        async def scenario(rig: samples.Rig) -> None:
+            leader = await rig.lead_and_sync()
+            link = samples.FakeLink()
+            leader.submit(
+                link, samples.make_submit(timeout_s=0.4), rig.clock.now()
+            )
+            await asyncio.sleep(0.3)
+            self.assertIsNone(samples.only_item(rig.records()).result)
+            await asyncio.sleep(0.3)
+            record = samples.only_item(rig.records())
+            self.assertEqual(workers.RunResult.STOPPED, record.result)
+            self.assertEqual({0: 'late'}, link.results())
+
+        samples.with_rig(scenario, work_of=_work_of_1_s)
+
+    def test_job_sent_again_runs_until_the_end_of_the_later_wait(self) -> None:
+        """Guards against stopping a run that another client request awaits."""
+
+        async def scenario(rig: samples.Rig) -> None:
+            leader = await rig.lead_and_sync()
+            link, later_link = samples.FakeLink(), samples.FakeLink('vm-2')
+            leader.submit(
+                link, samples.make_submit(timeout_s=0.4), rig.clock.now()
+            )
+            await asyncio.sleep(0.3)
+            leader.submit(
+                later_link, samples.make_submit(timeout_s=2.0), rig.clock.now()
+            )
+            await asyncio.sleep(1.2)
+            self.assertEqual({0: 'done'}, later_link.results())
+            self.assertEqual(1, len(rig.records()))
+
+        samples.with_rig(scenario, work_of=_work_of_1_s)
+
+    def test_stored_job_runs_after_the_deadline(self) -> None:
+        """Guards against stopping work for which nobody waits on purpose."""
+
+        async def scenario(rig: samples.Rig) -> None:
+            leader = await rig.lead_and_sync()
+            link = samples.FakeLink()
+            leader.submit(
+                link,
+                samples.make_submit(timeout_s=0.4, stored=True),
+                rig.clock.now(),
+            )
+            await asyncio.sleep(1.5)
+            self.assertEqual({0: 'done'}, link.results())
+
+        samples.with_rig(scenario, work_of=_work_of_1_s)
+
     def test_reconnected_coordinator_keeps_its_runs(self) -> None:
         """Guards against repeated work after a connection reset."""
 
