A change of the heartbeat timing does not extend a link's timeout

Cause: each change of a link's timing started the count of the peer's silence again, so that the former and the new timeout added up (0.7 s and 0.4 s; with 0.3 s for its runs and the ticks that is more than 1.3 s).

Change: a shorter timeout still counts from the change, as the peer may learn of it later, but the former timeout holds beside it; a longer one counts from the last message.

Result: two new tests failed before and pass.

--- a/sardineproxy/process/membership/links.py
+++ b/sardineproxy/process/membership/links.py
@@ -86,6 +86,34 @@
     vm: ids.VmId | None = None
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class _TimingEntry:
+    """Heartbeat timing of an open link, and what it was before."""
+
+    timing: HeartbeatTiming
+
+    #: Local time since which the timing holds, in seconds.
+    since: float
+
+    #: Timeout before that, in seconds.
+    former_timeout_s: float
+
+    def times_out_at(self, last_received_at: float) -> float:
+        """Return when the link times out, in seconds of the local clock.
+
+        The peer may learn of a new leader later than this VM, and sends
+        heartbeats at a longer interval until then. A shorter timeout therefore
+        counts from the change, but does not extend the former timeout.
+        """
+        timeout_s = self.timing.timeout_s
+        if last_received_at >= self.since:
+            return last_received_at + timeout_s
+        return min(
+            self.since + timeout_s,
+            last_received_at + max(timeout_s, self.former_timeout_s),
+        )
+
+
 class Links:  # noqa: WPS214
     """All peer links of a process."""
 
@@ -113,8 +141,8 @@
         self._tasks = background.Tasks()
         self._needed_vms: Collection[ids.VmId] | None = None
 
-        #: Heartbeat timing of each open link, and the time it was set.
-        self._timings: dict[link.Link, tuple[HeartbeatTiming, float]] = {}
+        #: Heartbeat timing of each open link.
+        self._timings: dict[link.Link, _TimingEntry] = {}
         self.open_links: dict[ids.VmId, list[link.Link]] = {}
 
     async def start(self, address: deployment.Address) -> None:
@@ -164,14 +192,14 @@
         """
         heartbeat = functools.cache(make_heartbeat)
         for open_link in self._all_links():
-            heartbeat_timing = self._heartbeat_timing(open_link, now)
-            silent_s = self._silent_s(open_link, heartbeat_timing, now)
-            if silent_s >= heartbeat_timing.timeout_s and not is_late:
+            entry = self._update_timing(open_link, now)
+            times_out_at = entry.times_out_at(open_link.last_received_at)
+            if now >= times_out_at and not is_late:
                 self._close_timed_out(open_link, now)
             elif self._is_unneeded(open_link, now):
                 open_link.abort()
                 self._remove(open_link)
-            elif now - open_link.last_sent_at >= heartbeat_timing.interval_s:
+            elif now - open_link.last_sent_at >= entry.timing.interval_s:
                 open_link.send(heartbeat())
         self._dial_missing(now)
 
@@ -229,23 +257,17 @@
             for open_link in vm_links
         ]
 
-    def _silent_s(
-        self,
-        open_link: link.Link,
-        heartbeat_timing: HeartbeatTiming,
-        now: float,
-    ) -> float:
-        """Return for how long the peer has been silent.
-
-        The time counts from the last change of the link's heartbeat timing at
-        the earliest. The peer may learn of a new leader later than this VM, and
-        sends heartbeats at the slower interval until then.
-        """
-        timing_entry = self._timings.get(open_link)
-        if timing_entry is None or timing_entry[0] is not heartbeat_timing:
-            timing_entry = (heartbeat_timing, now)
-            self._timings[open_link] = timing_entry
-        return now - max(open_link.last_received_at, timing_entry[1])
+    def _update_timing(self, open_link: link.Link, now: float) -> _TimingEntry:
+        """Return the heartbeat timing of a link that holds from now on."""
+        timing = self._heartbeat_timing(open_link, now)
+        entry = self._timings.get(open_link)
+        if entry is None or entry.timing is not timing:
+            former = timing if entry is None else entry.timing
+            entry = _TimingEntry(
+                timing=timing, since=now, former_timeout_s=former.timeout_s
+            )
+            self._timings[open_link] = entry
+        return entry
 
     def _is_unneeded(self, open_link: link.Link, now: float) -> bool:
         return (
--- a/tests/process/membership/test_links.py
+++ b/tests/process/membership/test_links.py
@@ -205,6 +205,27 @@
         rig.tick(0.31)
         self.assertEqual([HEARTBEAT], rig.link.sent)
 
+    def test_change_of_timing_does_not_extend_the_former_timeout(self) -> None:
+        """Guards against a failed VM whose runs outlast its client's retry.
+
+        Its silence was counted anew when another VM became its leader.
+        """
+        rig = Rig()
+        self.assertTrue(rig.tick(0.9))
+        rig.heartbeat_timing = links.HOME_LEADER_HEARTBEAT
+        self.assertTrue(rig.tick(1))
+        self.assertFalse(rig.tick(1.15))
+
+    def test_longer_timeout_counts_from_the_last_message(self) -> None:
+        """Guards against a failed VM that stays linked after a change."""
+        rig = Rig()
+        rig.heartbeat_timing = links.HOME_LEADER_HEARTBEAT
+        self.assertTrue(rig.tick(0.1))
+        rig.heartbeat_timing = links.LEADER_HEARTBEAT
+        self.assertTrue(rig.tick(0.4))
+        self.assertTrue(rig.tick(0.6))
+        self.assertFalse(rig.tick(0.75))
+
     def test_shorter_timeout_counts_from_the_change_of_timing(self) -> None:
         """Guards against a timeout before the peer shortens its interval.
 
