A leader of another zone's shard uses the heartbeat timing of its VMs

What callers could see: jobs given up as the link to the leader of their zone's shard is closed by the VM's timeout, if one heartbeat is late.

Cause: a VM expects heartbeats of its home shard's leader every 0.1 s and closes the link after 0.4 s. A leader in another zone sent them every 0.2 s or 0.5 s, since it compared the peer's zone with its own instead of with its shards.

Change: the timing of the home shard's leader applies to the VMs of all zones whose shards are led here.

Result: test_leader_of_another_zone_uses_the_timing_of_its_vms failed before and passes.

--- a/sardineproxy/process/node/link_timing.py
+++ b/sardineproxy/process/node/link_timing.py
@@ -43,13 +43,13 @@
         """Return the heartbeat timing of a link."""
         peer = open_link.peer
         home_shard = self._process.home_shard
-        leads_home = home_shard in self._process.led_shards.shards
-        if leads_home and ids.ShardId(peer.zone) == home_shard:
+        led = self._process.led_shards.shards
+        if ids.ShardId(peer.zone) in led:
             return links.HOME_LEADER_HEARTBEAT
         leader_vms = self._process.leaders.by_shard
         if leader_vms.get(home_shard) == peer.vm:
             return links.HOME_LEADER_HEARTBEAT
-        leads = bool(self._process.led_shards.shards)
+        leads = bool(led)
         peer_leads = peer.vm in leader_vms.values()
         if leads and peer_leads:
             return links.LEADER_HEARTBEAT
--- a/tests/process/node/test_link_timing.py
+++ b/tests/process/node/test_link_timing.py
@@ -8,7 +8,7 @@
 from sardineproxy import ids
 from sardineproxy.connection import messages
 from sardineproxy.process.membership import links
-from sardineproxy.process.node import node
+from sardineproxy.process.node import link_timing, node
 from sardineproxy.process.shards import fencing, workers
 from sardineproxy.standin import worker_model
 from tests import virtual_time
@@ -190,3 +190,23 @@
             submitted.cancel()
 
         _with_rig(scenario, peer_zone='z2')
+
+
+class TestLinksOfALeader(testtools.TestCase):
+    def test_leader_of_another_zone_uses_the_timing_of_its_vms(self) -> None:
+        """Guards against a VM that closes the link to its leader.
+
+        A VM expects heartbeats of its home shard's leader at the shortest
+        interval, also of a leader in another zone.
+        """
+
+        async def scenario(rig: Rig) -> None:
+            rig.lead(OTHER)
+            await rig.tick_for(links.USED_S + 1)
+            timing = link_timing.LinkTiming(process=rig.node)
+            self.assertEqual(
+                links.HOME_LEADER_HEARTBEAT,
+                timing.choose(rig.link, rig.clock.now()),
+            )
+
+        _with_rig(scenario, peer_zone='z2')
