--- a/tests/process/shards/test_shard.py
+++ b/tests/process/shards/test_shard.py
@@ -424,6 +424,34 @@
 
         samples.with_rig(scenario, work_of=_work_of_1_s)
 
+    def test_resumed_task_of_a_known_batch_is_adopted(self) -> None:
+        """Guards against a second run after a retry and a change of leader.
+
+        The coordinator submits a failed task to the new leader before it
+        resumes the other task of the step, which still runs.
+        """
+
+        async def scenario(rig: samples.Rig) -> None:
+            link = samples.FakeLink()
+            old_leader = await rig.lead_and_sync()
+            old_leader.submit(link, samples.make_submit(), rig.clock.now())
+            await asyncio.sleep(0.1)
+            rig.superseded_shards.append(old_leader)
+            old_leader.step_down()
+            new_leader = await rig.lead_and_sync(epoch=2)
+            new_leader.submit(
+                link, samples.make_submit(tasks=((1, 2),)), rig.clock.now()
+            )
+            new_leader.submit(
+                link, samples.make_submit(resumed=True), rig.clock.now()
+            )
+            await asyncio.sleep(2.5)
+            self.assertEqual([], rig.violations())
+            self.assertEqual({0: 'done', 1: 'done'}, link.results())
+            self.assertEqual(2, len(rig.records()))
+
+        samples.with_rig(scenario, work_of=_work_of_1_s, count=2)
+
     def test_old_leader_is_fenced(self) -> None:
         """Guards against starts by a leader that missed the takeover."""
 
