--- a/sardineproxy/process/stored_jobs/fenced_rows.py
+++ b/sardineproxy/process/stored_jobs/fenced_rows.py
@@ -6,6 +6,7 @@
 write of the same row, nor after a takeover.
 """
 
+import asyncio
 import dataclasses
 import enum
 from typing import Mapping
@@ -72,6 +73,9 @@
         self._writer_revision = 0
         self._revisions: dict[str, int] = {}
 
+        #: Held while the writer row is compared with what was written here.
+        self._writer_lock = asyncio.Lock()
+
         #: Number of failed calls since the last successful write.
         self.consecutive_failures = 0
 
@@ -141,6 +145,17 @@
             case _:
                 return WriteOutcome.UNKNOWN
 
+    async def is_writer(self) -> bool | None:
+        """Return whether no other process has become the writer until now.
+
+        None if the call fails.
+        """
+        async with self._writer_lock:
+            row = await self._get(WRITER_KEY)
+            if row is None:
+                return None
+            return row.revision == self._writer_revision
+
     async def _store_writer(self) -> WriteOutcome:
         self._count_call()
         response = await self._store.transact(
--- a/sardineproxy/process/stored_jobs/job_manager.py
+++ b/sardineproxy/process/stored_jobs/job_manager.py
@@ -34,6 +34,9 @@
 #: being stored. A commit takes 16 ms, so the reply usually has the new state.
 FINISHING_QUERY_WAIT_S = 0.1
 
+#: Delay before another attempt to confirm that a job is not stored, in seconds.
+CONFIRM_RETRY_S = 0.5
+
 #: Delay in seconds from the end of the retention of a final state until its
 #: row may be removed.
 CLEANUP_SLACK_S = 10.0
@@ -132,9 +135,15 @@
         return await self._wait_stored(job, self._storing[job])
 
     async def query(self, job: ids.JobId) -> JobReply:
-        """Return the state of a job according to the store."""
+        """Return the state of a job according to the store.
+
+        ABSENT is confirmed by the store: another process may have taken over
+        the table and stored the job.
+        """
         if not self.is_loaded:
             return JobReply.UNAVAILABLE
+        if not self._is_known(job) and not await self._are_jobs_complete():
+            return JobReply.UNAVAILABLE
         job_execution = self._executions.get(job)
         if job_execution is not None:
             return await self._query_execution(job_execution)
@@ -168,17 +177,10 @@
                 open_tasks.FromLeader(source=source, message=message)
             )
         elif isinstance(message, messages.RunEnded):
-            # The job has ended or was never stored, so the result is not
-            # needed: the worker can discard it.
-            if self.is_loaded:
-                source.send(
-                    messages.ResultsStored(
-                        shard=message.shard,
-                        job=message.job,
-                        step=message.step,
-                        runs=((message.index, message.run),),
-                    )
-                )
+            self._tasks.spawn(
+                self._discard_result(source, message),
+                unit=f'result of job {message.job}',
+            )
 
     def broadcast(
         self, event: open_tasks.LeaderLost | open_tasks.LeaderFound
@@ -201,6 +203,44 @@
             'ended': len(self._ended_jobs),
         }
 
+    def _is_known(self, job: ids.JobId) -> bool:
+        return (
+            job in self._executions
+            or job in self._ended_jobs
+            or job in self._storing
+        )
+
+    async def _are_jobs_complete(self) -> bool:
+        """Return whether the store confirms that no other job is stored."""
+        is_writer = await self._table.confirm(STORE_TIMEOUT_S)
+        return is_writer and self.is_loaded
+
+    async def _discard_result(
+        self, source: link.Link, ended: messages.RunEnded
+    ) -> None:
+        """Let the worker discard the result of a job that is not running.
+
+        If the job is unknown here, another process that has taken over the
+        table may need the result.
+        """
+        while not self._is_known(ended.job):
+            if not self.is_loaded:
+                return
+            if await self._are_jobs_complete():
+                break
+            await asyncio.sleep(CONFIRM_RETRY_S)
+        if ended.job in self._executions:
+            self.handle_message(source, ended)
+            return
+        source.send(
+            messages.ResultsStored(
+                shard=ended.shard,
+                job=ended.job,
+                step=ended.step,
+                runs=((ended.index, ended.run),),
+            )
+        )
+
     async def _query_execution(
         self, job_execution: execution.Execution
     ) -> JobReply:
--- a/sardineproxy/process/stored_jobs/job_table.py
+++ b/sardineproxy/process/stored_jobs/job_table.py
@@ -76,6 +76,10 @@
         self._wake = asyncio.Event()
         self._tasks = background.Tasks()
 
+        #: Check of the writer row that has not begun yet, None without one.
+        self._next_check: asyncio.Future[bool] | None = None
+        self._check_lock = asyncio.Lock()
+
         #: True once another leader writes the table.
         self.is_superseded = False
 
@@ -144,6 +148,25 @@
         self._wake.set()
         return change.stored_fut
 
+    async def confirm(self, timeout_s: float) -> bool:
+        """Return whether all changes of the rows up to now were made here.
+
+        False if another leader has taken over the table, or if the store does
+        not respond within ``timeout_s`` seconds. Calls that wait for the same
+        check share it.
+        """
+        check = self._next_check
+        if check is None:
+            check = asyncio.get_running_loop().create_future()
+            self._next_check = check
+            self._tasks.spawn(
+                self._check_writer(check),
+                unit=f'check of the writer of {self.shard}',
+                on_failure=functools.partial(_resolve_check, check, False),
+            )
+        await asyncio.wait((check,), timeout=timeout_s)
+        return check.done() and check.result()
+
     def withdraw(self, key: str) -> bool:
         """Withdraw a waiting change; return False if it may have been sent."""
         change = self._waiting.pop(key, None)
@@ -166,6 +189,15 @@
                     on_failure=functools.partial(self._abandon, batch),
                 )
 
+    async def _check_writer(self, check: asyncio.Future[bool]) -> None:
+        async with self._check_lock:
+            # Later calls need a check that begins after them.
+            self._next_check = None
+            is_writer = await self._rows.is_writer()
+        if is_writer is False:
+            self._mark_superseded()
+        _resolve_check(check, bool(is_writer) and not self.is_superseded)
+
     async def _wait_until_due(self) -> None:
         while not self.is_superseded:
             self._wake.clear()
@@ -279,6 +311,12 @@
         )
         _resolve(self._waiting.values(), stored=False)
         self._waiting.clear()
+        self._wake.set()
+
+
+def _resolve_check(check: asyncio.Future[bool], is_writer: bool) -> None:
+    if not check.done():
+        check.set_result(is_writer)
 
 
 def _resolve(changes: Iterable[_PendingWrite], *, stored: bool) -> None:
--- a/tests/process/stored_jobs/test_job_manager.py
+++ b/tests/process/stored_jobs/test_job_manager.py
@@ -5,6 +5,7 @@
 
 import testtools
 
+from sardineproxy.connection import messages
 from sardineproxy.process.stored_jobs import job_manager, job_table
 from tests import virtual_time
 from tests.process.shards import samples
@@ -324,3 +325,91 @@
             self.assertEqual(4, len(cluster.rig.records()))
 
         with_cluster(scenario)
+
+
+class TestOutdatedManager(testtools.TestCase):
+    """A manager that has not learned that another process took over."""
+
+    def test_job_stored_by_another_process_is_not_reported_absent(self) -> None:
+        """Guards against 410 for an accepted job (review case 4).
+
+        The former manager has no traffic that would show the takeover.
+        """
+
+        async def scenario(cluster: clusters.Cluster) -> None:
+            former_leader = cluster.leader
+            cluster.take_over()
+            await asyncio.sleep(0.2)
+            stored_job = clusters.make_job(1, 1)
+            reply = await cluster.leader.manager.accept(stored_job)
+            self.assertEqual(_Reply.ACCEPTED, reply)
+            reply = await former_leader.manager.query(stored_job.job.job_id)
+            self.assertEqual(_Reply.UNAVAILABLE, reply)
+
+        with_cluster(scenario)
+
+    def test_job_is_not_reported_absent_while_the_store_is_down(self) -> None:
+        """Guards against 410 without a response of the store."""
+
+        async def scenario(cluster: clusters.Cluster) -> None:
+            job = clusters.make_job(1, 1).job.job_id
+            cluster.store.is_unavailable = True
+            reply = await cluster.leader.manager.query(job)
+            self.assertEqual(_Reply.UNAVAILABLE, reply)
+            cluster.store.is_unavailable = False
+            reply = await cluster.leader.manager.query(job)
+            self.assertEqual(_Reply.ABSENT, reply)
+
+        with_cluster(scenario)
+
+    def test_queries_of_unknown_jobs_share_reads_of_the_store(self) -> None:
+        """Guards against using up the store's rate limit."""
+
+        async def scenario(cluster: clusters.Cluster) -> None:
+            calls_before = cluster.store.calls
+            replies = await asyncio.gather(
+                *(
+                    cluster.leader.manager.query(
+                        clusters.make_job(number, 1).job.job_id
+                    )
+                    for number in range(50)
+                )
+            )
+            self.assertEqual([_Reply.ABSENT] * 50, replies)
+            self.assertLessEqual(cluster.store.calls - calls_before, 2)
+
+        with_cluster(scenario)
+
+    def test_result_of_an_unknown_job_is_kept_for_another_process(
+        self,
+    ) -> None:
+        """Guards against a second run of a completed task.
+
+        The worker discards a result that a manager does not need. A manager
+        that does not know the job must not decide this if another process has
+        stored the job.
+        """
+
+        async def scenario(cluster: clusters.Cluster) -> None:
+            former_leader = cluster.leader
+            leader = cluster.take_over()
+            await asyncio.sleep(0.2)
+            stored_job = clusters.make_job(1, 1)
+            await leader.manager.accept(stored_job)
+            source = samples.FakeLink()
+            former_leader.manager.handle_message(
+                source,  # type: ignore[arg-type]
+                messages.RunEnded(
+                    shard=samples.SHARD,
+                    job=stored_job.job.job_id,
+                    step=0,
+                    index=0,
+                    run=1,
+                    result='done',
+                    stored=True,
+                ),
+            )
+            await asyncio.sleep(3)
+            self.assertEqual([], source.sent)
+
+        with_cluster(scenario)
