A leader that loses its job table steps down or loads the jobs again

Cause: nothing replaced a job manager whose table another process had taken over, or whose commit or start had failed with an error, while this process led the shard.

Change: the manager reports that it can no longer write. If the table is written under a higher fencing token, another process leads the shard, and this one steps down, as with a higher token from a VM or a worker. Otherwise the jobs are loaded again, after an error with a pause of 1 s; jobs that another process has finished meanwhile are withdrawn from the leaders of shards. A writer row that already names this process is written again, so that delayed commits of the replaced manager fail. The check of the writer row has a module of its own.

--- a/sardineproxy/process/node/dependencies.py
+++ b/sardineproxy/process/node/dependencies.py
@@ -48,11 +48,13 @@
     writer: fenced_rows.Writer,
     router: execution.Router,
     retention_s: float,
+    on_lost: Callable[[job_manager.JobManager], None],
 ) -> job_manager.JobManager:
     """Return the manager of stored jobs for a shard that this process leads.
 
     ``retention_s`` is the time for which the state of a finished job is
-    available, in seconds.
+    available, in seconds. ``on_lost`` is called once the manager can no longer
+    write the shard's jobs.
     """
     return job_manager.JobManager(
         table=job_table.JobTable(
@@ -67,4 +69,5 @@
         clock=dependencies.clock,
         metrics=dependencies.metrics,
         retention_s=retention_s,
+        on_lost=on_lost,
     )
--- a/sardineproxy/process/node/led_shards.py
+++ b/sardineproxy/process/node/led_shards.py
@@ -28,6 +28,10 @@
 PROBE_SAMPLE_SIZE = 3
 PROBE_TIMEOUT_S = 0.2
 
+#: Delay before the stored jobs of a shard are loaded again after an error, in
+#: seconds.
+RELOAD_DELAY_S = 1.0
+
 _LOG = logs.get_logger('node')
 
 
@@ -234,6 +238,14 @@
         self._tasks.spawn(lost.close())
         self._context.shard_lost(shard)
 
+    def replace_manager(self, lost: job_manager.JobManager) -> None:
+        """Replace a job manager that can no longer write its table.
+
+        If the table is written under a higher token, another process leads the
+        shard, else the jobs are loaded again.
+        """
+        self._tasks.spawn(self._replace_manager(lost))
+
     def superseded(self, lost: shards.ShardLeader) -> None:
         """Stop leading a shard that another process has taken over."""
         if self.shards.get(lost.shard) is lost:
@@ -246,6 +258,28 @@
         for shard in self.shards:
             self._hand_over(shard)
 
+    async def _replace_manager(self, lost: job_manager.JobManager) -> None:
+        shard = lost.shard
+        if self._is_current(lost) and lost.newer_token is None:
+            # The cause is an error, which may recur.
+            await asyncio.sleep(RELOAD_DELAY_S)
+        if not self._is_current(lost):
+            return
+        token = self.shards[shard].token
+        if lost.newer_token is not None and lost.newer_token > token:
+            self.step_down(shard, 'a newer leader writes the job table')
+            return
+        _LOG.warning(
+            'Stored jobs are loaded again.',
+            extra={'cell': shard, 'epoch': token.epoch, 'rank': token.rank},
+        )
+        self._job_service.add_manager(
+            self._dependencies.new_job_manager(shard, token)
+        )
+
+    def _is_current(self, manager: job_manager.JobManager) -> bool:
+        return self._job_service.managers.get(manager.shard) is manager
+
     def _update_workers(self, leader: shards.ShardLeader) -> None:
         leader.set_workers(
             self._context.workers_of(leader.shard),
--- a/sardineproxy/process/node/node.py
+++ b/sardineproxy/process/node/node.py
@@ -510,6 +510,7 @@
             ),
             router=self,
             retention_s=self.cfg.bounds.status_retention_s,
+            on_lost=self.led_shards.replace_manager,
         )
 
     def _update_links(self) -> None:
--- a/sardineproxy/process/stored_jobs/execution.py
+++ b/sardineproxy/process/stored_jobs/execution.py
@@ -167,6 +167,10 @@
         if not self.finished.done():
             self.finished.set_result(is_stored)
 
+    def withdraw(self) -> None:
+        """Withdraw the tasks from all leaders; ``run`` must have ended."""
+        self._open_tasks.withdraw()
+
     def state(self) -> records.JobState:
         """Return the state of the job according to the store."""
         if self.stored_job.state.is_final:
--- a/sardineproxy/process/stored_jobs/fenced_rows.py
+++ b/sardineproxy/process/stored_jobs/fenced_rows.py
@@ -73,27 +73,41 @@
         self._writer_revision = 0
         self._revisions: dict[str, int] = {}
 
+        #: Revision of the writer row before ``acquire`` wrote it, None before
+        #: that.
+        self._revision_before: int | None = None
+
         #: Held while the writer row is compared with what was written here.
         self._writer_lock = asyncio.Lock()
 
+        #: Fencing token of the process that has become the writer, None before
+        #: that is known.
+        self.newer_token: fencing.FencingToken | None = None
+
         #: Number of failed calls since the last successful write.
         self.consecutive_failures = 0
 
     async def acquire(self) -> WriteOutcome:
-        """Write this process into the writer row."""
-        self._count_call()
-        response = await self._store.get(WRITER_KEY, part=self.shard)
-        if isinstance(response, result.Err):
-            self._record_failure(response.err_value)
+        """Write this process into the writer row.
+
+        The row is written even if it names this process and token already, so
+        that delayed commits of an earlier instance fail.
+        """
+        row = await self._get(WRITER_KEY)
+        if isinstance(row, result.Err):
             return WriteOutcome.UNKNOWN
-        row = response.ok_value
-        if row is not None:
-            self._writer_revision = row.revision
-            writer = _decode_writer(row)
-            if writer == self.writer:
-                return WriteOutcome.DONE
+        revision = 0
+        if row.ok_value is not None:
+            revision = row.ok_value.revision
+            writer = _decode_writer(row.ok_value)
             if writer.token > self.writer.token:
+                self.newer_token = writer.token
                 return WriteOutcome.SUPERSEDED
+            if writer == self.writer and self._is_after_write(revision):
+                self._writer_revision = revision
+                return WriteOutcome.DONE
+        self._revision_before = revision
+        self._writer_revision = revision
         return await self._store_writer()
 
     async def read(self) -> tuple[store.Row, ...] | None:
@@ -151,10 +165,14 @@
         None if the call fails.
         """
         async with self._writer_lock:
-            row = await self._get(WRITER_KEY)
+            row = await self._get_existing(WRITER_KEY)
             if row is None:
                 return None
-            return row.revision == self._writer_revision
+            writer = _decode_writer(row)
+            if writer == self.writer or row.revision == self._writer_revision:
+                return True
+            self.newer_token = writer.token
+            return False
 
     async def _store_writer(self) -> WriteOutcome:
         self._count_call()
@@ -181,26 +199,37 @@
         If the writer row is unchanged, an earlier attempt to write the same
         changes took effect and its response was lost.
         """
-        writer_row = await self._get(WRITER_KEY)
+        writer_row = await self._get_existing(WRITER_KEY)
         if writer_row is None:
             return WriteOutcome.UNKNOWN
         if writer_row.revision != self._writer_revision:
+            self.newer_token = _decode_writer(writer_row).token
             return WriteOutcome.SUPERSEDED
         written = [key for key, body in changes.items() if body is not None]
-        row = await self._get(written[0]) if written else writer_row
+        row = await self._get_existing(written[0]) if written else writer_row
         if row is None:
             return WriteOutcome.UNKNOWN
         self._record_revisions(changes, row.revision)
         return WriteOutcome.DONE
 
-    async def _get(self, key: str) -> store.Row | None:
-        """Return a row, None if it is missing or the call fails."""
+    async def _get(
+        self, key: str
+    ) -> result.Result[store.Row | None, store.StoreError]:
         self._count_call()
         response = await self._store.get(key, part=self.shard)
         if isinstance(response, result.Err):
             self._record_failure(response.err_value)
-            return None
-        return response.ok_value
+        return response
+
+    async def _get_existing(self, key: str) -> store.Row | None:
+        """Return a row, None if it is missing or the call fails."""
+        response = await self._get(key)
+        return response.ok_value if isinstance(response, result.Ok) else None
+
+    def _is_after_write(self, revision: int) -> bool:
+        """Return whether ``acquire`` wrote the row, and nobody did before."""
+        before = self._revision_before
+        return before is not None and revision > before
 
     def _condition(self, key: str, revision: int) -> store.Condition:
         return store.Condition(key=key, part=self.shard, revision=revision)
--- a/sardineproxy/process/stored_jobs/job_manager.py
+++ b/sardineproxy/process/stored_jobs/job_manager.py
@@ -3,13 +3,14 @@
 import asyncio
 import collections
 import enum
-from typing import Iterable
+from typing import Callable, Iterable
 
 import result
 
 from sardineproxy import background, clock, ids, logs
 from sardineproxy.connection import link, messages
 from sardineproxy.process import metrics, store
+from sardineproxy.process.shards import fencing
 from sardineproxy.process.stored_jobs import execution, records, job_table
 from sardineproxy.request import open_tasks
 
@@ -71,7 +72,7 @@
     CANCELLED = 'cancelled'
 
 
-class JobManager:
+class JobManager:  # noqa: WPS214
     """Accepts, executes and cancels the stored jobs of one shard."""
 
     def __init__(
@@ -82,10 +83,13 @@
         clock: clock.Clock,
         metrics: metrics.Metrics,
         retention_s: float,
+        on_lost: Callable[['JobManager'], None],
     ) -> None:
         """Create a manager without jobs; ``start`` loads the stored ones.
 
         States of ended jobs are retained for at least ``retention_s`` seconds.
+        ``on_lost`` is called once the manager can no longer write the table:
+        it must be replaced or removed.
         """
         self.shard = table.shard
         self._table = table
@@ -96,23 +100,61 @@
         self._executions: dict[ids.JobId, execution.Execution] = {}
         self._ended_jobs: dict[ids.JobId, records.StoredJob] = {}
         self._storing: dict[ids.JobId, asyncio.Future[bool]] = {}
+        self._on_lost = on_lost
         self._tasks = background.Tasks()
         self._is_loaded = False
+        self._is_retired = False
+
+        #: Executions of the manager that this one replaces.
+        self._former_executions: dict[ids.JobId, execution.Execution] = {}
 
     @property
     def is_loaded(self) -> bool:
-        """Return whether all jobs are loaded and written only here."""
-        return self._is_loaded and not self._table.is_superseded
+        """Return whether all jobs are loaded, as far as is known here."""
+        is_current = not (self._is_retired or self._table.is_superseded)
+        return self._is_loaded and is_current
+
+    @property
+    def newer_token(self) -> fencing.FencingToken | None:
+        """Return the token of the leader that has taken over the table.
 
-    def start(self) -> None:
-        """Load and resume the stored jobs, and start writing the table."""
-        self._tasks.spawn(self._run(), unit=f'stored jobs of {self.shard}')
+        None if that is not known.
+        """
+        return self._table.newer_token
+
+    def start(self, predecessor: 'JobManager | None' = None) -> None:
+        """Load and resume the stored jobs, and start writing the table.
+
+        ``predecessor`` is the retired manager of this process, if any.
+        """
+        if predecessor is not None:
+            self._former_executions = predecessor.unfinished_executions()
+        self._tasks.spawn(
+            self._run(),
+            unit=f'stored jobs of {self.shard}',
+            on_failure=self._report_lost,
+        )
+
+    def retire(self) -> None:
+        """Start no more tasks and answer no more requests.
+
+        ``close`` must follow.
+        """
+        self._is_retired = True
 
     async def close(self) -> None:
         """Stop writing; the next leader resumes the jobs and their runs."""
+        self.retire()
         await self._tasks.close()
         await self._table.close()
 
+    def unfinished_executions(self) -> dict[ids.JobId, execution.Execution]:
+        """Return the executions of all jobs that have not ended.
+
+        These include the ones of a predecessor whose jobs are not loaded yet.
+        """
+        return {**self._former_executions, **self._executions}
+
     def pending(self) -> dict[ids.RouteId, int]:
         """Return the number of jobs per route that have not started."""
         return collections.Counter(
@@ -256,13 +298,24 @@
 
     async def _run(self) -> None:
         rows = await self._table.open()
-        if rows is None:
-            return
-        self._load(rows)
-        self._tasks.spawn_restarting(
-            self._clean_up, f'removal of stored jobs of {self.shard}'
-        )
-        await self._table.run()
+        if rows is not None and not self._is_retired:
+            self._load(rows)
+            self._withdraw_former_executions()
+            self._tasks.spawn_restarting(
+                self._clean_up, f'removal of stored jobs of {self.shard}'
+            )
+            await self._table.run()
+        self._report_lost()
+
+    def _report_lost(self) -> None:
+        self._on_lost(self)
+
+    def _withdraw_former_executions(self) -> None:
+        """Withdraw the jobs that another process has finished meanwhile."""
+        for job, former in self._former_executions.items():
+            if job not in self._executions:
+                former.withdraw()
+        self._former_executions = {}
 
     def _load(self, rows: Iterable[store.Row]) -> None:
         """Resume the unfinished jobs and load the states of ended ones."""
@@ -358,8 +411,10 @@
 
         def on_stored(fut: asyncio.Future[bool]) -> None:  # noqa: WPS430
             self._storing.pop(job, None)
-            if not fut.cancelled() and fut.result():
-                self._metrics.count('stored_jobs_total')
+            if fut.cancelled() or not fut.result():
+                return
+            self._metrics.count('stored_jobs_total')
+            if not self._is_retired:
                 self._start_execution(
                     stored_job, records.JobProgress(), resumed=False
                 )
--- a/sardineproxy/process/stored_jobs/job_service.py
+++ b/sardineproxy/process/stored_jobs/job_service.py
@@ -73,15 +73,23 @@
         return rendezvous.rank(job, self._directory.all_shards)[0]
 
     def add_manager(self, manager: job_manager.JobManager) -> None:
-        """Start managing the jobs of a shard that this process leads."""
+        """Start managing the jobs of a shard that this process leads.
+
+        A former manager of the shard is replaced.
+        """
+        former = self.remove_manager(manager.shard)
         self.managers[manager.shard] = manager
-        manager.start()
+        manager.start(former)
 
-    def remove_manager(self, shard: ids.ShardId) -> None:
-        """Stop managing the jobs of a shard that this process led."""
+    def remove_manager(
+        self, shard: ids.ShardId
+    ) -> job_manager.JobManager | None:
+        """Stop managing the jobs of a shard; return its former manager."""
         manager = self.managers.pop(shard, None)
         if manager is not None:
+            manager.retire()
             self._tasks.spawn(manager.close(), unit='closing of a job manager')
+        return manager
 
     # Requests from this process.
 
--- a/sardineproxy/process/stored_jobs/job_table.py
+++ b/sardineproxy/process/stored_jobs/job_table.py
@@ -8,7 +8,8 @@
 
 from sardineproxy import background, clock, ids, logs
 from sardineproxy.process import metrics, store
-from sardineproxy.process.stored_jobs import fenced_rows
+from sardineproxy.process.shards import fencing
+from sardineproxy.process.stored_jobs import fenced_rows, writer_check
 
 JOB_PREFIX = f'{fenced_rows.TABLE}/job/'
 PROGRESS_PREFIX = f'{fenced_rows.TABLE}/progress/'
@@ -48,7 +49,7 @@
 _Batch = dict[str, _PendingWrite]
 
 
-class JobTable:
+class JobTable:  # noqa: WPS214
     """Writes changes of one shard's stored jobs in group commits."""
 
     def __init__(
@@ -75,14 +76,21 @@
         self._active_commits = 0
         self._wake = asyncio.Event()
         self._tasks = background.Tasks()
-
-        #: Check of the writer row that has not begun yet, None without one.
-        self._next_check: asyncio.Future[bool] | None = None
-        self._check_lock = asyncio.Lock()
+        self._writer_check = writer_check.WriterCheck(
+            rows=self._rows, tasks=self._tasks, on_lost=self._mark_superseded
+        )
 
         #: True once another leader writes the table.
         self.is_superseded = False
 
+    @property
+    def newer_token(self) -> fencing.FencingToken | None:
+        """Return the token of the leader that has taken over the table.
+
+        None if that is not known.
+        """
+        return self._rows.newer_token
+
     async def open(self) -> tuple[store.Row, ...] | None:
         """Become the only writer and return all rows.
 
@@ -152,20 +160,9 @@
         """Return whether all changes of the rows up to now were made here.
 
         False if another leader has taken over the table, or if the store does
-        not respond within ``timeout_s`` seconds. Calls that wait for the same
-        check share it.
+        not respond within ``timeout_s`` seconds.
         """
-        check = self._next_check
-        if check is None:
-            check = asyncio.get_running_loop().create_future()
-            self._next_check = check
-            self._tasks.spawn(
-                self._check_writer(check),
-                unit=f'check of the writer of {self.shard}',
-                on_failure=functools.partial(_resolve_check, check, False),
-            )
-        await asyncio.wait((check,), timeout=timeout_s)
-        return check.done() and check.result()
+        return await self._writer_check.confirm(timeout_s)
 
     def withdraw(self, key: str) -> bool:
         """Withdraw a waiting change; return False if it may have been sent."""
@@ -189,15 +186,6 @@
                     on_failure=functools.partial(self._abandon, batch),
                 )
 
-    async def _check_writer(self, check: asyncio.Future[bool]) -> None:
-        async with self._check_lock:
-            # Later calls need a check that begins after them.
-            self._next_check = None
-            is_writer = await self._rows.is_writer()
-        if is_writer is False:
-            self._mark_superseded()
-        _resolve_check(check, bool(is_writer) and not self.is_superseded)
-
     async def _wait_until_due(self) -> None:
         while not self.is_superseded:
             self._wake.clear()
@@ -314,11 +302,6 @@
         self._wake.set()
 
 
-def _resolve_check(check: asyncio.Future[bool], is_writer: bool) -> None:
-    if not check.done():
-        check.set_result(is_writer)
-
-
 def _resolve(changes: Iterable[_PendingWrite], *, stored: bool) -> None:
     for change in changes:
         if not change.stored_fut.done():
--- /dev/null
+++ b/tests/process/node/test_led_shards.py
@@ -0,0 +1,141 @@
+"""Stored jobs of a shard while this process leads it."""
+
+import asyncio
+import random
+from typing import Any, Callable, Coroutine
+
+import testtools
+
+from sardineproxy import ids
+from sardineproxy.process import metrics
+from sardineproxy.process.node import dependencies, node, service
+from sardineproxy.process.shards import fencing
+from sardineproxy.process.stored_jobs import (
+    fenced_rows,
+    job_manager,
+    records,
+)
+from tests import virtual_time
+from tests.process.node import samples
+
+_Reply = job_manager.JobReply
+
+
+class Rig:
+    """A node that leads a shard, and the store that others write, too."""
+
+    def __init__(self) -> None:
+        self.store = samples.MemoryStore()
+        self.node: node.Node = samples.make_node(self.store, None)
+        self.shard = self.node.home_shard
+        self.jobs = (
+            ids.JobId(f'{number:016x}')
+            for number in range(10**6)
+            if self.home_of(number) == self.shard
+        )
+
+    def home_of(self, number: int) -> ids.ShardId:
+        return self.node.job_service.home_shard(ids.JobId(f'{number:016x}'))
+
+    async def lead(self, epoch: int) -> None:
+        """Lead the shard, or renew the token; wait for the store."""
+        self.node.led_shards.lead(self.shard, make_token(epoch))
+        await asyncio.sleep(0.2)
+
+    def stored_job(self) -> records.StoredJob:
+        return records.StoredJob(
+            job=samples.make_job(job_id=next(self.jobs), stored=True),
+            route=samples.ROUTE,
+            accepted_at=virtual_time.LoopClock().wall(),
+        )
+
+    async def store_job(self) -> ids.JobId:
+        """Store a job through the node; return its id."""
+        stored_job = self.stored_job()
+        reply = await self.node.job_service.store(stored_job, 3)
+        assert reply is _Reply.ACCEPTED, reply
+        return stored_job.job.job_id
+
+    async def store_job_elsewhere(
+        self, token: fencing.FencingToken
+    ) -> ids.JobId:
+        """Store a job through another process that has taken over the jobs."""
+        manager = dependencies.new_job_manager(
+            dependencies.Dependencies(
+                clock=virtual_time.LoopClock(),
+                rng=random.Random(1),
+                store=self.store,
+                workers=None,  # type: ignore[arg-type]
+                formats=service.platform_formats(),
+                metrics=metrics.Metrics(),
+            ),
+            shard=self.shard,
+            writer=fenced_rows.Writer(
+                token=token, incarnation=ids.Incarnation('other')
+            ),
+            router=self.node,
+            retention_s=120,
+            on_lost=lambda _: None,
+        )
+        manager.start()
+        await asyncio.sleep(0.1)
+        stored_job = self.stored_job()
+        reply = await manager.accept(stored_job)
+        assert reply is _Reply.ACCEPTED, reply
+        await manager.close()
+        return stored_job.job.job_id
+
+    async def query(self, job: ids.JobId) -> job_manager.JobReply:
+        return await self.node.job_service.query(job, 3)
+
+    @property
+    def manager(self) -> job_manager.JobManager:
+        return self.node.job_service.managers[self.shard]
+
+
+def make_token(epoch: int, rank: int = 0) -> fencing.FencingToken:
+    return fencing.FencingToken(epoch=epoch, rank=rank)
+
+
+def with_rig(scenario: Callable[[Rig], Coroutine[Any, Any, None]]) -> None:
+    async def main() -> None:
+        await scenario(Rig())
+
+    virtual_time.run(main)
+
+
+class TestLostTable(testtools.TestCase):
+    def test_leader_steps_down_if_a_newer_one_writes_the_table(self) -> None:
+        """Guards against jobs that are refused for good.
+
+        A leader that has no link to its successor learns of it from the store
+        only.
+        """
+
+        async def scenario(rig: Rig) -> None:
+            await rig.lead(1)
+            await rig.store_job_elsewhere(make_token(2))
+            reply = await rig.node.job_service.store(rig.stored_job(), 1)
+            self.assertNotEqual(_Reply.ACCEPTED, reply)
+            self.assertNotIn(rig.shard, rig.node.led_shards.shards)
+
+        with_rig(scenario)
+
+    def test_jobs_are_loaded_again_after_an_error(self) -> None:
+        """Guards against jobs that are refused for good after one error."""
+
+        async def scenario(rig: Rig) -> None:
+            await rig.lead(1)
+            commit = fenced_rows.FencedRows.commit
+
+            async def fail(*_: Any) -> None:
+                raise ValueError('test')
+
+            self.patch(fenced_rows.FencedRows, 'commit', fail)
+            reply = await rig.node.job_service.store(rig.stored_job(), 1)
+            self.assertNotEqual(_Reply.ACCEPTED, reply)
+            self.patch(fenced_rows.FencedRows, 'commit', commit)
+            await asyncio.sleep(2)
+            await rig.store_job()
+
+        with_rig(scenario)
--- a/tests/process/stored_jobs/cluster.py
+++ b/tests/process/stored_jobs/cluster.py
@@ -179,6 +179,7 @@
             clock=cluster.rig.clock,
             metrics=metrics.Metrics(),
             retention_s=120,
+            on_lost=lambda _: None,
         )
         self._loaded_shards = loaded_shards.LoadedShards()
         self.manager.start()
