--- a/sardineproxy/process/node/led_shards.py
+++ b/sardineproxy/process/node/led_shards.py
@@ -202,6 +202,7 @@
         if existing is not None:
             if token > existing.token:
                 existing.renew_token(token)
+                self._job_service.managers[shard].renew_token(token)
             return
         leader = shards.ShardLeader(
             shard=shard,
--- a/sardineproxy/process/stored_jobs/fenced_rows.py
+++ b/sardineproxy/process/stored_jobs/fenced_rows.py
@@ -87,6 +87,10 @@
         #: Number of failed calls since the last successful write.
         self.consecutive_failures = 0
 
+    def set_token(self, token: fencing.FencingToken) -> None:
+        """Set the token that ``acquire`` writes."""
+        self.writer = dataclasses.replace(self.writer, token=token)
+
     async def acquire(self) -> WriteOutcome:
         """Write this process into the writer row.
 
@@ -110,6 +114,27 @@
         self._writer_revision = revision
         return await self._store_writer()
 
+    async def renew(self, token: fencing.FencingToken) -> WriteOutcome:
+        """Write a higher token into the writer row.
+
+        The outcome is SUPERSEDED if another process has written the row. No
+        ``commit`` may be in progress.
+        """
+        async with self._writer_lock:
+            self.set_token(token)
+            row = await self._get_existing(WRITER_KEY)
+            if row is None:
+                return WriteOutcome.UNKNOWN
+            writer = _decode_writer(row)
+            if writer == self.writer:
+                # The response to an earlier call was lost.
+                self._writer_revision = row.revision
+                return WriteOutcome.DONE
+            if row.revision == self._writer_revision:
+                return await self._store_writer()
+            self.newer_token = writer.token
+            return WriteOutcome.SUPERSEDED
+
     async def read(self) -> tuple[store.Row, ...] | None:
         """Return all rows, None if the call fails."""
         self._count_call()
--- a/sardineproxy/process/stored_jobs/job_manager.py
+++ b/sardineproxy/process/stored_jobs/job_manager.py
@@ -135,6 +135,10 @@
             on_failure=self._report_lost,
         )
 
+    def renew_token(self, token: fencing.FencingToken) -> None:
+        """Write the table under a higher token of this leader from now on."""
+        self._table.renew(token)
+
     def retire(self) -> None:
         """Start no more tasks and answer no more requests.
 
--- a/sardineproxy/process/stored_jobs/job_table.py
+++ b/sardineproxy/process/stored_jobs/job_table.py
@@ -64,7 +64,11 @@
     ) -> None:
         """Create the table; ``open`` must succeed before ``run``."""
         self.shard = shard
-        self.epoch = writer.token.epoch
+
+        #: Newest fencing token, and the one that was last passed on to the
+        #: writer row.
+        self._token = writer.token
+        self._stored_token = writer.token
         self._rows = fenced_rows.FencedRows(
             shard=shard, writer=writer, store=store, metrics=metrics
         )
@@ -83,6 +87,11 @@
         #: True once another leader writes the table.
         self.is_superseded = False
 
+    @property
+    def epoch(self) -> int:
+        """Return the epoch of the newest fencing token."""
+        return self._token.epoch
+
     @property
     def newer_token(self) -> fencing.FencingToken | None:
         """Return the token of the leader that has taken over the table.
@@ -91,6 +100,15 @@
         """
         return self._rows.newer_token
 
+    def renew(self, token: fencing.FencingToken) -> None:
+        """Write the table under a higher fencing token from now on.
+
+        The token does not show that the table was written only here in the
+        meantime: the store is asked before anything else is written.
+        """
+        self._token = token
+        self._wake.set()
+
     async def open(self) -> tuple[store.Row, ...] | None:
         """Become the only writer and return all rows.
 
@@ -98,6 +116,8 @@
         writes the table.
         """
         while not self.is_superseded:
+            self._rows.set_token(self._token)
+            self._stored_token = self._token
             outcome = await self._rows.acquire()
             if outcome is _Outcome.SUPERSEDED:
                 self._mark_superseded()
@@ -176,6 +196,10 @@
         """Commit changes until another leader takes over the table."""
         while not self.is_superseded:
             await self._wait_until_due()
+            if self._is_renewal_due():
+                if not self._active_commits:
+                    await self._renew(self._token)
+                continue
             batch = self._next_batch()
             if batch:
                 self._active_commits += 1
@@ -186,6 +210,21 @@
                     on_failure=functools.partial(self._abandon, batch),
                 )
 
+    def _is_renewal_due(self) -> bool:
+        return self._token > self._stored_token
+
+    async def _renew(self, token: fencing.FencingToken) -> None:
+        """Write a new fencing token into the writer row."""
+        while not self.is_superseded:
+            match await self._rows.renew(token):
+                case _Outcome.DONE:
+                    self._stored_token = token
+                    return
+                case _Outcome.SUPERSEDED:
+                    self._mark_superseded()
+                case _:
+                    await asyncio.sleep(self._backoff_s())
+
     async def _wait_until_due(self) -> None:
         while not self.is_superseded:
             self._wake.clear()
@@ -200,6 +239,8 @@
 
     def _next_due_in_s(self, now: float) -> float | None:
         """Return the time until the next commit, None if none can start."""
+        if self._is_renewal_due():
+            return None if self._active_commits else 0
         if self._active_commits >= MAX_CONCURRENT_COMMITS:
             return None
         due_times = (
--- a/tests/process/node/test_led_shards.py
+++ b/tests/process/node/test_led_shards.py
@@ -104,6 +104,70 @@
     virtual_time.run(main)
 
 
+class TestRenewedToken(testtools.TestCase):
+    def test_jobs_stored_by_another_process_are_loaded(self) -> None:
+        """Guards against 410 or 503 for good after a renewal (review case 4).
+
+        Another process led the shard for a while, and this one has kept the
+        jobs that it had loaded before.
+        """
+
+        async def scenario(rig: Rig) -> None:
+            await rig.lead(1)
+            kept = await rig.store_job()
+            other = await rig.store_job_elsewhere(make_token(1, rank=1))
+            await rig.lead(2)
+            self.assertEqual(_Reply.QUEUED, await rig.query(other))
+            self.assertEqual(_Reply.QUEUED, await rig.query(kept))
+            later = await rig.store_job()
+            self.assertEqual(_Reply.QUEUED, await rig.query(later))
+
+        with_rig(scenario)
+
+    def test_jobs_are_kept_if_no_other_process_wrote_them(self) -> None:
+        """Guards against interrupted jobs after each change of successors."""
+
+        async def scenario(rig: Rig) -> None:
+            await rig.lead(1)
+            job = await rig.store_job()
+            manager = rig.manager
+            await rig.lead(2)
+            self.assertIs(manager, rig.manager)
+            self.assertEqual(_Reply.QUEUED, await rig.query(job))
+            await rig.store_job()
+
+        with_rig(scenario)
+
+    def test_delayed_takeover_of_a_former_leader_fails(self) -> None:
+        """Guards against a former leader that takes over the jobs again.
+
+        Its token is lower than the renewed one, which the store must know.
+        """
+
+        async def scenario(rig: Rig) -> None:
+            await rig.lead(1)
+            await rig.lead(3)
+            with testtools.ExpectedException(AssertionError, '.*UNAVAILABLE.*'):
+                await rig.store_job_elsewhere(make_token(2))
+            await rig.store_job()
+
+        with_rig(scenario)
+
+    def test_token_is_renewed_once_the_store_is_available(self) -> None:
+        """Guards against jobs that are refused for good after an outage."""
+
+        async def scenario(rig: Rig) -> None:
+            await rig.lead(1)
+            rig.store.is_down = True
+            await rig.lead(2)
+            await asyncio.sleep(5)
+            rig.store.is_down = False
+            await asyncio.sleep(1)
+            await rig.store_job()
+
+        with_rig(scenario)
+
+
 class TestLostTable(testtools.TestCase):
     def test_leader_steps_down_if_a_newer_one_writes_the_table(self) -> None:
         """Guards against jobs that are refused for good.
