--- a/sardineproxy/process/membership/registry.py
+++ b/sardineproxy/process/membership/registry.py
@@ -17,6 +17,8 @@
 
 _MEMBER_PREFIX = f'{TABLE}/member/'
 _SHARD_PREFIX = f'{TABLE}/cell/'
+_INQUIRY_PREFIX = f'{TABLE}/inquiry/'
+_ANSWER_PREFIX = f'{TABLE}/answer/'
 
 _LOG = logs.get_logger('registry')
 
@@ -76,6 +78,11 @@
         self.members: dict[ids.VmId, Member] = {}
         self.claims: dict[ids.ShardId, Claim] = {}
 
+        #: Revisions of the newest inquiry whether a shard has a leader, and of
+        #: the newest answer of a leader.
+        self.inquiries: dict[ids.ShardId, int] = {}
+        self.answers: dict[ids.ShardId, int] = {}
+
     def apply(self, rows: Iterable[store.Row]) -> bool:
         """Apply rows by revision; return whether any row was newer."""
         changed = False
@@ -116,12 +123,24 @@
                 self._decode_member(row)
             elif row.key.startswith(_SHARD_PREFIX):
                 self._decode_claim(row)
+            else:
+                self._record_revision(row)
         except fields.FormatError as exc:
             _LOG.error(
                 'Malformed registry row ignored.',
                 extra={'key': row.key, 'cause': str(exc)},
             )
 
+    def _record_revision(self, row: store.Row) -> None:
+        """Record an inquiry or an answer, of which only the time matters."""
+        for prefix, revisions in (
+            (_INQUIRY_PREFIX, self.inquiries),
+            (_ANSWER_PREFIX, self.answers),
+        ):
+            if row.key.startswith(prefix):
+                shard = ids.ShardId(row.key.removeprefix(prefix))
+                revisions[shard] = row.revision
+
     def _decode_member(self, row: store.Row) -> None:
         vm = ids.VmId(row.key.removeprefix(_MEMBER_PREFIX))
         if row.body is None:
@@ -195,6 +214,21 @@
     return f'{_SHARD_PREFIX}{shard}'
 
 
+def inquiry_write(shard: ids.ShardId, member: Member) -> store.Write:
+    """Return the write by which a member asks whether a shard has a leader."""
+    return _signed_write(f'{_INQUIRY_PREFIX}{shard}', member)
+
+
+def answer_write(shard: ids.ShardId, member: Member) -> store.Write:
+    """Return the write by which the leader of a shard answers an inquiry."""
+    return _signed_write(f'{_ANSWER_PREFIX}{shard}', member)
+
+
+def _signed_write(key: str, member: Member) -> store.Write:
+    document = {'by': (member.vm, member.incarnation)}
+    return store.Write(key=key, body=json_text.encode(document))
+
+
 def claim_write(claim: Claim) -> store.Write:
     """Return the write that stores a claim."""
     document = {
--- a/sardineproxy/process/node/claiming.py
+++ b/sardineproxy/process/node/claiming.py
@@ -54,10 +54,20 @@
 #: Delay before another attempt to claim a shard, in seconds.
 CLAIM_RETRY_S = 0.2
 
+#: Time within which a leader answers an inquiry, in seconds: it reads the
+#: inquiry, writes its answer, and the answer is read, each through the store.
+#: With a slow store, this many times the duration of a write.
+ANSWER_WAIT_S = 0.3
+ANSWER_WAIT_WRITES = 4
+
+#: Time after ``ANSWER_WAIT_S`` in which an inquiry without an answer permits a
+#: claim, and delay before another inquiry after an answer, in seconds.
+INQUIRY_VALID_S = 1.0
+
 _LOG = logs.get_logger('claim')
 
 
-class ShardClaimer:
+class ShardClaimer:  # noqa: WPS214
     """Claims shards that have no reachable leader."""
 
     def __init__(
@@ -77,8 +87,11 @@
         self._retry_at: dict[ids.ShardId, float] = {}
         self._outdated_since: dict[ids.ShardId, float] = {}
         self._claim_written_at: dict[ids.ShardId, float] = {}
-        self._had_leader: set[ids.ShardId] = set()
-        self._seen_revision: dict[ids.ShardId, int] = {}
+        self._seen_leaders: dict[ids.ShardId, ids.VmId] = {}
+        self._seen_revisions: dict[ids.ShardId, tuple[int, int]] = {}
+
+        #: Times from which an inquiry without an answer permits a claim.
+        self._answered_by: dict[ids.ShardId, float] = {}
         self._workers_reachable_since: dict[ids.ShardId, float] = {}
 
     def should_claim(
@@ -95,18 +108,21 @@
         ``unchecked_vms`` have neither been linked nor failed to be dialed.
         """
         if leader is not None:
-            self._had_leader.add(shard)
-            self._leaderless_since.pop(shard, None)
-            self._workers_reachable_since.pop(shard, None)
+            self._seen_leaders[shard] = leader
+            self._restart_delay(shard)
             return False
         claim = self._registry.claims.get(shard)
-        revision = claim.revision if claim else 0
-        if self._seen_revision.setdefault(shard, revision) != revision:
-            # The leader has rewritten its row: it is alive, although no link
-            # to it is open.
-            self._seen_revision[shard] = revision
-            self._leaderless_since.pop(shard, None)
-            self._workers_reachable_since.pop(shard, None)
+        revisions = (
+            claim.revision if claim else 0,
+            self._registry.answers.get(shard, 0),
+        )
+        if self._seen_revisions.setdefault(shard, revisions) != revisions:
+            # The leader has written a row: it is alive, although no link to it
+            # is open.
+            self._seen_revisions[shard] = revisions
+            if shard in self._answered_by:
+                self._retry_at[shard] = now + INQUIRY_VALID_S
+            self._restart_delay(shard)
         since = self._leaderless_since.setdefault(shard, now)
         if now < self._retry_at.get(shard, 0):
             return False
@@ -133,6 +149,70 @@
         since = self._workers_reachable_since.setdefault(shard, now)
         return now - since >= FOREIGN_CLAIM_DELAY_S
 
+    def must_inquire(self, shard: ids.ShardId, *, isolated: bool) -> bool:
+        """Return whether to ask through the store for the shard's leader.
+
+        It may be alive if this VM rather than the leader is cut off from other
+        VMs, or if they have never been linked. ``isolated`` means that this VM
+        has no link at all.
+        """
+        claim = self._registry.claims.get(shard)
+        if claim is None or claim.owner[0] == self._member.vm:
+            return False
+        owner = self._registry.members.get(claim.owner[0])
+        if owner is not None and owner.incarnation != claim.owner[1]:
+            return False
+        is_foreign = shard != ids.ShardId(self._member.zone)
+        was_linked = self._seen_leaders.get(shard) == claim.owner[0]
+        return isolated or is_foreign or not was_linked
+
+    def needs_inquiry(self, shard: ids.ShardId, now: float) -> bool:
+        """Return whether there is no recent inquiry for a shard's leader."""
+        answered_by = self._answered_by.get(shard)
+        return answered_by is None or now >= answered_by + INQUIRY_VALID_S
+
+    def is_unanswered(self, shard: ids.ShardId, now: float) -> bool:
+        """Return whether the leader has not answered an inquiry in time."""
+        answered_by = self._answered_by.get(shard)
+        return answered_by is not None and now >= answered_by
+
+    async def inquire(self, shard: ids.ShardId) -> bool:
+        """Ask through the store whether a shard has a leader.
+
+        Returns False if the store is unavailable.
+        """
+        write = registry.inquiry_write(shard, self._member)
+        response = await self._store.transact(conditions=(), writes=(write,))
+        return isinstance(response, result.Ok)
+
+    def record_inquiry(
+        self, shard: ids.ShardId, *, started_at: float, now: float
+    ) -> None:
+        """Record an inquiry that was stored between two times."""
+        self._answered_by[shard] = now + max(
+            ANSWER_WAIT_S, ANSWER_WAIT_WRITES * (now - started_at)
+        )
+
+    def is_asked(self, shard: ids.ShardId) -> bool:
+        """Return whether there is an unanswered inquiry for a shard's leader."""
+        asked = self._registry.inquiries.get(shard, 0)
+        return asked > self._registry.answers.get(shard, 0)
+
+    async def answer(self, shard: ids.ShardId) -> bool:
+        """Answer an inquiry as the leader; return whether it is stored."""
+        write = registry.answer_write(shard, self._member)
+        response = await self._store.transact(conditions=(), writes=(write,))
+        if isinstance(response, result.Err):
+            return False
+        self._registry.apply(
+            (
+                store.Row(
+                    key=write.key, revision=response.ok_value, body=write.body
+                ),
+            )
+        )
+        return True
+
     async def claim(self, shard: ids.ShardId, now: float) -> None:
         """Claim a shard by writing its row.
 
@@ -249,6 +329,12 @@
         since = self._outdated_since.setdefault(shard, now)
         return now - since >= REFRESH_DELAY_S
 
+    def _restart_delay(self, shard: ids.ShardId) -> None:
+        """Wait for the whole delay again before a shard is claimed."""
+        self._leaderless_since.pop(shard, None)
+        self._workers_reachable_since.pop(shard, None)
+        self._answered_by.pop(shard, None)
+
     def _may_lead_for(self, vm: ids.VmId, other_vm: ids.VmId) -> bool:
         """Return whether a VM leads a shard, or may soon lead the other VM's.
 
@@ -294,7 +380,7 @@
         zone has no connected VM.
         """
         base_delay_s = FIRST_CLAIM_DELAY_S
-        if shard in self._had_leader or shard in self._registry.claims:
+        if shard in self._seen_leaders or shard in self._registry.claims:
             base_delay_s = CLAIM_DELAY_S
         reachable = [
             member.vm
--- a/sardineproxy/process/node/led_shards.py
+++ b/sardineproxy/process/node/led_shards.py
@@ -3,7 +3,7 @@
 import asyncio
 import dataclasses
 import random
-from typing import Callable, Iterable, Protocol
+from typing import Awaitable, Callable, Iterable, Protocol
 
 from sardineproxy import background, clock, ids, logs
 from sardineproxy.connection import link, messages
@@ -104,6 +104,7 @@
         self._context = context
         self._tasks = tasks
         self._claims_in_progress: set[ids.ShardId] = set()
+        self._answering: set[ids.ShardId] = set()
         self._next_return_at: float = 0
         self.shards: dict[ids.ShardId, shards.ShardLeader] = {}
 
@@ -114,6 +115,7 @@
 
     def tick(self, now: float, *, may_claim: bool) -> None:
         """Claim and return shards, refresh claims, and run periodic work."""
+        self._answer_inquiries()
         if may_claim:
             self._claim_and_return(now)
         for leader in list(self.shards.values()):
@@ -188,12 +190,22 @@
         for leader in self.shards.values():
             self._update_workers(leader)
 
-    def start_claim(self, shard: ids.ShardId) -> None:
-        """Start claiming a shard unless a claim is in progress."""
+    def registry_changed(self) -> None:
+        """Answer VMs that ask for the leaders of shards."""
+        self._answer_inquiries()
+
+    def start_claim(
+        self, shard: ids.ShardId, *, requested: bool = False
+    ) -> None:
+        """Start claiming a shard unless a claim is in progress.
+
+        ``requested`` means that the leader of the shard wants that.
+        """
         if shard not in self._claims_in_progress:
             self._claims_in_progress.add(shard)
             self._tasks.spawn(
-                self._claim(shard), unit=f'claim of shard {shard}'
+                self._claim(shard, requested=requested),
+                unit=f'claim of shard {shard}',
             )
 
     def lead(self, shard: ids.ShardId, token: fencing.FencingToken) -> None:
@@ -349,10 +361,10 @@
             return None
         return open_link
 
-    async def _claim(self, shard: ids.ShardId) -> None:
+    async def _claim(self, shard: ids.ShardId, *, requested: bool) -> None:
         try:
             if (
-                shard == self._context.home_shard
+                requested
                 or shard in self.shards
                 or await self._may_claim(shard)
             ):
@@ -361,11 +373,40 @@
             self._claims_in_progress.discard(shard)
 
     async def _may_claim(self, shard: ids.ShardId) -> bool:
-        """Return whether another zone's shard may be claimed.
+        """Return whether a shard without a leader here may be claimed."""
+        checks: list[Awaitable[bool]] = []
+        if shard != self._context.home_shard:
+            checks.append(self._are_workers_reachable(shard))
+        if self._claimer.must_inquire(
+            shard, isolated=self._context.is_isolated()
+        ):
+            checks.append(self._is_leader_silent(shard))
+        return all(await asyncio.gather(*checks))
+
+    async def _is_leader_silent(self, shard: ids.ShardId) -> bool:
+        """Return whether a leader would have answered through the store.
+
+        Also if it cannot be asked, as the store is unavailable.
+        """
+        now = self._dependencies.clock.now()
+        if not self._claimer.needs_inquiry(shard, now):
+            return self._claimer.is_unanswered(shard, now)
+        is_stored = await self._claimer.inquire(shard)
+        _LOG.info(
+            'Asked through the store for the leader of a shard.',
+            extra={'cell': shard, 'stored': is_stored},
+        )
+        if is_stored:
+            self._claimer.record_inquiry(
+                shard, started_at=now, now=self._dependencies.clock.now()
+            )
+        return not is_stored
 
-        Most of the probed workers must have been reachable for some time:
-        otherwise this VM rather than the shard's leader may be cut off from
-        the network.
+    async def _are_workers_reachable(self, shard: ids.ShardId) -> bool:
+        """Return whether most probed workers of another zone are reachable.
+
+        They must have been reachable for some time: otherwise this VM rather
+        than the shard's leader may be cut off from the network.
         """
         self._claimer.postpone(shard, self._dependencies.clock.now())
         listed = self._context.workers_of(shard)
@@ -389,6 +430,28 @@
             now=self._dependencies.clock.now(),
         )
 
+    def _answer_inquiries(self) -> None:
+        """Show other VMs through the store that this leader is alive."""
+        for shard in self.shards:
+            if self._claimer.is_asked(shard) and shard not in self._answering:
+                self._answering.add(shard)
+                self._tasks.spawn(
+                    self._answer_inquiry(shard),
+                    unit=f'answer for shard {shard}',
+                )
+
+    async def _answer_inquiry(self, shard: ids.ShardId) -> None:
+        try:
+            is_stored = await self._claimer.answer(shard)
+            _LOG.info(
+                'Answered an inquiry for the leader of a shard.',
+                extra={'cell': shard, 'stored': is_stored},
+            )
+            if not is_stored:
+                await asyncio.sleep(claiming.CLAIM_RETRY_S)
+        finally:
+            self._answering.discard(shard)
+
     async def _probe(
         self, worker: workers.Worker
     ) -> workers.Report | workers.Refused | workers.Unanswered:
--- a/sardineproxy/process/node/node.py
+++ b/sardineproxy/process/node/node.py
@@ -94,7 +94,7 @@
         self._peer_sync = peer_sync.PeerSync(
             versions=self.versions,
             registry=self.registry,
-            on_registry_change=self._update_links,
+            on_registry_change=self._apply_registry,
         )
         self.leaders = leaders.Leaders(own_vm=cfg.vm)
         self.workers = worker_list.WorkerList(
@@ -475,7 +475,7 @@
                 self._choose_leaders()
                 self._notify_leader_lost(shard, source)
             case messages.TakeOver(shard=shard) if not self.draining:
-                self.led_shards.start_claim(shard)
+                self.led_shards.start_claim(shard, requested=True)
 
     def _choose_leaders(self) -> None:
         change = self.leaders.choose(self.led_shards.tokens())
@@ -513,6 +513,11 @@
             on_lost=self.led_shards.replace_manager,
         )
 
+    def _apply_registry(self) -> None:
+        """Apply changed members, claims and inquiries."""
+        self._update_links()
+        self.led_shards.registry_changed()
+
     def _update_links(self) -> None:
         """Set the link targets from the current members and settings."""
         peering.update_link_targets(
--- a/tests/process/node/samples.py
+++ b/tests/process/node/samples.py
@@ -1,5 +1,6 @@
 """A node without sockets, with an in-memory store and test workers."""
 
+import dataclasses
 import random
 from typing import Any
 
@@ -83,10 +84,13 @@
     return settings.decode(documents.SETTINGS.encode()).unwrap()
 
 
-def make_node(memory_store: MemoryStore, api: Any) -> node.Node:
-    """Return a node that has not been started."""
+def make_node(memory_store: MemoryStore, api: Any, **changes: Any) -> node.Node:
+    """Return a node that has not been started.
+
+    ``changes`` are fields of its deployment.
+    """
     return node.Node(
-        cfg=make_deployment(),
+        cfg=dataclasses.replace(make_deployment(), **changes),
         node_policy=policy.Policy(),
         dependencies=dependencies.Dependencies(
             clock=virtual_time.LoopClock(),
--- a/tests/process/node/test_claiming.py
+++ b/tests/process/node/test_claiming.py
@@ -1,5 +1,6 @@
 """Conditions under which a VM claims a shard or rewrites its claim."""
 
+import dataclasses
 from typing import Any, Callable, Coroutine
 
 import testtools
@@ -199,6 +200,93 @@
         self.assertTrue(claimer.record_probe(SHARD, reached=True, now=1.9))
 
 
+class TestInquiry(testtools.TestCase):
+    def test_leader_that_is_only_not_linked_is_asked(self) -> None:
+        """Guards against claims by a VM whose own links are silent."""
+
+        async def scenario() -> None:
+            leader = Rig(make_member('b'))
+            await leader.claim()
+            rig = Rig(make_member('a'), leader.store)
+            self.assertFalse(rig.should_claim(0, leader=ids.VmId('b')))
+            self.assertTrue(rig.claimer.must_inquire(SHARD, isolated=True))
+            self.assertFalse(rig.claimer.must_inquire(SHARD, isolated=False))
+            foreign = Rig(make_member('c', zone='other'), leader.store)
+            foreign.should_claim(0, leader=ids.VmId('b'))
+            self.assertTrue(foreign.claimer.must_inquire(SHARD, isolated=False))
+            unlinked = Rig(make_member('d'), leader.store)
+            self.assertTrue(
+                unlinked.claimer.must_inquire(SHARD, isolated=False)
+            )
+
+        run(scenario)
+
+    def test_leader_whose_process_has_ended_is_not_asked(self) -> None:
+        """Guards against a delay after all VMs have restarted."""
+
+        async def scenario() -> None:
+            rig = Rig(make_member('a'))
+            self.assertFalse(rig.claimer.must_inquire(SHARD, isolated=True))
+            leader = Rig(make_member('b'), rig.store)
+            await leader.claim()
+            rig.register(
+                dataclasses.replace(
+                    make_member('b'), incarnation=ids.Incarnation('2')
+                )
+            )
+            self.assertFalse(rig.claimer.must_inquire(SHARD, isolated=True))
+
+        run(scenario)
+
+    def test_answer_of_the_leader_restarts_the_delay(self) -> None:
+        """Guards against replacing a leader that answers an inquiry."""
+
+        async def scenario() -> None:
+            leader = Rig(make_member('b'))
+            await leader.claim()
+            rig = Rig(make_member('a'), leader.store)
+            self.assertFalse(rig.should_claim(0))
+            self.assertTrue(rig.should_claim(1))
+            self.assertTrue(await rig.claimer.inquire(SHARD))
+            rig.claimer.record_inquiry(SHARD, started_at=1001, now=1001)
+            leader.refresh_registry()
+            self.assertTrue(leader.claimer.is_asked(SHARD))
+            self.assertTrue(await leader.claimer.answer(SHARD))
+            rig.refresh_registry()
+            self.assertFalse(leader.claimer.is_asked(SHARD))
+            self.assertFalse(rig.should_claim(1.2))
+            self.assertFalse(rig.claimer.is_unanswered(SHARD, 1002))
+
+        run(scenario)
+
+    def test_leader_that_does_not_answer_is_replaced(self) -> None:
+        """Guards against a shard without a leader for good."""
+        claimer = Rig(make_member('a')).claimer
+        self.assertTrue(claimer.needs_inquiry(SHARD, 1000))
+        claimer.record_inquiry(SHARD, started_at=1000, now=1000.01)
+        self.assertFalse(claimer.needs_inquiry(SHARD, 1000.1))
+        self.assertFalse(claimer.is_unanswered(SHARD, 1000.2))
+        self.assertTrue(claimer.is_unanswered(SHARD, 1000.4))
+        self.assertTrue(claimer.needs_inquiry(SHARD, 1002))
+
+    def test_answer_takes_longer_through_a_slow_store(self) -> None:
+        """Guards against replacing a leader whose answer is on its way."""
+        claimer = Rig(make_member('a')).claimer
+        claimer.record_inquiry(SHARD, started_at=1000, now=1000.5)
+        self.assertFalse(claimer.is_unanswered(SHARD, 1002))
+        self.assertTrue(claimer.is_unanswered(SHARD, 1002.6))
+
+    def test_store_that_is_unavailable_does_not_delay_a_successor(self) -> None:
+        """Guards against a zone without a leader during a store outage."""
+
+        async def scenario() -> None:
+            rig = Rig(make_member('a'))
+            rig.store.is_down = True
+            self.assertFalse(await rig.claimer.inquire(SHARD))
+
+        run(scenario)
+
+
 class TestClaim(testtools.TestCase):
     def test_each_claim_has_a_higher_epoch(self) -> None:
         """Guards against fencing tokens that do not increase.
--- a/tests/process/node/test_led_shards.py
+++ b/tests/process/node/test_led_shards.py
@@ -8,7 +8,8 @@
 
 from sardineproxy import ids
 from sardineproxy.process import metrics
-from sardineproxy.process.node import dependencies, node, service
+from sardineproxy.process.membership import registry
+from sardineproxy.process.node import claiming, dependencies, node, service
 from sardineproxy.process.shards import fencing
 from sardineproxy.process.stored_jobs import (
     fenced_rows,
@@ -17,6 +18,7 @@
 )
 from tests import virtual_time
 from tests.process.node import samples
+from tests.process.shards import samples as shard_samples
 
 _Reply = job_manager.JobReply
 
@@ -203,3 +205,67 @@
             await rig.store_job()
 
         with_rig(scenario)
+
+
+class Zone:
+    """VMs of one zone whose links are all silent, with a common store."""
+
+    def __init__(self, *names: str) -> None:
+        self.store = samples.MemoryStore()
+        self.nodes = {
+            name: samples.make_node(self.store, None, vm=ids.VmId(name))
+            for name in names
+        }
+        self.shard = self.nodes[names[0]].home_shard
+        self.frozen: set[str] = set()
+
+    async def run(self, duration_s: float) -> None:
+        """Let the VMs that are not frozen read the store, and tick."""
+        clock = virtual_time.LoopClock()
+        until = clock.now() + duration_s
+        while clock.now() < until:
+            for name, member_node in self.nodes.items():
+                if name not in self.frozen:
+                    member_node.registry_changed(
+                        self.store.rows.read(registry.TABLE).rows
+                    )
+                    member_node.led_shards.tick(clock.now(), may_claim=True)
+            await asyncio.sleep(0.01)
+
+    def register(self) -> None:
+        for member_node in self.nodes.values():
+            write = registry.member_write(member_node.member)
+            self.store.rows.put(write.key, write.body)
+
+    def link_to_another_vm(self, name: str) -> None:
+        """Link a VM to one that does nothing, so that it is not isolated."""
+        links: Any = self.nodes[name].links
+        links.open_links['other'] = [shard_samples.FakeLink('other')]
+
+    def leaders(self) -> list[str]:
+        return [
+            name
+            for name, member_node in self.nodes.items()
+            if self.shard in member_node.led_shards.shards
+        ]
+
+
+class TestSilentLinks(testtools.TestCase):
+    def test_live_leader_is_not_replaced(self) -> None:
+        """Guards against 410 for accepted jobs (review case 4).
+
+        A VM whose links are silent claimed the shards of live leaders, whose
+        workers then refused these leaders' orders.
+        """
+
+        async def scenario() -> None:
+            zone = Zone('a', 'b')
+            zone.register()
+            await zone.run(5)
+            leader = zone.leaders()[0]
+            zone.link_to_another_vm(leader)
+            for _ in range(20):
+                await zone.run(0.5)
+                self.assertEqual([leader], zone.leaders())
+
+        virtual_time.run(scenario)
