--- a/sardineproxy/process/node/claiming.py
+++ b/sardineproxy/process/node/claiming.py
@@ -213,6 +213,15 @@
         )
         return True
 
+    def is_superseded(
+        self, shard: ids.ShardId, token: fencing.FencingToken
+    ) -> bool:
+        """Return whether another process has claimed a shard after ``token``."""
+        claim = self._registry.claims.get(shard)
+        if claim is None or claim.owner == self._process_id():
+            return False
+        return claim.epoch > token.epoch
+
     async def claim(self, shard: ids.ShardId, now: float) -> None:
         """Claim a shard by writing its row.
 
--- a/sardineproxy/process/node/led_shards.py
+++ b/sardineproxy/process/node/led_shards.py
@@ -191,7 +191,10 @@
             self._update_workers(leader)
 
     def registry_changed(self) -> None:
-        """Answer VMs that ask for the leaders of shards."""
+        """Step down where another process has a newer claim; answer others."""
+        for shard, leader in list(self.shards.items()):
+            if self._claimer.is_superseded(shard, leader.token):
+                self.step_down(shard, 'the store has a newer claim')
         self._answer_inquiries()
 
     def start_claim(
--- a/tests/process/node/test_led_shards.py
+++ b/tests/process/node/test_led_shards.py
@@ -269,3 +269,25 @@
                 self.assertEqual([leader], zone.leaders())
 
         virtual_time.run(scenario)
+
+    def test_frozen_leader_is_replaced_and_steps_down(self) -> None:
+        """Guards against two leaders for good, and against none."""
+
+        async def scenario() -> None:
+            zone = Zone('a', 'b')
+            zone.register()
+            await zone.run(5)
+            leader = zone.leaders()[0]
+            zone.frozen.add(leader)
+            # Nothing is dialed here, which takes up to this long.
+            await zone.run(claiming.CHECK_TIMEOUT_S + 1)
+            zone.frozen.clear()
+            await zone.run(0.05)
+            self.assertEqual(
+                [name for name in zone.nodes if name != leader],
+                zone.leaders(),
+            )
+            await zone.run(5)
+            self.assertEqual(1, len(zone.leaders()))
+
+        virtual_time.run(scenario)
