A stored job whose row is malformed is not reported as unknown

Callers would see 410 for an accepted job whose row, or whose progress row, cannot be decoded, for example one that another version of the program wrote; sent again, the job would overwrite the row.

Cause: such a job was left out when the rows were loaded, and what is not loaded counted as not stored.

Change: the ids of such jobs are kept; queries and submissions get 503, and workers keep their results. Decoding of the rows has a module of its own.

Test, which failed before: test_job_with_a_malformed_row_is_not_reported_absent.

--- a/sardineproxy/process/stored_jobs/job_manager.py
+++ b/sardineproxy/process/stored_jobs/job_manager.py
@@ -5,13 +5,16 @@
 import enum
 from typing import Callable, Iterable
 
-import result
-
 from sardineproxy import background, clock, ids, logs
 from sardineproxy.connection import link, messages
 from sardineproxy.process import metrics, store
 from sardineproxy.process.shards import fencing
-from sardineproxy.process.stored_jobs import execution, records, job_table
+from sardineproxy.process.stored_jobs import (
+    execution,
+    job_table,
+    records,
+    stored_rows,
+)
 from sardineproxy.request import open_tasks
 
 #: Maximum number of unfinished stored jobs of a shard. It bounds memory: a
@@ -100,6 +103,9 @@
         self._executions: dict[ids.JobId, execution.Execution] = {}
         self._ended_jobs: dict[ids.JobId, records.StoredJob] = {}
         self._storing: dict[ids.JobId, asyncio.Future[bool]] = {}
+
+        #: Jobs that are stored, but cannot be run.
+        self._unreadable_jobs: set[ids.JobId] = set()
         self._on_lost = on_lost
         self._tasks = background.Tasks()
         self._is_loaded = False
@@ -170,7 +176,7 @@
     async def accept(self, stored_job: records.StoredJob) -> JobReply:
         """Store a job, unless it is stored already."""
         job = stored_job.job.job_id
-        if not self.is_loaded:
+        if not self.is_loaded or job in self._unreadable_jobs:
             return JobReply.UNAVAILABLE
         if job in self._executions or job in self._ended_jobs:
             return JobReply.ACCEPTED
@@ -186,7 +192,7 @@
         ABSENT is confirmed by the store: another process may have taken over
         the table and stored the job.
         """
-        if not self.is_loaded:
+        if not self.is_loaded or job in self._unreadable_jobs:
             return JobReply.UNAVAILABLE
         if not self._is_known(job) and not await self._are_jobs_complete():
             return JobReply.UNAVAILABLE
@@ -267,8 +273,10 @@
         """Let the worker discard the result of a job that is not running.
 
         If the job is unknown here, another process that has taken over the
-        table may need the result.
+        table may need the result. A job that cannot be read may need it later.
         """
+        if ended.job in self._unreadable_jobs:
+            return
         while not self._is_known(ended.job):
             if not self.is_loaded:
                 return
@@ -323,18 +331,18 @@
 
     def _load(self, rows: Iterable[store.Row]) -> None:
         """Resume the unfinished jobs and load the states of ended ones."""
-        progress_rows = {
-            row.key.removeprefix(job_table.PROGRESS_PREFIX): row
-            for row in rows
-            if row.key.startswith(job_table.PROGRESS_PREFIX)
-        }
-        for row in rows:
-            if row.key.startswith(job_table.JOB_PREFIX):
-                job = row.key.removeprefix(job_table.JOB_PREFIX)
-                try:
-                    self._load_job(row, progress_rows.get(job))
-                except Exception as exc:
-                    background.report(f'row {row.key}', exc)
+        stored = stored_rows.decode(rows)
+        self._ended_jobs.update(stored.ended)
+        self._unreadable_jobs = stored.unreadable
+        for unfinished in stored.unfinished:
+            job = unfinished.stored_job.job.job_id
+            try:
+                self._start_execution(
+                    unfinished.stored_job, unfinished.progress, resumed=True
+                )
+            except Exception as exc:
+                background.report(f'job {job}', exc)
+                self._unreadable_jobs.add(job)
         self._is_loaded = True
         _LOG.info(
             'Stored jobs loaded.',
@@ -343,33 +351,10 @@
                 'epoch': self._table.epoch,
                 'open': len(self._executions),
                 'ended': len(self._ended_jobs),
+                'unreadable': len(self._unreadable_jobs),
             },
         )
 
-    def _load_job(self, row: store.Row, progress_row: store.Row | None) -> None:
-        decoded = records.decode_job(row.body or b'')
-        if isinstance(decoded, result.Err):
-            _LOG.error(
-                'Row of a stored job is malformed; the job was skipped.',
-                extra={'key': row.key, 'cause': decoded.err_value},
-            )
-            return
-        stored_job = decoded.ok_value
-        if stored_job.state.is_final:
-            self._ended_jobs[stored_job.job.job_id] = stored_job
-            return
-        progress = records.JobProgress()
-        if progress_row is not None:
-            loaded = records.decode_progress(progress_row.body or b'')
-            if isinstance(loaded, result.Err):
-                _LOG.error(
-                    'Row of job progress is malformed; the job was skipped.',
-                    extra={'key': progress_row.key, 'cause': loaded.err_value},
-                )
-                return
-            progress = loaded.ok_value
-        self._start_execution(stored_job, progress, resumed=True)
-
     def _start_execution(
         self,
         stored_job: records.StoredJob,
--- a/tests/process/stored_jobs/test_job_manager.py
+++ b/tests/process/stored_jobs/test_job_manager.py
@@ -6,6 +6,7 @@
 import testtools
 
 from sardineproxy.connection import messages
+from sardineproxy.process import store
 from sardineproxy.process.stored_jobs import job_manager, job_table
 from tests import virtual_time
 from tests.process.shards import samples
@@ -413,3 +414,31 @@
             self.assertEqual([], source.sent)
 
         with_cluster(scenario)
+
+    def test_job_with_a_malformed_row_is_not_reported_absent(self) -> None:
+        """Guards against 410 for a job whose row cannot be read.
+
+        Another version of the program may have written the row.
+        """
+
+        async def scenario(cluster: clusters.Cluster) -> None:
+            job = clusters.make_job(1, 1).job.job_id
+            cluster.store.rows.transact(
+                conditions=(),
+                writes=(
+                    store.Write(
+                        key=f'{job_table.JOB_PREFIX}{job}',
+                        part=samples.SHARD,
+                        body=b'odd',
+                    ),
+                ),
+            )
+            leader = await cluster.replace()
+            await asyncio.sleep(0.2)
+            self.assertEqual(
+                _Reply.UNAVAILABLE, await leader.manager.query(job)
+            )
+            reply = await leader.manager.accept(clusters.make_job(1, 1))
+            self.assertEqual(_Reply.UNAVAILABLE, reply)
+
+        with_cluster(scenario)
