A result that its job manager does not confirm is sent again

Workers would list the result of a stored job for good, and be polled without a pause, if the job manager was replaced after it had received the result; after enough of them a worker gets no more runs.

Cause: a result that was sent to a manager counted as taken care of until its link closed or another manager had loaded the jobs.

Change: that holds for 5 s (cell.result_claim_s). A repeated result changes nothing at a manager that has recorded it.

Test, which failed before: test_unconfirmed_result_is_sent_to_the_manager_again.

--- a/sardineproxy/process/shards/stored_results.py
+++ b/sardineproxy/process/shards/stored_results.py
@@ -137,9 +137,9 @@
         if manager is None or self._takeover.has_deferred(job):
             return None
         waiting_since = max(manager.since, self._leader_since)
-        return (
-            manager.since if now >= waiting_since + self._cfg.adopt_s else None
-        )
+        if now < waiting_since + self._cfg.adopt_s:
+            return None
+        return max(manager.since, now - self._cfg.result_claim_s)
 
 
 _TASK_RESULTS = types.MappingProxyType(
--- a/sardineproxy/process/shards/times.py
+++ b/sardineproxy/process/shards/times.py
@@ -95,6 +95,10 @@
     #: arrive seconds later.
     recall_s: float = 10.0
 
+    #: A result of a stored job that its manager has not confirmed for this long
+    #: is sent again. The manager may have been replaced without notice.
+    result_claim_s: float = 5.0
+
     #: A job's result is of no use after this multiple of the time limit for
     #: results that are on time.
     late_factor: float = 3.0
--- a/tests/process/shards/test_shard.py
+++ b/tests/process/shards/test_shard.py
@@ -452,6 +452,29 @@
 
         samples.with_rig(scenario, work_of=_work_of_1_s, count=2)
 
+    def test_unconfirmed_result_is_sent_to_the_manager_again(self) -> None:
+        """Guards against a result that a replaced job manager did not store."""
+
+        async def scenario(rig: samples.Rig) -> None:
+            old_leader = await rig.lead_and_sync()
+            old_leader.submit(
+                samples.FakeLink(),
+                samples.make_submit(stored=True),
+                rig.clock.now(),
+            )
+            await asyncio.sleep(0.3)
+            rig.superseded_shards.append(old_leader)
+            await old_leader.close()
+            manager_link = samples.FakeLink()
+            rig.manager_link = lambda _: manager_link  # type: ignore[method-assign]
+            await rig.lead_and_sync(epoch=2)
+            await asyncio.sleep(rig.cfg.adopt_s + 0.5)
+            self.assertEqual(1, len(manager_link.sent))
+            await asyncio.sleep(rig.cfg.result_claim_s)
+            self.assertEqual(2, len(manager_link.sent))
+
+        samples.with_rig(scenario)
+
     def test_old_leader_is_fenced(self) -> None:
         """Guards against starts by a leader that missed the takeover."""
 
