--- a/sardineproxy/process/shards/backlog.py
+++ b/sardineproxy/process/shards/backlog.py
@@ -107,29 +107,32 @@
 
     # Batches.
 
-    def reattach(
-        self, batch: runs.Batch, source: link.Link, tasks: dict[int, int]
-    ) -> None:
-        """Assign an existing batch to the coordinator that submits it now.
-
-        ``tasks`` maps task indices to the numbers of their next runs.
-        """
+    def reattach(self, batch: runs.Batch, source: link.Link) -> None:
+        """Assign an existing batch to the coordinator that submits it now."""
         if batch.link is not None and batch.link is not source:
             for index, task in batch.tasks.items():
                 self.send_result(
                     batch, index, task.next_run_number, jobs.TaskResult.REPLACED
                 )
         batch.link = source
+
+    def recall(
+        self, batch: runs.Batch, tasks: dict[int, int]
+    ) -> dict[int, int]:
+        """Send the recent results of tasks; return the other tasks.
+
+        ``tasks`` maps task indices to the numbers of their next runs.
+        """
+        remaining: dict[int, int] = {}
         for index, run_number in tasks.items():
-            if index in batch.tasks:
-                continue
             recent_result = self._recent_results.find(batch.task_name(index))
             if recent_result is None or run_number > recent_result.run:
-                batch.add_task(index, run_number)
+                remaining[index] = run_number
             else:
                 self.send_result(
                     batch, index, recent_result.run, recent_result.result
                 )
+        return remaining
 
     def report_done(
         self, batch: runs.Batch, tasks: dict[int, int]
--- a/sardineproxy/process/shards/shard.py
+++ b/sardineproxy/process/shards/shard.py
@@ -151,12 +151,9 @@
         self, source: link.Link, message: messages.Submit, now: float
     ) -> None:
         """Queue the tasks that a coordinator submits."""
-        existing = self._backlog.get((message.job, message.step))
-        if existing and message.stored:
-            self._reattach_stored(existing, source, message, now)
-        elif existing:
-            existing.extend_deadline(now + message.timeout_s)
-            self._reattach(existing, source, dict(message.tasks), now)
+        known = self._backlog.get((message.job, message.step))
+        if known:
+            self._reattach_known(known, source, message, now)
         elif message.resumed and self._takeover.must_defer(message, now):
             self._takeover.defer(source, message)
         elif message.resumed:
@@ -395,22 +392,30 @@
         self._agents[worker.worker] = worker_agent
         worker_agent.open()
 
-    def _reattach_stored(
+    def _reattach_known(
         self,
         batch: runs.Batch,
         source: link.Link,
         message: messages.Submit,
         now: float,
     ) -> None:
-        """Reattach a stored job's batch and add its further tasks."""
+        """Reattach a known batch and add its further tasks.
+
+        A former leader may have started them, although this one knows the
+        batch: another task of the step may have been submitted before.
+        """
+        if not message.stored:
+            batch.extend_deadline(now + message.timeout_s)
         tasks = self._stored_results.send_listed(batch, source, message)
         new_tasks = {
             index: run_number
             for index, run_number in tasks.items()
             if index not in batch.tasks
         }
-        self._backlog.reattach(batch, source, {})
+        self._backlog.reattach(batch, source)
         self._scheduler.report_start_again(batch)
+        if not message.stored:
+            new_tasks = self._backlog.recall(batch, new_tasks)
         if new_tasks and message.resumed:
             if self._takeover.must_defer(message, now):
                 self._takeover.defer(
@@ -421,17 +426,8 @@
                 )
                 return
             new_tasks = self._adopt(batch, new_tasks, now)
-        self._reattach(batch, source, new_tasks, now)
-
-    def _reattach(
-        self,
-        batch: runs.Batch,
-        source: link.Link,
-        tasks: dict[int, int],
-        now: float,
-    ) -> None:
-        """Assign an existing batch to a coordinator, with further tasks."""
-        self._backlog.reattach(batch, source, tasks)
+        for index, run_number in self._backlog.recall(batch, new_tasks).items():
+            batch.add_task(index, run_number)
         self._scheduler.retry(batch, now)
 
     def _adopt(
