A job that is submitted anew during a takeover adopts its active runs

Callers would see a task that runs on two workers at once, if a client sends its job again through another VM while a new leader takes a shard over.

Cause: only submissions that say that a former leader may have started their tasks were matched with the runs that the workers list. The VM of the second attempt does not know of the first, and the runs of the first are stopped 0.5 s after the takeover.

Change: while runs of the former leader may be resumed, each new task is matched with the runs that are known; tasks without one are started as before. A run on a worker that has not reported yet is not found; such a worker is not used, and its leases end 1.07 s after the last contact.

Test, which failed before: test_task_submitted_anew_is_adopted.

--- a/sardineproxy/process/shards/shard.py
+++ b/sardineproxy/process/shards/shard.py
@@ -426,8 +426,7 @@
                 )
                 return
             new_tasks = self._adopt(batch, new_tasks, now)
-        for index, run_number in self._backlog.recall(batch, new_tasks).items():
-            batch.add_task(index, run_number)
+        self._add_tasks(batch, self._backlog.recall(batch, new_tasks), now)
         self._scheduler.retry(batch, now)
 
     def _adopt(
@@ -436,10 +435,29 @@
         """Adopt the runs of a batch; return the tasks that have none."""
         adopted_before = set(batch.tasks)
         unstarted = self._takeover.resume(batch, tasks, now)
+        self._forecast_adopted(batch, adopted_before, now)
+        return unstarted
+
+    def _add_tasks(
+        self, batch: runs.Batch, tasks: dict[int, int], now: float
+    ) -> None:
+        """Add tasks to a batch, with the active runs of a former leader.
+
+        A client may have sent the job again through a VM that does not know of
+        these runs.
+        """
+        known_before = set(batch.tasks)
+        unstarted = self._takeover.adopt_active(batch, tasks, now)
+        self._forecast_adopted(batch, known_before, now)
+        for index, run_number in unstarted.items():
+            batch.add_task(index, run_number)
+
+    def _forecast_adopted(
+        self, batch: runs.Batch, known_before: set[int], now: float
+    ) -> None:
         for index, task in batch.tasks.items():
-            if index not in adopted_before and task.run is not None:
+            if index not in known_before and task.run is not None:
                 self._scheduler.run_adopted(task.run, now)
-        return unstarted
 
     def _resume(
         self, source: link.Link, message: messages.Submit, now: float
@@ -463,10 +481,8 @@
         batch = self._backlog.get((message.job, message.step))
         if batch is None:
             batch = self._make_batch(source, message, now)
-        for index, run_number in self._backlog.report_done(
-            batch, tasks
-        ).items():
-            batch.add_task(index, run_number)
+        remaining = self._backlog.report_done(batch, tasks)
+        self._add_tasks(batch, remaining, now)
         if not batch.tasks:
             return
         self._backlog.add(batch)
--- a/sardineproxy/process/shards/takeover.py
+++ b/sardineproxy/process/shards/takeover.py
@@ -144,8 +144,31 @@
             )
         return {}
 
+    def adopt_active(
+        self, batch: runs.Batch, tasks: dict[int, int], now: float
+    ) -> dict[int, int]:
+        """Adopt the active runs of tasks; return the other tasks."""
+        if not self.accepts_resumes:
+            return tasks
+        return {
+            index: run_number
+            for index, run_number in tasks.items()
+            if not self._adopt_active(batch, index, now)
+        }
+
     def _adopt(self, batch: runs.Batch, index: int, now: float) -> bool:
         """Adopt a task's run or send its result; return whether one exists."""
+        if self._adopt_active(batch, index, now):
+            return True
+        finished_run = self._find_done_run(batch.task_name(index))
+        if finished_run is not None:
+            self._backlog.send_result(
+                batch, index, finished_run.run, jobs.TaskResult.DONE
+            )
+        return finished_run is not None
+
+    def _adopt_active(self, batch: runs.Batch, index: int, now: float) -> bool:
+        """Adopt a task's active run; return whether one exists."""
         name = batch.task_name(index)
         for worker_agent in self._agents.values():
             if name in worker_agent.ledger.unrequested:
@@ -153,12 +176,7 @@
                 batch.add_running(index, run)
                 batch.started = True
                 return True
-        finished_run = self._find_done_run(name)
-        if finished_run is not None:
-            self._backlog.send_result(
-                batch, index, finished_run.run, jobs.TaskResult.DONE
-            )
-        return finished_run is not None
+        return False
 
     def _adopt_run(
         self,
--- a/tests/process/shards/test_shard.py
+++ b/tests/process/shards/test_shard.py
@@ -475,6 +475,30 @@
 
         samples.with_rig(scenario)
 
+    def test_task_submitted_anew_is_adopted(self) -> None:
+        """Guards against a second run if a client retries during a takeover.
+
+        The VM that coordinates the second attempt does not know of the first.
+        """
+
+        async def scenario(rig: samples.Rig) -> None:
+            old_leader = await rig.lead_and_sync()
+            old_leader.submit(
+                samples.FakeLink(), samples.make_submit(), rig.clock.now()
+            )
+            await asyncio.sleep(0.1)
+            rig.superseded_shards.append(old_leader)
+            old_leader.step_down()
+            new_leader = await rig.lead_and_sync(epoch=2)
+            link = samples.FakeLink('vm-2')
+            new_leader.submit(link, samples.make_submit(), rig.clock.now())
+            await asyncio.sleep(2.5)
+            self.assertEqual([], rig.violations())
+            self.assertEqual({0: 'done'}, link.results())
+            self.assertEqual(1, len(rig.records()))
+
+        samples.with_rig(scenario, work_of=_work_of_1_s, count=2)
+
     def test_old_leader_is_fenced(self) -> None:
         """Guards against starts by a leader that missed the takeover."""
 
