--- a/sardineproxy/process/shards/shard.py
+++ b/sardineproxy/process/shards/shard.py
@@ -1,6 +1,5 @@
 """Leads one shard: queues its tasks, dispatches them and handles results."""
 
-import dataclasses
 from typing import Iterable, Protocol
 
 from sardineproxy import clock, ids, logs
@@ -10,6 +9,7 @@
     agent,
     backlog,
     fencing,
+    intake,
     scheduler,
     shard_capacities,
     runs,
@@ -112,6 +112,13 @@
             metrics=metrics,
             cfg=cfg,
         )
+        self._intake = intake.Intake(
+            backlog=self._backlog,
+            scheduler=self._scheduler,
+            takeover=self._takeover,
+            stored_results=self._stored_results,
+            cfg=cfg,
+        )
 
     def step_down(self) -> None:
         """Start no more runs, because another process leads the shard."""
@@ -151,22 +158,11 @@
         self, source: link.Link, message: messages.Submit, now: float
     ) -> None:
         """Queue the tasks that a coordinator submits."""
-        known = self._backlog.get((message.job, message.step))
-        if known:
-            self._reattach_known(known, source, message, now)
-        elif message.resumed and self._takeover.must_defer(message, now):
-            self._takeover.defer(source, message)
-        elif message.resumed:
-            self._resume(source, message, now)
-        else:
-            self._enqueue(source, message, dict(message.tasks), now)
+        self._intake.submit(source, message, now)
 
     def withdraw(self, source: link.Link, job: ids.JobId) -> None:
         """Drop all tasks of a job and stop their runs."""
-        for batch in self._backlog.of_job(job):
-            if batch.link is source:
-                self._scheduler.drop(batch, 'withdrawn')
-        self._takeover.discard(source, job)
+        self._intake.withdraw(source, job)
 
     def link_lost(self, lost_link: link.Link, now: float) -> None:
         """Detach a coordinator's batches.
@@ -215,8 +211,7 @@
 
         Called about every 0.1 s.
         """
-        for deferred in self._takeover.pop_ready(now):
-            self.submit(deferred.source, deferred.submit, now)
+        self._intake.submit_deferred(now)
         self._takeover.stop_unresumed(now)
         self._update_permissions(now)
         self._remove_unlisted(now)
@@ -392,102 +387,6 @@
         self._agents[worker.worker] = worker_agent
         worker_agent.open()
 
-    def _reattach_known(
-        self,
-        batch: runs.Batch,
-        source: link.Link,
-        message: messages.Submit,
-        now: float,
-    ) -> None:
-        """Reattach a known batch and add its further tasks.
-
-        A former leader may have started them, although this one knows the
-        batch: another task of the step may have been submitted before.
-        """
-        if not message.stored:
-            batch.extend_deadline(now + message.timeout_s)
-        tasks = self._stored_results.send_listed(batch, source, message)
-        new_tasks = {
-            index: run_number
-            for index, run_number in tasks.items()
-            if index not in batch.tasks
-        }
-        self._backlog.reattach(batch, source)
-        self._scheduler.report_start_again(batch)
-        if not message.stored:
-            new_tasks = self._backlog.recall(batch, new_tasks)
-        if new_tasks and message.resumed:
-            if self._takeover.must_defer(message, now):
-                self._takeover.defer(
-                    source,
-                    dataclasses.replace(
-                        message, tasks=tuple(new_tasks.items())
-                    ),
-                )
-                return
-            new_tasks = self._adopt(batch, new_tasks, now)
-        self._add_tasks(batch, self._backlog.recall(batch, new_tasks), now)
-        self._scheduler.retry(batch, now)
-
-    def _adopt(
-        self, batch: runs.Batch, tasks: dict[int, int], now: float
-    ) -> dict[int, int]:
-        """Adopt the runs of a batch; return the tasks that have none."""
-        adopted_before = set(batch.tasks)
-        unstarted = self._takeover.resume(batch, tasks, now)
-        self._forecast_adopted(batch, adopted_before, now)
-        return unstarted
-
-    def _add_tasks(
-        self, batch: runs.Batch, tasks: dict[int, int], now: float
-    ) -> None:
-        """Add tasks to a batch, with the active runs of a former leader.
-
-        A client may have sent the job again through a VM that does not know of
-        these runs.
-        """
-        known_before = set(batch.tasks)
-        unstarted = self._takeover.adopt_active(batch, tasks, now)
-        self._forecast_adopted(batch, known_before, now)
-        for index, run_number in unstarted.items():
-            batch.add_task(index, run_number)
-
-    def _forecast_adopted(
-        self, batch: runs.Batch, known_before: set[int], now: float
-    ) -> None:
-        for index, task in batch.tasks.items():
-            if index not in known_before and task.run is not None:
-                self._scheduler.run_adopted(task.run, now)
-
-    def _resume(
-        self, source: link.Link, message: messages.Submit, now: float
-    ) -> None:
-        """Adopt the runs that a former leader started for a coordinator."""
-        batch = self._make_batch(source, message, now)
-        tasks = self._stored_results.send_listed(batch, source, message)
-        unstarted = self._adopt(batch, tasks, now)
-        self._backlog.add(batch)
-        self._scheduler.report_start_again(batch)
-        if unstarted:
-            self._enqueue(source, message, unstarted, now)
-
-    def _enqueue(
-        self,
-        source: link.Link,
-        message: messages.Submit,
-        tasks: dict[int, int],
-        now: float,
-    ) -> None:
-        batch = self._backlog.get((message.job, message.step))
-        if batch is None:
-            batch = self._make_batch(source, message, now)
-        remaining = self._backlog.report_done(batch, tasks)
-        self._add_tasks(batch, remaining, now)
-        if not batch.tasks:
-            return
-        self._backlog.add(batch)
-        self._scheduler.submit(batch, now)
-
     def _apply_result(
         self,
         run: runs.Run,
@@ -519,10 +418,3 @@
         """Start the task of a run that no longer exists again."""
         if self._backlog.requeue(run):
             self._scheduler.retry(run.batch, now)
-
-    def _make_batch(
-        self, source: link.Link, message: messages.Submit, now: float
-    ) -> runs.Batch:
-        return runs.make_batch(
-            message, link=source, late_factor=self._cfg.late_factor, now=now
-        )
