--- a/sardineproxy/bench/slopes_fit.py
+++ b/sardineproxy/bench/slopes_fit.py
@@ -13,6 +13,9 @@
 #: Measurements of each point.
 REPEATS = 5
 
+#: Depth of the stacks by which allocations are attributed.
+TRACED_FRAMES = 100
+
 #: Cost by number of items, such as microseconds by number of tasks.
 Measurement = Mapping[int, float]
 
@@ -156,16 +159,21 @@
 
 
 def measure_heap_bytes(build: Callable[[], object]) -> float:
-    """Return the heap bytes that the result of ``build`` occupies."""
+    """Return the heap bytes that the result of ``build`` occupies.
+
+    What other threads allocate in the meantime does not count.
+    """
     gc.collect()
-    tracemalloc.start()
-    bytes_before, _ = tracemalloc.get_traced_memory()
+    tracemalloc.start(TRACED_FRAMES)
     built = build()
     gc.collect()
-    bytes_after, _ = tracemalloc.get_traced_memory()
+    snapshot = tracemalloc.take_snapshot()
     tracemalloc.stop()
     assert built is not None, 'build must return the object to measure'
-    return bytes_after - bytes_before
+    called_here = tracemalloc.Filter(True, __file__, all_frames=True)
+    return sum(
+        trace.size for trace in snapshot.filter_traces([called_here]).traces
+    )
 
 
 def measure_heap_peak_bytes(operation: Callable[[], object]) -> float:
--- a/tests/bench/test_slopes.py
+++ b/tests/bench/test_slopes.py
@@ -1,5 +1,9 @@
 """Slope fits, heap measurement, group names and two short measurements."""
 
+import math
+import threading
+import time
+
 import testtools
 from testtools import matchers
 
@@ -31,6 +35,30 @@
         )
         self.assertThat(abs(heap_bytes - 100_000), matchers.LessThan(5000))
 
+    def test_heap_bytes_exclude_other_threads(self) -> None:
+        """Guards against measures that include what a test runner allocates."""
+        kept: list[bytes] = []
+        is_stopped = threading.Event()
+
+        def allocate() -> None:
+            while not is_stopped.is_set():
+                kept.append(bytes(100))
+
+        def build() -> bytes:
+            until = time.monotonic() + 0.1
+            while time.monotonic() < until:
+                math.sqrt(2)
+            return bytes(100_000)
+
+        thread = threading.Thread(target=allocate)
+        thread.start()
+        try:
+            heap_bytes = slopes_fit.measure_heap_bytes(build)
+        finally:
+            is_stopped.set()
+            thread.join()
+        self.assertThat(abs(heap_bytes - 100_000), matchers.LessThan(5000))
+
     def test_rejects_unknown_group(self) -> None:
         self.assertThat(
             slopes.main(['slopes', 'no-such-group']),
