--- a/tests/bench/test_slopes.py
+++ b/tests/bench/test_slopes.py
@@ -10,6 +10,9 @@
 from sardineproxy import exit_status
 from sardineproxy.bench import slopes, slopes_fit, slopes_loan, slopes_poll
 
+#: Bound of the objects that another thread allocates, some 140 MB.
+MAX_KEPT = 10**6
+
 
 class SlopesTest(testtools.TestCase):
     """Guards against slopes that do not follow from their measurements."""
@@ -41,7 +44,7 @@
         is_stopped = threading.Event()
 
         def allocate() -> None:
-            while not is_stopped.is_set():
+            while len(kept) < MAX_KEPT and not is_stopped.is_set():
                 kept.append(bytes(100))
 
         def build() -> bytes:
