A row that the store rejects does not hold up other stored jobs

Callers would see 503 for all stored jobs of a shard, for good: a commit with a row that the store does not accept (over row_bytes, for example the progress of a job of 10,000 moved tasks) was sent again for ever, with the rows of other jobs in it, and four such commits kept all others from being sent.

Cause: a rejection counted as a call of unknown outcome.

Change: the rows of a rejected commit are sent again in a commit each; a row that is rejected alone is logged, waits 1 s before the next attempt, and takes no place in between. A job whose row is rejected is refused. The shards of done tasks are no longer part of the progress row.

Test, which failed before (the two small jobs were not accepted): test_row_that_the_store_rejects_does_not_hold_up_others.

--- a/sardineproxy/process/stored_jobs/fenced_rows.py
+++ b/sardineproxy/process/stored_jobs/fenced_rows.py
@@ -38,6 +38,9 @@
     #: The write may have taken effect, or may still take effect.
     UNKNOWN = 'unknown'
 
+    #: The store does not accept one of the rows, and nothing was written.
+    REJECTED = 'rejected'
+
     #: A newer leader has become the writer of the rows.
     SUPERSEDED = 'superseded'
 
@@ -181,6 +184,8 @@
                 return await self._resolve_conflict(changes)
             case store.ErrorKind.UNAVAILABLE:
                 return WriteOutcome.NOT_APPLIED
+            case store.ErrorKind.INVALID:
+                return WriteOutcome.REJECTED
             case _:
                 return WriteOutcome.UNKNOWN
 
--- a/sardineproxy/process/stored_jobs/job_table.py
+++ b/sardineproxy/process/stored_jobs/job_table.py
@@ -30,6 +30,9 @@
 BACK_OFF_MIN_S = 0.05
 BACK_OFF_MAX_S = 0.5
 
+#: Delay before a row that the store has rejected is sent again, in seconds.
+REJECTED_DELAY_S = 1.0
+
 _LOG = logs.get_logger('jobs')
 
 _Outcome = fenced_rows.WriteOutcome
@@ -45,9 +48,20 @@
     created_at: float
     due_at: float
 
+    #: True if the row gets a commit of its own, as the store has rejected one
+    #: with it.
+    is_alone: bool = False
+
+    def is_on_hold(self, now: float) -> bool:
+        """Return whether a rejected row must not be sent again yet."""
+        return self.is_alone and now < self.due_at
+
 
 _Batch = dict[str, _PendingWrite]
 
+#: Outcomes after which the same changes need not be sent again.
+_RESOLVED = frozenset((_Outcome.DONE, _Outcome.SUPERSEDED, _Outcome.REJECTED))
+
 
 class JobTable:  # noqa: WPS214
     """Writes changes of one shard's stored jobs in group commits."""
@@ -200,7 +214,7 @@
                 if not self._active_commits:
                     await self._renew(self._token)
                 continue
-            batch = self._next_batch()
+            batch = self._next_batch(self._clock.now())
             if batch:
                 self._active_commits += 1
                 self._in_flight.update(batch)
@@ -251,18 +265,12 @@
         earliest = min(due_times, default=None)
         return None if earliest is None else earliest - now
 
-    def _next_batch(self) -> _Batch:
-        batch: _Batch = {}
-        size = 0
-        for key, change in self._waiting.items():
-            if key in self._in_flight:
-                continue
-            size += len(change.body or b'')
-            if batch and (
-                len(batch) >= MAX_COMMIT_ROWS or size > MAX_COMMIT_BYTES
-            ):
-                break
-            batch[key] = change
+    def _next_batch(self, now: float) -> _Batch:
+        batch = _first_batch(
+            (key, change)
+            for key, change in self._waiting.items()
+            if key not in self._in_flight and not change.is_on_hold(now)
+        )
         for key in batch:
             self._waiting.pop(key)
         return batch
@@ -285,8 +293,10 @@
             case _Outcome.SUPERSEDED:
                 _resolve(batch.values(), stored=False)
                 self._mark_superseded()
+            case _Outcome.REJECTED:
+                self._separate(batch)
             case _:
-                self._requeue(batch)
+                self._requeue(batch, self._backoff_s())
         self._wake.set()
 
     def _abandon(self, batch: _Batch) -> None:
@@ -301,8 +311,7 @@
         may_be_stored = False
         while True:
             outcome = await self._rows.commit(changes)
-            is_resolved = outcome in {_Outcome.DONE, _Outcome.SUPERSEDED}
-            if is_resolved or (
+            if outcome in _RESOLVED or (
                 outcome is _Outcome.NOT_APPLIED and not may_be_stored
             ):
                 return outcome
@@ -311,9 +320,23 @@
             may_be_stored = True
             await asyncio.sleep(self._backoff_s())
 
-    def _requeue(self, batch: _Batch) -> None:
+    def _separate(self, batch: _Batch) -> None:
+        """Queue the rows of a rejected commit again, each for its own one.
+
+        A row that is rejected alone must not hold up the others.
+        """
+        if len(batch) == 1:
+            _LOG.error(
+                'The store rejects a row of a stored job.',
+                extra={'cell': self.shard, 'key': next(iter(batch))},
+            )
+        for change in batch.values():
+            change.is_alone = True
+        self._requeue(batch, REJECTED_DELAY_S if len(batch) == 1 else 0)
+
+    def _requeue(self, batch: _Batch, delay_s: float) -> None:
         """Queue changes again, except for rows with a newer waiting change."""
-        due_at = self._clock.now() + self._backoff_s()
+        due_at = self._clock.now() + delay_s
         for key, change in batch.items():
             newer = self._waiting.get(key)
             if newer is None:
@@ -321,6 +344,7 @@
                 self._waiting[key] = change
             else:
                 newer.due_at = due_at
+                newer.is_alone = change.is_alone
                 _resolve_with(change, newer)
 
     def _backoff_s(self) -> float:
@@ -343,6 +367,21 @@
         self._wake.set()
 
 
+def _first_batch(changes: Iterable[tuple[str, _PendingWrite]]) -> _Batch:
+    """Return the first changes that fit into one commit."""
+    batch: _Batch = {}
+    size = 0
+    for key, change in changes:
+        size += len(change.body or b'')
+        is_full = len(batch) >= MAX_COMMIT_ROWS or size > MAX_COMMIT_BYTES
+        if batch and (is_full or change.is_alone):
+            break
+        batch[key] = change
+        if change.is_alone:
+            break
+    return batch
+
+
 def _resolve(changes: Iterable[_PendingWrite], *, stored: bool) -> None:
     for change in changes:
         if not change.stored_fut.done():
--- a/sardineproxy/process/stored_jobs/records.py
+++ b/sardineproxy/process/stored_jobs/records.py
@@ -100,6 +100,7 @@
         """Record that a task succeeded."""
         self.done.add(key)
         self.failed.pop(key, None)
+        self.moved.pop(key, None)
 
     def record_failure(self, key: open_tasks.TaskKey, run: int) -> int:
         """Record a failed run; return the number of failures of the task."""
--- a/tests/process/stored_jobs/cluster.py
+++ b/tests/process/stored_jobs/cluster.py
@@ -77,6 +77,9 @@
 
         #: Writes of rows with this key prefix are refused; empty for none.
         self.refused_prefix = ''
+
+        #: Size of the largest row that the store accepts, in bytes.
+        self.max_row_bytes = 65_536
         self._delayed: set[asyncio.Task[None]] = set()
 
     async def read(self, name: str, *, part: str = '') -> Any:
@@ -91,6 +94,10 @@
         return result.Ok(self.rows.get(key, part=part))
 
     async def transact(self, **changes: Any) -> Any:
+        if any(
+            len(write.body) > self.max_row_bytes for write in changes['writes']
+        ):
+            return _error(store.ErrorKind.INVALID)
         if not await self._is_reachable() or self._is_refused(
             changes['writes']
         ):
--- a/tests/process/stored_jobs/test_job_manager.py
+++ b/tests/process/stored_jobs/test_job_manager.py
@@ -151,6 +151,34 @@
 
         with_cluster(scenario)
 
+    def test_row_that_the_store_rejects_does_not_hold_up_others(self) -> None:
+        """Guards against jobs that are refused for good beside a large one.
+
+        The rows of all jobs share commits, of which only a few are sent at a
+        time.
+        """
+
+        async def scenario(cluster: clusters.Cluster) -> None:
+            cluster.store.max_row_bytes = 1000
+            large = clusters.make_job(0, *([1] * 60))
+            replies = await asyncio.gather(
+                *(
+                    cluster.leader.manager.accept(stored_job)
+                    for stored_job in (
+                        large,
+                        *(clusters.make_job(number, 1) for number in (1, 2)),
+                    )
+                )
+            )
+            self.assertEqual(
+                [_Reply.REFUSED, _Reply.ACCEPTED, _Reply.ACCEPTED], replies
+            )
+            cluster.store.max_row_bytes = 65_536
+            reply = await cluster.leader.manager.accept(large)
+            self.assertEqual(_Reply.ACCEPTED, reply)
+
+        with_cluster(scenario)
+
     def test_results_are_acknowledged_once_they_are_stored(self) -> None:
         """Guards against acknowledged results that are lost in a crash.
 
