Silence of the leader's link alone does not prove that the leader is gone

Cause: the link to the leader of the own zone times out after 0.4 s, the others after 1.7 s. In between the VM has open links, though silent ones, and did not ask through the store.

Change: it also asks until a message on another link, 0.2 s or more after the leader's last one, shows that its links work. In a zone whose leader froze such a message usually arrives within the timeout, so that nothing is delayed. A link that the peer closes needs no proof.

--- a/sardineproxy/connection/link.py
+++ b/sardineproxy/connection/link.py
@@ -52,6 +52,9 @@
         #: direction.
         self.last_used_at = self.opened_at
 
+        #: True if it was closed because nothing was received.
+        self.timed_out = False
+
         #: Identity of the peer, set by ``handshake``.
         self.peer: messages.Greeting
 
--- a/sardineproxy/process/membership/links.py
+++ b/sardineproxy/process/membership/links.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 import functools
+import math
 import random
 from typing import Awaitable, Callable, Collection, Mapping, Protocol
 
@@ -229,6 +230,16 @@
         if target is not None:
             target.vm = vm
 
+    def last_received_at(self) -> float:
+        """Return the local time of the last message on an open link.
+
+        Minus infinity without a link.
+        """
+        return max(
+            (open_link.last_received_at for open_link in self._all_links()),
+            default=-math.inf,
+        )
+
     def unchecked_vms(self) -> frozenset[ids.VmId]:
         """Return the VMs that have not been linked or dialed in vain yet."""
         return frozenset(
@@ -247,6 +258,7 @@
                 'silent_s': round(now - open_link.last_received_at, 3),
             },
         )
+        open_link.timed_out = True
         open_link.abort()
         self._remove(open_link)
 
--- a/sardineproxy/process/node/claiming.py
+++ b/sardineproxy/process/node/claiming.py
@@ -60,6 +60,10 @@
 ANSWER_WAIT_S = 0.3
 ANSWER_WAIT_WRITES = 4
 
+#: A message that arrives this long after a silent leader's last one shows that
+#: the links of this VM work, in seconds: two heartbeat intervals.
+LINK_PROOF_S = 0.2
+
 #: Time after ``ANSWER_WAIT_S`` in which an inquiry without an answer permits a
 #: claim, and delay before another inquiry after an answer, in seconds.
 INQUIRY_VALID_S = 1.0
@@ -90,6 +94,9 @@
         self._seen_leaders: dict[ids.ShardId, ids.VmId] = {}
         self._seen_revisions: dict[ids.ShardId, tuple[int, int]] = {}
 
+        #: Times of the last messages of VMs whose links have timed out.
+        self._silent_since: dict[ids.VmId, float] = {}
+
         #: Times from which an inquiry without an answer permits a claim.
         self._answered_by: dict[ids.ShardId, float] = {}
         self._workers_reachable_since: dict[ids.ShardId, float] = {}
@@ -149,12 +156,25 @@
         since = self._workers_reachable_since.setdefault(shard, now)
         return now - since >= FOREIGN_CLAIM_DELAY_S
 
-    def must_inquire(self, shard: ids.ShardId, *, isolated: bool) -> bool:
+    def record_silence(self, vm: ids.VmId, since: float | None) -> None:
+        """Record that a link has timed out, with the time of its last message.
+
+        None means that the VM is linked, or that its process has ended.
+        """
+        if since is None:
+            self._silent_since.pop(vm, None)
+        else:
+            self._silent_since[vm] = since
+
+    def must_inquire(
+        self, shard: ids.ShardId, *, isolated: bool, last_received_at: float
+    ) -> bool:
         """Return whether to ask through the store for the shard's leader.
 
         It may be alive if this VM rather than the leader is cut off from other
         VMs, or if they have never been linked. ``isolated`` means that this VM
-        has no link at all.
+        has no link at all, ``last_received_at`` is the time of the last message
+        on any link.
         """
         claim = self._registry.claims.get(shard)
         if claim is None or claim.owner[0] == self._member.vm:
@@ -164,7 +184,12 @@
             return False
         is_foreign = shard != ids.ShardId(self._member.zone)
         was_linked = self._seen_leaders.get(shard) == claim.owner[0]
-        return isolated or is_foreign or not was_linked
+        silent_since = self._silent_since.get(claim.owner[0])
+        may_be_cut_off = isolated or (
+            silent_since is not None
+            and last_received_at < silent_since + LINK_PROOF_S
+        )
+        return may_be_cut_off or is_foreign or not was_linked
 
     def needs_inquiry(self, shard: ids.ShardId, now: float) -> bool:
         """Return whether there is no recent inquiry for a shard's leader."""
--- a/sardineproxy/process/node/led_shards.py
+++ b/sardineproxy/process/node/led_shards.py
@@ -381,7 +381,9 @@
         if shard != self._context.home_shard:
             checks.append(self._are_workers_reachable(shard))
         if self._claimer.must_inquire(
-            shard, isolated=self._context.is_isolated()
+            shard,
+            isolated=self._context.is_isolated(),
+            last_received_at=self._links.last_received_at(),
         ):
             checks.append(self._is_leader_silent(shard))
         return all(await asyncio.gather(*checks))
--- a/sardineproxy/process/node/node.py
+++ b/sardineproxy/process/node/node.py
@@ -246,11 +246,16 @@
 
     def opened(self, opened: link.Link) -> None:
         """Send a heartbeat and request the peer's registry rows."""
+        self._claimer.record_silence(opened.peer.vm, None)
         opened.send(self._heartbeat())
         opened.send(messages.RegistryRequest())
 
     def closed(self, closed: link.Link) -> None:
         """Remove state that depends on a closed link."""
+        self._claimer.record_silence(
+            closed.peer.vm,
+            closed.last_received_at if closed.timed_out else None,
+        )
         self.led_shards.link_lost(closed, self._clock.now())
         self.job_service.link_closed(closed)
         if self.links.get(closed.peer.vm) is None:
--- a/tests/process/node/test_claiming.py
+++ b/tests/process/node/test_claiming.py
@@ -71,6 +71,13 @@
             SHARD, self.tokens[-1], isolated=isolated, now=1000 + now
         )
 
+    def must_inquire(
+        self, *, isolated: bool = False, last_received_at: float = 1000
+    ) -> bool:
+        return self.claimer.must_inquire(
+            SHARD, isolated=isolated, last_received_at=last_received_at
+        )
+
     async def claim(self, now: float = 0) -> None:
         await self.claimer.claim(SHARD, 1000 + now)
 
@@ -209,15 +216,13 @@
             await leader.claim()
             rig = Rig(make_member('a'), leader.store)
             self.assertFalse(rig.should_claim(0, leader=ids.VmId('b')))
-            self.assertTrue(rig.claimer.must_inquire(SHARD, isolated=True))
-            self.assertFalse(rig.claimer.must_inquire(SHARD, isolated=False))
+            self.assertTrue(rig.must_inquire(isolated=True))
+            self.assertFalse(rig.must_inquire())
             foreign = Rig(make_member('c', zone='other'), leader.store)
             foreign.should_claim(0, leader=ids.VmId('b'))
-            self.assertTrue(foreign.claimer.must_inquire(SHARD, isolated=False))
+            self.assertTrue(foreign.must_inquire())
             unlinked = Rig(make_member('d'), leader.store)
-            self.assertTrue(
-                unlinked.claimer.must_inquire(SHARD, isolated=False)
-            )
+            self.assertTrue(unlinked.must_inquire())
 
         run(scenario)
 
@@ -226,7 +231,7 @@
 
         async def scenario() -> None:
             rig = Rig(make_member('a'))
-            self.assertFalse(rig.claimer.must_inquire(SHARD, isolated=True))
+            self.assertFalse(rig.must_inquire(isolated=True))
             leader = Rig(make_member('b'), rig.store)
             await leader.claim()
             rig.register(
@@ -234,7 +239,27 @@
                     make_member('b'), incarnation=ids.Incarnation('2')
                 )
             )
-            self.assertFalse(rig.claimer.must_inquire(SHARD, isolated=True))
+            self.assertFalse(rig.must_inquire(isolated=True))
+
+        run(scenario)
+
+    def test_leader_is_asked_until_another_link_proves_to_work(self) -> None:
+        """Guards against claims by a VM whose links are all silent.
+
+        The link to the leader of its zone times out first, so that the others
+        still seem to be open.
+        """
+
+        async def scenario() -> None:
+            leader = Rig(make_member('b'))
+            await leader.claim()
+            rig = Rig(make_member('a'), leader.store)
+            rig.should_claim(0, leader=ids.VmId('b'))
+            rig.claimer.record_silence(ids.VmId('b'), 1000)
+            self.assertTrue(rig.must_inquire(last_received_at=1000.1))
+            self.assertFalse(rig.must_inquire(last_received_at=1000.3))
+            rig.claimer.record_silence(ids.VmId('b'), None)
+            self.assertFalse(rig.must_inquire(last_received_at=1000.1))
 
         run(scenario)
 
