A newer claim is checked at each tick; a result is confirmed once at a time

Cause: a leader compared its token with the registry only when a row changed while it led, so a claim that was read before its own leadership began was not compared again. Stepping down from one shard can end the leadership of another, whose manager was then looked up in vain (KeyError in the task that follows the registry). And since a worker sends an unconfirmed result again every 5 s, a store that does not answer collected one confirming task for each sending. Change: the check runs at each tick and asks again whether the shard is still led; one confirming task for each result.

--- a/sardineproxy/process/node/led_shards.py
+++ b/sardineproxy/process/node/led_shards.py
@@ -115,7 +115,7 @@
 
     def tick(self, now: float, *, may_claim: bool) -> None:
         """Claim and return shards, refresh claims, and run periodic work."""
-        self._answer_inquiries()
+        self.check_registry()
         if may_claim:
             self._claim_and_return(now)
         for leader in list(self.shards.values()):
@@ -190,10 +190,12 @@
         for leader in self.shards.values():
             self._update_workers(leader)
 
-    def registry_changed(self) -> None:
+    def check_registry(self) -> None:
         """Step down where another process has a newer claim; answer others."""
-        for shard, leader in list(self.shards.items()):
-            if self._claimer.is_superseded(shard, leader.token):
+        for shard, token in self.tokens().items():
+            is_superseded = self._claimer.is_superseded(shard, token)
+            # Stepping down from one shard may end the leadership of others.
+            if is_superseded and shard in self.shards:
                 self.step_down(shard, 'the store has a newer claim')
         self._answer_inquiries()
 
--- a/sardineproxy/process/node/node.py
+++ b/sardineproxy/process/node/node.py
@@ -521,7 +521,7 @@
     def _apply_registry(self) -> None:
         """Apply changed members, claims and inquiries."""
         self._update_links()
-        self.led_shards.registry_changed()
+        self.led_shards.check_registry()
 
     def _update_links(self) -> None:
         """Set the link targets from the current members and settings."""
--- a/sardineproxy/process/stored_jobs/job_manager.py
+++ b/sardineproxy/process/stored_jobs/job_manager.py
@@ -51,6 +51,10 @@
 _LOG = logs.get_logger('jobs')
 
 
+#: Job, step, index and run.
+_ResultKey = tuple[ids.JobId, int, int, int]
+
+
 class JobReply(enum.Enum):
     """Reply of a job manager about a job."""
 
@@ -104,6 +108,9 @@
         self._ended_jobs: dict[ids.JobId, records.StoredJob] = {}
         self._storing: dict[ids.JobId, asyncio.Future[bool]] = {}
 
+        #: Results for which it is being confirmed that no job needs them.
+        self._discarding: set[_ResultKey] = set()
+
         #: Jobs that are stored, but cannot be run.
         self._unreadable_jobs: set[ids.JobId] = set()
         self._on_lost = on_lost
@@ -229,10 +236,7 @@
                 open_tasks.FromLeader(source=source, message=message)
             )
         elif isinstance(message, messages.RunEnded):
-            self._tasks.spawn(
-                self._discard_result(source, message),
-                unit=f'result of job {message.job}',
-            )
+            self._start_discarding(source, message)
 
     def broadcast(
         self, event: open_tasks.LeaderLost | open_tasks.LeaderFound
@@ -267,7 +271,26 @@
         is_writer = await self._table.confirm(STORE_TIMEOUT_S)
         return is_writer and self.is_loaded
 
+    def _start_discarding(
+        self, source: link.Link, ended: messages.RunEnded
+    ) -> None:
+        result_key = (ended.job, ended.step, ended.index, ended.run)
+        if result_key not in self._discarding:
+            self._discarding.add(result_key)
+            self._tasks.spawn(
+                self._discard_result(source, ended, result_key),
+                unit=f'result of job {ended.job}',
+            )
+
     async def _discard_result(
+        self, source: link.Link, ended: messages.RunEnded, key: _ResultKey
+    ) -> None:
+        try:
+            await self._discard_if_absent(source, ended)
+        finally:
+            self._discarding.discard(key)
+
+    async def _discard_if_absent(
         self, source: link.Link, ended: messages.RunEnded
     ) -> None:
         """Let the worker discard the result of a job that is not running.
