--- a/sardineproxy/process/node/node.py
+++ b/sardineproxy/process/node/node.py
@@ -5,7 +5,7 @@
 import secrets
 from typing import Iterable
 
-from sardineproxy import background, deployment, ids, logs
+from sardineproxy import background, deployment, ids
 from sardineproxy.connection import link, messages
 from sardineproxy.process import store
 from sardineproxy.process.shards import fencing, shard_capacities, workers
@@ -33,6 +33,7 @@
     peering,
     policy,
     peer_sync,
+    stalls,
     state_dump,
 )
 from sardineproxy.request import active_jobs, open_tasks
@@ -44,26 +45,12 @@
 #: Interval at which a leader checks its queues, in seconds.
 LEADER_TICK_S = 0.025
 
-#: A tick that is late by this time, in seconds, shows that the process was
-#: delayed and has probably not read what its peers have sent.
-LATE_TICK_S = 0.05
-
-#: Gap between two ticks that counts as a stall of the process, in seconds.
-#: Peers close a link after 0.4 s without a heartbeat.
-STALL_S = 0.3
-
-#: Time after a stall in which requests are refused, in seconds: their clients
-#: may have abandoned the connections during the stall.
-STALL_REFUSAL_S = 0.05
-
 #: Failed ticks in a row after which the process ends: without them it neither
 #: sends heartbeats nor detects that others have replaced it.
 MAX_FAILED_TICKS = 20
 
 INCARNATION_BYTES = 6
 
-_LOG = logs.get_logger('node')
-
 
 class Node:  # noqa: WPS214, WPS230
     """Connects the components of one entry process."""
@@ -163,8 +150,12 @@
             clock=self._clock,
             metrics=self.metrics,
         )
-        self._last_tick_at = self._clock.now()
-        self._refusing_until: float = 0
+        self._stalls = stalls.StallDetector(
+            tick_s=TICK_S,
+            metrics=self.metrics,
+            on_stall=self._handle_stall,
+            now=self._clock.now(),
+        )
         self._failed_ticks = 0
 
         #: Errors that were confined to one unit, by unit.
@@ -174,7 +165,7 @@
         """Open the listener for links and start the background tasks."""
         await self.links.start(self.cfg.peers)
         self._update_links()
-        self._last_tick_at = self._clock.now()
+        self._stalls.restart(self._clock.now())
         self._feeds.start(self.member, self._tasks)
         self._tasks.spawn(self._run_ticks())
 
@@ -218,9 +209,7 @@
 
     def is_recovering(self) -> bool:
         """Return whether requests are refused because of a recent stall."""
-        now = self._clock.now()
-        self._check_stall(now)
-        return now < self._refusing_until
+        return self._stalls.is_recovering(self._clock.now())
 
     def default_shard(self) -> ids.ShardId | None:
         """Return the shard for this VM's jobs, None if no shard has a leader.
@@ -404,9 +393,7 @@
 
     def tick(self, now: float) -> None:
         """Run the periodic work of links and led shards."""
-        self._check_stall(now)
-        is_late = now - self._last_tick_at > TICK_S + LATE_TICK_S
-        self._last_tick_at = now
+        is_late = self._stalls.tick(now)
         self.leaders.loaded_shards.update(
             self.cfg.vm, self.job_service.loaded_shards(), now
         )
@@ -437,14 +424,8 @@
         else:
             self._failed_ticks = 0
 
-    def _check_stall(self, now: float) -> None:
-        gap_s = now - self._last_tick_at
-        if gap_s < STALL_S:
-            return
-        self._last_tick_at = now
-        _LOG.warning('Process stalled.', extra={'gap_s': round(gap_s, 3)})
-        self.metrics.count('stalls_total')
-        self._refusing_until = now + STALL_REFUSAL_S
+    def _handle_stall(self) -> None:
+        """Give up what peers may have taken over during a stall."""
         self.active_jobs.notify_stalled()
         self.links.abort_all()
         self.led_shards.mark_all_unconfirmed('process stalled')
