--- a/tests/process/node/test_led_shards.py
+++ b/tests/process/node/test_led_shards.py
@@ -7,7 +7,7 @@
 import testtools
 
 from sardineproxy import ids
-from sardineproxy.process import metrics
+from sardineproxy.process import metrics, store
 from sardineproxy.process.membership import registry
 from sardineproxy.process.node import claiming, dependencies, node, service
 from sardineproxy.process.shards import fencing
@@ -291,3 +291,47 @@
             self.assertEqual(1, len(zone.leaders()))
 
         virtual_time.run(scenario)
+
+
+class TestNewerClaims(testtools.TestCase):
+    def test_shards_with_newer_claims_may_be_lost_together(self) -> None:
+        """Guards against an error in the task that follows the registry.
+
+        Stepping down from one shard may end the leadership of another.
+        """
+
+        async def scenario() -> None:
+            member_node = samples.make_node(samples.MemoryStore(), None)
+            led_shards = member_node.led_shards
+            led = [member_node.home_shard, ids.ShardId('another')]
+            for shard in led:
+                led_shards.lead(shard, make_token(1))
+
+            def lose_others(_: ids.ShardId) -> None:  # noqa: WPS430
+                for other in list(led_shards.shards):
+                    led_shards.step_down(other, 'a VM has a higher token')
+
+            self.patch(member_node, 'shard_lost', lose_others)
+            member_node.registry_changed(
+                tuple(
+                    store.Row(key=write.key, revision=number, body=write.body)
+                    for number, write in enumerate(
+                        map(claim_by_another_process, led), start=1
+                    )
+                )
+            )
+            self.assertEqual({}, led_shards.shards)
+
+        virtual_time.run(scenario)
+
+
+def claim_by_another_process(shard: ids.ShardId) -> store.Write:
+    return registry.claim_write(
+        registry.Claim(
+            cell=shard,
+            epoch=2,
+            owner=(ids.VmId('other'), ids.Incarnation('other')),
+            heirs=(),
+            revision=0,
+        )
+    )
--- a/tests/process/stored_jobs/test_job_manager.py
+++ b/tests/process/stored_jobs/test_job_manager.py
@@ -443,6 +443,34 @@
 
         with_cluster(scenario)
 
+    def test_repeated_result_of_an_unknown_job_is_confirmed_once(self) -> None:
+        """Guards against one more waiting task for each repeated result."""
+
+        async def scenario(cluster: clusters.Cluster) -> None:
+            source = samples.FakeLink()
+            ended = messages.RunEnded(
+                shard=samples.SHARD,
+                job=clusters.make_job(1, 1).job.job_id,
+                step=0,
+                index=0,
+                run=1,
+                result='done',
+                stored=True,
+            )
+            cluster.store.is_unavailable = True
+            for _ in range(5):
+                cluster.leader.manager.handle_message(
+                    source,  # type: ignore[arg-type]
+                    ended,
+                )
+                await asyncio.sleep(1)
+            self.assertEqual([], source.sent)
+            cluster.store.is_unavailable = False
+            await asyncio.sleep(3)
+            self.assertEqual(1, len(source.sent))
+
+        with_cluster(scenario)
+
     def test_job_with_a_malformed_row_is_not_reported_absent(self) -> None:
         """Guards against 410 for a job whose row cannot be read.
 
