--- a/review/standin2/fleet.py
+++ b/review/standin2/fleet.py
@@ -207,6 +207,17 @@
                     state=answer.get('state'), cause=answer.get('cause', ''))
         return status, answer.get('state')
 
+    async def count_pending(self, vm):
+        """Ask a VM for the number of jobs that have not begun."""
+        asked_at = self.now()
+        target = self.vms[vm]
+        status, answer = await http_server.request(
+            (target.host, target.front), 'GET', PREFIX,
+            headers={'Host': HOST_HEADER, 'Deadline-Ms': '2500'},
+            timeout_s=3)
+        self.record('pending', vm=vm, asked_at=asked_at, status=status,
+                    pending=answer.get('pending'))
+
     # Network.
 
     def cut_off(self, vm):
--- a/review/standin2/rules.py
+++ b/review/standin2/rules.py
@@ -100,3 +100,33 @@
                 f'{idle_s:.1f} s'
             )
     return broken
+
+
+VISIBLE_S = 3.0     # visible_ms
+
+
+def pending(events):
+    """MIXED: ``pending`` is under half of the jobs that were accepted over
+    visible_ms and 2 s before the request and have not begun."""
+    begun = {}
+    accepted = {}
+    broken = []
+    for at, kind, f in events:
+        if kind == 'start':
+            begun.setdefault(f['task'].split('.')[0], at)
+        if (kind == 'answer' and f['method'] == 'POST'
+                and f['status'] == 200):
+            accepted.setdefault(f['job'], at)
+    for at, kind, f in events:
+        if kind != 'pending' or f['status'] != 200:
+            continue
+        due = sum(
+            since < f['asked_at'] - VISIBLE_S - 2 and begun.get(job, at) >= at
+            for job, since in accepted.items()
+        )
+        if 2 * f['pending'] < due:
+            broken.append(
+                f'{f["vm"]} gave {f["pending"]} as pending at {at}; {due} jobs '
+                f'had been accepted over 5 s before and had not begun'
+            )
+    return broken
