Followers of a table read all pages of its changes; fewer reads of the list of workers

Cause: the store's feed returns at most 500 changes, and the follower paused after each page. Ruled out: list_wait_s, refused reads.

Change: a full page is followed by the next one at once; a list that is older than a heartbeat of the workers is read as a whole, which is shorter than its changes; VMs that neither lead a shard nor are among the first candidates read the list only when they become leader or probe workers. A read of several pages has the revision of its first page, since changes during the read were missed.

--- a/sardineproxy/platform/store_http.py
+++ b/sardineproxy/platform/store_http.py
@@ -18,6 +18,10 @@
 #: Maximum number of rows that the store returns in one page.
 PAGE_ROWS = 500
 
+#: Size of the values in a page of the feed from which it may be incomplete, in
+#: bytes: half of the store's limit, since values are sent as base64.
+LARGE_PAGE_BYTES = 500_000
+
 #: Maximum number of pages of one table that are read, to limit memory use.
 MAX_PAGES = 64
 
@@ -52,8 +56,13 @@
     async def read(
         self, table: str, *, part: str = ''
     ) -> result.Result[store.Rows, _Error]:
-        """Return all rows of a part of a table, read page by page."""
+        """Return all rows of a part of a table, read page by page.
+
+        The revision is that of the first page, so that the feed lists the
+        changes that were made while later pages were read.
+        """
         rows: list[store.Row] = []
+        revision: int | None = None
         query: dict[str, str | int] = {'table': table, 'part': part}
         for _ in range(MAX_PAGES):
             response = await self._get('/v1/rows-get', query, wait_s=0)
@@ -61,12 +70,12 @@
             if isinstance(page, result.Err):
                 return page
             rows.extend(page.ok_value.rows)
+            if revision is None:
+                revision = page.ok_value.revision
             assert isinstance(response, http_calls.Response)
             if not response.document.get('has_more') or not page.ok_value.rows:
                 return result.Ok(
-                    store.Rows(
-                        rows=tuple(rows), revision=page.ok_value.revision
-                    )
+                    store.Rows(rows=tuple(rows), revision=revision)
                 )
             # The smallest key after the last one of this page.
             query['from'] = f'{_strip_table(rows[-1].key)}\x00'
@@ -97,17 +106,27 @@
     async def changes(
         self, table: str, *, after: int, wait_s: float
     ) -> result.Result[store.Rows, _Error]:
-        """Return the rows that changed after a revision, in order."""
-        response = await self._get(
-            '/v1/rows-feed',
-            {
-                'table': table,
-                'after': after,
-                'wait_ms': int(wait_s * _MS_PER_S),
-            },
-            wait_s=wait_s,
+        """Return all rows that changed after a revision, in order.
+
+        The feed returns at most ``PAGE_ROWS`` changes and does not say whether
+        there are more.
+        """
+        rows: list[store.Row] = []
+        for _ in range(MAX_PAGES):
+            response = await self._get_changes(table, after, wait_s)
+            page = decode_rows(table, response)
+            if isinstance(page, result.Err):
+                return page
+            rows.extend(page.ok_value.rows)
+            after = page.ok_value.revision
+            assert isinstance(response, http_calls.Response)
+            if _is_last_page(response.document, page.ok_value):
+                return result.Ok(store.Rows(rows=tuple(rows), revision=after))
+            wait_s = 0
+        return _error(
+            _Kind.HISTORY_LOST,
+            f'more than {MAX_PAGES} pages of changes of table {table}',
         )
-        return decode_rows(table, response)
 
     async def transact(
         self,
@@ -140,6 +159,19 @@
         )
         return _decode_write(response)
 
+    async def _get_changes(
+        self, table: str, after: int, wait_s: float
+    ) -> http_calls.Response | http_calls.NoResponse:
+        return await self._get(
+            '/v1/rows-feed',
+            {
+                'table': table,
+                'after': after,
+                'wait_ms': int(wait_s * _MS_PER_S),
+            },
+            wait_s=wait_s,
+        )
+
     async def _get(
         self, path: str, query: dict[str, str | int], *, wait_s: float
     ) -> http_calls.Response | http_calls.NoResponse:
@@ -163,6 +195,14 @@
     return {'table': table, 'part': row.part, 'key': key_in_table}
 
 
+def _is_last_page(document: Mapping[str, Any], page: store.Rows) -> bool:
+    """Return whether a page of the feed contains the newest change."""
+    # Rows that name no key count, too.
+    row_count = len(fields.get_list(document, 'rows'))
+    value_bytes = sum(len(row.body or b'') for row in page.rows)
+    return row_count < PAGE_ROWS and value_bytes < LARGE_PAGE_BYTES
+
+
 def _strip_table(key: str) -> str:
     return key.partition('/')[2]
 
--- a/sardineproxy/process/membership/table_follower.py
+++ b/sardineproxy/process/membership/table_follower.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import math
 import random
 from typing import Callable, Mapping
 
@@ -15,6 +16,10 @@
 BACK_OFF_MIN_S = 0.1
 BACK_OFF_MAX_S = 1.0
 
+#: Interval at which a follower that reads on request checks its timing, in
+#: seconds.
+TIMING_CHECK_S = 1.0
+
 _LOG = logs.get_logger('store')
 
 
@@ -28,6 +33,13 @@
     #: Pause after every response, for tables that change constantly.
     pause_s: float
 
+    #: If the last read is older than this, the whole table is read: it is
+    #: smaller than the list of changes since then.
+    max_changes_age_s: float = math.inf
+
+    #: True if the table is read only on request, by ``poll_now``.
+    on_request: bool = False
+
 
 class TableFollower:
     """Keeps a copy of a table up to date."""
@@ -81,17 +93,32 @@
     async def run(self) -> None:
         """Follow the table until cancelled."""
         while True:
+            await self._wait_until_needed()
             response = await self._fetch_changes()
             self._record_outcome(response)
             if isinstance(response, result.Ok):
                 self._apply(response.ok_value)
             await self._pause(response)
 
+    def _is_outdated(self) -> bool:
+        """Return whether the whole table is smaller than its changes."""
+        assert self.last_success_at is not None
+        age_s = self._clock.now() - self.last_success_at
+        return age_s > self._timing().max_changes_age_s
+
+    async def _wait_until_needed(self) -> None:
+        """Wait while the table is read on request and none was made."""
+        while self._timing().on_request:
+            if self._poll_requested.is_set():
+                self._poll_requested.clear()
+                return
+            await self._pause_for(TIMING_CHECK_S)
+
     async def _fetch_changes(
         self,
     ) -> result.Result[store.Rows, store.StoreError]:
         self._metrics.count('store_calls_total', table=self.table)
-        if self._revision is None:
+        if self._revision is None or self._is_outdated():
             return await self._fetch_all()
         # After a failure, do not long-poll: an immediate response shows that
         # the store is available again.
@@ -192,9 +219,14 @@
             return
         # A call of ``poll_now`` during the preceding store call ends this
         # pause as well.
+        if await self._pause_for(pause_s):
+            self._poll_requested.clear()
+
+    async def _pause_for(self, pause_s: float) -> bool:
+        """Pause; return whether a request has ended the pause early."""
         try:
             async with asyncio.timeout(pause_s):
                 await self._poll_requested.wait()
         except TimeoutError:
-            return
-        self._poll_requested.clear()
+            return False
+        return True
--- a/sardineproxy/process/membership/worker_list.py
+++ b/sardineproxy/process/membership/worker_list.py
@@ -95,11 +95,16 @@
         self._removed_at.setdefault(worker_id, now)
 
 
-def is_complete(source: table_follower.TableFollower, now: float) -> bool:
+def is_complete(
+    source: table_follower.TableFollower,
+    *,
+    store_healthy_since: float | None,
+    now: float,
+) -> bool:
     """Return whether the list is certain to contain every worker."""
-    if source.last_success_at is None or source.healthy_since is None:
+    if source.last_success_at is None or store_healthy_since is None:
         return False
     return (
         now - source.last_success_at < REMOVAL_DELAY_S
-        and now - source.healthy_since >= REMOVAL_DELAY_S
+        and now - store_healthy_since >= REMOVAL_DELAY_S
     )
--- a/sardineproxy/process/node/feeds.py
+++ b/sardineproxy/process/node/feeds.py
@@ -22,15 +22,32 @@
 #: Long-poll timeout for members and claims, in seconds.
 REGISTRY_POLL_WAIT_S = 5.0
 
+#: Age of the list of workers in seconds from which the whole list is read. Each
+#: worker changes its entry at least every 1.5 s, so that a longer list of
+#: changes names each worker more than once.
+WORKER_CHANGES_AGE_S = 1.5
+
 #: Polling intervals of shard leaders and of the first candidates for a shard.
 #: The list of workers changes with every worker heartbeat, so that a long poll
-#: would return at once. The pauses are below 2 s, after which a worker that is
-#: leaving must receive no more orders.
-LEADER_POLL_TIMING = table_follower.PollTiming(wait_s=0, pause_s=0.8)
-CANDIDATE_POLL_TIMING = table_follower.PollTiming(wait_s=0, pause_s=1.5)
+#: would return at once. The pause of leaders is below 2 s, after which a worker
+#: that is leaving must receive no more orders. Candidates need a list in case
+#: they become leader while the store is down.
+LEADER_POLL_TIMING = table_follower.PollTiming(
+    wait_s=0, pause_s=0.8, max_changes_age_s=WORKER_CHANGES_AGE_S
+)
+CANDIDATE_POLL_TIMING = table_follower.PollTiming(
+    wait_s=0, pause_s=3, max_changes_age_s=WORKER_CHANGES_AGE_S
+)
 
-#: Polling intervals of all other VMs.
-FOLLOWER_POLL_TIMING = table_follower.PollTiming(wait_s=0, pause_s=15)
+#: All other VMs read the list when they become leader or probe the workers of
+#: a shard without a leader. With hundreds of VMs, regular reads of thousands
+#: of entries would be most of the load of the store.
+FOLLOWER_POLL_TIMING = table_follower.PollTiming(
+    wait_s=0,
+    pause_s=0,
+    max_changes_age_s=WORKER_CHANGES_AGE_S,
+    on_request=True,
+)
 
 #: Minimum and maximum delay before the registration is retried, in seconds.
 REGISTER_RETRY_MIN_S = 0.3
@@ -123,7 +140,22 @@
 
     def is_worker_list_complete(self) -> bool:
         """Return whether the list is certain to contain every worker."""
-        return worker_list.is_complete(self.worker_list, self._clock.now())
+        return worker_list.is_complete(
+            self.worker_list,
+            store_healthy_since=self.store_healthy_since(),
+            now=self._clock.now(),
+        )
+
+    def store_healthy_since(self) -> float | None:
+        """Return since when no read of the store has failed, None if one does.
+
+        A VM that has just begun to read the list of workers knows this from
+        its reads of the configuration, of which one ends every few seconds.
+        """
+        since = self.worker_list.healthy_since
+        if since is None or self.configuration.healthy_since is None:
+            return since
+        return min(since, self.configuration.healthy_since)
 
     def workers_listed_at(self) -> float:
         """Return the local time of the last read of the worker list."""
--- a/sardineproxy/process/node/led_shards.py
+++ b/sardineproxy/process/node/led_shards.py
@@ -28,6 +28,10 @@
 PROBE_SAMPLE_SIZE = 3
 PROBE_TIMEOUT_S = 0.2
 
+#: Age of the list of workers from which it is read again before the workers of
+#: another zone are probed, in seconds.
+PROBE_LIST_AGE_S = 5.0
+
 #: Delay before the stored jobs of a shard are loaded again after an error, in
 #: seconds.
 RELOAD_DELAY_S = 1.0
@@ -59,6 +63,9 @@
     def is_worker_list_complete(self) -> bool:
         """Return whether the list is certain to contain every worker."""
 
+    def request_worker_list(self) -> None:
+        """Read the list of workers soon, also on a VM that leads no shard."""
+
     def is_isolated(self) -> bool:
         """Return whether other VMs exist but none is connected."""
 
@@ -415,7 +422,10 @@
         They must have been reachable for some time: otherwise this VM rather
         than the shard's leader may be cut off from the network.
         """
-        self._claimer.postpone(shard, self._dependencies.clock.now())
+        now = self._dependencies.clock.now()
+        self._claimer.postpone(shard, now)
+        if now - self._context.workers_listed_at() > PROBE_LIST_AGE_S:
+            self._context.request_worker_list()
         listed = self._context.workers_of(shard)
         # Many VMs may probe at the same time, and a worker accepts few
         # connections.
--- a/sardineproxy/process/node/node.py
+++ b/sardineproxy/process/node/node.py
@@ -345,6 +345,10 @@
         """Return whether the store currently serves the list of workers."""
         return self._feeds.is_worker_list_available()
 
+    def request_worker_list(self) -> None:
+        """Read the list of workers soon, also if this VM leads no shard."""
+        self._feeds.worker_list.poll_now()
+
     def is_isolated(self) -> bool:
         """Return whether other VMs exist but none is connected."""
         return not self.links.open_links and len(self.registry.members) > 1
--- a/tests/platform/test_store_http.py
+++ b/tests/platform/test_store_http.py
@@ -87,6 +87,50 @@
 
         with_rig(scenario)
 
+    def test_all_pages_of_changes_are_read(self) -> None:
+        """Guards against a list of workers that falls behind.
+
+        The feed returns at most 500 changes. A VM that paused after each page
+        started tasks on workers that had been draining for over 3 s.
+        """
+
+        async def scenario(rig: Rig) -> None:
+            for number in range(1203):
+                rig.rows.put(f't/{number:05}', b'%d' % number)
+            outcome = await rig.client.changes('t', after=0, wait_s=0)
+            self.assertEqual(1203, len(outcome.ok_value.rows))
+            self.assertEqual(1203, outcome.ok_value.revision)
+
+        with_rig(scenario)
+
+    def test_change_during_a_read_of_several_pages_is_not_missed(self) -> None:
+        """Guards against a row that stays outdated after a read.
+
+        It changed after its page was read and before the last page was.
+        """
+
+        async def scenario(rig: Rig) -> None:
+            for number in range(503):
+                rig.rows.put(f't/{number:05}', b'old')
+            get_page = rig.client._get
+
+            async def get_and_change(*args: Any, **kwargs: Any) -> Any:
+                response = await get_page(*args, **kwargs)
+                rig.rows.put('t/00001', b'new')
+                return response
+
+            rig.client._get = get_and_change  # type: ignore[method-assign]
+            table = (await rig.client.read('t')).ok_value
+            rig.client._get = get_page  # type: ignore[method-assign]
+            later = await rig.client.changes(
+                't', after=table.revision, wait_s=0
+            )
+            self.assertEqual(
+                [b'new'], [row.body for row in later.ok_value.rows]
+            )
+
+        with_rig(scenario)
+
     def test_feed_waits_for_a_change(self) -> None:
         """Guards against polling a feed that returns at once without changes."""
 
--- a/tests/process/membership/test_table_follower.py
+++ b/tests/process/membership/test_table_follower.py
@@ -19,10 +19,11 @@
     def __init__(self) -> None:
         self.store = samples.MemoryStore()
         self.received_rows: list[store.Row] = []
+        self.timing = table_follower.PollTiming(wait_s=0, pause_s=0.5)
         self.follower = table_follower.TableFollower(
             table='t',
             source=self.store,
-            timing=lambda: table_follower.PollTiming(wait_s=0, pause_s=0.5),
+            timing=lambda: self.timing,
             clock=virtual_time.LoopClock(),
             rng=random.Random(1),
             metrics=metrics.Metrics(),
@@ -138,3 +139,63 @@
             self.assertEqual(['t/a'], rig.keys())
 
         with_rig(scenario)
+
+    def test_outdated_table_is_read_as_a_whole(self) -> None:
+        """Guards against a new leader that reads minutes of changes.
+
+        The list of workers is much shorter than the changes since its last
+        read by a VM that seldom reads it.
+        """
+
+        async def scenario(rig: Rig) -> None:
+            rig.timing = table_follower.PollTiming(
+                wait_s=0, pause_s=10, max_changes_age_s=1.5
+            )
+            rig.store.rows.put('t/a', b'1')
+            await asyncio.sleep(5)
+            rig.store.rows.put('t/a', None)
+            rig.store.rows.put('t/b', b'1')
+            rig.store.rows.changes = None  # type: ignore[assignment]
+            rig.follower.poll_now()
+            await asyncio.sleep(0.1)
+            self.assertEqual(['t/b'], rig.keys())
+
+        with_rig(scenario)
+
+    def test_table_is_read_on_request(self) -> None:
+        """Guards against hundreds of VMs that read a list they do not use."""
+
+        async def scenario(rig: Rig) -> None:
+            await asyncio.sleep(1)
+            rig.timing = table_follower.PollTiming(
+                wait_s=0, pause_s=0, on_request=True
+            )
+            await asyncio.sleep(1)
+            calls_before = rig.store.calls
+            rig.store.rows.put('t/a', b'1')
+            await asyncio.sleep(60)
+            self.assertEqual(calls_before, rig.store.calls)
+            rig.follower.poll_now()
+            await asyncio.sleep(0.1)
+            self.assertEqual(['t/a'], rig.keys())
+            self.assertEqual(calls_before + 1, rig.store.calls)
+
+        with_rig(scenario)
+
+    def test_requested_reads_become_regular_ones(self) -> None:
+        """Guards against a leader that does not follow its list of workers."""
+
+        async def scenario(rig: Rig) -> None:
+            regular_timing = rig.timing
+            rig.timing = table_follower.PollTiming(
+                wait_s=0, pause_s=0, on_request=True
+            )
+            await asyncio.sleep(60)
+            rig.timing = regular_timing
+            rig.follower.poll_now()
+            await asyncio.sleep(0.1)
+            rig.store.rows.put('t/a', b'1')
+            await asyncio.sleep(1)
+            self.assertEqual(['t/a'], rig.keys())
+
+        with_rig(scenario)
--- a/tests/process/membership/test_worker_list.py
+++ b/tests/process/membership/test_worker_list.py
@@ -106,11 +106,17 @@
                 on_rows=lambda _: None,
             )
 
+        def is_complete(healthy_since: float | None, now: float) -> bool:
+            return worker_list.is_complete(
+                source, store_healthy_since=healthy_since, now=now
+            )
+
         source = virtual_time.run(main)
-        self.assertFalse(worker_list.is_complete(source, 10))
-        source.healthy_since = 10
+        self.assertFalse(is_complete(None, 10))
+        self.assertFalse(is_complete(1, 10))
         source.last_success_at = 11
-        self.assertFalse(worker_list.is_complete(source, 11))
+        self.assertFalse(is_complete(10, 11))
         source.last_success_at = 13
-        self.assertTrue(worker_list.is_complete(source, 13))
-        self.assertFalse(worker_list.is_complete(source, 30))
+        self.assertTrue(is_complete(10, 13))
+        self.assertFalse(is_complete(None, 13))
+        self.assertFalse(is_complete(10, 30))
