Give tasks again to a worker whose entry returns unchanged

Only a changed entry ended the state "unlisted" of a worker's agent. An entry that expired and returned unchanged while a task ran left the agent in that state for good.

Ruled out: the raised fence (polls under it were answered), the list (the entry was there, state ready).

Another worker at the address is a state of its own, which an unchanged entry does not end.

--- a/sardineproxy/process/shards/agent.py
+++ b/sardineproxy/process/shards/agent.py
@@ -15,6 +15,7 @@
     unacked_results,
     lease,
     ledger,
+    listing,
     reconciler,
     runs,
     times,
@@ -100,7 +101,7 @@
         #: False while another process may lead the shard. The leases of
         #: stored jobs' runs must expire then.
         self.is_leadership_confirmed = True
-        self._is_unlisted = False
+        self._listing = listing.Listing.LISTED
         self._tasks = background.Tasks()
 
     def open(self) -> None:
@@ -142,7 +143,7 @@
     def is_removable(self, now: float) -> bool:
         """Return whether the worker is unlisted and nothing can run on it."""
         return (
-            self._is_unlisted
+            self._listing is listing.Listing.UNLISTED
             and self.ledger.is_empty
             and self._lease.has_expired(now)
         )
@@ -157,7 +158,9 @@
         if not self.may_extend_lease:
             # A start order extends the lease of all runs of the worker.
             return False
-        if self._is_unlisted or self.is_unresponsive or not self.is_synced:
+        if self._listing is not listing.Listing.LISTED:
+            return False
+        if self.is_unresponsive or not self.is_synced:
             return False
         if self.worker.state is not workers.WorkerState.READY:
             return False
@@ -185,18 +188,26 @@
         is_restarted = worker.started_ms != self.worker.started_ms
         self.ledger.resize(self.worker.capacity, worker.capacity)
         self.worker = worker
-        self._is_unlisted = False
+        self.apply_listing(listing.Event.ENTRY_CHANGED)
         if is_restarted and worker.started_ms != self._poller.started_ms:
             self.mark_unconfirmed('worker restarted')
 
-    def mark_unlisted(self) -> None:
-        """Start no more runs, because the worker is no longer listed."""
-        if not self._is_unlisted:
-            self._is_unlisted = True
-            _LOG.info(
-                'Worker is no longer listed.',
-                extra={'worker': self.worker.worker},
-            )
+    def apply_listing(self, event: listing.Event) -> None:
+        """Apply an event of the worker's entry; ``update`` does so itself."""
+        former = self._listing
+        self._listing = listing.advance(former, event)
+        if self._listing is former:
+            return
+        _LOG.info(
+            'Worker is listed again.'
+            if self._listing is listing.Listing.LISTED
+            else 'Worker is no longer listed.',
+            extra={
+                'worker': self.worker.worker,
+                'listing': self._listing.value,
+            },
+        )
+        if former is listing.Listing.LISTED:
             self.mark_unconfirmed('worker not listed')
 
     def renew_token(self, token: fencing.FencingToken) -> None:
@@ -393,7 +404,7 @@
             case workers.Refusal.NOT_EXECUTED | workers.Refusal.NO_CAPACITY:
                 self.health.record_refusal(now)
             case workers.Refusal.OTHER_WORKER:
-                self.mark_unlisted()
+                self.apply_listing(listing.Event.OTHER_WORKER)
             case _:
                 pass
         self._handle_not_started(run, refused.reason.value)
--- a/sardineproxy/process/shards/shard.py
+++ b/sardineproxy/process/shards/shard.py
@@ -10,6 +10,7 @@
     backlog,
     fencing,
     intake,
+    listing,
     scheduler,
     shard_capacities,
     runs,
@@ -145,12 +146,14 @@
             existing = self._agents.get(worker_id)
             if existing is None:
                 self._add(worker)
-            elif existing.worker != worker:
+            elif existing.worker == worker:
+                existing.apply_listing(listing.Event.ENTRY_UNCHANGED)
+            else:
                 existing.update(worker)
         self._unlisted.difference_update(by_id)
         for worker_id, worker_agent in self._agents.items():
             if worker_id not in by_id:
-                worker_agent.mark_unlisted()
+                worker_agent.apply_listing(listing.Event.ENTRY_MISSING)
                 self._unlisted.add(worker_id)
         self._scheduler.refresh_all(self._clock.now())
 
