Evacuation of a zone: no task is started or sent there

Cause: the rows op/evacuate/ZONE were not read at all, so that leaders started tasks in zones that an operator had evacuated.

Change: each process reads the rows with the long poll on the operator's table that it has open anyway. The set of evacuated zones has the revision of the store at which it was read; VMs without a path to the store get it from peers (new message EvacuatedZones: revision, zones). The leader of an evacuated shard starts nothing and reports no free capacity, the reports of such shards are not used, and jobs of the zone's VMs are spread over the other zones by their free capacity. Before its first start a process must have read the rows, and with evacuate_ms in the settings a leader stops starting tasks when its copy is too old while the store can be read. ErrorKind.REFUSED tells a read that the store refused because of its rate from an outage.

Ruled out: a field of the heartbeat and a request, as for versions; the set is smaller than the request, and the heartbeat stays as it is.

--- a/sardineproxy/connection/messages.py
+++ b/sardineproxy/connection/messages.py
@@ -250,6 +250,20 @@
     reply: str = codec.checked_field(codec.text)
 
 
+#: Zone, and the revision of the row that evacuates it.
+EvacuatedZone = tuple[ids.ZoneId, int]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class EvacuatedZones:
+    """The evacuated zones as of a revision of the store."""
+
+    revision: int = codec.checked_field(codec.count)
+    zones: tuple[EvacuatedZone, ...] = codec.checked_field(
+        codec.rows(codec.text, codec.count)
+    )
+
+
 Message = (
     Greeting
     | Heartbeat
@@ -268,6 +282,7 @@
     | StoreJob
     | QueryJob
     | JobResponse
+    | EvacuatedZones
 )
 
 #: The position is the type number on the wire; only append.
@@ -289,6 +304,7 @@
     StoreJob,
     QueryJob,
     JobResponse,
+    EvacuatedZones,
 )
 
 CODEC = codec.Codec(*MESSAGE_TYPES)
--- a/sardineproxy/deployment.py
+++ b/sardineproxy/deployment.py
@@ -40,6 +40,15 @@
     #: with its data.
     distance_factor: float
 
+    #: Time from the request to evacuate a zone after which no task is started
+    #: there, None if the platform sets no such bound.
+    evacuate_s: float | None = None
+
+    #: Ratio of a task's run time on a cold worker to that on a warm one, and
+    #: further tolerance for cold workers, both without a unit.
+    cold_overage: float = 1.0
+    cold_slack: float = 1.0
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Deployment:
--- a/sardineproxy/platform/settings.py
+++ b/sardineproxy/platform/settings.py
@@ -113,4 +113,14 @@
             document, 'status_s', DEFAULT_STATUS_RETENTION_S
         ),
         distance_factor=fields.get_number(document, 'remote_factor', 1),
+        evacuate_s=_get_seconds(document, 'evacuate_ms'),
+        cold_overage=max(1, fields.get_number(document, 'cold_overage', 1)),
+        cold_slack=max(1, fields.get_number(document, 'cold_slack', 1)),
     )
+
+
+def _get_seconds(document: Mapping[str, Any], name: str) -> float | None:
+    """Return a time that the file gives in ms, None if it is absent."""
+    if name not in document:
+        return None
+    return fields.get_number(document, name) / _MS_PER_S
--- a/sardineproxy/process/membership/table_follower.py
+++ b/sardineproxy/process/membership/table_follower.py
@@ -10,6 +10,7 @@
 
 from sardineproxy import background, clock, logs
 from sardineproxy.process import metrics, store
+from sardineproxy.process.load import table_age
 
 #: Minimum and maximum backoff after a failed call, in seconds. All entry VMs
 #: share the store's rate limits, so the backoff is exponential.
@@ -66,11 +67,15 @@
         self._rows: dict[str, store.Row] = {}
         self._revision: int | None = None
         self._failures = 0
+        self._is_refused = False
         self._outage_since: float | None = None
 
         #: Time of the last successful call, None before the first.
         self.last_success_at: float | None = None
 
+        #: Time at which that call was sent. The rows may be as old as this.
+        self.read_at: float | None = None
+
         #: Start of the current period without failed calls, None before the
         #: first successful call and during an outage.
         self.healthy_since: float | None = None
@@ -81,11 +86,28 @@
         """Return the rows by key."""
         return self._rows
 
+    @property
+    def revision(self) -> int | None:
+        """Return the revision of the rows, None before the first read."""
+        return self._revision
+
     @property
     def is_loaded(self) -> bool:
         """Return whether the table has been read at least once."""
         return self._revision is not None
 
+    def reads(self, responded_at: float) -> table_age.Reads:
+        """Return the outcome of the reads.
+
+        ``responded_at`` is the time of the store's last response on any table.
+        """
+        return table_age.Reads(
+            read_at=self.read_at,
+            failures=self._failures,
+            is_refused=self._is_refused,
+            responded_at=responded_at,
+        )
+
     def poll_now(self) -> None:
         """End the current pause, or the next one if no pause is in progress."""
         self._poll_requested.set()
@@ -94,9 +116,11 @@
         """Follow the table until cancelled."""
         while True:
             await self._wait_until_needed()
+            sent_at = self._clock.now()
             response = await self._fetch_changes()
             self._record_outcome(response)
             if isinstance(response, result.Ok):
+                self.read_at = sent_at
                 self._apply(response.ok_value)
             await self._pause(response)
 
@@ -195,6 +219,7 @@
                 self._outage_since = None
             return
         self._failures += 1
+        self._is_refused = response.err_value.kind is store.ErrorKind.REFUSED
         self.healthy_since = None
         if self._outage_since is None:
             self._outage_since = now
--- a/sardineproxy/process/node/dependencies.py
+++ b/sardineproxy/process/node/dependencies.py
@@ -28,6 +28,9 @@
     worker_id: Callable[[store.Row], ids.WorkerId]
     decode_worker: worker_list.DecodeWorker
 
+    #: Returns the zone that a row of the configuration table evacuates.
+    evacuated_zone: Callable[[store.Row], ids.ZoneId | None]
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Dependencies:
--- a/sardineproxy/process/node/feeds.py
+++ b/sardineproxy/process/node/feeds.py
@@ -1,13 +1,15 @@
 """Tables of the store that a node follows, and its registration."""
 
 import asyncio
+import math
 import random
 from typing import Callable, Protocol
 
 import result
 
-from sardineproxy import background, clock, logs
+from sardineproxy import background, clock, deployment, logs
 from sardineproxy.process import metrics, store
+from sardineproxy.process.load import table_age
 from sardineproxy.process.membership import (
     table_follower,
     registry,
@@ -19,6 +21,12 @@
 #: even if one response is lost.
 CONFIG_POLL_WAIT_SHARE = 0.5
 
+#: Long-poll timeout for the same table, and largest age of its copy with which
+#: a leader starts tasks, as fractions of the time within which an evacuation
+#: must take effect. One or two responses may be lost without a pause.
+EVACUATION_POLL_WAIT_SHARE = 0.2
+EVACUATION_AGE_SHARE = 0.9
+
 #: Long-poll timeout for members and claims, in seconds.
 REGISTRY_POLL_WAIT_S = 5.0
 
@@ -79,7 +87,7 @@
         self,
         *,
         configuration_table: str,
-        max_config_delay_s: float,
+        bounds: deployment.Bounds,
         worker_table: str,
         source: store.Store,
         handler: RowHandler,
@@ -89,17 +97,17 @@
     ) -> None:
         """Create the followers.
 
-        A new configuration must be active within ``max_config_delay_s``
-        seconds.
+        They read often enough to act within ``bounds``.
         """
         self._store = source
         self._clock = clock
         self._rng = rng
+        self._evacuate_s = bounds.evacuate_s
         tables = (
             (
                 configuration_table,
                 handler.configuration_changed,
-                _fixed_timing(CONFIG_POLL_WAIT_SHARE * max_config_delay_s),
+                _fixed_timing(_config_wait_s(bounds)),
             ),
             (
                 registry.TABLE,
@@ -138,6 +146,21 @@
         """Return whether the store currently serves the configuration."""
         return self.configuration.healthy_since is not None
 
+    def are_evacuations_current(self) -> bool:
+        """Return whether the evacuated zones are known well enough.
+
+        They must have been read once, and recently if the platform bounds the
+        delay, unless the store cannot be read.
+        """
+        max_age_s = math.inf
+        if self._evacuate_s is not None:
+            max_age_s = EVACUATION_AGE_SHARE * self._evacuate_s
+        return table_age.is_current(
+            self.configuration.reads(self.last_response_at()),
+            max_age_s,
+            self._clock.now(),
+        )
+
     def is_worker_list_complete(self) -> bool:
         """Return whether the list is certain to contain every worker."""
         return worker_list.is_complete(
@@ -194,6 +217,14 @@
             )
 
 
+def _config_wait_s(bounds: deployment.Bounds) -> float:
+    """Return the long-poll timeout for the operator's table, in seconds."""
+    wait_s = CONFIG_POLL_WAIT_SHARE * bounds.config_apply_s
+    if bounds.evacuate_s is None:
+        return wait_s
+    return min(wait_s, EVACUATION_POLL_WAIT_SHARE * bounds.evacuate_s)
+
+
 def _fixed_timing(wait_s: float) -> Callable[[], table_follower.PollTiming]:
     """Return a provider of constant polling intervals without pause."""
     timing = table_follower.PollTiming(wait_s=wait_s, pause_s=0)
--- a/sardineproxy/process/node/led_shards.py
+++ b/sardineproxy/process/node/led_shards.py
@@ -16,7 +16,7 @@
     workers,
 )
 from sardineproxy.process.stored_jobs import job_service, job_manager
-from sardineproxy.process.membership import links
+from sardineproxy.process.membership import evacuations, links
 from sardineproxy.process.node import claiming
 
 #: Age of the link to a VM of another zone after which the shard of that zone
@@ -57,6 +57,9 @@
     def leader_of(self, shard: ids.ShardId) -> ids.VmId | None:
         """Return the VM that leads a shard, None if there is none."""
 
+    def evacuation_status(self, shard: ids.ShardId) -> evacuations.Status:
+        """Return whether tasks may be started in a shard's zone."""
+
     def workers_of(self, shard: ids.ShardId) -> list[workers.Worker]:
         """Return the listed workers of a shard."""
 
@@ -125,6 +128,7 @@
         self.check_registry()
         if may_claim:
             self._claim_and_return(now)
+        self.update_evacuations(now)
         for leader in list(self.shards.values()):
             leader.tick(now)
 
@@ -197,6 +201,11 @@
         for leader in self.shards.values():
             self._update_workers(leader)
 
+    def update_evacuations(self, now: float) -> None:
+        """Apply to all led shards whether their zones are evacuated."""
+        for shard, leader in self.shards.items():
+            leader.set_evacuation(self._context.evacuation_status(shard), now)
+
     def check_registry(self) -> None:
         """Step down where another process has a newer claim; answer others."""
         for shard, token in self.tokens().items():
@@ -243,6 +252,10 @@
         self._job_service.add_manager(
             self._dependencies.new_job_manager(shard, token)
         )
+        leader.set_evacuation(
+            self._context.evacuation_status(shard),
+            self._dependencies.clock.now(),
+        )
         self._update_workers(leader)
         self._context.shard_gained(shard)
 
--- a/sardineproxy/process/node/node.py
+++ b/sardineproxy/process/node/node.py
@@ -8,6 +8,7 @@
 from sardineproxy import background, deployment, ids
 from sardineproxy.connection import link, messages
 from sardineproxy.process import store
+from sardineproxy.process.load import shard_choice
 from sardineproxy.process.shards import fencing, shard_capacities, workers
 from sardineproxy.process.stored_jobs import (
     fenced_rows,
@@ -16,6 +17,7 @@
 )
 from sardineproxy.process.membership import (
     table_follower,
+    evacuations,
     loaded_shards,
     links,
     leaders,
@@ -25,6 +27,7 @@
 from sardineproxy.process.node import (
     claiming,
     dependencies,
+    evacuation_sync,
     feeds,
     led_shards,
     link_timing,
@@ -97,6 +100,12 @@
             events=self,
             heartbeat_timing=self._link_timing.choose,
         )
+        self._evacuation_sync = evacuation_sync.EvacuationSync(
+            zone_of=dependencies.formats.evacuated_zone,
+            broadcast=self.links.broadcast,
+            on_change=self._apply_evacuations,
+            metrics=self.metrics,
+        )
         self._local_link = local_link.LocalLink(
             identity=self.identity, receiver=self
         )
@@ -134,7 +143,7 @@
         )
         self._feeds = feeds.Feeds(
             configuration_table=dependencies.formats.configuration_table,
-            max_config_delay_s=cfg.bounds.config_apply_s,
+            bounds=cfg.bounds,
             worker_table=dependencies.formats.worker_table,
             source=dependencies.store,
             handler=self,
@@ -214,16 +223,18 @@
     def default_shard(self) -> ids.ShardId | None:
         """Return the shard for this VM's jobs, None if no shard has a leader.
 
-        This is the home shard if it has a leader, else the shard with the
-        most free capacity.
+        This is the home shard unless it has no leader or is evacuated.
         """
-        if self.home_shard in self.leaders.by_shard:
+        evacuated = self.zone_evacuations.shards()
+        led = self.leaders.by_shard
+        if self.home_shard in led and self.home_shard not in evacuated:
             return self.home_shard
-        free_capacity = self.capacities.find_available(self._clock.now())
-        return min(
-            self.leaders.by_shard,
-            key=lambda shard: (-free_capacity.get(shard, 0), shard),
-            default=None,
+        return shard_choice.choose(
+            home=self.home_shard,
+            led=led,
+            evacuated=evacuated,
+            free_capacity=self.capacities.find_available(self._clock.now()),
+            point=self._dependencies.rng.random(),
         )
 
     def leader_link(self, shard: ids.ShardId) -> link.Link | None:
@@ -237,6 +248,7 @@
         """Send a heartbeat and request the peer's registry rows."""
         self._claimer.record_silence(opened.peer.vm, None)
         opened.send(self._heartbeat())
+        self._evacuation_sync.opened(opened)
         opened.send(messages.RegistryRequest())
 
     def closed(self, closed: link.Link) -> None:
@@ -257,6 +269,8 @@
         """Dispatch a message to the component that handles it."""
         if self.job_service.handle_message(source, message):
             return
+        if self._evacuation_sync.handle_message(source, message):
+            return
         match message:
             case messages.ResultsStored():
                 self.led_shards.acknowledge_results(message)
@@ -292,6 +306,19 @@
         """Return the free capacities of other shards."""
         return self.leaders.capacities
 
+    @property
+    def zone_evacuations(self) -> evacuations.Evacuations:
+        """Return the evacuated zones."""
+        return self._evacuation_sync.evacuations
+
+    def evacuation_status(self, shard: ids.ShardId) -> evacuations.Status:
+        """Return whether tasks may be started in a shard's zone."""
+        if shard in self.zone_evacuations.shards():
+            return evacuations.Status.EVACUATED
+        if self._feeds.are_evacuations_current():
+            return evacuations.Status.OPEN
+        return evacuations.Status.UNKNOWN
+
     def leader_of(self, shard: ids.ShardId) -> ids.VmId | None:
         """Return the VM that leads a shard, None if there is none."""
         return self.leaders.by_shard.get(shard)
@@ -372,6 +399,7 @@
 
     def configuration_changed(self, rows: tuple[store.Row, ...]) -> None:
         """Apply changed rows of the operator's table."""
+        self._evacuation_sync.table_changed(self._feeds.configuration)
         for row in rows:
             if row.key == self._formats.configuration_row and row.body:
                 self.versions.offer(row.body, 'store')
@@ -503,6 +531,11 @@
             on_lost=self.led_shards.replace_manager,
         )
 
+    def _apply_evacuations(self) -> None:
+        """Apply a changed set of evacuated zones."""
+        self.capacities.evacuated = self.zone_evacuations.shards()
+        self.led_shards.update_evacuations(self._clock.now())
+
     def _apply_registry(self) -> None:
         """Apply changed members, claims and inquiries."""
         self._update_links()
--- a/sardineproxy/process/node/service.py
+++ b/sardineproxy/process/node/service.py
@@ -12,6 +12,7 @@
     configuration,
     client_http,
     http_calls,
+    evacuations,
     worker_entries,
     store_http,
     worker_http,
@@ -231,4 +232,5 @@
         decode_configuration=configuration.decode,
         worker_id=worker_entries.parse_worker_id,
         decode_worker=worker_entries.decode,
+        evacuated_zone=evacuations.parse_zone,
     )
--- a/sardineproxy/process/node/state_dump.py
+++ b/sardineproxy/process/node/state_dump.py
@@ -19,6 +19,7 @@
         'ready': process.is_ready(),
         'draining': process.draining,
         'owners': dict(process.leaders.by_shard),
+        'evacuated': dict(process.zone_evacuations.zones),
         'rooms': process.capacities.state(now),
         'links': {
             vm: len(vm_links)
--- a/sardineproxy/process/shards/scheduler.py
+++ b/sardineproxy/process/shards/scheduler.py
@@ -59,6 +59,9 @@
     #: are started only then.
     is_leadership_confirmed: bool = True
 
+    #: False while the zone is evacuated, or may be as far as is known.
+    is_zone_open: bool = True
+
 
 class Scheduler:  # noqa: WPS214
     """Starts waiting tasks, and declines those that cannot be on time."""
@@ -103,6 +106,8 @@
 
     def count_startable_tasks(self) -> int:
         """Return how many additional tasks of average size could start."""
+        if not self.permissions.is_zone_open:
+            return 0
         startable_count = self._pool.count_startable(
             int(self._average_millicores)
         )
@@ -287,6 +292,8 @@
         permissions = self.permissions
         if not (permissions.is_leader and permissions.is_list_current):
             return False
+        if not permissions.is_zone_open:
+            return False
         return permissions.is_leadership_confirmed or not batch.stored
 
     def _place(self, batch: runs.Batch, now: float) -> None:
--- a/sardineproxy/process/shards/shard.py
+++ b/sardineproxy/process/shards/shard.py
@@ -5,6 +5,7 @@
 from sardineproxy import clock, ids, logs
 from sardineproxy.connection import link, messages
 from sardineproxy.process import metrics
+from sardineproxy.process.membership import evacuations
 from sardineproxy.process.shards import (
     agent,
     backlog,
@@ -157,6 +158,14 @@
                 self._unlisted.add(worker_id)
         self._scheduler.refresh_all(self._clock.now())
 
+    def set_evacuation(self, status: evacuations.Status, now: float) -> None:
+        """Apply whether the zone is evacuated."""
+        was_open = self._scheduler.permissions.is_zone_open
+        is_open = status is evacuations.Status.OPEN
+        self._scheduler.permissions.is_zone_open = is_open
+        if is_open and not was_open:
+            self._scheduler.refresh_all(now)
+
     def submit(
         self, source: link.Link, message: messages.Submit, now: float
     ) -> None:
--- a/sardineproxy/process/shards/shard_capacities.py
+++ b/sardineproxy/process/shards/shard_capacities.py
@@ -1,6 +1,7 @@
 """Free capacities of other shards as their leaders report them."""
 
 import dataclasses
+from typing import Collection
 
 from sardineproxy import ids
 
@@ -28,6 +29,10 @@
         """Create an instance without reports."""
         self._capacities: dict[ids.ShardId, ShardCapacity] = {}
 
+        #: Shards of evacuated zones. Their reports are not used, as a report
+        #: may be older than the evacuation.
+        self.evacuated: Collection[ids.ShardId] = frozenset()
+
     def update(
         self, shard: ids.ShardId, startable_tasks: int, now: float
     ) -> None:
@@ -58,6 +63,7 @@
             shard: capacity.startable_tasks
             for shard, capacity in self._capacities.items()
             if capacity.startable_tasks > 0
+            and shard not in self.evacuated
             and now - capacity.reported_at <= MAX_REPORT_AGE_S
         }
         return dict(sorted(fresh.items(), key=lambda item: -item[1]))
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -11,6 +11,7 @@
 
 from sardineproxy.platform import (
     configuration,
+    evacuations,
     worker_entries,
     settings,
     submissions,
@@ -52,6 +53,20 @@
     return submissions.decode_job(JOB_ID, json.dumps(document).encode())
 
 
+class TestEvacuations(testtools.TestCase):
+    def test_row_names_a_zone_whatever_its_value(self) -> None:
+        """Guards against an evacuation that is missed for its value."""
+        for body in (b'', b'{}', b'\xff'):
+            row = store.Row(key='op/evacuate/z1', revision=1, body=body)
+            self.assertEqual('z1', evacuations.parse_zone(row))
+
+    def test_other_rows_evacuate_nothing(self) -> None:
+        """Guards against a configuration that is taken for a zone."""
+        for key in ('op/config', 'op/evacuate/', 'op/evacuate/\n', 'op/x/z1'):
+            row = store.Row(key=key, revision=1, body=b'')
+            self.assertIsNone(evacuations.parse_zone(row))
+
+
 class TestSettings(testtools.TestCase):
     def test_times_and_shares_are_converted_to_their_units(self) -> None:
         """Guards against milliseconds that are interpreted as seconds."""
@@ -62,6 +77,18 @@
         self.assertEqual(0.05, cfg.bounds.stop_timeout_s)
         self.assertEqual('127.0.0.1:8166', str(cfg.peers))
 
+    def test_bounds_of_an_evacuation_may_be_absent(self) -> None:
+        """Guards against a start that fails on a platform without them."""
+        bounds = settings.decode(samples.SETTINGS.encode()).ok_value.bounds
+        self.assertIsNone(bounds.evacuate_s)
+        self.assertEqual(1, bounds.cold_overage)
+        text = samples.SETTINGS.replace(
+            '[bounds]', '[bounds]\nevacuate_ms = 5000\ncold_overage = 1.5'
+        )
+        bounds = settings.decode(text.encode()).ok_value.bounds
+        self.assertEqual(5, bounds.evacuate_s)
+        self.assertEqual(1.5, bounds.cold_overage)
+
     def test_missing_field_is_named(self) -> None:
         """Guards against an error that does not identify the wrong setting."""
         text = samples.SETTINGS.replace('grace_s = 6', '')
--- a/tests/process/node/samples.py
+++ b/tests/process/node/samples.py
@@ -87,9 +87,10 @@
 def make_node(memory_store: MemoryStore, api: Any, **changes: Any) -> node.Node:
     """Return a node that has not been started.
 
-    ``changes`` are fields of its deployment.
+    It counts as having read the operator's table, before which no leader starts
+    tasks. ``changes`` are fields of its deployment.
     """
-    return node.Node(
+    made = node.Node(
         cfg=dataclasses.replace(make_deployment(), **changes),
         node_policy=policy.Policy(),
         dependencies=dependencies.Dependencies(
@@ -101,6 +102,8 @@
             metrics=metrics.Metrics(),
         ),
     )
+    made._feeds.configuration.read_at = virtual_time.LoopClock().now()
+    return made
 
 
 def _unavailable() -> Any:
