Worker speed: one long run is no evidence of a slow worker

Cause: a run whose progress projected 3.5 times its expected time had a weight of 0.5 in the speed of its worker. 3 % of all run times are 7 times as long on any worker, so that each healthy worker was rated at about 0.4 of its speed for the next 20 runs; tasks then waited for workers rated fast enough, or the workers were filled in the wrong order. A trial that required repetition only of slow runs made test_most_jobs_complete_without_faults fail, whose run times differ by 15 times from one another: fast outliers then counted at once and slow ones did not. Change: an outlier in either direction counts that much only if the run before it was one in the same direction.

--- a/sardineproxy/process/shards/health.py
+++ b/sardineproxy/process/shards/health.py
@@ -21,12 +21,15 @@
 #: Weight of the prior speed of 1 in the speed estimate, in run times.
 PRIOR_WEIGHT = 4
 
-#: A run that takes this many times as long as expected is sufficient evidence
-#: of a slow worker: three standard deviations of the estimates' error.
+#: A run that takes this many times as long as expected, or as short, suggests
+#: that the estimated speed is wrong: three standard deviations of the
+#: estimates' error.
 SLOW_FACTOR = 3.5
 
-#: Weight of such a run in the speed estimate, and of one that is faster than
-#: the estimated speed by the same factor.
+#: Weight of such a run in the speed estimate if the one before it suggested
+#: the same. One run alone is no evidence: 3 % of all run times are 7 times as
+#: long, which halved the estimated speeds of healthy workers about every 30
+#: runs.
 SLOW_WEIGHT = 0.5
 
 #: Bounds for the projection of a run's total time: less progress counts as
@@ -50,6 +53,10 @@
         self._log_speed: float = 0
         self._sample_count = 0
 
+        #: 0 if the last run took about as long as expected, positive if it was
+        #: far faster, negative if it was far slower.
+        self._last_outlier = 0
+
         #: True after an ejection until a run has succeeded. The worker gets
         #: one run at a time then.
         self.on_probation = False
@@ -96,9 +103,7 @@
         projected_s = ran_s * 100 / max(run.percent, PROJECTION_MIN_PERCENT)
         if projected_s > SLOW_FACTOR * run.expected_s / self.speed:
             run.is_slow = True
-            self._update_speed(
-                math.log(run.expected_s / projected_s), SLOW_WEIGHT
-            )
+            self._record_ratio(math.log(run.expected_s / projected_s))
 
     def state(self, now: float) -> dict[str, object]:
         """Return the estimates for the state dump."""
@@ -123,13 +128,18 @@
         duration_s = now - run.started_at
         if not run.started_at or duration_s <= 0 or not run.expected_s:
             return
-        log_ratio = math.log(run.expected_s / duration_s)
-        if run.is_slow:
-            return
+        if not run.is_slow:
+            self._record_ratio(math.log(run.expected_s / duration_s))
+
+    def _record_ratio(self, log_ratio: float) -> None:
+        """Apply the logarithm of the speed that one run has shown."""
         self._sample_count += 1
-        is_fast = log_ratio - self._log_speed > math.log(SLOW_FACTOR)
+        difference = log_ratio - self._log_speed
+        outlier = int(difference / math.log(SLOW_FACTOR))
+        is_repeated = outlier * self._last_outlier > 0
+        self._last_outlier = outlier
         weight = max(SPEED_WEIGHT, 1 / (self._sample_count + PRIOR_WEIGHT))
-        self._update_speed(log_ratio, SLOW_WEIGHT if is_fast else weight)
+        self._update_speed(log_ratio, SLOW_WEIGHT if is_repeated else weight)
 
     def _update_speed(self, log_ratio: float, weight: float) -> None:
         self._log_speed += weight * (log_ratio - self._log_speed)
