--- a/sardineproxy/connection/codec.py
+++ b/sardineproxy/connection/codec.py
@@ -101,9 +101,24 @@
     return check_rows
 
 
-def checked_field(check: FieldCheck) -> Any:
-    """Return a data class field that is validated by ``check`` on decoding."""
-    return dataclasses.field(metadata={'check': check})
+def fixed_row(*checks: FieldCheck) -> FieldCheck:
+    """Return a check that accepts a tuple with these columns."""
+
+    def check_row(value: Any) -> bool:  # noqa: WPS430
+        return isinstance(value, tuple) and _matches(value, checks)
+
+    return check_row
+
+
+def checked_field(
+    check: FieldCheck, *, default: Any = dataclasses.MISSING
+) -> Any:
+    """Return a data class field that is validated by ``check`` on decoding.
+
+    A field with a default may be omitted at the end of a frame, as a process
+    of an older version does.
+    """
+    return dataclasses.field(default=default, metadata={'check': check})
 
 
 def _matches(row: tuple[Any, ...], checks: tuple[FieldCheck, ...]) -> bool:
@@ -140,6 +155,10 @@
             )
             for kind in kinds
         }
+        self._defaults = {
+            kind: tuple(field.default for field in dataclasses.fields(kind))
+            for kind in kinds
+        }
 
     def encode(self, message: Any, *, header: int) -> result.Result[bytes, str]:
         """Return a frame with its length prefix, Err if it cannot be sent."""
@@ -178,6 +197,7 @@
             return result.Err('unknown frame type or malformed header')
         kind = self._kinds[number]
         fields = unpacked[2:]
+        fields += self._defaults[kind][len(fields) :]
         if not _matches(fields, self._checks[kind]):
             return result.Err(f'malformed fields of {kind.__name__}')
         message = kind(**dict(zip(self._field_names[kind], fields)))
--- a/sardineproxy/connection/messages.py
+++ b/sardineproxy/connection/messages.py
@@ -19,6 +19,16 @@
 #: shard could start now, and whether all its stored jobs are loaded.
 ShardStatus = tuple[ids.ShardId, int, int, int, bool]
 
+#: Home shard of a stored job, and epoch and rank of the fencing token under
+#: which the sender writes the rows of that shard's jobs.
+Authority = tuple[ids.ShardId, int, int]
+
+#: Authority in messages about jobs that are not stored, and in those of older
+#: processes.
+NO_AUTHORITY: Authority = (ids.ShardId(''), 0, 0)
+
+_is_authority = codec.fixed_row(codec.text, codec.count, codec.count)
+
 #: Route, and how many of its stored jobs have not started.
 PendingJobs = tuple[ids.RouteId, int]
 
@@ -100,6 +110,11 @@
     #: after ``ResultsStored``.
     stored: bool = codec.checked_field(codec.flag)
 
+    #: Authority of the job manager that sends it.
+    authority: Authority = codec.checked_field(
+        _is_authority, default=NO_AUTHORITY
+    )
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Withdraw:
@@ -108,6 +123,11 @@
     shard: ids.ShardId = codec.checked_field(codec.text)
     job: ids.JobId = codec.checked_field(codec.text)
 
+    #: Authority of the job manager that sends it.
+    authority: Authority = codec.checked_field(
+        _is_authority, default=NO_AUTHORITY
+    )
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class RunEnded:
@@ -125,6 +145,11 @@
     #: True if it is for the manager of a stored job.
     stored: bool = codec.checked_field(codec.flag)
 
+    #: If the result is REPLACED: authority of the manager that has the task now.
+    authority: Authority = codec.checked_field(
+        _is_authority, default=NO_AUTHORITY
+    )
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Declined:
@@ -216,6 +241,11 @@
         codec.rows(codec.count, codec.count)
     )
 
+    #: Authority of the job manager that sends it.
+    authority: Authority = codec.checked_field(
+        _is_authority, default=NO_AUTHORITY
+    )
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class StoreJob:
@@ -264,6 +294,17 @@
     )
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class OutdatedAuthority:
+    """Refuses a message of a job manager whose fencing token is outdated."""
+
+    shard: ids.ShardId = codec.checked_field(codec.text)
+    job: ids.JobId = codec.checked_field(codec.text)
+
+    #: Highest authority that the sender has seen for the job's home shard.
+    authority: Authority = codec.checked_field(_is_authority)
+
+
 Message = (
     Greeting
     | Heartbeat
@@ -283,6 +324,7 @@
     | QueryJob
     | JobResponse
     | EvacuatedZones
+    | OutdatedAuthority
 )
 
 #: The position is the type number on the wire; only append.
@@ -305,6 +347,7 @@
     QueryJob,
     JobResponse,
     EvacuatedZones,
+    OutdatedAuthority,
 )
 
 CODEC = codec.Codec(*MESSAGE_TYPES)
--- a/sardineproxy/process/node/dependencies.py
+++ b/sardineproxy/process/node/dependencies.py
@@ -51,12 +51,14 @@
     writer: fenced_rows.Writer,
     router: execution.Router,
     retention_s: float,
+    unconfirmed_s: float,
     on_lost: Callable[[job_manager.JobManager], None],
 ) -> job_manager.JobManager:
     """Return the manager of stored jobs for a shard that this process leads.
 
     ``retention_s`` is the time for which the state of a finished job is
-    available, in seconds. ``on_lost`` is called once the manager can no longer
+    available, in seconds. The authority of the manager is in doubt after
+    ``unconfirmed_s`` without contact. ``on_lost`` is called once the manager can no longer
     write the shard's jobs.
     """
     return job_manager.JobManager(
@@ -67,6 +69,7 @@
             clock=dependencies.clock,
             rng=dependencies.rng,
             metrics=dependencies.metrics,
+            unconfirmed_s=unconfirmed_s,
         ),
         router=router,
         clock=dependencies.clock,
--- a/sardineproxy/process/node/led_shards.py
+++ b/sardineproxy/process/node/led_shards.py
@@ -11,6 +11,7 @@
 from sardineproxy.process.shards import shard as shards
 from sardineproxy.process.shards import (
     fencing,
+    manager_tokens,
     shard_capacities,
     times,
     workers,
@@ -164,18 +165,18 @@
         else:
             leader.submit(source, message, now)
 
-    def withdraw(
-        self, source: link.Link, shard: ids.ShardId, job: ids.JobId
-    ) -> None:
+    def withdraw(self, source: link.Link, message: messages.Withdraw) -> None:
         """Withdraw a job's tasks from a shard, if it is led here."""
-        leader = self.shards.get(shard)
-        if leader is not None:
-            leader.withdraw(source, job)
+        leader = self.shards.get(message.shard)
+        if leader is not None and self._is_authorized(source, message):
+            leader.withdraw(source, message.job)
 
-    def acknowledge_results(self, message: messages.ResultsStored) -> None:
+    def acknowledge_results(
+        self, source: link.Link, message: messages.ResultsStored
+    ) -> None:
         """Acknowledge stored results to the workers, which then drop them."""
         leader = self.shards.get(message.shard)
-        if leader is not None:
+        if leader is not None and self._is_authorized(source, message):
             leader.acknowledge_results(message)
 
     def coordinator_links(self) -> set[link.Link]:
@@ -231,6 +232,7 @@
 
     def lead(self, shard: ids.ShardId, token: fencing.FencingToken) -> None:
         """Start to lead a shard, or renew the token if it is led already."""
+        self._context.manager_tokens.observe(shard, token)
         existing = self.shards.get(shard)
         if existing is not None:
             if token > existing.token:
@@ -296,6 +298,11 @@
         for shard in self.shards:
             self._hand_over(shard)
 
+    def _is_authorized(
+        self, source: link.Link, message: manager_tokens.ManagerMessage
+    ) -> bool:
+        return self._context.manager_tokens.admits(source, message)
+
     async def _replace_manager(self, lost: job_manager.JobManager) -> None:
         shard = lost.shard
         if self._is_current(lost) and lost.newer_token is None:
--- a/sardineproxy/process/node/node.py
+++ b/sardineproxy/process/node/node.py
@@ -9,7 +9,12 @@
 from sardineproxy.connection import link, messages
 from sardineproxy.process import store
 from sardineproxy.process.load import shard_choice
-from sardineproxy.process.shards import fencing, shard_capacities, workers
+from sardineproxy.process.shards import (
+    fencing,
+    manager_tokens,
+    shard_capacities,
+    workers,
+)
 from sardineproxy.process.stored_jobs import (
     fenced_rows,
     job_service,
@@ -87,6 +92,7 @@
             on_registry_change=self._apply_registry,
         )
         self.leaders = leaders.Leaders(own_vm=cfg.vm)
+        self.manager_tokens = manager_tokens.ManagerTokens(metrics=self.metrics)
         self.workers = worker_list.WorkerList(
             worker_id=dependencies.formats.worker_id,
             decode=dependencies.formats.decode_worker,
@@ -117,6 +123,7 @@
             cores=cfg.cores,
         )
         self._dependencies = dependencies
+        self._shard_timing = node_policy.shard
         self.job_service = job_service.JobService(
             directory=self, clock=self._clock
         )
@@ -247,6 +254,7 @@
     def opened(self, opened: link.Link) -> None:
         """Send a heartbeat and request the peer's registry rows."""
         self._claimer.record_silence(opened.peer.vm, None)
+        self.job_service.doubt_authority()
         opened.send(self._heartbeat())
         self._evacuation_sync.opened(opened)
         opened.send(messages.RegistryRequest())
@@ -273,11 +281,11 @@
             return
         match message:
             case messages.ResultsStored():
-                self.led_shards.acknowledge_results(message)
+                self.led_shards.acknowledge_results(source, message)
             case messages.Submit():
                 self.led_shards.submit(source, message, self._clock.now())
-            case messages.Withdraw(shard=shard, job=job):
-                self.led_shards.withdraw(source, shard, job)
+            case messages.Withdraw():
+                self.led_shards.withdraw(source, message)
             case messages.RunEnded() | messages.Declined():
                 self.active_jobs.deliver(source, message)
             case messages.Greeting():
@@ -432,6 +440,7 @@
         self._link_timing.update()
         self.links.tick(now, self._heartbeat, is_late=is_late)
         self.led_shards.tick(now, may_claim=not self.draining)
+        self.job_service.tick(now, self.leadership_confirmed_at)
 
     async def _run_ticks(self) -> None:
         while True:
@@ -460,6 +469,7 @@
         """Give up what peers may have taken over during a stall."""
         self.active_jobs.notify_stalled()
         self.links.abort_all()
+        self.job_service.doubt_authority()
         self.led_shards.mark_all_unconfirmed('process stalled')
 
     def _heartbeat(self) -> messages.Heartbeat:
@@ -480,6 +490,7 @@
         match message:
             case messages.Heartbeat(version=version):
                 now = self._clock.now()
+                self.manager_tokens.observe_heartbeat(message)
                 if self.leaders.update(source.peer.vm, message, now):
                     self._choose_leaders()
                 self._peer_sync.version_reported(
@@ -529,6 +540,7 @@
             router=self,
             retention_s=self.cfg.bounds.status_retention_s,
             on_lost=self.led_shards.replace_manager,
+            unconfirmed_s=self._shard_timing.unconfirmed_s,
         )
 
     def _apply_evacuations(self) -> None:
--- a/sardineproxy/process/shards/backlog.py
+++ b/sardineproxy/process/shards/backlog.py
@@ -107,12 +107,30 @@
 
     # Batches.
 
-    def reattach(self, batch: runs.Batch, source: link.Link) -> None:
-        """Assign an existing batch to the coordinator that submits it now."""
+    def reattach(
+        self,
+        batch: runs.Batch,
+        source: link.Link,
+        authority: messages.Authority,
+    ) -> None:
+        """Assign an existing batch to the coordinator that submits it now.
+
+        ``authority`` is that of a job manager; the former one compares it with
+        its own.
+        """
         if batch.link is not None and batch.link is not source:
             for index, task in batch.tasks.items():
-                self.send_result(
-                    batch, index, task.next_run_number, jobs.TaskResult.REPLACED
+                batch.link.send(
+                    messages.RunEnded(
+                        shard=self._shard,
+                        job=batch.job,
+                        step=batch.step,
+                        index=index,
+                        run=task.next_run_number,
+                        result=jobs.TaskResult.REPLACED.value,
+                        stored=batch.stored,
+                        authority=authority,
+                    )
                 )
         batch.link = source
 
--- a/sardineproxy/process/shards/intake.py
+++ b/sardineproxy/process/shards/intake.py
@@ -6,6 +6,7 @@
 from sardineproxy.connection import link, messages
 from sardineproxy.process.shards import (
     backlog,
+    manager_tokens,
     runs,
     scheduler,
     stored_results,
@@ -24,6 +25,7 @@
         scheduler: scheduler.Scheduler,
         takeover: takeover.Takeover,
         stored_results: stored_results.StoredResults,
+        manager_tokens: manager_tokens.ManagerTokens,
         cfg: times.ShardTiming,
     ) -> None:
         """Create the intake of one shard."""
@@ -31,12 +33,18 @@
         self._scheduler = scheduler
         self._takeover = takeover
         self._stored_results = stored_results
+        self._manager_tokens = manager_tokens
         self._cfg = cfg
 
     def submit(
         self, source: link.Link, message: messages.Submit, now: float
     ) -> None:
-        """Queue the tasks that a coordinator submits."""
+        """Queue the tasks that a coordinator submits.
+
+        A deferred submission may be that of a manager that was replaced since.
+        """
+        if not self._manager_tokens.admits(source, message):
+            return
         known = self._backlog.get((message.job, message.step))
         if known:
             self._reattach(known, source, message, now)
@@ -79,7 +87,7 @@
             for index, run_number in tasks.items()
             if index not in batch.tasks
         }
-        self._backlog.reattach(batch, source)
+        self._backlog.reattach(batch, source, message.authority)
         self._scheduler.report_start_again(batch)
         if not message.stored:
             new_tasks = self._backlog.recall(batch, new_tasks)
--- a/sardineproxy/process/shards/shard.py
+++ b/sardineproxy/process/shards/shard.py
@@ -12,6 +12,7 @@
     fencing,
     intake,
     listing,
+    manager_tokens,
     scheduler,
     shard_capacities,
     runs,
@@ -37,6 +38,10 @@
 ):
     """State of the rest of the process that a shard leader depends on."""
 
+    @property
+    def manager_tokens(self) -> manager_tokens.ManagerTokens:
+        """Return the highest tokens seen, to recognize replaced managers."""
+
     def leadership_confirmed_at(self, shard: ids.ShardId, now: float) -> float:
         """Return when leadership of a shard was last confirmed.
 
@@ -119,6 +124,7 @@
             scheduler=self._scheduler,
             takeover=self._takeover,
             stored_results=self._stored_results,
+            manager_tokens=context.manager_tokens,
             cfg=cfg,
         )
 
--- /dev/null
+++ b/sardineproxy/process/stored_jobs/authority.py
@@ -0,0 +1,71 @@
+"""Decides whether a job manager may send work without asking the store.
+
+Fault pattern: a manager is partitioned or paused, another process takes over
+its shard, and the links of the former manager open again before it learns of
+the takeover. The work that it sends then may have ended or been cancelled.
+"""
+
+import dataclasses
+
+#: Gap between two ticks, in seconds, after which other processes may have
+#: replaced this one: they close a link after 0.4 s without a heartbeat.
+MAX_TICK_GAP_S = 0.3
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Mark:
+    """State of an authority when a call to the store began."""
+
+    doubts: int
+
+    #: Local time, in seconds.
+    began_at: float
+
+
+class Authority:
+    """Whether the authority was confirmed since it was last in doubt."""
+
+    def __init__(self, *, unconfirmed_s: float) -> None:
+        """Create an authority in doubt.
+
+        ``unconfirmed_s`` is the time without contact after which it is in
+        doubt again, in seconds.
+        """
+        self._unconfirmed_s = unconfirmed_s
+        self._doubts = 1
+        self._settled_doubts = 0
+        self._contact_at: float | None = None
+        self._ticked_at: float | None = None
+
+    @property
+    def is_confirmed(self) -> bool:
+        """Return whether a confirmation began after the last doubt."""
+        return self._settled_doubts == self._doubts
+
+    def doubt(self) -> None:
+        """Record that another process may have taken over since the last call."""
+        self._doubts += 1
+
+    def mark(self, now: float) -> Mark:
+        """Return the present state; call it before a call to the store."""
+        return Mark(doubts=self._doubts, began_at=now)
+
+    def confirm(self, mark: Mark) -> None:
+        """Record a confirmation by a call that began at ``mark``."""
+        self._settled_doubts = max(self._settled_doubts, mark.doubts)
+        self._contact_at = max(self._contact_at or 0, mark.began_at)
+
+    def tick(self, *, contact_at: float, now: float) -> None:
+        """Doubt the authority after a gap, or after a time without contact.
+
+        ``contact_at`` is the local time of the last contact with the store or
+        with all successors.
+        """
+        self._contact_at = max(self._contact_at or 0, contact_at)
+        has_gap = (
+            self._ticked_at is not None
+            and now - self._ticked_at >= MAX_TICK_GAP_S
+        )
+        self._ticked_at = now
+        if has_gap or now - self._contact_at >= self._unconfirmed_s:
+            self.doubt()
--- a/sardineproxy/process/stored_jobs/execution.py
+++ b/sardineproxy/process/stored_jobs/execution.py
@@ -40,6 +40,11 @@
     """A client's request to cancel the job."""
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class AuthorityConfirmed:
+    """The job manager may send the tasks that wait for that."""
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class _ShardChangeStored:
     """The new shard of tasks is stored, so they can be sent there."""
@@ -53,6 +58,7 @@
     | open_tasks.LeaderLost
     | open_tasks.LeaderFound
     | CancelRequested
+    | AuthorityConfirmed
     | _ShardChangeStored
 )
 
@@ -107,6 +113,7 @@
                 arrived_at=now - max(0, clock.wall() - stored_job.accepted_at),
                 deadline=now + NO_DEADLINE_S,
             ),
+            authority=table.message_authority,
         )
         self._waiting_steps = set(range(len(stored_job.job.steps)))
         self._done_steps: set[int] = set()
@@ -137,7 +144,8 @@
         if state is None:
             return
         self.is_finishing = True
-        self._open_tasks.withdraw()
+        if self._table.is_confirmed:
+            self._open_tasks.withdraw()
         ended_job = self.stored_job.finish(state, self._clock.wall())
         _LOG.info(
             'Job ended.',
@@ -154,6 +162,7 @@
             max_delay_s=FINAL_COMMIT_DELAY_S,
         )
         if is_stored:
+            self._open_tasks.withdraw()
             # The progress row goes last: a new leader that finds the job
             # unfinished and no progress would start completed tasks again.
             self._table.put(
@@ -167,9 +176,12 @@
         if not self.finished.done():
             self.finished.set_result(is_stored)
 
-    def withdraw(self) -> None:
-        """Withdraw the tasks from all leaders; ``run`` must have ended."""
-        self._open_tasks.withdraw()
+    def withdraw(self, authority: messages.Authority) -> None:
+        """Withdraw the tasks from all leaders; ``run`` must have ended.
+
+        ``authority`` is that of the job manager that replaces the former one.
+        """
+        self._open_tasks.withdraw(authority)
 
     def state(self) -> records.JobState:
         """Return the state of the job according to the store."""
@@ -188,12 +200,8 @@
                 case open_tasks.FromLeader(
                     message=messages.RunEnded(
                         result=jobs.TaskResult.REPLACED.value
-                    )
-                ):
-                    _LOG.info(
-                        'Another leader has taken over the job.',
-                        extra={'job': self.stored_job.job.job_id},
-                    )
+                    ) as replaced
+                ) if self._table.is_outdated_by(replaced.authority):
                     return None
                 case open_tasks.FromLeader(
                     message=messages.RunEnded() as ended
@@ -213,14 +221,23 @@
                 self._handle_declined(event.source, declined)
             case open_tasks.FromLeader(message=messages.JobStarted()):
                 self.has_started = True
+            case AuthorityConfirmed():
+                for unassigned in self._open_tasks.unassigned_shards():
+                    self._open_tasks.resume(unassigned, job_started=True)
             case open_tasks.LeaderLost(shard=shard):
-                self._open_tasks.unassign(event)
-                self._open_tasks.resume(shard, job_started=True)
+                self._resubmit(event.former_leader, shard)
             case open_tasks.LeaderFound(shard=shard):
                 self._open_tasks.resume(shard, job_started=True)
             case _ShardChangeStored(tasks=tasks, shard=shard):
                 self._send_to_new_shard(tasks, shard)
 
+    def _resubmit(self, former_leader: link.Link, shard: ids.ShardId) -> None:
+        """Submit the tasks that are assigned to a link again."""
+        self._open_tasks.unassign(
+            open_tasks.LeaderLost(shard=shard, former_leader=former_leader)
+        )
+        self._open_tasks.resume(shard, job_started=True)
+
     def _refresh_route(self) -> None:
         """Update the route from the active version."""
         route = self._router.route(self.stored_job.route.route)
@@ -273,6 +290,10 @@
         self.has_started = True
         key = (ended.step, ended.index)
         task_result = jobs.TaskResult(ended.result)
+        if task_result is jobs.TaskResult.REPLACED:
+            # Another submission of this manager has the tasks.
+            self._resubmit(source, ended.shard)
+            return False
         if task_result is jobs.TaskResult.LATE:
             task = self._open_tasks.get(key)
             if task is not None and task.leader is source:
@@ -414,6 +435,7 @@
                         job=self.stored_job.job.job_id,
                         step=finished.step,
                         runs=((finished.index, finished.run),),
+                        authority=self._table.message_authority(),
                     )
                 )
 
--- a/sardineproxy/process/stored_jobs/job_manager.py
+++ b/sardineproxy/process/stored_jobs/job_manager.py
@@ -11,6 +11,7 @@
 from sardineproxy.process.shards import fencing
 from sardineproxy.process.stored_jobs import (
     execution,
+    guarded_router,
     job_table,
     records,
     stored_rows,
@@ -41,6 +42,10 @@
 #: Delay before another attempt to confirm that a job is not stored, in seconds.
 CONFIRM_RETRY_S = 0.5
 
+#: Delay before the authority is checked again while a renewed token is being
+#: stored, in seconds. A write takes 16 ms.
+RENEWAL_WAIT_S = 0.02
+
 #: Delay in seconds from the end of the retention of a final state until its
 #: row may be removed.
 CLEANUP_SLACK_S = 10.0
@@ -100,7 +105,12 @@
         """
         self.shard = table.shard
         self._table = table
-        self._router = router
+        self._router = guarded_router.GuardedRouter(
+            router=router,
+            is_confirmed=lambda: table.is_confirmed,
+            on_doubt=self._start_confirming,
+        )
+        self._is_confirming = False
         self._clock = clock
         self._metrics = metrics
         self._retention_s = retention_s
@@ -238,6 +248,33 @@
         elif isinstance(message, messages.RunEnded):
             self._start_discarding(source, message)
 
+    def handle_refusal(
+        self, source: link.Link, refusal: messages.OutdatedAuthority
+    ) -> None:
+        """Give up the table if another process has a higher token for it.
+
+        Otherwise the refused message was sent before the token was renewed.
+        """
+        job_execution = self._executions.get(refusal.job)
+        if self._table.is_outdated_by(refusal.authority):
+            return
+        if job_execution is not None:
+            job_execution.post_event(
+                open_tasks.LeaderLost(shard=refusal.shard, former_leader=source)
+            )
+
+    def doubt_authority(self) -> None:
+        """Ask the store before any more work is sent."""
+        self._table.authority.doubt()
+
+    def tick(self, *, contact_at: float, now: float) -> None:
+        """Doubt the authority after a pause or a time without contact.
+
+        ``contact_at`` is the local time of the last contact with the store or
+        with all successors.
+        """
+        self._table.authority.tick(contact_at=contact_at, now=now)
+
     def broadcast(
         self, event: open_tasks.LeaderLost | open_tasks.LeaderFound
     ) -> None:
@@ -271,6 +308,31 @@
         is_writer = await self._table.confirm(STORE_TIMEOUT_S)
         return is_writer and self.is_loaded
 
+    def _start_confirming(self) -> None:
+        if not (self._is_confirming or self._is_retired):
+            self._is_confirming = True
+            self._tasks.spawn(
+                self._confirm_authority(),
+                unit=f'confirmation of the manager of {self.shard}',
+            )
+
+    async def _confirm_authority(self) -> None:
+        """Ask the store until it confirms the authority; then send tasks."""
+        try:
+            while not self._table.is_confirmed:
+                if self._is_retired or self._table.is_superseded:
+                    return
+                is_writer = await self._table.confirm(STORE_TIMEOUT_S)
+                if not self._table.is_confirmed:
+                    await asyncio.sleep(
+                        RENEWAL_WAIT_S if is_writer else CONFIRM_RETRY_S
+                    )
+        finally:
+            self._is_confirming = False
+        self._metrics.count('authority_confirmations_total')
+        for job_execution in self._executions.values():
+            job_execution.post_event(execution.AuthorityConfirmed())
+
     def _start_discarding(
         self, source: link.Link, ended: messages.RunEnded
     ) -> None:
@@ -315,6 +377,7 @@
                 job=ended.job,
                 step=ended.step,
                 runs=((ended.index, ended.run),),
+                authority=self._table.message_authority(),
             )
         )
 
@@ -349,7 +412,7 @@
         """Withdraw the jobs that another process has finished meanwhile."""
         for job, former in self._former_executions.items():
             if job not in self._executions:
-                former.withdraw()
+                former.withdraw(self._table.message_authority())
         self._former_executions = {}
 
     def _load(self, rows: Iterable[store.Row]) -> None:
--- a/sardineproxy/process/stored_jobs/job_service.py
+++ b/sardineproxy/process/stored_jobs/job_service.py
@@ -154,6 +154,10 @@
                 self._deliver(source, message)
             case messages.JobStarted():
                 self._deliver(source, message)
+            case messages.OutdatedAuthority():
+                manager = self.managers.get(message.authority[0])
+                if manager is not None:
+                    manager.handle_refusal(source, message)
             case _:
                 return False
         return True
@@ -172,6 +176,24 @@
         for manager in self.managers.values():
             manager.broadcast(event)
 
+    def doubt_authority(self) -> None:
+        """Let all job managers ask the store before they send any more work."""
+        for manager in self.managers.values():
+            manager.doubt_authority()
+
+    def tick(
+        self,
+        now: float,
+        contact_at: Callable[[ids.ShardId, float], float],
+    ) -> None:
+        """Run the periodic work of the job managers.
+
+        ``contact_at`` returns the local time at which this process last had
+        contact with the store or with all successors of a shard.
+        """
+        for shard, manager in self.managers.items():
+            manager.tick(contact_at=contact_at(shard, now), now=now)
+
     def _deliver(
         self,
         source: link.Link,
--- a/sardineproxy/process/stored_jobs/job_table.py
+++ b/sardineproxy/process/stored_jobs/job_table.py
@@ -7,9 +7,14 @@
 from typing import Iterable
 
 from sardineproxy import background, clock, ids, logs
+from sardineproxy.connection import messages
 from sardineproxy.process import metrics, store
-from sardineproxy.process.shards import fencing
-from sardineproxy.process.stored_jobs import fenced_rows, writer_check
+from sardineproxy.process.shards import fencing, times
+from sardineproxy.process.stored_jobs import (
+    authority,
+    fenced_rows,
+    writer_check,
+)
 
 JOB_PREFIX = f'{fenced_rows.TABLE}/job/'
 PROGRESS_PREFIX = f'{fenced_rows.TABLE}/progress/'
@@ -33,6 +38,9 @@
 #: Delay before a row that the store has rejected is sent again, in seconds.
 REJECTED_DELAY_S = 1.0
 
+#: Default of the setting ``unconfirmed_s``, in seconds.
+DEFAULT_UNCONFIRMED_S = times.ShardTiming().unconfirmed_s
+
 _LOG = logs.get_logger('jobs')
 
 _Outcome = fenced_rows.WriteOutcome
@@ -75,9 +83,14 @@
         clock: clock.Clock,
         rng: random.Random,
         metrics: metrics.Metrics,
+        unconfirmed_s: float = DEFAULT_UNCONFIRMED_S,
     ) -> None:
-        """Create the table; ``open`` must succeed before ``run``."""
+        """Create the table; ``open`` must succeed before ``run``.
+
+        Its authority is in doubt after ``unconfirmed_s`` without contact.
+        """
         self.shard = shard
+        self.authority = authority.Authority(unconfirmed_s=unconfirmed_s)
 
         #: Newest fencing token, and the one that was last passed on to the
         #: writer row.
@@ -106,6 +119,31 @@
         """Return the epoch of the newest fencing token."""
         return self._token.epoch
 
+    @property
+    def is_confirmed(self) -> bool:
+        """Return whether work may be sent under the newest fencing token."""
+        return (
+            self.authority.is_confirmed
+            and not self.is_superseded
+            and not self._is_renewal_due()
+        )
+
+    def message_authority(self) -> messages.Authority:
+        """Return the authority that messages to shard leaders carry."""
+        return self.shard, self._token.epoch, self._token.rank
+
+    def is_outdated_by(self, newer: messages.Authority) -> bool:
+        """Give up the table if a token above its own was seen elsewhere.
+
+        Returns whether that is so.
+        """
+        token = fencing.FencingToken(epoch=newer[1], rank=newer[2])
+        if newer[0] != self.shard or token <= self._token:
+            return False
+        self._rows.newer_token = token
+        self._mark_superseded()
+        return True
+
     @property
     def newer_token(self) -> fencing.FencingToken | None:
         """Return the token of the leader that has taken over the table.
@@ -121,6 +159,7 @@
         meantime: the store is asked before anything else is written.
         """
         self._token = token
+        self.authority.doubt()
         self._wake.set()
 
     async def open(self) -> tuple[store.Row, ...] | None:
@@ -132,6 +171,7 @@
         while not self.is_superseded:
             self._rows.set_token(self._token)
             self._stored_token = self._token
+            mark = self.authority.mark(self._clock.now())
             outcome = await self._rows.acquire()
             if outcome is _Outcome.SUPERSEDED:
                 self._mark_superseded()
@@ -140,6 +180,7 @@
                 # all its changes.
                 rows = await self._rows.read()
                 if rows is not None:
+                    self.authority.confirm(mark)
                     return rows
             await asyncio.sleep(self._backoff_s())
         return None
@@ -196,7 +237,11 @@
         False if another leader has taken over the table, or if the store does
         not respond within ``timeout_s`` seconds.
         """
-        return await self._writer_check.confirm(timeout_s)
+        mark = self.authority.mark(self._clock.now())
+        is_writer = await self._writer_check.confirm(timeout_s)
+        if is_writer:
+            self.authority.confirm(mark)
+        return is_writer
 
     def withdraw(self, key: str) -> bool:
         """Withdraw a waiting change; return False if it may have been sent."""
@@ -230,8 +275,10 @@
     async def _renew(self, token: fencing.FencingToken) -> None:
         """Write a new fencing token into the writer row."""
         while not self.is_superseded:
+            mark = self.authority.mark(self._clock.now())
             match await self._rows.renew(token):
                 case _Outcome.DONE:
+                    self.authority.confirm(mark)
                     self._stored_token = token
                     return
                 case _Outcome.SUPERSEDED:
@@ -310,7 +357,10 @@
         changes = {key: change.body for key, change in batch.items()}
         may_be_stored = False
         while True:
+            mark = self.authority.mark(self._clock.now())
             outcome = await self._rows.commit(changes)
+            if outcome is _Outcome.DONE:
+                self.authority.confirm(mark)
             if outcome in _RESOLVED or (
                 outcome is _Outcome.NOT_APPLIED and not may_be_stored
             ):
--- a/sardineproxy/request/open_tasks.py
+++ b/sardineproxy/request/open_tasks.py
@@ -5,7 +5,7 @@
 """
 
 import dataclasses
-from typing import Iterable, Protocol, Sequence
+from typing import Callable, Iterable, Protocol, Sequence
 
 from sardineproxy import clock, ids
 from sardineproxy.connection import link, messages
@@ -89,6 +89,11 @@
     deadline: float
 
 
+def no_authority() -> messages.Authority:
+    """Return the authority in messages about jobs that are not stored."""
+    return messages.NO_AUTHORITY
+
+
 class OpenTasks:
     """Submits tasks to shard leaders and tracks which leader has a task."""
 
@@ -100,8 +105,13 @@
         router: Router,
         clock: clock.Clock,
         times: JobTimes,
+        authority: Callable[[], messages.Authority] = no_authority,
     ) -> None:
-        """Create an instance without tasks."""
+        """Create an instance without tasks.
+
+        ``authority`` returns the present authority of a job manager.
+        """
+        self._authority = authority
         self.job = job
         self.route = route
         self._router = router
@@ -199,6 +209,7 @@
                 job_started=job_started or self._has_other_assigned(tasks),
                 pinned=pinned,
                 stored=self.job.stored,
+                authority=self._authority(),
             )
         )
         if sent:
@@ -245,11 +256,18 @@
         for tasks in by_step.values():
             self.send(tasks, pinned=True, job_started=job_started)
 
-    def withdraw(self) -> None:
+    def unassigned_shards(self) -> set[ids.ShardId]:
+        """Return the shards of the tasks that have no leader."""
+        return {
+            task.shard for task in self._open.values() if task.leader is None
+        }
+
+    def withdraw(self, authority: messages.Authority | None = None) -> None:
         """Withdraw the job from all leaders and drop its open tasks.
 
         Also from leaders that resumed tasks which have ended since then: the
-        result may have come from the former leader.
+        result may have come from the former leader. ``authority`` is that of
+        the job manager that withdraws the job for a former one.
         """
         destinations = self._resumed_at.union(
             (task.shard, task.leader)
@@ -257,8 +275,15 @@
             if task.leader is not None
         )
         for shard, leader in destinations:
-            leader.send(messages.Withdraw(shard=shard, job=self.job.job_id))
+            leader.send(
+                messages.Withdraw(
+                    shard=shard,
+                    job=self.job.job_id,
+                    authority=authority or self._authority(),
+                )
+            )
         self._open.clear()
+        self._resumed_at.clear()
 
     def _has_other_assigned(self, tasks: Sequence[OpenTask]) -> bool:
         """Return whether a task other than these has a leader."""
--- a/tests/process/node/test_led_shards.py
+++ b/tests/process/node/test_led_shards.py
@@ -7,6 +7,7 @@
 import testtools
 
 from sardineproxy import ids
+from sardineproxy.connection import messages
 from sardineproxy.process import metrics, store
 from sardineproxy.process.membership import registry
 from sardineproxy.process.node import claiming, dependencies, node, service
@@ -22,6 +23,8 @@
 
 _Reply = job_manager.JobReply
 
+OTHER_SHARD = ids.ShardId('other')
+
 
 class Rig:
     """A node that leads a shard, and the store that others write, too."""
@@ -77,6 +80,7 @@
             ),
             router=self.node,
             retention_s=120,
+            unconfirmed_s=2,
             on_lost=lambda _: None,
         )
         manager.start()
@@ -87,6 +91,37 @@
         await manager.close()
         return stored_job.job.job_id
 
+    async def move_task(self, job: ids.JobId) -> None:
+        """Let the home shard's leader refer the job's task to another shard."""
+        self.node.received(
+            self.node.leader_link(self.shard),  # type: ignore[arg-type]
+            messages.Declined(
+                shard=self.shard,
+                job=job,
+                step=0,
+                indices=(0,),
+                suggested_shard=OTHER_SHARD,
+                cause='more room there',
+                retry_after_s=1.0,
+                stored=True,
+            ),
+        )
+        await asyncio.sleep(0.2)
+
+    def open_link(self) -> Any:
+        """Open a link to the leader of another shard."""
+        opened = shard_samples.FakeLink('other-vm')
+        links: Any = self.node.links
+        links.open_links['other-vm'] = [opened]
+        self.node.opened(opened)  # type: ignore[arg-type]
+        self.node.received(
+            opened,  # type: ignore[arg-type]
+            messages.Heartbeat(
+                version=0, shards=((OTHER_SHARD, 1, 0, 5, True),), pending=()
+            ),
+        )
+        return opened
+
     async def query(self, job: ids.JobId) -> job_manager.JobReply:
         return await self.node.job_service.query(job, 3)
 
@@ -207,6 +242,140 @@
         with_rig(scenario)
 
 
+class TestReplacedManager(testtools.TestCase):
+    """A manager that has not learned that another process took over."""
+
+    def test_manager_asks_the_store_before_it_sends_over_a_new_link(
+        self,
+    ) -> None:
+        """Guards against tasks that start again (review cases 1, 6 and 7).
+
+        The link to another zone's leader opens before the one to the new
+        leader of the home shard. The other leader need not know of it.
+        """
+
+        async def scenario(rig: Rig) -> None:
+            await rig.lead(1)
+            job = await rig.store_job()
+            await rig.move_task(job)
+            await rig.store_job_elsewhere(make_token(2))
+            other = rig.open_link()
+            await asyncio.sleep(1)
+            self.assertEqual([], submissions(other))
+            self.assertNotIn(rig.shard, rig.node.led_shards.shards)
+
+        with_rig(scenario)
+
+    def test_confirmed_manager_sends_over_a_new_link(self) -> None:
+        """Guards against jobs that wait for good after a lost link."""
+
+        async def scenario(rig: Rig) -> None:
+            await rig.lead(1)
+            job = await rig.store_job()
+            await rig.move_task(job)
+            other = rig.open_link()
+            await asyncio.sleep(0.2)
+            submission = shard_samples.only_item(submissions(other))
+            self.assertEqual(job, submission.job)
+            self.assertEqual((rig.shard, 1, 0), submission.authority)
+
+        with_rig(scenario)
+
+    def test_nothing_is_sent_while_the_store_is_down(self) -> None:
+        """Guards against unconfirmed work, and against work that is lost."""
+
+        async def scenario(rig: Rig) -> None:
+            await rig.lead(1)
+            job = await rig.store_job()
+            await rig.move_task(job)
+            rig.store.is_down = True
+            other = rig.open_link()
+            await asyncio.sleep(5)
+            self.assertEqual([], submissions(other))
+            rig.store.is_down = False
+            await asyncio.sleep(1)
+            self.assertEqual(1, len(submissions(other)))
+
+        with_rig(scenario)
+
+    def test_refused_manager_steps_down(self) -> None:
+        """Guards against a replaced manager that holds its jobs for good."""
+
+        async def scenario(rig: Rig) -> None:
+            await rig.lead(1)
+            job = await rig.store_job()
+            rig.node.received(
+                rig.open_link(), outdated_authority(rig.shard, job, 2)
+            )
+            await asyncio.sleep(0.1)
+            self.assertNotIn(rig.shard, rig.node.led_shards.shards)
+
+        with_rig(scenario)
+
+    def test_refused_tasks_are_sent_again_under_a_renewed_token(self) -> None:
+        """Guards against a job that stays without runs (review case 1)."""
+
+        async def scenario(rig: Rig) -> None:
+            await rig.lead(1)
+            job = await rig.store_job()
+            await rig.move_task(job)
+            other = rig.open_link()
+            await asyncio.sleep(0.2)
+            await rig.lead(2)
+            rig.node.received(other, outdated_authority(rig.shard, job, 2))
+            await asyncio.sleep(0.2)
+            self.assertEqual(
+                [(rig.shard, epoch, 0) for epoch in (1, 2)],
+                [submission.authority for submission in submissions(other)],
+            )
+
+        with_rig(scenario)
+
+    def test_replaced_without_a_higher_token_is_sent_again(self) -> None:
+        """Guards against jobs that stay running for good (review case 1).
+
+        The execution of the valid manager ended permanently.
+        """
+
+        async def scenario(rig: Rig) -> None:
+            await rig.lead(1)
+            job = await rig.store_job()
+            await rig.move_task(job)
+            other = rig.open_link()
+            await asyncio.sleep(0.2)
+            rig.node.received(
+                other,
+                messages.RunEnded(
+                    shard=OTHER_SHARD,
+                    job=job,
+                    step=0,
+                    index=0,
+                    run=1,
+                    result='replaced',
+                    stored=True,
+                ),
+            )
+            await asyncio.sleep(0.2)
+            self.assertEqual(2, len(submissions(other)))
+
+        with_rig(scenario)
+
+
+def submissions(link: Any) -> list[messages.Submit]:
+    """Return the submissions that were sent over a link."""
+    return [
+        message for message in link.sent if isinstance(message, messages.Submit)
+    ]
+
+
+def outdated_authority(
+    home: ids.ShardId, job: ids.JobId, epoch: int
+) -> messages.OutdatedAuthority:
+    return messages.OutdatedAuthority(
+        shard=OTHER_SHARD, job=job, authority=(home, epoch, 0)
+    )
+
+
 class Zone:
     """VMs of one zone whose links are all silent, with a common store."""
 
--- a/tests/process/shards/samples.py
+++ b/tests/process/shards/samples.py
@@ -9,6 +9,7 @@
 from sardineproxy.process.shards import shard as shards
 from sardineproxy.process.shards import (
     fencing,
+    manager_tokens,
     shard_capacities,
     times,
     workers,
@@ -160,6 +161,9 @@
         self.api = faults.FaultyWorkerApi(models=self.models, clock=self.clock)
         self.is_list_current = True
         self.is_leadership_confirmed = True
+        self.manager_tokens = manager_tokens.ManagerTokens(
+            metrics=metrics.Metrics()
+        )
         self.superseded_shards: list[shards.ShardLeader] = []
         self.capacities = shard_capacities.ShardCapacities()
         self.unstored_manager = UnstoredJobManager()
--- a/tests/process/stored_jobs/cluster.py
+++ b/tests/process/stored_jobs/cluster.py
@@ -10,7 +10,7 @@
 from sardineproxy.connection import messages
 from sardineproxy.process import metrics, store
 from sardineproxy.process.shards import shard as shards
-from sardineproxy.process.shards import fencing, times, workers
+from sardineproxy.process.shards import fencing, manager_tokens, times, workers
 from sardineproxy.process.stored_jobs import (
     fenced_rows,
     job_manager,
@@ -167,6 +167,9 @@
             delay_s=lambda: cluster.rng.uniform(0.0001, 0.003),
         )
         api.late_s = cluster.rng.uniform(0.5, 4)
+        self.manager_tokens = manager_tokens.ManagerTokens(
+            metrics=metrics.Metrics()
+        )
         self.shard: shards.ShardLeader = cluster.rig.lead(
             epoch=epoch, api=api, context=self
         )
@@ -190,6 +193,7 @@
         )
         self._loaded_shards = loaded_shards.LoadedShards()
         self.manager.start()
+        self._ticks = asyncio.create_task(self._tick())
 
     def find_manager(self, job: ids.JobId) -> loaded_shards.LoadedShard | None:
         vm = self.link.peer.vm
@@ -232,6 +236,7 @@
         """Stop without closing links or releasing the shard."""
         self.is_up = False
         self.cluster.rig.superseded_shards.append(self.shard)
+        self._ticks.cancel()
         await self.manager.close()
         await self.shard.close()
 
@@ -244,15 +249,25 @@
             open_tasks.LeaderLost(shard=samples.SHARD, former_leader=lost)
         )
 
+    async def _tick(self) -> None:
+        while True:
+            now = self.cluster.rig.clock.now()
+            self.manager.tick(contact_at=now, now=now)
+            await asyncio.sleep(0.1)
+
     def _dispatch(self, message: Any) -> None:
         now = self.cluster.rig.clock.now()
         match message:
             case messages.Submit():
                 self.shard.submit(self.link, message, now)
             case messages.Withdraw(job=job):
-                self.shard.withdraw(self.link, job)
+                if self.manager_tokens.admits(self.link, message):
+                    self.shard.withdraw(self.link, job)
             case messages.ResultsStored():
-                self.shard.acknowledge_results(message)
+                if self.manager_tokens.admits(self.link, message):
+                    self.shard.acknowledge_results(message)
+            case messages.OutdatedAuthority():
+                self.manager.handle_refusal(self.link, message)
             case _:
                 self.manager.handle_message(self.link, message)
 
