--- a/sardineproxy/deployment.py
+++ b/sardineproxy/deployment.py
@@ -79,3 +79,9 @@
 
     #: CPU share of this VM, in cores.
     cores: float
+
+    #: Memory of this VM, in bytes.
+    memory_bytes: int
+
+    #: Number of file descriptors that the process may have open.
+    max_fds: int
--- a/sardineproxy/platform/settings.py
+++ b/sardineproxy/platform/settings.py
@@ -16,7 +16,13 @@
 #: Default of ``bounds.status_s``, in seconds.
 DEFAULT_STATUS_RETENTION_S = 120
 
+#: Defaults of ``limits.memory_mb`` and ``limits.max_fds``: the smallest values
+#: in use (docs/design/hard-load.md).
+DEFAULT_MEMORY_MB = 160
+DEFAULT_MAX_FDS = 1638
+
 _MS_PER_S = 1000
+_BYTES_PER_MB = 1_000_000
 
 
 def load(path: pathlib.Path) -> result.Result[deployment.Deployment, str]:
@@ -70,6 +76,9 @@
         # fast as a standard core.
         cores=fields.get_number(limits, 'cpu_share')
         * fields.get_number(limits, 'cores'),
+        memory_bytes=fields.get_integer(limits, 'memory_mb', DEFAULT_MEMORY_MB)
+        * _BYTES_PER_MB,
+        max_fds=fields.get_integer(limits, 'max_fds', DEFAULT_MAX_FDS),
     )
 
 
--- a/sardineproxy/process/node/service.py
+++ b/sardineproxy/process/node/service.py
@@ -34,7 +34,9 @@
 DRAIN_POLL_S = 0.05
 
 #: Settings that only take effect at the start of the process.
-_FIXED_SETTINGS = frozenset(('vm', 'zone', 'front', 'ready', 'peers'))
+_FIXED_SETTINGS = frozenset(
+    ('vm', 'zone', 'front', 'ready', 'peers', 'memory_bytes', 'max_fds')
+)
 
 _LOG = logs.get_logger('node')
 
--- a/sardineproxy/process/settings.py
+++ b/sardineproxy/process/settings.py
@@ -118,6 +118,16 @@
         return self
 
 
+class Limits(Section):
+    """Resources of the machine that the process may use."""
+
+    #: Memory, in units of 1,000,000 bytes; None for an unknown size.
+    memory_mb: Annotated[int, pydantic.Field(ge=64)] | None = None
+
+    #: Number of open file descriptors; None for an unknown number.
+    max_fds: Annotated[int, pydantic.Field(ge=256)] | None = None
+
+
 class Settings(Section):
     """Settings of one entry process."""
 
@@ -146,6 +156,7 @@
     shutdown: Shutdown = Shutdown()
     peering: Peering = Peering()
     retention: Retention = Retention()
+    limits: Limits = Limits()
 
     @pydantic.field_validator('seeds', mode='before')
     @classmethod
--- /dev/null
+++ b/tests/client_limits/__init__.py
@@ -0,0 +1,1 @@
+"""Clients that are not under control, against real processes."""
--- a/tests/connection/test_http_server.py
+++ b/tests/connection/test_http_server.py
@@ -10,6 +10,9 @@
 from sardineproxy.connection import http_server
 from tests.soak import vm
 
+#: Larger than what the kernel holds of a reply that is not read.
+BIG_BODY = b'x' * 8_000_000
+
 CFG = http_server.ServerConfig(max_body_bytes=1000, read_timeout_s=0.2)
 
 
@@ -36,6 +39,8 @@
             self.cancelled += 1
             raise
         body = b'none' if req.body is None else req.body
+        if req.path == '/big':
+            body = BIG_BODY
         return http_server.Response(
             status=400 if req.body is None else 200,
             body=req.path.encode() + b' ' + body,
@@ -218,3 +223,41 @@
             self.assertEqual([], rig.requests)
 
         run_scenario(scenario)
+
+
+class TestUncontrolledClients(testtools.TestCase):
+    def test_empty_lines_do_not_extend_the_deadline(self) -> None:
+        """Guards against connections that stay open without a request."""
+
+        async def scenario(rig: Rig) -> None:
+            reader, writer = await asyncio.open_connection(
+                rig.address.host, rig.address.port
+            )
+            closed = asyncio.create_task(reader.read())
+            async with asyncio.timeout(5):
+                while not closed.done():
+                    writer.write(b'\r\n')
+                    await asyncio.sleep(0.05)
+            writer.close()
+
+        run_scenario(scenario)
+
+    def test_next_request_waits_until_the_reply_is_read(self) -> None:
+        """Guards against memory use by replies that clients do not read."""
+
+        async def scenario(rig: Rig) -> None:
+            reader, writer = await asyncio.open_connection(
+                rig.address.host, rig.address.port
+            )
+            writer.transport.pause_reading()
+            writer.write(request('/big') * 6)
+            await asyncio.sleep(0.5)
+            self.assertEqual(1, len(rig.requests))
+            writer.transport.resume_reading()
+            async with asyncio.timeout(20):
+                for _ in range(6):
+                    await reader.readuntil(b'\r\n\r\n')
+                    await reader.readexactly(len(BIG_BODY) + len('/big '))
+            writer.close()
+
+        run_scenario(scenario)
--- a/tests/soak/vm.py
+++ b/tests/soak/vm.py
@@ -29,6 +29,7 @@
 [limits]
 cpu_share = 1.0
 cores = 1
+{limits}
 [bounds]
 max_hold_ms = 1000
 stop_timeout_ms = 50
@@ -68,6 +69,12 @@
         #: Ports of the relays on 127.0.0.1, by relay name.
         self.ports: dict[str, int] = {}
 
+        #: Further lines of the section ``limits`` of the settings.
+        self.limits = ''
+
+        #: Further arguments of the program.
+        self.arguments: tuple[str, ...] = ()
+
         #: Number of starts of the process.
         self.start_count = 0
 
@@ -103,6 +110,7 @@
             control=self.control_port,
             store=self.ports['store'],
             extra=extra,
+            limits=self.limits,
         )
         new_path = self._settings_path.with_suffix('.new')
         new_path.write_text(text)
@@ -143,6 +151,12 @@
         """Return the last exit status, negative if a signal ended the process."""
         return None if self._process is None else self._process.returncode
 
+    @property
+    def pid(self) -> int:
+        """Return the id of the process."""
+        assert self._process is not None
+        return self._process.pid
+
     def has_exited_unexpectedly(self) -> bool:
         """Return whether the process exited without a signal from a fault."""
         return (
@@ -159,6 +173,7 @@
                 '-m',
                 'sardineproxy',
                 'node',
+                *self.arguments,
                 stdin=asyncio.subprocess.DEVNULL,
                 stdout=log,
                 stderr=log,
