Evacuation of a zone: waiting tasks move, late runs are stopped and moved

Cause: the tasks that wait in a shard when its zone is evacuated would stay there until they are late, and a stored task for good.

Change: the leader declines waiting tasks with the shards that have free capacity. A job of which nothing has started is refused at once if there is no such shard; if it does not fit, it goes as a whole to the one with the most free capacity, whose admission decides. Tasks of started and stored jobs wait until there is capacity. Nothing moves while a run of the task may exist, also one of a former leader. A coordinator follows the suggestion of a leader also for moved tasks, and moves tasks to each shard at most once after the first move: the default shard of a VM of an evacuated zone varies.

Ruled out: a transfer of the leadership or of the job rows; the VMs of the zone are not evacuated.

--- a/sardineproxy/process/node/policy.py
+++ b/sardineproxy/process/node/policy.py
@@ -46,7 +46,10 @@
         return dataclasses.replace(
             self,
             shard=dataclasses.replace(
-                self.shard, calls=fitted, distance_factor=bounds.distance_factor
+                self.shard,
+                calls=fitted,
+                distance_factor=bounds.distance_factor,
+                evacuate_s=bounds.evacuate_s or self.shard.evacuate_s,
             ),
         )
 
@@ -85,7 +88,7 @@
 
 
 #: Fields that are set from the platform's bounds, not from a policy file.
-_PLATFORM_FIELDS = frozenset(('distance_factor',))
+_PLATFORM_FIELDS = frozenset(('distance_factor', 'evacuate_s'))
 
 _SECTIONS = types.MappingProxyType(
     {'cell': 'timing of a shard', 'workers': 'timing of calls to workers'}
--- a/sardineproxy/process/shards/scheduler.py
+++ b/sardineproxy/process/shards/scheduler.py
@@ -16,6 +16,7 @@
     placement,
     returns,
 )
+from sardineproxy.process.membership import evacuations
 from sardineproxy.process.shards import (
     agent,
     backlog,
@@ -67,8 +68,8 @@
     #: are started only then.
     is_leadership_confirmed: bool = True
 
-    #: False while the zone is evacuated, or may be as far as is known.
-    is_zone_open: bool = True
+    #: Whether the zone is evacuated, which allows no start.
+    zone_status: evacuations.Status = evacuations.Status.OPEN
 
 
 class Scheduler:  # noqa: WPS214
@@ -116,7 +117,7 @@
 
     def count_startable_tasks(self) -> int:
         """Return how many additional tasks of average size could start."""
-        if not self.permissions.is_zone_open:
+        if self.permissions.zone_status is not evacuations.Status.OPEN:
             return 0
         startable_count = self._pool.count_startable(
             int(self._average_millicores)
@@ -131,7 +132,7 @@
         if not (
             permissions.is_leader
             and permissions.is_list_current
-            and permissions.is_zone_open
+            and permissions.zone_status is evacuations.Status.OPEN
             and permissions.is_leadership_confirmed
         ):
             return None
@@ -213,6 +214,15 @@
             self._pool.refresh(worker_agent, now)
         self.refresh(now)
 
+    def assign_return(self, task_count: int, now: float) -> float:
+        """Return in how many seconds a refused client should return."""
+        return self._returns.assign(
+            task_count=task_count,
+            expected_start=now,
+            ends_per_s=self._ends.ends_per_s(),
+            now=now,
+        )
+
     def drop(self, batch: runs.Batch, cause: str) -> None:
         """Remove a batch and stop its runs."""
         self._backlog.drop(batch, cause, self._stop)
@@ -289,7 +299,12 @@
         self._queue.update(batch)
 
     def _refer_excess(self, batch: runs.Batch, now: float) -> None:
-        """Refer waiting tasks to shards with free capacity."""
+        """Refer waiting tasks to shards with free capacity.
+
+        ``ShardEvacuation`` does this for an evacuated shard.
+        """
+        if self.permissions.zone_status is evacuations.Status.EVACUATED:
+            return
         task = self._movable_class(batch, now)
         for shard, free_count in self._other_capacities(
             task, batch, now
@@ -337,7 +352,7 @@
         permissions = self.permissions
         if not (permissions.is_leader and permissions.is_list_current):
             return False
-        if not permissions.is_zone_open:
+        if permissions.zone_status is not evacuations.Status.OPEN:
             return False
         return permissions.is_leadership_confirmed or not batch.stored
 
--- a/sardineproxy/process/shards/shard.py
+++ b/sardineproxy/process/shards/shard.py
@@ -10,6 +10,7 @@
 from sardineproxy.process.shards import (
     agent,
     backlog,
+    evacuation,
     fencing,
     intake,
     listing,
@@ -120,6 +121,16 @@
             metrics=metrics,
             cfg=cfg,
         )
+        self._evacuation = evacuation.ShardEvacuation(
+            shard=shard,
+            agents=self._agents,
+            backlog=self._backlog,
+            scheduler=self._scheduler,
+            takeover=self._takeover,
+            capacities=capacities,
+            metrics=metrics,
+            cfg=cfg,
+        )
         self._intake = intake.Intake(
             backlog=self._backlog,
             scheduler=self._scheduler,
@@ -167,17 +178,14 @@
 
     def set_evacuation(self, status: evacuations.Status, now: float) -> None:
         """Apply whether the zone is evacuated."""
-        was_open = self._scheduler.permissions.is_zone_open
-        is_open = status is evacuations.Status.OPEN
-        self._scheduler.permissions.is_zone_open = is_open
-        if is_open and not was_open:
-            self._scheduler.refresh_all(now)
+        self._evacuation.set_status(status, now)
 
     def submit(
         self, source: link.Link, message: messages.Submit, now: float
     ) -> None:
         """Queue the tasks that a coordinator submits."""
         self._intake.submit(source, message, now)
+        self._evacuation.submitted(message.job, now)
 
     def withdraw(self, source: link.Link, job: ids.JobId) -> None:
         """Drop all tasks of a job and stop their runs."""
@@ -244,6 +252,7 @@
         self._backlog.expire(now)
         self._scheduler.refresh(now)
         self._scheduler.check_queue(now)
+        self._evacuation.tick(now)
 
     def check_queue(self, now: float) -> None:
         """Decline or drop the tasks that are late."""
--- a/sardineproxy/process/shards/times.py
+++ b/sardineproxy/process/shards/times.py
@@ -105,3 +105,7 @@
 
     #: Factor by which a task takes longer on racks without its data.
     distance_factor: float = 2.0
+
+    #: Time after the request to evacuate a zone within which its runs may end
+    #: even if they are late.
+    evacuate_s: float = 5.0
--- a/sardineproxy/request/coordinator.py
+++ b/sardineproxy/request/coordinator.py
@@ -79,6 +79,9 @@
         self._done_steps: set[int] = set()
         self._may_have_run = False
 
+        #: Shards that have declined tasks which had been moved before.
+        self._declined_by: set[ids.ShardId] = set()
+
     @property
     def may_have_run(self) -> bool:
         """Return whether a task may have started, as far as this VM knows.
@@ -223,29 +226,38 @@
     ) -> jobs.Outcome | None:
         """Move declined tasks to another shard, or end the job.
 
-        They move to the shard that the leader suggested. Tasks that have been
-        moved before return to the default shard, unless it declined them.
+        They are moved to each shard at most once after the first move.
         """
         tasks = self._open_tasks.declined_by(source, declined)
         if not tasks:
             return None
-        if declined.suggested_shard and not any(
-            task.was_moved for task in tasks
-        ):
-            suggested = ids.ShardId(declined.suggested_shard)
+        destination = self._choose_destination(
+            declined, was_moved=any(task.was_moved for task in tasks)
+        )
+        if destination is None:
+            return self._declined_outcome(declined, tasks)
+        self._open_tasks.move(tasks, destination, job_started=self._job_started)
+        return None
+
+    def _choose_destination(
+        self, declined: messages.Declined, *, was_moved: bool
+    ) -> ids.ShardId | None:
+        """Return the shard to move declined tasks to, None if there is none.
+
+        This is the shard that the leader suggested. Tasks that have been moved
+        before return to the default shard, unless it declined them. The
+        default shard varies while the home shard is evacuated.
+        """
+        if was_moved:
+            self._declined_by.add(declined.shard)
+        suggested = ids.ShardId(declined.suggested_shard)
+        if suggested and suggested not in self._declined_by:
             if self._router.leader_link(suggested) is not None:
-                self._open_tasks.move(
-                    tasks, suggested, job_started=self._job_started
-                )
-                return None
-        elif any(task.was_moved for task in tasks):
-            default_shard = self._router.default_shard()
-            if default_shard is not None and default_shard != declined.shard:
-                self._open_tasks.move(
-                    tasks, default_shard, job_started=self._job_started
-                )
-                return None
-        return self._declined_outcome(declined, tasks)
+                return suggested
+        if not was_moved:
+            return None
+        default_shard = self._router.default_shard()
+        return None if default_shard in self._declined_by else default_shard
 
     def _declined_outcome(
         self, declined: messages.Declined, tasks: list[open_tasks.OpenTask]
--- a/tests/process/node/test_evacuation_sync.py
+++ b/tests/process/node/test_evacuation_sync.py
@@ -12,9 +12,10 @@
 from sardineproxy import ids
 from sardineproxy.connection import messages
 from sardineproxy.process import store
-from sardineproxy.process.membership import evacuations
+from sardineproxy.process.membership import capacity_rows, evacuations
 from sardineproxy.process.node import feeds, node
 from sardineproxy.process.shards import fencing
+from sardineproxy.process.stored_jobs import job_manager, records
 from sardineproxy.standin import worker_model
 from tests import virtual_time
 from tests.process.node import samples
@@ -123,6 +124,26 @@
             self.model.advance(self.clock.now())
         return len(self.model.records) - before
 
+    def report_capacity(self, shard: str) -> None:
+        """Receive the heartbeat of another shard's leader."""
+        self.node.leaders.update(
+            ids.VmId(f'vm-{shard}'),
+            messages.Heartbeat(
+                version=1,
+                shards=((ids.ShardId(shard), 1, 0, 10, True),),
+                pending=(),
+                free_capacity=capacity_rows.encode(
+                    (
+                        shard_samples.make_classes(
+                            10, service=samples.ROUTE.service
+                        ),
+                    )
+                ),
+            ),
+            self.clock.now(),
+        )
+        self.node._choose_leaders()
+
     async def close(self) -> None:
         for task in self._tasks:
             task.cancel()
@@ -332,6 +353,46 @@
         with_rig(scenario)
 
 
+class TestStoredJobs(testtools.TestCase):
+    def test_job_of_an_evacuated_home_shard_runs_elsewhere(self) -> None:
+        """Guards against stored jobs that stand still with their home shard.
+
+        The zone's leader still stores and manages them.
+        """
+
+        async def scenario(rig: Rig) -> None:
+            rig.lead()
+            rig.store.rows.put(ROW, b'')
+            await asyncio.sleep(0.5)
+            job = next(
+                job
+                for job in map(ids.JobId, map('{:016x}'.format, range(99)))
+                if rig.node.job_service.home_shard(job) == HOME
+            )
+            link: Any = shard_samples.FakeLink('vm-z2')
+            rig.node.links.open_links[link.peer.vm] = [link]
+            rig.report_capacity('z2')
+            reply = await rig.node.job_service.store(
+                records.StoredJob(
+                    job=samples.make_job(job_id=job, stored=True),
+                    route=samples.ROUTE,
+                    accepted_at=rig.clock.wall(),
+                ),
+                3,
+            )
+            self.assertIs(job_manager.JobReply.ACCEPTED, reply)
+            await asyncio.sleep(0.5)
+            submitted = [
+                message
+                for message in link.sent
+                if isinstance(message, messages.Submit)
+            ]
+            self.assertEqual('z2', shard_samples.only_item(submitted).shard)
+            rig.node.links.open_links.clear()
+
+        with_rig(scenario)
+
+
 class TestDefaultShard(testtools.TestCase):
     def test_jobs_of_an_evacuated_zone_go_to_all_others(self) -> None:
         """Guards against jobs that are sent to the evacuated zone.
@@ -342,16 +403,7 @@
         async def scenario(rig: Rig) -> None:
             rig.lead()
             for shard in ('z2', 'z3', 'z4'):
-                rig.node.leaders.update(
-                    ids.VmId(f'vm-{shard}'),
-                    messages.Heartbeat(
-                        version=1,
-                        shards=((ids.ShardId(shard), 1, 0, 10, True),),
-                        pending=(),
-                    ),
-                    rig.clock.now(),
-                )
-            rig.node._choose_leaders()
+                rig.report_capacity(shard)
             self.assertEqual(HOME, rig.node.default_shard())
             rig.store.rows.put(ROW, b'')
             rig.store.rows.put('op/evacuate/z4', b'')
--- a/tests/request/test_coordinator.py
+++ b/tests/request/test_coordinator.py
@@ -1,7 +1,8 @@
 """Tests of the coordinator with simulated shard leaders."""
 
 import asyncio
-from typing import Any, Callable, Coroutine
+import itertools
+from typing import Any, Callable, Coroutine, Iterator
 
 import testtools
 from testtools import matchers
@@ -22,6 +23,9 @@
 
     def __init__(self, count: int = 2) -> None:
         self.clock = virtual_time.LoopClock()
+        self.default_shards: Iterator[ids.ShardId] = itertools.repeat(
+            HOME_SHARD
+        )
         self.links: dict[ids.ShardId, Any] = {
             HOME_SHARD: shard_samples.FakeLink('vm-1'),
             OTHER_SHARD: shard_samples.FakeLink('vm-2'),
@@ -42,7 +46,9 @@
         self.outcome = asyncio.create_task(self.coordinator.run())
 
     def default_shard(self) -> ids.ShardId | None:
-        return HOME_SHARD if HOME_SHARD in self.links else None
+        if HOME_SHARD not in self.links:
+            return None
+        return next(self.default_shards)
 
     def leader_link(self, shard: ids.ShardId) -> Any:
         return self.links.get(shard)
@@ -222,6 +228,37 @@
 
         run_scenario(scenario)
 
+    def test_tasks_are_not_moved_back_and_forth(self) -> None:
+        """Guards against a job that two full shards pass to each other.
+
+        The default shard varies while the home shard is evacuated.
+        """
+
+        async def scenario(rig: Rig) -> None:
+            rig.default_shards = itertools.cycle((HOME_SHARD, OTHER_SHARD))
+            await rig.decline(0, 1, suggested_shard=OTHER_SHARD)
+            await rig.decline(0, 1, shard=OTHER_SHARD)
+            await rig.decline(0, 1)
+            self.assertTrue(rig.outcome.done())
+            self.assertIsInstance(await rig.outcome, jobs.NotRun)
+
+        run_scenario(scenario)
+
+    def test_moved_tasks_follow_a_further_suggestion(self) -> None:
+        """Guards against giving up a job whose new shard is evacuated."""
+
+        async def scenario(rig: Rig) -> None:
+            third = ids.ShardId('zone-c')
+            rig.links[third] = shard_samples.FakeLink('vm-4')
+            await rig.decline(0, 1, suggested_shard=OTHER_SHARD)
+            await rig.decline(0, 1, shard=OTHER_SHARD, suggested_shard=third)
+            self.assertEqual(
+                ((0, 1), (1, 1)),
+                shard_samples.only_item(rig.submitted(third)).tasks,
+            )
+
+        run_scenario(scenario)
+
 
 class TestLostLeader(testtools.TestCase):
     def test_open_tasks_are_resumed_at_the_new_leader(self) -> None:
