--- a/sardineproxy/process/node/claiming.py
+++ b/sardineproxy/process/node/claiming.py
@@ -139,6 +139,13 @@
             connected_vms |= unchecked_vms
         return now - since >= self._claim_delay_s(shard, connected_vms)
 
+    def leaderless_s(self, shard: ids.ShardId, now: float) -> float:
+        """Return for how long a shard has had no leader, as far as known.
+
+        The time starts again when the leader writes a row.
+        """
+        return now - self._leaderless_since.get(shard, now)
+
     def postpone(self, shard: ids.ShardId, now: float) -> None:
         """Suppress claims of a shard for ``CLAIM_RETRY_S``."""
         self._retry_at[shard] = now + CLAIM_RETRY_S
--- a/sardineproxy/process/node/led_shards.py
+++ b/sardineproxy/process/node/led_shards.py
@@ -22,7 +22,7 @@
     evacuations,
     links,
 )
-from sardineproxy.process.node import claiming
+from sardineproxy.process.node import claiming, lost_zones
 
 #: Age of the link to a VM of another zone after which the shard of that zone
 #: is returned to it, in seconds. Also the interval between two such returns.
@@ -65,6 +65,9 @@
     def evacuation_status(self, shard: ids.ShardId) -> evacuations.Status:
         """Return whether tasks may be started in a shard's zone."""
 
+    def led_shard_ids(self) -> Iterable[ids.ShardId]:
+        """Return the shards that have a leader."""
+
     def workers_of(self, shard: ids.ShardId) -> list[workers.Worker]:
         """Return the listed workers of a shard."""
 
@@ -92,6 +95,7 @@
     clock: clock.Clock
     rng: random.Random
     metrics: metrics.Metrics
+    lost_zones: lost_zones.LostZones
     cfg: times.ShardTiming
     new_job_manager: Callable[
         [ids.ShardId, fencing.FencingToken], job_manager.JobManager
@@ -121,6 +125,9 @@
         self._claims_in_progress: set[ids.ShardId] = set()
         self._answering: set[ids.ShardId] = set()
         self._next_return_at: float = 0
+
+        #: Shards that were claimed without a reachable worker.
+        self._claimed_as_lost: set[ids.ShardId] = set()
         self.shards: dict[ids.ShardId, shards.ShardLeader] = {}
 
     async def close(self) -> None:
@@ -258,6 +265,8 @@
             context=self._context,
             cfg=self._dependencies.cfg,
         )
+        if shard in self._claimed_as_lost:
+            leader.expect_unlisted_runs()
         self.shards[shard] = leader
         self._job_service.add_manager(
             self._dependencies.new_job_manager(shard, token)
@@ -416,7 +425,7 @@
         """Return whether a shard without a leader here may be claimed."""
         checks: list[Awaitable[bool]] = []
         if shard != self._context.home_shard:
-            checks.append(self._are_workers_reachable(shard))
+            checks.append(self._may_claim_of_other_zone(shard))
         if self._claimer.must_inquire(
             shard,
             isolated=self._context.is_isolated(),
@@ -444,6 +453,37 @@
             )
         return not is_stored
 
+    async def _may_claim_of_other_zone(self, shard: ids.ShardId) -> bool:
+        """Return whether another zone has workers here, or stored jobs."""
+        self._claimed_as_lost.discard(shard)
+        if await self._are_workers_reachable(shard):
+            return True
+        if await self._must_serve_lost_zone(shard):
+            self._claimed_as_lost.add(shard)
+            return True
+        return False
+
+    async def _must_serve_lost_zone(self, shard: ids.ShardId) -> bool:
+        """Return whether to manage the stored jobs of a zone that is gone.
+
+        Its VMs and workers have not responded for so long that no run of its
+        former leader can exist. From here, a partitioned zone looks the same.
+        """
+        now = self._dependencies.clock.now()
+        delay_s = lost_zones.takeover_delay_s(
+            self._context.home_shard,
+            self._context.led_shard_ids(),
+            self._dependencies.cfg.former_runs_s,
+        )
+        is_due = self._claimer.leaderless_s(shard, now) >= delay_s
+        if not is_due or self._context.home_shard not in self.shards:
+            return False
+        if self._job_service.has_unserved_request(shard, now):
+            return True
+        return await self._dependencies.lost_zones.has_unfinished_jobs(
+            shard, now
+        )
+
     async def _are_workers_reachable(self, shard: ids.ShardId) -> bool:
         """Return whether most probed workers of another zone are reachable.
 
--- a/sardineproxy/process/node/node.py
+++ b/sardineproxy/process/node/node.py
@@ -35,10 +35,12 @@
     dependencies,
     evacuation_sync,
     feeds,
+    leadership_contact,
     led_shards,
     link_timing,
     job_intake,
     local_link,
+    lost_zones,
     peering,
     policy,
     peer_sync,
@@ -140,6 +142,9 @@
                 clock=self._clock,
                 rng=dependencies.rng,
                 metrics=self.metrics,
+                lost_zones=lost_zones.LostZones(
+                    store=dependencies.store, metrics=self.metrics
+                ),
                 cfg=node_policy.shard,
                 new_job_manager=self._new_job_manager,
             ),
@@ -159,6 +164,10 @@
             rng=dependencies.rng,
             metrics=self.metrics,
         )
+        self._contact = leadership_contact.LeadershipContact(
+            is_connected=lambda vm: self.links.get(vm) is not None,
+            last_store_response_at=self._feeds.last_response_at,
+        )
         self.job_intake = job_intake.JobIntake(
             job_service=self.job_service,
             active_jobs=self.active_jobs,
@@ -328,6 +337,10 @@
             return evacuations.Status.OPEN
         return evacuations.Status.UNKNOWN
 
+    def led_shard_ids(self) -> Iterable[ids.ShardId]:
+        """Return the shards that have a leader."""
+        return self.leaders.by_shard
+
     def leader_of(self, shard: ids.ShardId) -> ids.VmId | None:
         """Return the VM that leads a shard, None if there is none."""
         return self.leaders.by_shard.get(shard)
@@ -369,13 +382,18 @@
     def leadership_confirmed_at(self, shard: ids.ShardId, now: float) -> float:
         """Return the local time at which leadership was last confirmed.
 
-        This is ``now`` if all successors are connected, as they would report
-        a takeover, else the time of the store's last response.
+        Processes that could take over the shard would report that while they
+        are connected. Otherwise the store must respond.
         """
-        successors = self._claimer.successors_of_claim(shard)
-        if all(self.links.get(vm) is not None for vm in successors):
-            return now
-        return self._feeds.last_response_at()
+        return self._contact.confirmed_at(
+            shard,
+            successors=self._claimer.successors_of_claim(shard),
+            claimed_shards=set(self.registry.claims).intersection(
+                self.all_shards
+            ),
+            led_shards=self.leaders.by_shard,
+            now=now,
+        )
 
     def is_worker_list_available(self) -> bool:
         """Return whether the store currently serves the list of workers."""
--- a/sardineproxy/process/shards/scheduler.py
+++ b/sardineproxy/process/shards/scheduler.py
@@ -223,6 +223,15 @@
             now=now,
         )
 
+    def refer_all(self, now: float) -> None:
+        """Refer waiting tasks of a zone without usable workers.
+
+        Also those that may not be moved otherwise: nothing can start here.
+        """
+        for batch in self._queue.all():
+            if not self._pool.count_startable(batch.resources.millicores, 1):
+                self._refer_excess(batch, now)
+
     def drop(self, batch: runs.Batch, cause: str) -> None:
         """Remove a batch and stop its runs."""
         self._backlog.drop(batch, cause, self._stop)
--- a/sardineproxy/process/shards/shard.py
+++ b/sardineproxy/process/shards/shard.py
@@ -140,6 +140,14 @@
             cfg=cfg,
         )
 
+    def expect_unlisted_runs(self) -> None:
+        """Let stored jobs wait until the former leader's runs have ended.
+
+        For the shard of a zone that seems to be lost. The entries of its
+        workers may have expired, although the workers still run tasks.
+        """
+        self._takeover.has_unlisted_runs = True
+
     def step_down(self) -> None:
         """Start no more runs, because another process leads the shard."""
         self._scheduler.permissions.is_leader = False
@@ -253,6 +261,8 @@
         self._scheduler.refresh(now)
         self._scheduler.check_queue(now)
         self._evacuation.tick(now)
+        if self._takeover.has_unlisted_runs:
+            self._scheduler.refer_all(now)
 
     def check_queue(self, now: float) -> None:
         """Decline or drop the tasks that are late."""
--- a/sardineproxy/process/shards/takeover.py
+++ b/sardineproxy/process/shards/takeover.py
@@ -52,6 +52,9 @@
         #: used.
         self.is_worker_list_complete = False
 
+        #: True if workers that are not listed may have runs.
+        self.has_unlisted_runs = False
+
         #: True while runs of the former leader may be resumed.
         self.accepts_resumes = True
 
@@ -61,7 +64,9 @@
         A stored job waits until every run of the former leader is either
         reported or has certainly ended.
         """
-        if self.are_all_runs_reported():
+        if self.are_all_runs_reported() and not (
+            message.stored and self.has_unlisted_runs
+        ):
             return False
         if message.stored:
             all_ended_at = self._leader_since + self._cfg.former_runs_s
--- a/sardineproxy/process/stored_jobs/job_service.py
+++ b/sardineproxy/process/stored_jobs/job_service.py
@@ -60,6 +60,9 @@
         self._pending_replies: dict[int, asyncio.Future[_Reply]] = {}
         self._request_links: dict[int, link.Link] = {}
         self._tasks = background.Tasks()
+
+        #: Times of the last requests that found no leader of their shard.
+        self._unserved_at: dict[ids.ShardId, float] = {}
         self.managers: dict[ids.ShardId, job_manager.JobManager] = {}
 
     async def close(self) -> None:
@@ -126,6 +129,11 @@
             if manager.is_loaded
         ]
 
+    def has_unserved_request(self, shard: ids.ShardId, now: float) -> bool:
+        """Return whether a request recently found no leader of a shard."""
+        unserved_at = self._unserved_at.get(shard)
+        return unserved_at is not None and now - unserved_at < REPLY_TIMEOUT_S
+
     def pending(self) -> dict[ids.RouteId, int]:
         """Return the number of jobs per route that have not started."""
         counts: collections.Counter[ids.RouteId] = collections.Counter()
@@ -234,6 +242,7 @@
     ) -> job_manager.JobReply:
         leader = self._directory.leader_link(shard)
         if leader is None:
+            self._unserved_at[shard] = self._clock.now()
             return _Reply.UNAVAILABLE
         request_id = next(self._request_ids)
         reply_fut: asyncio.Future[_Reply] = (
--- a/tests/process/shards/test_shard.py
+++ b/tests/process/shards/test_shard.py
@@ -595,6 +595,52 @@
 
         samples.with_rig(scenario, work_of=_work_of_1_s)
 
+    def test_stored_tasks_of_a_lost_zone_wait_for_the_leases(self) -> None:
+        """Guards against two runs of a task in a partitioned zone.
+
+        The entries of its workers have expired, although they run tasks.
+        """
+
+        async def scenario(rig: samples.Rig) -> None:
+            leader = rig.lead()
+            leader.expect_unlisted_runs()
+            await asyncio.sleep(0.1)
+            leader.submit(
+                samples.FakeLink(),
+                samples.make_submit(stored=True, resumed=True),
+                rig.clock.now(),
+            )
+            await asyncio.sleep(rig.cfg.former_runs_s - 0.2)
+            self.assertEqual([], rig.records())
+            await asyncio.sleep(0.5)
+            self.assertEqual(1, len(rig.records()))
+
+        samples.with_rig(scenario)
+
+    def test_waiting_tasks_of_a_lost_zone_are_referred_later(self) -> None:
+        """Guards against jobs that wait for good in a zone that is gone.
+
+        The other zones have no free capacity when the tasks are submitted.
+        """
+
+        async def scenario(rig: samples.Rig) -> None:
+            leader = rig.lead()
+            leader.expect_unlisted_runs()
+            link = samples.FakeLink()
+            leader.submit(
+                link,
+                samples.make_submit(stored=True, pinned=True),
+                rig.clock.now(),
+            )
+            await asyncio.sleep(10)
+            self.assertEqual([], link.declined())
+            rig.report_capacity('zone-b', 1)
+            await asyncio.sleep(0.2)
+            declined = samples.only_item(link.declined())
+            self.assertEqual('zone-b', declined.suggested_shard)
+
+        samples.with_rig(scenario, count=0)
+
     def test_unresumed_runs_are_stopped(self) -> None:
         """Guards against capacity that a failed coordinator's runs occupy."""
 
