Stored jobs that nothing continues are attached again

Change: a manager checks up to 64 of its jobs at each tick. A job whose execution has ended without a final state, or with tasks at no live leader although their shard has one, is logged, counted (stored_jobs_reattached_total) and attached again after 1 s; the time doubles with each attempt up to 60 s, as an execution may always fail.

--- a/sardineproxy/process/stored_jobs/execution.py
+++ b/sardineproxy/process/stored_jobs/execution.py
@@ -121,6 +121,9 @@
         #: Finished runs that were recorded but are not yet part of a commit.
         self._unacknowledged: list[_FinishedRun] = []
 
+        #: True while ``run`` processes events.
+        self._is_running = False
+
         #: True once the job has ended and its final state is being stored.
         self.is_finishing = False
 
@@ -140,6 +143,76 @@
 
     async def run(self) -> None:
         """Process events until the final state of the job is stored."""
+        self._is_running = True
+        try:
+            await self._run_to_end()
+        finally:
+            self._is_running = False
+
+    def idle_cause(self) -> str:
+        """Return why nothing continues the job, empty if something does."""
+        if not self._is_running:
+            return 'execution ended without a final state'
+        if self.is_finishing:
+            return ''
+        if not self._open_tasks:
+            return 'no open tasks'
+        return 'tasks without a leader' if self._open_tasks.unattached() else ''
+
+    def attach_again(self) -> 'Execution | None':
+        """Submit the tasks that no leader has.
+
+        Returns a new execution to run if this one has ended.
+        """
+        if not self._is_running:
+            return Execution(
+                stored_job=self.stored_job,
+                progress=self._progress,
+                home_shard=self._home_shard,
+                router=self._router,
+                table=self._table,
+                clock=self._clock,
+                on_finished=self._on_finished,
+                resumed=True,
+            )
+        for shard, lost_leader in self._open_tasks.unattached():
+            self.post_event(
+                open_tasks.LeaderFound(shard=shard)
+                if lost_leader is None
+                else open_tasks.LeaderLost(
+                    shard=shard, former_leader=lost_leader
+                )
+            )
+        return None
+
+    def summary(self) -> dict[str, object]:
+        """Return what is known of the job, for the log."""
+        tasks = self._open_tasks.all()
+        return {
+            'job': self.stored_job.job.job_id,
+            'tasks': len(tasks),
+            'unassigned': sum(task.leader is None for task in tasks),
+            'cells': sorted({task.shard for task in tasks}),
+            'waiting_steps': sorted(self._waiting_steps),
+            'done': len(self._progress.done),
+        }
+
+    def withdraw(self, authority: messages.Authority) -> None:
+        """Withdraw the tasks from all leaders; ``run`` must have ended.
+
+        ``authority`` is that of the job manager that replaces the former one.
+        """
+        self._open_tasks.withdraw(authority)
+
+    def state(self) -> records.JobState:
+        """Return the state of the job according to the store."""
+        if self.stored_job.state.is_final:
+            return self.stored_job.state
+        if self.has_started:
+            return records.JobState.RUNNING
+        return records.JobState.QUEUED
+
+    async def _run_to_end(self) -> None:
         state = await self._run()
         if state is None:
             return
@@ -176,21 +249,6 @@
         if not self.finished.done():
             self.finished.set_result(is_stored)
 
-    def withdraw(self, authority: messages.Authority) -> None:
-        """Withdraw the tasks from all leaders; ``run`` must have ended.
-
-        ``authority`` is that of the job manager that replaces the former one.
-        """
-        self._open_tasks.withdraw(authority)
-
-    def state(self) -> records.JobState:
-        """Return the state of the job according to the store."""
-        if self.stored_job.state.is_final:
-            return self.stored_job.state
-        if self.has_started:
-            return records.JobState.RUNNING
-        return records.JobState.QUEUED
-
     async def _run(self) -> records.JobState | None:
         """Return the final state, None if another leader took over the job."""
         while self._open_tasks or self._waiting_steps:
--- a/sardineproxy/process/stored_jobs/job_manager.py
+++ b/sardineproxy/process/stored_jobs/job_manager.py
@@ -12,6 +12,7 @@
 from sardineproxy.process.stored_jobs import (
     execution,
     guarded_router,
+    idle_jobs,
     job_table,
     records,
     stored_rows,
@@ -110,6 +111,9 @@
             is_confirmed=lambda: table.is_confirmed,
             on_doubt=self._start_confirming,
         )
+        self._idle_jobs: idle_jobs.IdleJobs[execution.Execution] = (
+            idle_jobs.IdleJobs()
+        )
         self._is_confirming = False
         self._clock = clock
         self._metrics = metrics
@@ -268,12 +272,15 @@
         self._table.authority.doubt()
 
     def tick(self, *, contact_at: float, now: float) -> None:
-        """Doubt the authority after a pause or a time without contact.
+        """Check the authority, and whether all jobs are continued.
 
         ``contact_at`` is the local time of the last contact with the store or
         with all successors.
         """
         self._table.authority.tick(contact_at=contact_at, now=now)
+        if self.is_loaded:
+            for idle, cause in self._idle_jobs.find(self._executions, now):
+                self._attach_again(idle, cause)
 
     def broadcast(
         self, event: open_tasks.LeaderLost | open_tasks.LeaderFound
@@ -448,21 +455,35 @@
         *,
         resumed: bool,
     ) -> None:
-        job_execution = execution.Execution(
-            stored_job=stored_job,
-            progress=progress,
-            home_shard=self.shard,
-            router=self._router,
-            table=self._table,
-            clock=self._clock,
-            on_finished=self._record_finished,
-            resumed=resumed,
+        self._run_execution(
+            execution.Execution(
+                stored_job=stored_job,
+                progress=progress,
+                home_shard=self.shard,
+                router=self._router,
+                table=self._table,
+                clock=self._clock,
+                on_finished=self._record_finished,
+                resumed=resumed,
+            )
         )
-        self._executions[stored_job.job.job_id] = job_execution
+
+    def _run_execution(self, job_execution: execution.Execution) -> None:
+        job = job_execution.stored_job.job.job_id
+        self._executions[job] = job_execution
         job_execution.start()
-        self._tasks.spawn(
-            job_execution.run(), unit=f'job {stored_job.job.job_id}'
+        self._tasks.spawn(job_execution.run(), unit=f'job {job}')
+
+    def _attach_again(self, idle: execution.Execution, cause: str) -> None:
+        """Continue a job that nothing continues."""
+        _LOG.warning(
+            'Nothing continues a stored job; it is attached again.',
+            extra={'cell': self.shard, 'cause': cause, **idle.summary()},
         )
+        self._metrics.count('stored_jobs_reattached_total')
+        renewed = idle.attach_again()
+        if renewed is not None:
+            self._run_execution(renewed)
 
     def _record_finished(self, ended_job: records.StoredJob) -> None:
         self._metrics.count(
--- a/sardineproxy/request/open_tasks.py
+++ b/sardineproxy/request/open_tasks.py
@@ -262,6 +262,20 @@
             task.shard for task in self._open.values() if task.leader is None
         }
 
+    def unattached(self) -> set[tuple[ids.ShardId, link.Link | None]]:
+        """Return the shards with a leader that lacks some of their tasks.
+
+        With each, the lost leader that the tasks are assigned to, None if they
+        are unassigned.
+        """
+        shards = {task.shard for task in self._open.values()}
+        leaders = {shard: self._router.leader_link(shard) for shard in shards}
+        return {
+            (task.shard, task.leader)
+            for task in self._open.values()
+            if not task.is_moving and _is_lost(task.leader, leaders[task.shard])
+        }
+
     def withdraw(self, authority: messages.Authority | None = None) -> None:
         """Withdraw the job from all leaders and drop its open tasks.
 
@@ -295,6 +309,17 @@
         )
 
 
+def _is_lost(assigned: link.Link | None, leader: link.Link | None) -> bool:
+    """Return whether a task is not at the leader of its shard, if any."""
+    if leader is None:
+        return False
+    return (
+        assigned is None
+        or assigned.is_closing()
+        or assigned.peer.vm != leader.peer.vm
+    )
+
+
 def new_tasks(
     job: jobs.Job, step_index: int, shard: ids.ShardId
 ) -> list[OpenTask]:
