End of an evacuation: cold workers get tasks in steps and count as slower

Cause: the workers of a zone may be cold when its evacuation ends. All tasks that return to it at once would be late, and forecasts would expect the speed of warm workers.

Change: cold_left_ms of a worker's entry and cold_overage of the settings set the expected speed of a cold worker; run times on it teach the speed of the warm worker. After an evacuation the leader holds its cold workers and uses a quarter more of them every 0.5 s, so that the free capacity that it reports and its own placement and admission rise in the same steps. A worker without the field, or settings without cold_overage, count as warm.

Ruled out: a share of the jobs at the accepting VMs; each of them would need to know the workers' state, which only the leader reads often enough.

Result: four tests in tests/process/shards/test_evacuation.py and one in test_decoding.py.

--- a/sardineproxy/deployment.py
+++ b/sardineproxy/deployment.py
@@ -44,10 +44,8 @@
     #: there, None if the platform sets no such bound.
     evacuate_s: float | None = None
 
-    #: Ratio of a task's run time on a cold worker to that on a warm one, and
-    #: further tolerance for cold workers, both without a unit.
+    #: Ratio of a task's run time on a cold worker to that on a warm one.
     cold_overage: float = 1.0
-    cold_slack: float = 1.0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/sardineproxy/platform/settings.py
+++ b/sardineproxy/platform/settings.py
@@ -124,7 +124,6 @@
         distance_factor=fields.get_number(document, 'remote_factor', 1),
         evacuate_s=_get_seconds(document, 'evacuate_ms'),
         cold_overage=max(1, fields.get_number(document, 'cold_overage', 1)),
-        cold_slack=max(1, fields.get_number(document, 'cold_slack', 1)),
     )
 
 
--- a/sardineproxy/platform/worker_entries.py
+++ b/sardineproxy/platform/worker_entries.py
@@ -28,6 +28,8 @@
 #: Latest start of a worker, in Unix milliseconds: the end of the year 9999.
 MAX_UNIX_MS = 253_402_300_799_999
 
+_MS_PER_S = 1000
+
 _STATES = {  # noqa: WPS407
     'ready': workers.WorkerState.READY,
     'draining': workers.WorkerState.DRAINING,
@@ -69,6 +71,7 @@
         started_ms=fields.get_integer(document, 'born', 0, maximum=MAX_UNIX_MS),
         capacity=decode_resources(fields.get_object(document, 'capacity')),
         labels=tuple(label for label in labels if isinstance(label, str)),
+        cold_left_s=fields.get_number(document, 'cold_left_ms', 0) / _MS_PER_S,
     )
 
 
--- a/sardineproxy/process/load/evacuation.py
+++ b/sardineproxy/process/load/evacuation.py
@@ -2,7 +2,8 @@
 
 Load pattern: an operator evacuates a zone at a busy time. Its waiting tasks
 must not wait for a zone that starts nothing, and must not overload the others;
-most of its runs end soon and are best left alone.
+most of its runs end soon and are best left alone. When the evacuation ends, the
+workers are cold, and tasks that all return at once are all late.
 """
 
 import dataclasses
@@ -19,6 +20,12 @@
 PROJECTION_MIN_RUN_S = 0.1
 PROJECTION_MIN_PERCENT = 2
 
+#: Number and duration of the steps in which the cold workers of a zone get
+#: tasks after an evacuation. In the time of a step, other leaders have seen two
+#: reports of the free capacity.
+REOPEN_STEPS = 4
+REOPEN_STEP_S = 0.5
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class WaitingTasks:
@@ -93,6 +100,15 @@
     return end > max(useful_until, now + MOVE_S + run.expected_elsewhere_s)
 
 
+def open_share(reopened_s: float) -> float:
+    """Return the share of the cold workers that get tasks after the end.
+
+    ``reopened_s`` is the time since the end of the evacuation.
+    """
+    step = 1 + int(reopened_s / REOPEN_STEP_S)
+    return min(1, step / REOPEN_STEPS)
+
+
 def _expected_end(run: ActiveRun, now: float) -> float:
     ran_s = now - run.started_at
     if ran_s < PROJECTION_MIN_RUN_S or ran_s < run.expected_here_s:
--- a/sardineproxy/process/node/policy.py
+++ b/sardineproxy/process/node/policy.py
@@ -38,6 +38,7 @@
         fitted = dataclasses.replace(
             calls,
             lease_s=lease_s,
+            cold_overage=bounds.cold_overage,
             look_wait_s=min(calls.look_wait_s, POLL_WAIT_SHARE * lease_s),
             stop_retry_s=max(
                 calls.stop_retry_s, STOP_RETRY_FACTOR * bounds.stop_timeout_s
@@ -88,7 +89,7 @@
 
 
 #: Fields that are set from the platform's bounds, not from a policy file.
-_PLATFORM_FIELDS = frozenset(('distance_factor', 'evacuate_s'))
+_PLATFORM_FIELDS = frozenset(('distance_factor', 'evacuate_s', 'cold_overage'))
 
 _SECTIONS = types.MappingProxyType(
     {'cell': 'timing of a shard', 'workers': 'timing of calls to workers'}
--- a/sardineproxy/process/shards/agent.py
+++ b/sardineproxy/process/shards/agent.py
@@ -102,6 +102,13 @@
         #: stored jobs' runs must expire then.
         self.is_leadership_confirmed = True
         self._listing = listing.Listing.LISTED
+
+        #: True while no run is started, because the worker is cold after an
+        #: evacuation and others are used first.
+        self.is_held = False
+        self._cold_until = clock.now() + worker.cold_left_s
+        self._is_cold = False
+        self.update_cold(clock.now())
         self._tasks = background.Tasks()
 
     def open(self) -> None:
@@ -153,8 +160,24 @@
         """Return whether the lease of the worker's runs may be extended."""
         return self.is_leadership_confirmed or not self.ledger.has_stored_runs
 
+    @property
+    def is_cold(self) -> bool:
+        """Return whether tasks take longer because of a recent start."""
+        return self._is_cold
+
+    def update_cold(self, now: float) -> bool:
+        """Update whether the worker is cold; return whether that changed."""
+        is_cold = now < self._cold_until and self._cfg.cold_overage > 1
+        if is_cold is self._is_cold:
+            return False
+        self._is_cold = is_cold
+        self.health.set_cold_factor(self._cfg.cold_overage if is_cold else 1)
+        return True
+
     def accepts_work(self, now: float) -> bool:
         """Return whether runs may be started on the worker."""
+        if self.is_held:
+            return False
         if not self.may_extend_lease:
             # A start order extends the lease of all runs of the worker.
             return False
@@ -187,6 +210,8 @@
             )
         is_restarted = worker.started_ms != self.worker.started_ms
         self.ledger.resize(self.worker.capacity, worker.capacity)
+        if is_restarted or worker.cold_left_s != self.worker.cold_left_s:
+            self._cold_until = self._clock.now() + worker.cold_left_s
         self.worker = worker
         self.apply_listing(listing.Event.ENTRY_CHANGED)
         if is_restarted and worker.started_ms != self._poller.started_ms:
--- a/sardineproxy/process/shards/evacuation.py
+++ b/sardineproxy/process/shards/evacuation.py
@@ -1,6 +1,7 @@
 """Moves the work of an evacuated shard to other shards."""
 
 import collections
+import math
 from typing import Mapping
 
 from sardineproxy import ids, logs
@@ -48,6 +49,12 @@
         self._cfg = cfg
         self._since: float = 0
         self._is_empty = False
+        self._was_evacuated = False
+
+        #: Local time of the end of the evacuation while cold workers are held,
+        #: else None.
+        self._reopened_at: float | None = None
+        self._held: set[ids.WorkerId] = set()
 
     def set_status(self, status: evacuations.Status, now: float) -> None:
         """Apply whether the zone is evacuated, and act on a change."""
@@ -69,12 +76,19 @@
         if status is evacuations.Status.EVACUATED:
             self._since = now
             self._is_empty = False
+            self._was_evacuated = True
+            self._reopened_at = None
             self.tick(now)
         elif status is evacuations.Status.OPEN:
+            if self._was_evacuated:
+                self._was_evacuated = False
+                self._reopened_at = now
+                self._hold_cold_workers(self._reopened_at, now)
             self._scheduler.refresh_all(now)
 
     def tick(self, now: float) -> None:
-        """Move what can be moved, if the zone is evacuated."""
+        """Move what can be moved, or use more of the cold workers."""
+        self._update_cold_workers(now)
         if not self._is_evacuated:
             return
         for batch in self._backlog.all():
@@ -103,6 +117,44 @@
         status = self._scheduler.permissions.zone_status
         return status is evacuations.Status.EVACUATED
 
+    def _update_cold_workers(self, now: float) -> None:
+        for worker_id, worker_agent in self._agents.items():
+            if worker_agent.update_cold(now):
+                self._scheduler.worker_changed(worker_id, now)
+        if self._reopened_at is None:
+            return
+        held_before = self._held
+        self._hold_cold_workers(self._reopened_at, now)
+        for worker_id in held_before.difference(self._held):
+            self._scheduler.worker_changed(worker_id, now)
+        if decisions.open_share(now - self._reopened_at) == 1:
+            self._reopened_at = None
+
+    def _hold_cold_workers(self, reopened_at: float, now: float) -> None:
+        """Hold the cold workers beyond the share that gets tasks."""
+        cold = sorted(
+            worker_id
+            for worker_id, worker_agent in self._agents.items()
+            if worker_agent.is_cold
+        )
+        open_count = math.ceil(
+            decisions.open_share(now - reopened_at) * len(cold)
+        )
+        held = set(cold[open_count:])
+        for worker_id, worker_agent in self._agents.items():
+            worker_agent.is_held = worker_id in held
+        if len(held) != len(self._held):
+            _LOG.info(
+                'Cold workers held after an evacuation.',
+                extra={
+                    'cell': self._shard,
+                    'cold': len(cold),
+                    'held': len(held),
+                    'after_s': round(now - reopened_at, 3),
+                },
+            )
+        self._held = held
+
     def _move(self, batch: runs.Batch, now: float) -> None:
         """Decline the waiting tasks of a batch of which no run can exist.
 
--- a/sardineproxy/process/shards/health.py
+++ b/sardineproxy/process/shards/health.py
@@ -43,6 +43,7 @@
 
     def __init__(self) -> None:
         """Create the state of a healthy worker of average speed."""
+        self._log_cold_factor: float = 0
         self.reset()
 
     def reset(self) -> None:
@@ -62,7 +63,7 @@
         self.on_probation = False
 
         #: Seconds of estimated work that complete in one second.
-        self.speed = 1.0
+        self.speed = math.exp(-self._log_cold_factor)
 
     @property
     def is_suspect(self) -> bool:
@@ -73,6 +74,14 @@
         """Return whether the worker is not ejected."""
         return now >= self._ejected_until
 
+    def set_cold_factor(self, factor: float) -> None:
+        """Set by which factor tasks take longer, 1 on a warm worker.
+
+        The learned speed is that of the warm worker.
+        """
+        self._log_cold_factor = math.log(factor)
+        self.speed = math.exp(self._log_speed - self._log_cold_factor)
+
     def record_refusal(self, now: float) -> None:
         """Record that the worker refused an order."""
         self._eject(now)
@@ -103,7 +112,7 @@
         projected_s = ran_s * 100 / max(run.percent, PROJECTION_MIN_PERCENT)
         if projected_s > SLOW_FACTOR * run.expected_s / self.speed:
             run.is_slow = True
-            self._record_ratio(math.log(run.expected_s / projected_s))
+            self._record_ratio(self._warm_log_ratio(run, projected_s))
 
     def state(self, now: float) -> dict[str, object]:
         """Return the estimates for the state dump."""
@@ -129,7 +138,7 @@
         if not run.started_at or duration_s <= 0 or not run.expected_s:
             return
         if not run.is_slow:
-            self._record_ratio(math.log(run.expected_s / duration_s))
+            self._record_ratio(self._warm_log_ratio(run, duration_s))
 
     def _record_ratio(self, log_ratio: float) -> None:
         """Apply the logarithm of the speed that one run has shown."""
@@ -143,4 +152,8 @@
 
     def _update_speed(self, log_ratio: float, weight: float) -> None:
         self._log_speed += weight * (log_ratio - self._log_speed)
-        self.speed = math.exp(self._log_speed)
+        self.speed = math.exp(self._log_speed - self._log_cold_factor)
+
+    def _warm_log_ratio(self, run: runs.Run, duration_s: float) -> float:
+        """Return the logarithm of the speed that a warm worker would show."""
+        return math.log(run.expected_s / duration_s) + self._log_cold_factor
--- a/sardineproxy/process/shards/times.py
+++ b/sardineproxy/process/shards/times.py
@@ -59,6 +59,9 @@
     #: lease by as much.
     idle_pause_s: float = 15.0
 
+    #: Factor by which a task takes longer on a worker that is cold.
+    cold_overage: float = 1.0
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class ShardTiming:
--- a/sardineproxy/process/shards/workers.py
+++ b/sardineproxy/process/shards/workers.py
@@ -37,6 +37,9 @@
     #: Machine type and rack, for tasks that require or prefer one.
     labels: tuple[str, ...]
 
+    #: How much longer the worker is slow after its start, in seconds.
+    cold_left_s: float = 0
+
 
 class Refusal(enum.Enum):
     """Reason why a worker refused an order or a poll."""
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -53,6 +53,19 @@
     return submissions.decode_job(JOB_ID, json.dumps(document).encode())
 
 
+class TestColdWorkers(testtools.TestCase):
+    def test_cold_time_may_be_absent(self) -> None:
+        """Guards against a worker that is not used on such a platform."""
+        entry = samples.worker_entry(cold_left_ms=2500)
+        self.assertEqual(
+            2.5, worker_entries.decode(_row(entry)).ok_value.cold_left_s
+        )
+        entry.pop('cold_left_ms')
+        self.assertEqual(
+            0, worker_entries.decode(_row(entry)).ok_value.cold_left_s
+        )
+
+
 class TestEvacuations(testtools.TestCase):
     def test_row_names_a_zone_whatever_its_value(self) -> None:
         """Guards against an evacuation that is missed for its value."""
--- a/tests/process/shards/test_evacuation.py
+++ b/tests/process/shards/test_evacuation.py
@@ -1,6 +1,7 @@
 """Waiting and running tasks of a shard whose zone is evacuated."""
 
 import asyncio
+from typing import Any
 
 import testtools
 from testtools import matchers
@@ -8,7 +9,7 @@
 from sardineproxy import ids
 from sardineproxy.process.membership import evacuations
 from sardineproxy.process.shards import shard as shards
-from sardineproxy.process.shards import workers
+from sardineproxy.process.shards import times, workers
 from sardineproxy.standin import worker_model
 from tests.process.shards import samples
 
@@ -19,6 +20,12 @@
     leader.set_evacuation(evacuations.Status.EVACUATED, rig.clock.now())
 
 
+def _speed_of(leader: shards.ShardLeader, rig: samples.Rig) -> float:
+    workers_state: Any = leader.state(rig.clock.now())['workers']
+    speed: float = workers_state[0]['health']['speed']
+    return speed
+
+
 def _long_work(task: workers.TaskName, run: int) -> worker_model.Work:
     return samples.typical_work(task, run, 30)
 
@@ -161,6 +168,75 @@
         samples.with_rig(scenario, work_of=_long_work)
 
 
+class TestColdWorkers(testtools.TestCase):
+    CFG = times.ShardTiming(calls=times.CallTiming(cold_overage=1.5))
+
+    def test_cold_workers_get_tasks_in_steps(self) -> None:
+        """Guards against a zone whose first tasks are all late together."""
+
+        async def scenario(rig: samples.Rig) -> None:
+            leader = await rig.lead_and_sync()
+            evacuate(rig, leader)
+            await asyncio.sleep(1)
+            leader.set_evacuation(evacuations.Status.OPEN, rig.clock.now())
+            counts = []
+            for _ in range(5):
+                counts.append(leader.count_startable_tasks())
+                await asyncio.sleep(0.55)
+            self.assertEqual([2, 4, 6, 8, 8], counts)
+
+        samples.with_rig(scenario, count=4, cold_left_s=60, cfg=self.CFG)
+
+    def test_warm_workers_get_tasks_at_once(self) -> None:
+        """Guards against idle workers for which no reason exists."""
+
+        async def scenario(rig: samples.Rig) -> None:
+            leader = await rig.lead_and_sync()
+            evacuate(rig, leader)
+            await asyncio.sleep(1)
+            leader.set_evacuation(evacuations.Status.OPEN, rig.clock.now())
+            self.assertEqual(8, leader.count_startable_tasks())
+
+        samples.with_rig(scenario, count=4, cold_left_s=0.5, cfg=self.CFG)
+
+    def test_platform_without_an_overage_holds_no_worker(self) -> None:
+        """Guards against an effect on a deployment that does not ask for it."""
+
+        async def scenario(rig: samples.Rig) -> None:
+            leader = await rig.lead_and_sync()
+            evacuate(rig, leader)
+            leader.set_evacuation(evacuations.Status.OPEN, rig.clock.now())
+            self.assertEqual(8, leader.count_startable_tasks())
+            self.assertEqual(1, _speed_of(leader, rig))
+
+        samples.with_rig(scenario, count=4, cold_left_s=60)
+
+    def test_speed_of_a_cold_worker_rises_when_it_is_warm(self) -> None:
+        """Guards against tasks that are late because a worker is cold.
+
+        The run times on the cold worker must not count as those of a slow one
+        afterwards.
+        """
+
+        async def scenario(rig: samples.Rig) -> None:
+            leader = await rig.lead_and_sync()
+            self.assertAlmostEqual(1 / 1.5, _speed_of(leader, rig), 2)
+            link = samples.FakeLink()
+            for number in range(4):
+                submit = samples.make_submit(f'j{number}', slack_s=1.0)
+                leader.submit(link, submit, rig.clock.now())
+                await asyncio.sleep(0.4)
+            await asyncio.sleep(1)
+            self.assertAlmostEqual(1, _speed_of(leader, rig), 1)
+
+        samples.with_rig(
+            scenario,
+            work_of=lambda task, run: samples.typical_work(task, run, 0.3),
+            cold_left_s=2,
+            cfg=self.CFG,
+        )
+
+
 class TestReport(testtools.TestCase):
     def test_evacuated_shard_reports_no_capacity(self) -> None:
         """Guards against tasks that other leaders move into the zone."""
