Bound what uncontrolled clients make a node process hold

Cause: an unfinished header line, many small pieces of a body, pipelined bodies and unread replies were held without a common bound, the number of connections was not bounded, and a frame of 8 MB was buffered before a peer had named itself.

Links and streams accept 4,096 bytes as first frame and 128 peers that have not named themselves.

Ruled out: thresholds of mallopt.

--- a/sardineproxy/connection/codec.py
+++ b/sardineproxy/connection/codec.py
@@ -17,6 +17,14 @@
 #: Largest frame without its length prefix, in bytes.
 MAX_FRAME_BYTES = 8_388_608
 
+#: Largest first frame of a stream, in bytes: a few ids and numbers, of up to
+#: ``MAX_TEXT_CHARS`` characters each.
+MAX_FIRST_FRAME_BYTES = 4096
+
+#: Accepted streams whose first frame has not arrived; further ones are closed
+#: at once. More than the 97 entry VMs in use, which may all connect at once.
+MAX_UNIDENTIFIED = 128
+
 #: Largest number of elements of a list inside a frame.
 MAX_LIST_ITEMS = 100_000
 
@@ -217,19 +225,24 @@
         self._reader = reader
         self._buffer = bytearray()
 
+        #: Largest frame that is accepted, in bytes. A stream begins with a
+        #: small frame, before which nothing is known about the sender.
+        self._max_frame_bytes = MAX_FIRST_FRAME_BYTES
+
     async def read(self) -> result.Result[Envelope, str]:
         """Wait for a message; Err if the stream ended or is malformed."""
         while True:
             size = self._next_frame_size()
-            if size > MAX_FRAME_BYTES:
+            if size > self._max_frame_bytes:
                 return result.Err(
                     f'frame of {size} bytes is too large; '
-                    f'the limit is {MAX_FRAME_BYTES}'
+                    f'the limit is {self._max_frame_bytes}'
                 )
             end = _LENGTH_PREFIX.size + size
             if len(self._buffer) >= end:
                 body = bytes(self._buffer[_LENGTH_PREFIX.size : end])
                 del self._buffer[:end]
+                self._max_frame_bytes = MAX_FRAME_BYTES
                 return self._codec.decode(body)
             try:
                 chunk = await self._reader.read(_CHUNK_BYTES)
--- a/sardineproxy/platform/client_http.py
+++ b/sardineproxy/platform/client_http.py
@@ -6,16 +6,28 @@
 import result
 
 from sardineproxy import deployment, ids, logs
-from sardineproxy.connection import http_server
+from sardineproxy.connection import client_guard, http_server
 from sardineproxy.platform import submissions
 from sardineproxy.process.stored_jobs import job_manager
 from sardineproxy.request import jobs
 from sardineproxy.version import routes
 
-#: Limits of requests. The platform specifies 3 s for reading one.
-SERVER_CONFIG = http_server.ServerConfig(
-    max_body_bytes=submissions.MAX_BODY_BYTES, read_timeout_s=3
-)
+#: Time from the first byte of a request to its last, and time for which a
+#: connection may be idle, as the platform specifies them, in seconds.
+READ_TIMEOUT_S = 3
+IDLE_TIMEOUT_S = 15
+
+#: Connections of the listeners for checks and metrics. A few load balancers
+#: and collectors use them; the descriptors are part of the reserve.
+MAX_CHECK_CONNECTIONS = 64
+CHECK_BACKLOG = 16
+
+#: At the limit, the connection of a check that has been idle for this time is
+#: closed for a new one, in seconds. Checks and their replies are immediate.
+MIN_CHECK_IDLE_S = 0.5
+
+#: Headers that requests of clients, and of checks, are decoded from.
+KEPT_HEADERS = frozenset(('host', submissions.DEADLINE_HEADER.lower()))
 
 #: Response timeout of a request without a valid ``Deadline-Ms``, in seconds.
 DEFAULT_WAIT_S = 30.0
@@ -66,14 +78,32 @@
 class ClientServer:
     """HTTP server for clients and readiness checks."""
 
-    def __init__(self, *, request_handler: RequestHandler) -> None:
+    def __init__(
+        self,
+        *,
+        request_handler: RequestHandler,
+        guard: client_guard.ClientGuard,
+    ) -> None:
         """Create a server that passes requests to ``request_handler``."""
         self._request_handler = request_handler
         self._client_server = http_server.HttpServer(
-            handler=self._handle_request, cfg=SERVER_CONFIG
+            handler=self._handle_request,
+            cfg=http_server.ServerConfig(
+                listener='clients',
+                max_body_bytes=submissions.MAX_BODY_BYTES,
+                read_timeout_s=READ_TIMEOUT_S,
+                write_timeout_s=IDLE_TIMEOUT_S,
+                min_idle_s=IDLE_TIMEOUT_S,
+                max_connections=guard.limits.connections,
+                backlog=guard.limits.backlog,
+                kept_headers=KEPT_HEADERS,
+            ),
+            guard=guard,
         )
         self._readiness_server = http_server.HttpServer(
-            handler=self._handle_readiness_check, cfg=SERVER_CONFIG
+            handler=self._handle_readiness_check,
+            cfg=check_config('readiness'),
+            guard=guard,
         )
 
         #: Number of requests in progress.
@@ -187,6 +217,20 @@
         _LOG.info(message, extra={'path': req.path, 'host': req.host, **extra})
 
 
+def check_config(listener: str) -> http_server.ServerConfig:
+    """Return the limits of a listener for checks or metrics."""
+    return http_server.ServerConfig(
+        listener=listener,
+        max_body_bytes=0,
+        read_timeout_s=READ_TIMEOUT_S,
+        write_timeout_s=IDLE_TIMEOUT_S,
+        min_idle_s=MIN_CHECK_IDLE_S,
+        max_connections=MAX_CHECK_CONNECTIONS,
+        backlog=CHECK_BACKLOG,
+        kept_headers=frozenset(),
+    )
+
+
 def _wait_s(req: http_server.Request) -> float:
     """Return how long the client waits for a response, in seconds."""
     header = req.headers.get(submissions.DEADLINE_HEADER.lower())
--- a/sardineproxy/process/membership/links.py
+++ b/sardineproxy/process/membership/links.py
@@ -10,7 +10,7 @@
 import result
 
 from sardineproxy import background, clock, deployment, ids, logs
-from sardineproxy.connection import link, messages
+from sardineproxy.connection import codec, link, messages
 
 Accept = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
 Listen = Callable[[Accept, str, int], Awaitable[asyncio.Server]]
@@ -138,6 +138,9 @@
         self._connect = connect
         self._listen = listen
         self._server: asyncio.Server | None = None
+
+        #: Number of accepted connections without a greeting.
+        self._unidentified = 0
         self._targets: dict[deployment.Address, _Target] = {}
         self._tasks = background.Tasks()
         self._needed_vms: Collection[ids.VmId] | None = None
@@ -306,6 +309,10 @@
     async def _accept(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        if self._unidentified >= codec.MAX_UNIDENTIFIED:
+            writer.transport.abort()
+            return
+        self._unidentified += 1
         self._tasks.spawn(
             self._run(
                 link.Link(
@@ -352,7 +359,7 @@
     ) -> None:
         """Perform the handshake, then read from the link until it closes."""
         try:
-            greeting = await opened.handshake(self._identity)
+            greeting = await self._identify(opened)
             if isinstance(greeting, result.Err):
                 _LOG.info(
                     'Link handshake failed.',
@@ -370,6 +377,15 @@
             opened.abort()
             self._remove(opened)
 
+    async def _identify(
+        self, opened: link.Link
+    ) -> result.Result[messages.Greeting, str]:
+        try:
+            return await opened.handshake(self._identity)
+        finally:
+            if not opened.dialed:
+                self._unidentified -= 1
+
     def _add(self, opened: link.Link) -> None:
         peer = opened.peer
         for existing in list(self.open_links.get(peer.vm, ())):
--- a/sardineproxy/process/metrics.py
+++ b/sardineproxy/process/metrics.py
@@ -1,7 +1,7 @@
 """Counters and latency histograms in Prometheus text format."""
 
 import collections
-from typing import Iterator
+from typing import Callable, Iterator
 
 from hdrh import histogram
 
@@ -26,6 +26,9 @@
         """Create an empty registry."""
         self._counters: dict[tuple[str, Labels], int] = {}
 
+        #: Functions that return the present value of a gauge.
+        self._gauges: dict[str, Callable[[], int]] = {}
+
         #: Counts of durations that the histograms do not contain yet.
         self._pending: dict[tuple[str, Labels], collections.Counter[int]] = {}
         self._durations: dict[tuple[str, Labels], histogram.HdrHistogram] = {}
@@ -49,6 +52,10 @@
         dropped_bits = max(0, micros.bit_length() - PENDING_BITS)
         pending[micros >> dropped_bits << dropped_bits] += 1
 
+    def set_gauge(self, name: str, read: Callable[[], int]) -> None:
+        """Render the present value that ``read`` returns as ``name``."""
+        self._gauges[name] = read
+
     def counters(self) -> dict[str, int]:
         """Return all counters, for the state dump."""
         return {
@@ -64,6 +71,8 @@
         self._record_pending()
         for (name, labels), count in sorted(self._counters.items()):
             yield f'sardineproxy_{name}{_render_labels(labels)} {count}'
+        for gauge, read in sorted(self._gauges.items()):
+            yield f'sardineproxy_{gauge} {read()}'
         for (name, labels), durations in sorted(
             self._durations.items(), key=lambda entry: entry[0]
         ):
--- a/sardineproxy/process/node/service.py
+++ b/sardineproxy/process/node/service.py
@@ -7,7 +7,12 @@
 import result
 
 from sardineproxy import clock, deployment, ids, logs
-from sardineproxy.connection import admin_pages, http_server
+from sardineproxy.connection import (
+    admin_pages,
+    client_guard,
+    client_limits,
+    http_server,
+)
 from sardineproxy.platform import (
     configuration,
     client_http,
@@ -72,14 +77,22 @@
                 metrics=metrics.Metrics(),
             ),
         )
+        guard = client_guard.ClientGuard(
+            limits=client_limits.derive_limits(
+                memory_bytes=cfg.memory_bytes, max_fds=cfg.max_fds
+            ),
+            metrics=self._node.metrics,
+        )
         self._client_server = client_http.ClientServer(
-            request_handler=_RequestHandler(node=self._node)
+            request_handler=_RequestHandler(node=self._node), guard=guard
         )
         self._admin_pages = admin_pages.AdminPages(
             process=self._node, metrics=self._node.metrics
         )
         self._admin_server = http_server.HttpServer(
-            handler=self._show_admin_page, cfg=client_http.SERVER_CONFIG
+            handler=self._show_admin_page,
+            cfg=client_http.check_config('metrics'),
+            guard=guard,
         )
 
     async def start(self) -> result.Result[None, str]:
--- a/sardineproxy/process/streams.py
+++ b/sardineproxy/process/streams.py
@@ -8,7 +8,7 @@
 import result
 
 from sardineproxy import ids, logs
-from sardineproxy.connection import frames, peer
+from sardineproxy.connection import codec, frames, peer
 from sardineproxy.process import neighbors
 
 Accept = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
@@ -94,6 +94,9 @@
         self._listen = listen
         self._events = events
         self._server: asyncio.Server | None = None
+
+        #: Number of accepted connections without a Hello.
+        self._unidentified = 0
         self._tasks: set[asyncio.Task[object]] = set()
         self._dialing: set[ids.VmId] = set()
         self._retries: dict[ids.VmId, _Retry] = {}
@@ -178,6 +181,10 @@
     async def _accept(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        if self._unidentified >= codec.MAX_UNIDENTIFIED:
+            writer.transport.abort()
+            return
+        self._unidentified += 1
         self._spawn(
             self._run_stream(
                 peer.Stream(
@@ -239,7 +246,11 @@
     async def _handshake(
         self, stream: peer.Stream, expected: ids.VmId | None
     ) -> bool:
-        received = await stream.handshake()
+        try:
+            received = await stream.handshake()
+        finally:
+            if not stream.dialed:
+                self._unidentified -= 1
         if isinstance(received, result.Err):
             self._reject(stream, received.err_value)
             return False
--- a/tests/platform/test_client_http.py
+++ b/tests/platform/test_client_http.py
@@ -8,7 +8,9 @@
 import testtools
 
 from sardineproxy import deployment, ids
+from sardineproxy.connection import client_guard, client_limits
 from sardineproxy.platform import configuration, client_http
+from sardineproxy.process import metrics
 from sardineproxy.process.stored_jobs import job_manager
 from sardineproxy.request import jobs
 from sardineproxy.version import routes
@@ -102,7 +104,15 @@
         ports = vm.free_ports('127.0.0.1')
         rig.port = ports[0]
         rig.ready_port = ports[1]
-        server = client_http.ClientServer(request_handler=rig)
+        server = client_http.ClientServer(
+            request_handler=rig,
+            guard=client_guard.ClientGuard(
+                limits=client_limits.derive_limits(
+                    memory_bytes=160_000_000, max_fds=1638
+                ),
+                metrics=metrics.Metrics(),
+            ),
+        )
         await server.start(
             deployment.Address(host='127.0.0.1', port=rig.port),
             deployment.Address(host='127.0.0.1', port=rig.ready_port),
