Move waiting tasks, and take tasks back from lost shards

Tasks were offered to other shards only on submission, so that tasks whose workers were lost waited for good. A moved task was submitted to leaders of its new shard only, so that it never started again once that zone was lost.

Ruled out: a forecast of run ends as a condition of a move (it does not know which worker a task needs, and takes a hung run for one that ends now); a hard bound on moves (strands tasks); taking tasks back at once (a partitioned leader still runs them), or after an inquiry through the store (nothing comes back without the store).

A leader starts no stored task whose manager has no link, and drops it after 6 s; the manager takes it back after 9.5 s. New message WithdrawTasks (appended): withdraws a task that has ended elsewhere, before its end is stored. A coordinator without a link to the suggested leader leaves the tasks where they were, instead of ending the job.

--- a/sardineproxy/connection/messages.py
+++ b/sardineproxy/connection/messages.py
@@ -328,6 +328,21 @@
     authority: Authority = codec.checked_field(_is_authority)
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class WithdrawTasks:
+    """Withdraws tasks of a stored job that have ended in another shard."""
+
+    shard: ids.ShardId = codec.checked_field(codec.text)
+    job: ids.JobId = codec.checked_field(codec.text)
+    step: int = codec.checked_field(codec.count)
+    indices: tuple[int, ...] = codec.checked_field(codec.counts)
+
+    #: Authority of the job manager that sends it.
+    authority: Authority = codec.checked_field(
+        _is_authority, default=NO_AUTHORITY
+    )
+
+
 Message = (
     Greeting
     | Heartbeat
@@ -348,6 +363,7 @@
     | JobResponse
     | EvacuatedZones
     | OutdatedAuthority
+    | WithdrawTasks
 )
 
 #: The position is the type number on the wire; only append.
@@ -371,6 +387,7 @@
     JobResponse,
     EvacuatedZones,
     OutdatedAuthority,
+    WithdrawTasks,
 )
 
 CODEC = codec.Codec(*MESSAGE_TYPES)
--- a/sardineproxy/process/node/led_shards.py
+++ b/sardineproxy/process/node/led_shards.py
@@ -180,11 +180,19 @@
         else:
             leader.submit(source, message, now)
 
-    def withdraw(self, source: link.Link, message: messages.Withdraw) -> None:
-        """Withdraw a job's tasks from a shard, if it is led here."""
+    def withdraw(
+        self,
+        source: link.Link,
+        message: messages.Withdraw | messages.WithdrawTasks,
+    ) -> None:
+        """Withdraw tasks of a job from a shard, if it is led here."""
         leader = self.shards.get(message.shard)
-        if leader is not None and self._is_authorized(source, message):
+        if leader is None or not self._is_authorized(source, message):
+            return
+        if isinstance(message, messages.Withdraw):
             leader.withdraw(source, message.job)
+        else:
+            leader.withdraw_tasks(source, message)
 
     def acknowledge_results(
         self, source: link.Link, message: messages.ResultsStored
--- a/sardineproxy/process/node/node.py
+++ b/sardineproxy/process/node/node.py
@@ -294,7 +294,7 @@
                 self.led_shards.acknowledge_results(source, message)
             case messages.Submit():
                 self.led_shards.submit(source, message, self._clock.now())
-            case messages.Withdraw():
+            case messages.Withdraw() | messages.WithdrawTasks():
                 self.led_shards.withdraw(source, message)
             case messages.RunEnded() | messages.Declined():
                 self.active_jobs.deliver(source, message)
--- a/sardineproxy/process/shards/agent.py
+++ b/sardineproxy/process/shards/agent.py
@@ -155,6 +155,11 @@
             and self._lease.has_expired(now)
         )
 
+    @property
+    def is_listed(self) -> bool:
+        """Return whether the newest list contains the worker."""
+        return self._listing is listing.Listing.LISTED
+
     @property
     def may_extend_lease(self) -> bool:
         """Return whether the lease of the worker's runs may be extended."""
--- a/sardineproxy/process/shards/backlog.py
+++ b/sardineproxy/process/shards/backlog.py
@@ -1,6 +1,6 @@
 """Queue of a shard's tasks, and the replies to their coordinators."""
 
-from typing import Callable
+from typing import Callable, Iterable
 
 from sardineproxy import clock, ids, logs
 from sardineproxy.connection import link, messages
@@ -248,6 +248,19 @@
             if task.run is not None:
                 stop(task.run)
 
+    def drop_tasks(
+        self,
+        batch: runs.Batch,
+        indices: Iterable[int],
+        stop: Callable[[runs.Run], None],
+    ) -> None:
+        """Remove tasks of a batch and call ``stop`` for each of their runs."""
+        for index in batch.tasks.keys() & set(indices):
+            task = batch.remove_task(index)
+            if task.run is not None:
+                stop(task.run)
+        self._remove_if_empty(batch)
+
     def send_result(
         self,
         batch: runs.Batch,
--- a/sardineproxy/process/shards/intake.py
+++ b/sardineproxy/process/shards/intake.py
@@ -67,6 +67,14 @@
                 self._scheduler.drop(batch, 'withdrawn')
         self._takeover.discard(source, job)
 
+    def withdraw_tasks(
+        self, source: link.Link, message: messages.WithdrawTasks
+    ) -> None:
+        """Drop some tasks of a job and stop their runs."""
+        batch = self._backlog.get((message.job, message.step))
+        if batch is not None and batch.link is source:
+            self._scheduler.drop_tasks(batch, message.indices)
+
     def _reattach(
         self,
         batch: runs.Batch,
--- a/sardineproxy/process/shards/manager_tokens.py
+++ b/sardineproxy/process/shards/manager_tokens.py
@@ -19,7 +19,12 @@
 _LOG = logs.get_logger('cell')
 
 #: Messages with the authority of a job manager.
-ManagerMessage = messages.Submit | messages.Withdraw | messages.ResultsStored
+ManagerMessage = (
+    messages.Submit
+    | messages.Withdraw
+    | messages.WithdrawTasks
+    | messages.ResultsStored
+)
 
 
 class ManagerTokens:
--- a/sardineproxy/process/shards/scheduler.py
+++ b/sardineproxy/process/shards/scheduler.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 import math
-from typing import Mapping, Protocol
+from typing import Iterable, Mapping, Protocol
 
 from sardineproxy import ids, logs
 from sardineproxy.connection import messages
@@ -195,6 +195,19 @@
             for batch in self._queue.pop_due(now):
                 self._check_late(batch, now)
 
+    def waiting_batches(self) -> list[runs.Batch]:
+        """Return the batches with waiting tasks, the most urgent first."""
+        return self._queue.all()
+
+    def movable_class(
+        self, batch: runs.Batch, now: float
+    ) -> free_capacity.TaskClass:
+        """Return what the tasks of a batch need elsewhere to be on time."""
+        return free_capacity.task_class(
+            batch,
+            placement.required_speed(batch, self._pool.fastest_speed, now),
+        )
+
     def refresh(self, now: float) -> None:
         """Check the workers that were not usable, and start what fits.
 
@@ -223,20 +236,16 @@
             now=now,
         )
 
-    def refer_all(self, now: float) -> None:
-        """Refer waiting tasks of a zone without usable workers.
-
-        Also those that may not be moved otherwise: nothing can start here.
-        """
-        for batch in self._queue.all():
-            if not self._pool.count_startable(batch.resources.millicores, 1):
-                self._refer_excess(batch, now)
-
     def drop(self, batch: runs.Batch, cause: str) -> None:
         """Remove a batch and stop its runs."""
         self._backlog.drop(batch, cause, self._stop)
         self._queue.discard(batch)
 
+    def drop_tasks(self, batch: runs.Batch, indices: Iterable[int]) -> None:
+        """Remove some tasks of a batch and stop their runs."""
+        self._backlog.drop_tasks(batch, indices, self._stop)
+        self._queue.update(batch)
+
     def drop_expired(self, now: float) -> None:
         """Drop unstored batches whose clients no longer wait.
 
@@ -299,6 +308,10 @@
             ends_per_s=self._ends.ends_per_s(),
             now=now,
         )
+        if batch.pinned:
+            self._metrics.count(
+                'moved_tasks_declined_total', batch.waiting_count
+            )
         self._backlog.decline(
             batch,
             batch.waiting(),
@@ -314,7 +327,7 @@
         """
         if self.permissions.zone_status is evacuations.Status.EVACUATED:
             return
-        task = self._movable_class(batch, now)
+        task = self.movable_class(batch, now)
         for shard, free_count in self._other_capacities(
             task, batch, now
         ).items():
@@ -333,15 +346,6 @@
             )
             self._queue.update(batch)
 
-    def _movable_class(
-        self, batch: runs.Batch, now: float
-    ) -> free_capacity.TaskClass:
-        """Return what the tasks of a batch need elsewhere to be on time."""
-        return free_capacity.task_class(
-            batch,
-            placement.required_speed(batch, self._pool.fastest_speed, now),
-        )
-
     def _other_capacities(
         self, task: free_capacity.TaskClass, batch: runs.Batch, now: float
     ) -> dict[ids.ShardId, int]:
@@ -363,7 +367,10 @@
             return False
         if permissions.zone_status is not evacuations.Status.OPEN:
             return False
-        return permissions.is_leadership_confirmed or not batch.stored
+        if not batch.stored:
+            return True
+        # A job manager without a link may take the tasks back in time.
+        return permissions.is_leadership_confirmed and batch.link is not None
 
     def _place(self, batch: runs.Batch, now: float) -> None:
         """Start the waiting tasks of a batch for which there is capacity."""
--- a/sardineproxy/process/shards/shard.py
+++ b/sardineproxy/process/shards/shard.py
@@ -15,6 +15,7 @@
     intake,
     listing,
     manager_tokens,
+    mover,
     scheduler,
     shard_capacities,
     runs,
@@ -36,7 +37,10 @@
 
 
 class ShardContext(
-    scheduler.WorkerListStatus, stored_results.JobManagers, Protocol
+    scheduler.WorkerListStatus,
+    stored_results.JobManagers,
+    mover.WorkerLists,
+    Protocol,
 ):
     """State of the rest of the process that a shard leader depends on."""
 
@@ -131,6 +135,16 @@
             metrics=metrics,
             cfg=cfg,
         )
+        self._mover = mover.Mover(
+            shard=shard,
+            agents=self._agents,
+            backlog=self._backlog,
+            scheduler=self._scheduler,
+            capacities=capacities,
+            worker_lists=context,
+            metrics=metrics,
+            cfg=cfg,
+        )
         self._intake = intake.Intake(
             backlog=self._backlog,
             scheduler=self._scheduler,
@@ -199,6 +213,12 @@
         """Drop all tasks of a job and stop their runs."""
         self._intake.withdraw(source, job)
 
+    def withdraw_tasks(
+        self, source: link.Link, message: messages.WithdrawTasks
+    ) -> None:
+        """Drop tasks that have ended elsewhere, and stop their runs."""
+        self._intake.withdraw_tasks(source, message)
+
     def link_lost(self, lost_link: link.Link, now: float) -> None:
         """Detach a coordinator's batches.
 
@@ -261,8 +281,7 @@
         self._scheduler.refresh(now)
         self._scheduler.check_queue(now)
         self._evacuation.tick(now)
-        if self._takeover.has_unlisted_runs:
-            self._scheduler.refer_all(now)
+        self._mover.tick(now)
 
     def check_queue(self, now: float) -> None:
         """Decline or drop the tasks that are late."""
--- a/sardineproxy/process/shards/stored_results.py
+++ b/sardineproxy/process/shards/stored_results.py
@@ -114,8 +114,11 @@
         """Return whether a detached batch was not submitted again in time.
 
         For a stored job, the time counts from the loading of its home shard's
-        jobs at the earliest.
+        jobs at the earliest. Its manager takes the tasks back some time after
+        ``DETACHED_S``, so that they are dropped then in any case.
         """
+        if now >= batch.detached_at + times.DETACHED_S:
+            return True
         waiting_since = batch.detached_at
         if batch.stored:
             manager = self._job_managers.find_manager(batch.job)
--- a/sardineproxy/process/shards/times.py
+++ b/sardineproxy/process/shards/times.py
@@ -5,6 +5,18 @@
 
 import dataclasses
 
+#: A stored job's tasks in another shard are dropped this long after the link to
+#: their job manager was lost, in seconds. A new leader of the home shard loads
+#: its jobs within 3 s, or later than after 3.5 s if its zone is lost. All
+#: processes must agree on this time, so that it is no setting.
+DETACHED_S = 6.0
+
+#: A job manager takes tasks back that have been without a leader for this long,
+#: in seconds. Beyond ``DETACHED_S`` it allows 1.7 s until the shard's leader
+#: closes its end of the link, 1.1 s for leases on unresponsive workers, and
+#: 0.7 s for stops and late ticks.
+TAKE_BACK_S = DETACHED_S + 3.5
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class CallTiming:
@@ -93,6 +105,12 @@
     #: A coordinator's runs are stopped this long after its link was lost.
     orphan_s: float = 0.3
 
+    #: Waiting time after which a task is offered to other shards again, and
+    #: that of a stored job's task that was moved, resumed or retried before. It
+    #: doubles with each further move.
+    move_wait_s: float = 0.3
+    moved_wait_s: float = 1.0
+
     #: Retention time of results for jobs that are submitted again. A client
     #: retries 1.3 s after a failure, and delayed duplicates of a request
     #: arrive seconds later.
--- a/sardineproxy/process/stored_jobs/execution.py
+++ b/sardineproxy/process/stored_jobs/execution.py
@@ -7,7 +7,11 @@
 
 from sardineproxy import clock, ids, logs
 from sardineproxy.connection import link, messages
-from sardineproxy.process.stored_jobs import records, job_table
+from sardineproxy.process.stored_jobs import (
+    job_table,
+    leaderless_tasks,
+    records,
+)
 from sardineproxy.request import jobs, open_tasks
 from sardineproxy.version import routes
 
@@ -53,6 +57,11 @@
     shard: ids.ShardId
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class _TakeBackDue:
+    """Tasks may have been without a leader for ``TAKE_BACK_S``."""
+
+
 Event = (
     open_tasks.FromLeader
     | open_tasks.LeaderLost
@@ -60,6 +69,7 @@
     | CancelRequested
     | AuthorityConfirmed
     | _ShardChangeStored
+    | _TakeBackDue
 )
 
 
@@ -117,6 +127,7 @@
         )
         self._waiting_steps = set(range(len(stored_job.job.steps)))
         self._done_steps: set[int] = set()
+        self._leaderless = leaderless_tasks.LeaderlessTasks()
 
         #: Finished runs that were recorded but are not yet part of a commit.
         self._unacknowledged: list[_FinishedRun] = []
@@ -136,6 +147,7 @@
     def start(self) -> None:
         """Send the tasks of all steps that do not wait for others."""
         self._start_ready_steps()
+        self._await_leaders()
 
     def post_event(self, event: Event) -> None:
         """Queue an event for ``run``."""
@@ -282,12 +294,18 @@
             case AuthorityConfirmed():
                 for unassigned in self._open_tasks.unassigned_shards():
                     self._open_tasks.resume(unassigned, job_started=True)
+                self._await_leaders()
             case open_tasks.LeaderLost(shard=shard):
                 self._resubmit(event.former_leader, shard)
+                self._await_leaders()
             case open_tasks.LeaderFound(shard=shard):
                 self._open_tasks.resume(shard, job_started=True)
+                self._await_leaders()
             case _ShardChangeStored(tasks=tasks, shard=shard):
                 self._send_to_new_shard(tasks, shard)
+                self._await_leaders()
+            case _TakeBackDue():
+                self._take_back()
 
     def _resubmit(self, former_leader: link.Link, shard: ids.ShardId) -> None:
         """Submit the tasks that are assigned to a link again."""
@@ -362,12 +380,18 @@
             # A repeated report: the acknowledgement did not reach the worker.
             return False
         if task_result is jobs.TaskResult.DONE:
-            self._record_success(key)
+            self._record_success(key, ended.shard)
             return False
         return self._record_failure(key, ended.run)
 
-    def _record_success(self, key: open_tasks.TaskKey) -> None:
+    def _record_success(
+        self, key: open_tasks.TaskKey, source_shard: ids.ShardId
+    ) -> None:
         """Record a success, also of a task that a former leader sent."""
+        task = self._open_tasks.get(key)
+        if task is not None and task.shard != source_shard:
+            # It must not start there after its end is stored.
+            self._open_tasks.withdraw_task(task)
         self._progress.record_success(key)
         if self._open_tasks.get(key) is not None and self._open_tasks.close(
             key
@@ -398,19 +422,71 @@
         if task is not None:
             self._restore_progress(task)
             self._open_tasks.send([task], pinned=True, job_started=True)
+            self._await_leaders()
 
     def _handle_declined(
         self, source: link.Link, declined: messages.Declined
     ) -> None:
-        """Move declined tasks to the suggested shard, else to the home shard.
-
-        The new shard is stored before the tasks are sent, so that the next
-        leader resumes them in that shard.
-        """
+        """Move declined tasks to the suggested shard, else to the home shard."""
         tasks = self._open_tasks.declined_by(source, declined)
         if not tasks:
             return
-        new_shard = ids.ShardId(declined.suggested_shard or self._home_shard)
+        new_shard = ids.ShardId(declined.suggested_shard)
+        # No leader is found while the authority of the job manager is in doubt.
+        is_unlinked = (
+            self._table.is_confirmed
+            and self._router.leader_link(new_shard) is None
+        )
+        if not new_shard or is_unlinked:
+            new_shard = self._home_shard
+        self._move_once_stored(tasks, new_shard)
+
+    def _await_leaders(self) -> None:
+        """Take tasks back that stay without a leader in another shard.
+
+        The leader of that shard may be alive, but it drops them before. While
+        the authority of the job manager is in doubt, tasks are unassigned
+        although their shard has a leader.
+        """
+        now = self._clock.now()
+        self._leaderless.update(
+            (
+                task
+                for task in self._open_tasks.all()
+                if task.shard != self._home_shard
+                and not task.is_moving
+                and self._table.is_confirmed
+            ),
+            now,
+        )
+        delay_s = self._leaderless.start_timer(now)
+        if delay_s is not None:
+            asyncio.get_running_loop().call_later(
+                delay_s, self.post_event, _TakeBackDue()
+            )
+
+    def _take_back(self) -> None:
+        self._leaderless.stop_timer()
+        tasks = self._leaderless.due(self._clock.now())
+        if tasks:
+            _LOG.warning(
+                'Tasks taken back from a shard without a leader.',
+                extra={
+                    'job': self.stored_job.job.job_id,
+                    'cells': sorted({task.shard for task in tasks}),
+                    'tasks': [task.key for task in tasks],
+                },
+            )
+            self._move_once_stored(tasks, self._home_shard)
+        self._await_leaders()
+
+    def _move_once_stored(
+        self, tasks: list[open_tasks.OpenTask], new_shard: ids.ShardId
+    ) -> None:
+        """Move tasks of one or more steps after the new shard is stored.
+
+        The next job manager then resumes them in that shard.
+        """
         for task in tasks:
             self._progress.moved[task.key] = new_shard
             task.leader = None
@@ -423,10 +499,11 @@
     def _send_to_new_shard(
         self, tasks: tuple[open_tasks.OpenTask, ...], shard: ids.ShardId
     ) -> None:
-        remaining = [
-            task for task in tasks if self._open_tasks.get(task.key) is task
-        ]
-        if remaining:
+        by_step: dict[int, list[open_tasks.OpenTask]] = {}
+        for task in tasks:
+            if self._open_tasks.get(task.key) is task:
+                by_step.setdefault(task.step, []).append(task)
+        for remaining in by_step.values():
             self._open_tasks.move(
                 remaining, shard, job_started=self.has_started
             )
--- a/sardineproxy/request/coordinator.py
+++ b/sardineproxy/request/coordinator.py
@@ -254,6 +254,9 @@
         if suggested and suggested not in self._declined_by:
             if self._router.leader_link(suggested) is not None:
                 return suggested
+            if not was_moved:
+                # This VM has no link to that leader: the tasks stay.
+                return declined.shard
         if not was_moved:
             return None
         default_shard = self._router.default_shard()
--- a/sardineproxy/request/open_tasks.py
+++ b/sardineproxy/request/open_tasks.py
@@ -276,6 +276,19 @@
             if not task.is_moving and _is_lost(task.leader, leaders[task.shard])
         }
 
+    def withdraw_task(self, task: OpenTask) -> None:
+        """Withdraw one task from its leader, if it has one."""
+        if task.leader is not None:
+            task.leader.send(
+                messages.WithdrawTasks(
+                    shard=task.shard,
+                    job=self.job.job_id,
+                    step=task.step,
+                    indices=(task.index,),
+                    authority=self._authority(),
+                )
+            )
+
     def withdraw(self, authority: messages.Authority | None = None) -> None:
         """Withdraw the job from all leaders and drop its open tasks.
 
--- a/tests/process/node/test_led_shards.py
+++ b/tests/process/node/test_led_shards.py
@@ -23,7 +23,7 @@
 
 _Reply = job_manager.JobReply
 
-OTHER_SHARD = ids.ShardId('other')
+OTHER_SHARD = ids.ShardId('z2')
 
 
 class Rig:
@@ -92,7 +92,12 @@
         return stored_job.job.job_id
 
     async def move_task(self, job: ids.JobId) -> None:
-        """Let the home shard's leader refer the job's task to another shard."""
+        """Let the home shard's leader refer the job's task to another shard.
+
+        The link to the leader of that shard is lost afterwards.
+        """
+        other = self.open_link()
+        await asyncio.sleep(0.2)
         self.node.received(
             self.node.leader_link(self.shard),  # type: ignore[arg-type]
             messages.Declined(
@@ -107,6 +112,7 @@
             ),
         )
         await asyncio.sleep(0.2)
+        self.close_link(other)
 
     def open_link(self) -> Any:
         """Open a link to the leader of another shard."""
@@ -122,6 +128,13 @@
         )
         return opened
 
+    def close_link(self, closed: Any) -> None:
+        """Close the link to the leader of another shard."""
+        links: Any = self.node.links
+        links.open_links.pop('other-vm')
+        closed.timed_out = False
+        self.node.closed(closed)
+
     async def query(self, job: ids.JobId) -> job_manager.JobReply:
         return await self.node.job_service.query(job, 3)
 
--- a/tests/process/shards/samples.py
+++ b/tests/process/shards/samples.py
@@ -184,6 +184,7 @@
         )
         self.superseded_shards: list[shards.ShardLeader] = []
         self.capacities = shard_capacities.ShardCapacities()
+        self.listed_elsewhere: dict[str, list[workers.Worker]] = {}
         self.unstored_manager = UnstoredJobManager()
         self.shards = self.unstored_manager.shards
         self._tick_tasks: list[asyncio.Task[None]] = []
@@ -197,6 +198,9 @@
     def is_worker_list_available(self) -> bool:
         return True
 
+    def workers_of(self, shard: ids.ShardId) -> list[workers.Worker]:
+        return self.listed_elsewhere.get(shard, [])
+
     def find_manager(self, job: ids.JobId) -> loaded_shards.LoadedShard | None:
         return loaded_shards.LoadedShard(vm=ids.VmId('vm-1'), since=0)
 
--- a/tests/process/stored_jobs/cluster.py
+++ b/tests/process/stored_jobs/cluster.py
@@ -213,6 +213,9 @@
     def is_worker_list_available(self) -> bool:
         return True
 
+    def workers_of(self, shard: ids.ShardId) -> list[workers.Worker]:
+        return []
+
     def default_shard(self) -> ids.ShardId | None:
         return samples.SHARD
 
