A lost link to the home leader no longer starts a job in another zone

Cause: a VM whose link to its zone's leader was reset chose another zone's shard at once.

Ruled out: to wait in the coordinator with unassigned tasks, which are then sent as pinned and end with 504 without a leader.

Change: jobs that arrive after the loss of the home shard's leader wait until it is found again, or until the leases of its runs have expired (1.07 s). A job that can no longer be on time by then is refused as not run, and one at a VM without any leader is refused at once, as before. A link that was lost long before the first request was reset is not covered.

Result: 2 of the 4 new tests fail on the code before.

--- a/sardineproxy/process/node/job_intake.py
+++ b/sardineproxy/process/node/job_intake.py
@@ -1,8 +1,11 @@
 """Handles clients' jobs at one node, from arrival to reply."""
 
+import asyncio
+
 from sardineproxy import clock, ids, logs
 from sardineproxy.process import metrics
 from sardineproxy.process.stored_jobs import job_service, job_manager, records
+from sardineproxy.process.node import home_leader
 from sardineproxy.request import active_jobs, coordinator, jobs, open_tasks
 from sardineproxy.version import active_config, routes
 
@@ -10,6 +13,9 @@
 #: as other VMs can accept the job immediately.
 DRAINING_RETRY_S = 1.0
 
+#: Interval at which a job that waits for a leader checks for it, in seconds.
+LEADER_CHECK_S = 0.01
+
 _LOG = logs.get_logger('node')
 
 
@@ -29,14 +35,20 @@
         versions: active_config.ActiveConfig,
         clock: clock.Clock,
         metrics: metrics.Metrics,
+        leader_wait_s: float,
     ) -> None:
-        """Create an instance that registers jobs in ``active_jobs``."""
+        """Create an instance that registers jobs in ``active_jobs``.
+
+        ``leader_wait_s`` seconds after the loss of a leader its runs have
+        ended.
+        """
         self._job_service = job_service
         self._active_jobs = active_jobs
         self._router = router
         self._versions = versions
         self._clock = clock
         self._metrics = metrics
+        self.home_leader = home_leader.HomeLeader(wait_s=leader_wait_s)
 
         #: Local time at which the process ends, None unless it shuts down.
         self.shutdown_at: float | None = None
@@ -140,6 +152,11 @@
         deadline = now + wait_s
         if self.shutdown_at is not None:
             deadline = min(deadline, self.shutdown_at)
+        refusal = await self._wait_for_leader(
+            min(deadline, now + route.time_limit_s(job.total_estimate_s))
+        )
+        if refusal is not None:
+            return refusal
         return await self._active_jobs.run(
             coordinator.Coordinator(
                 job=job,
@@ -150,3 +167,20 @@
                 deadline=deadline,
             )
         )
+
+    async def _wait_for_leader(self, until: float) -> jobs.Outcome | None:
+        """Wait for a lost leader of the home shard before others are used.
+
+        Returns a refusal if the wait lasts beyond ``until``.
+        """
+        while True:
+            now = self._clock.now()
+            remaining_s = self.home_leader.remaining_wait_s(now)
+            if not remaining_s or self._router.default_shard() is None:
+                return None
+            if now >= until:
+                return jobs.NotRun(
+                    detail='no link to the leader of the shard',
+                    retry_after_s=remaining_s,
+                )
+            await asyncio.sleep(LEADER_CHECK_S)
--- a/sardineproxy/process/node/node.py
+++ b/sardineproxy/process/node/node.py
@@ -175,6 +175,7 @@
             versions=self.versions,
             clock=self._clock,
             metrics=self.metrics,
+            leader_wait_s=node_policy.shard.calls.longest_lease_s,
         )
         self._stalls = stalls.StallDetector(
             tick_s=TICK_S,
@@ -539,6 +540,10 @@
 
     def _choose_leaders(self) -> None:
         change = self.leaders.choose(self.led_shards.tokens())
+        self.job_intake.home_leader.update(
+            has_leader=self.home_shard in self.leaders.by_shard,
+            now=self._clock.now(),
+        )
         for shard, vm in change.lost_shards.items():
             # ``step_down`` calls this method again; the nested call may have
             # stepped down from the remaining shards already.
--- a/sardineproxy/process/shards/lease.py
+++ b/sardineproxy/process/shards/lease.py
@@ -40,11 +40,7 @@
         The calculation assumes the slowest permitted worker clock, so that an
         order that is executed late finds its lease expired.
         """
-        self._expires_at = (
-            now
-            + self._cfg.lease_s * (1 + self._cfg.clock_error)
-            + self._cfg.travel_s
-        )
+        self._expires_at = now + self._cfg.longest_lease_s
         elapsed_s = (now - self._clock_read_at) * (1 - self._cfg.clock_error)
         return self._clock_ms + int((elapsed_s + self._cfg.lease_s) * _MS_PER_S)
 
--- a/sardineproxy/process/shards/times.py
+++ b/sardineproxy/process/shards/times.py
@@ -74,6 +74,11 @@
     #: Factor by which a task takes longer on a worker that is cold.
     cold_overage: float = 1.0
 
+    @property
+    def longest_lease_s(self) -> float:
+        """Return the local time after which a lease has certainly expired."""
+        return self.lease_s * (1 + self.clock_error) + self.travel_s
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class ShardTiming:
--- a/tests/process/node/test_node.py
+++ b/tests/process/node/test_node.py
@@ -1,13 +1,17 @@
-"""Job intake and readiness of a node that is shutting down."""
+"""Job intake and readiness: shutdown, and a lost leader."""
 
+import asyncio
 from typing import Any, Callable, Coroutine
 
 import testtools
 
+from sardineproxy import ids
+from sardineproxy.connection import messages
 from sardineproxy.process.node import node
 from sardineproxy.request import jobs
 from tests import virtual_time
 from tests.process.node import samples
+from tests.process.shards import samples as shard_samples
 
 
 def with_node(
@@ -52,3 +56,108 @@
             self.assertFalse(tested.is_ready())
 
         with_node(scenario)
+
+
+class TestLostLeader(testtools.TestCase):
+    """A job that is sent again while links are reset (reset-resend)."""
+
+    def test_job_waits_for_the_leader_of_its_zone(self) -> None:
+        """Guards against two runs of a task in two zones.
+
+        The first runs exist until the leader has stopped them. It has a link
+        again after a few milliseconds.
+        """
+
+        async def scenario(tested: node.Node) -> None:
+            home = open_link(tested, 'home', tested.home_shard)
+            other = open_link(tested, 'other', ids.ShardId('z2'))
+            close_link(tested, home)
+            running = asyncio.create_task(run_job(tested, 3))
+            await asyncio.sleep(0.1)
+            self.assertEqual([], submissions(other))
+            reopened = open_link(tested, 'home', tested.home_shard)
+            await asyncio.sleep(0.1)
+            self.assertEqual(1, len(submissions(reopened)))
+            self.assertEqual([], submissions(other))
+            running.cancel()
+
+        with_node(scenario)
+
+    def test_other_shards_are_used_once_the_runs_have_ended(self) -> None:
+        """Guards against refusals for as long as a leader is unreachable."""
+
+        async def scenario(tested: node.Node) -> None:
+            home = open_link(tested, 'home', tested.home_shard)
+            other = open_link(tested, 'other', ids.ShardId('z2'))
+            close_link(tested, home)
+            await asyncio.sleep(1.2)
+            running = asyncio.create_task(run_job(tested, 3))
+            await asyncio.sleep(0.05)
+            self.assertEqual(1, len(submissions(other)))
+            running.cancel()
+
+        with_node(scenario)
+
+    def test_job_that_cannot_be_on_time_is_refused(self) -> None:
+        """Guards against a wait that is longer than the job's time limit."""
+
+        async def scenario(tested: node.Node) -> None:
+            home = open_link(tested, 'home', tested.home_shard)
+            open_link(tested, 'other', ids.ShardId('z2'))
+            started_at = virtual_time.LoopClock().now()
+            close_link(tested, home)
+            outcome = await run_job(tested, 3)
+            self.assertIsInstance(outcome, jobs.NotRun)
+            limit_s = samples.ROUTE.time_limit_s(0.3)
+            took_s = virtual_time.LoopClock().now() - started_at
+            self.assertLess(took_s, limit_s + 0.05)
+
+        with_node(scenario)
+
+    def test_job_without_any_leader_is_refused_at_once(self) -> None:
+        """Guards against a wait at a VM that has lost all links."""
+
+        async def scenario(tested: node.Node) -> None:
+            close_link(tested, open_link(tested, 'home', tested.home_shard))
+            started_at = virtual_time.LoopClock().now()
+            outcome = await run_job(tested, 3)
+            self.assertIsInstance(outcome, jobs.NotRun)
+            self.assertEqual(started_at, virtual_time.LoopClock().now())
+
+        with_node(scenario)
+
+
+async def run_job(tested: node.Node, wait_s: float) -> jobs.Outcome:
+    return await tested.job_intake.run(
+        samples.make_job(), samples.ROUTE, wait_s
+    )
+
+
+def open_link(tested: node.Node, vm: str, shard: ids.ShardId) -> Any:
+    """Open a link to a VM that leads a shard."""
+    opened: Any = shard_samples.FakeLink(vm)
+    opened.timed_out = False
+    opened.abort = lambda: None
+    links: Any = tested.links
+    links.open_links[vm] = [opened]
+    tested.opened(opened)
+    tested.received(
+        opened,
+        messages.Heartbeat(
+            version=0, shards=((shard, 1, 0, 5, True),), pending=()
+        ),
+    )
+    return opened
+
+
+def close_link(tested: node.Node, closed: Any) -> None:
+    """Close the only link to a VM."""
+    links: Any = tested.links
+    links.open_links.pop(closed.peer.vm)
+    tested.closed(closed)
+
+
+def submissions(link: Any) -> list[messages.Submit]:
+    return [
+        message for message in link.sent if isinstance(message, messages.Submit)
+    ]
