A job manager is confirmed by its successors, too

Cause: with a read of the store as the only confirmation, a manager that had found a new leader of another shard during an outage of the store would not have resumed its tasks there; and a new leader to which a link was open already raised no doubt.

Change: a leader that is found counts as a link that was opened. A message that arrives after the doubt from every successor and from the leaders of all other shards confirms the authority, as each of them would have reported a takeover.

Result: test_messages_of_all_successors_confirm is new; the tests of tests/process/node and of stored jobs pass.

--- a/sardineproxy/process/node/node.py
+++ b/sardineproxy/process/node/node.py
@@ -165,7 +165,7 @@
             metrics=self.metrics,
         )
         self._contact = leadership_contact.LeadershipContact(
-            is_connected=lambda vm: self.links.get(vm) is not None,
+            last_received_at=self._last_received_at,
             last_store_response_at=self._feeds.last_response_at,
         )
         self.job_intake = job_intake.JobIntake(
@@ -386,15 +386,7 @@
         Processes that could take over the shard would report that while they
         are connected. Otherwise the store must respond.
         """
-        return self._contact.confirmed_at(
-            shard,
-            successors=self._claimer.successors_of_claim(shard),
-            claimed_shards=set(self.registry.claims).intersection(
-                self.all_shards
-            ),
-            led_shards=self.leaders.by_shard,
-            now=now,
-        )
+        return self._check_contact(shard, now).confirmed_at
 
     def is_worker_list_available(self) -> bool:
         """Return whether the store currently serves the list of workers."""
@@ -461,7 +453,7 @@
         self._update_own_capacities(now)
         self.links.tick(now, self._heartbeat, is_late=is_late)
         self.led_shards.tick(now, may_claim=not self.draining)
-        self.job_service.tick(now, self.leadership_confirmed_at)
+        self.job_service.tick(now, self._check_contact)
 
     async def _run_ticks(self) -> None:
         while True:
@@ -486,6 +478,26 @@
         else:
             self._failed_ticks = 0
 
+    def _check_contact(
+        self, shard: ids.ShardId, now: float
+    ) -> leadership_contact.Contact:
+        """Return the contact with processes that could take over a shard."""
+        return self._contact.check(
+            shard,
+            successors=self._claimer.successors_of_claim(shard),
+            claimed_shards=set(self.registry.claims).intersection(
+                self.all_shards
+            ),
+            leaders=self.leaders.by_shard,
+            now=now,
+        )
+
+    def _last_received_at(self, vm: ids.VmId) -> float | None:
+        if vm == self.cfg.vm:
+            return self._clock.now()
+        open_link = self.links.get(vm)
+        return None if open_link is None else open_link.last_received_at
+
     def _handle_stall(self) -> None:
         """Give up what peers may have taken over during a stall."""
         self.active_jobs.notify_stalled()
@@ -551,6 +563,8 @@
                 self.led_shards.step_down(
                     shard, f'{vm} has a higher fencing token'
                 )
+        if change.shards_with_new_leader:
+            self.job_service.doubt_authority()
         for shard in change.shards_with_new_leader:
             self.active_jobs.notify_leader_found(shard)
             self.job_service.broadcast(open_tasks.LeaderFound(shard=shard))
--- a/sardineproxy/process/stored_jobs/authority.py
+++ b/sardineproxy/process/stored_jobs/authority.py
@@ -6,6 +6,7 @@
 """
 
 import dataclasses
+from typing import Protocol
 
 #: Gap between two ticks, in seconds, after which other processes may have
 #: replaced this one: they close a link after 0.4 s without a heartbeat.
@@ -22,6 +23,18 @@
     began_at: float
 
 
+class Contact(Protocol):
+    """Contact with processes that could take over, in local seconds."""
+
+    @property
+    def confirmed_at(self) -> float:
+        """Return when the store or all these processes last responded."""
+
+    @property
+    def heard_at(self) -> float | None:
+        """Return since when all of them have sent a message."""
+
+
 class Authority:
     """Whether the authority was confirmed since it was last in doubt."""
 
@@ -37,6 +50,9 @@
         self._contact_at: float | None = None
         self._ticked_at: float | None = None
 
+        #: Time of the first tick after the last doubt.
+        self._doubt_seen_at: float | None = None
+
     @property
     def is_confirmed(self) -> bool:
         """Return whether a confirmation began after the last doubt."""
@@ -45,6 +61,7 @@
     def doubt(self) -> None:
         """Record that another process may have taken over since the last call."""
         self._doubts += 1
+        self._doubt_seen_at = None
 
     def mark(self, now: float) -> Mark:
         """Return the present state; call it before a call to the store."""
@@ -55,13 +72,13 @@
         self._settled_doubts = max(self._settled_doubts, mark.doubts)
         self._contact_at = max(self._contact_at or 0, mark.began_at)
 
-    def tick(self, *, contact_at: float, now: float) -> None:
+    def tick(self, contact: Contact, now: float) -> None:
         """Doubt the authority after a gap, or after a time without contact.
 
-        ``contact_at`` is the local time of the last contact with the store or
-        with all successors.
+        It is confirmed by messages from all processes that could have taken
+        over: each is sent by a process that would have reported that.
         """
-        self._contact_at = max(self._contact_at or 0, contact_at)
+        self._contact_at = max(self._contact_at or 0, contact.confirmed_at)
         has_gap = (
             self._ticked_at is not None
             and now - self._ticked_at >= MAX_TICK_GAP_S
@@ -69,3 +86,9 @@
         self._ticked_at = now
         if has_gap or now - self._contact_at >= self._unconfirmed_s:
             self.doubt()
+        if self._doubt_seen_at is None:
+            self._doubt_seen_at = now
+        elif contact.heard_at is not None and (
+            contact.heard_at > self._doubt_seen_at
+        ):
+            self._settled_doubts = self._doubts
--- a/sardineproxy/process/stored_jobs/job_manager.py
+++ b/sardineproxy/process/stored_jobs/job_manager.py
@@ -10,6 +10,7 @@
 from sardineproxy.process import metrics, store
 from sardineproxy.process.shards import fencing
 from sardineproxy.process.stored_jobs import (
+    authority,
     execution,
     guarded_router,
     idle_jobs,
@@ -271,13 +272,9 @@
         """Ask the store before any more work is sent."""
         self._table.authority.doubt()
 
-    def tick(self, *, contact_at: float, now: float) -> None:
-        """Check the authority, and whether all jobs are continued.
-
-        ``contact_at`` is the local time of the last contact with the store or
-        with all successors.
-        """
-        self._table.authority.tick(contact_at=contact_at, now=now)
+    def tick(self, contact: authority.Contact, now: float) -> None:
+        """Check the authority, and whether all jobs are continued."""
+        self._table.authority.tick(contact, now)
         if self.is_loaded:
             for idle, cause in self._idle_jobs.find(self._executions, now):
                 self._attach_again(idle, cause)
--- a/sardineproxy/process/stored_jobs/job_service.py
+++ b/sardineproxy/process/stored_jobs/job_service.py
@@ -10,7 +10,7 @@
 from sardineproxy import background, clock, ids, logs
 from sardineproxy.connection import link, messages
 from sardineproxy.process import rendezvous
-from sardineproxy.process.stored_jobs import job_manager, records
+from sardineproxy.process.stored_jobs import authority, job_manager, records
 from sardineproxy.request import open_tasks
 
 _Reply = job_manager.JobReply
@@ -192,15 +192,14 @@
     def tick(
         self,
         now: float,
-        contact_at: Callable[[ids.ShardId, float], float],
+        check_contact: Callable[[ids.ShardId, float], authority.Contact],
     ) -> None:
         """Run the periodic work of the job managers.
 
-        ``contact_at`` returns the local time at which this process last had
-        contact with the store or with all successors of a shard.
+        ``check_contact`` returns the contact of the leader of a shard.
         """
-        for shard, manager in self.managers.items():
-            manager.tick(contact_at=contact_at(shard, now), now=now)
+        for shard, manager in list(self.managers.items()):
+            manager.tick(check_contact(shard, now), now)
 
     def _deliver(
         self,
--- a/tests/process/node/test_lost_zones.py
+++ b/tests/process/node/test_lost_zones.py
@@ -205,18 +205,21 @@
 
     def setUp(self) -> None:
         super().setUp()
-        self.connected = {ids.VmId('successor')}
+        self.received_at = {ids.VmId('successor'): 3, ids.VmId('leader'): 4}
         self.contact = leadership_contact.LeadershipContact(
-            is_connected=lambda vm: vm in self.connected,
+            last_received_at=self.received_at.get,
             last_store_response_at=lambda: 1,
         )
 
-    def confirmed_at(self, *led: ids.ShardId, now: float) -> float:
-        return self.contact.confirmed_at(
+    def check(self, now: float, **leaders: str) -> leadership_contact.Contact:
+        return self.contact.check(
             LOST,
             successors=[ids.VmId('successor')],
             claimed_shards=[LOST, OTHER],
-            led_shards=led,
+            leaders={
+                ids.ShardId(shard): ids.VmId(vm)
+                for shard, vm in leaders.items()
+            },
             now=now,
         )
 
@@ -225,10 +228,13 @@
 
         All successors are in the zone; the leader of another zone takes over.
         """
-        self.assertEqual(5, self.confirmed_at(OTHER, now=5))
-        self.assertEqual(5, self.confirmed_at(now=7))
+        contact = self.check(5, z2='leader')
+        self.assertEqual((5, 3), (contact.confirmed_at, contact.heard_at))
+        contact = self.check(7)
+        self.assertEqual((5, None), (contact.confirmed_at, contact.heard_at))
 
     def test_lost_successor_counts(self) -> None:
         """Guards against a successor that takes over without the store."""
-        self.connected.clear()
-        self.assertEqual(1, self.confirmed_at(OTHER, now=5))
+        self.received_at.pop(ids.VmId('successor'))
+        contact = self.check(5, z2='leader')
+        self.assertEqual((1, None), (contact.confirmed_at, contact.heard_at))
--- a/tests/process/stored_jobs/cluster.py
+++ b/tests/process/stored_jobs/cluster.py
@@ -18,6 +18,7 @@
     job_table,
 )
 from sardineproxy.process.membership import loaded_shards
+from sardineproxy.process.node import leadership_contact
 from sardineproxy.request import jobs, open_tasks
 from sardineproxy.standin import row_store, run_checks, worker_model
 from sardineproxy.version import routes
@@ -255,7 +256,10 @@
     async def _tick(self) -> None:
         while True:
             now = self.cluster.rig.clock.now()
-            self.manager.tick(contact_at=now, now=now)
+            self.manager.tick(
+                leadership_contact.Contact(confirmed_at=now, heard_at=None),
+                now,
+            )
             await asyncio.sleep(0.1)
 
     def _dispatch(self, message: Any) -> None:
--- a/tests/process/stored_jobs/test_authority.py
+++ b/tests/process/stored_jobs/test_authority.py
@@ -2,6 +2,7 @@
 
 import testtools
 
+from sardineproxy.process.node import leadership_contact
 from sardineproxy.process.stored_jobs import authority
 
 
@@ -11,6 +12,26 @@
         self.authority = authority.Authority(unconfirmed_s=2)
         self.authority.confirm(self.authority.mark(0))
 
+    def tick(
+        self, now: float, contact_at: float, heard_at: float | None = None
+    ) -> None:
+        self.authority.tick(
+            leadership_contact.Contact(
+                confirmed_at=contact_at, heard_at=heard_at
+            ),
+            now,
+        )
+
+    def test_messages_of_all_successors_confirm(self) -> None:
+        """Guards against tasks that wait for the end of a store outage."""
+        self.tick(1, 1, 1)
+        self.authority.doubt()
+        for now in (1.1, 1.2):
+            self.tick(now, now, 1.1)
+            self.assertFalse(self.authority.is_confirmed)
+        self.tick(1.3, 1.3, 1.25)
+        self.assertTrue(self.authority.is_confirmed)
+
     def test_confirmation_that_began_before_a_doubt_does_not_count(
         self,
     ) -> None:
@@ -24,22 +45,22 @@
 
     def test_late_tick_is_a_doubt(self) -> None:
         """Guards against work that a paused process sends when it goes on."""
-        self.authority.tick(contact_at=1, now=1)
-        self.authority.tick(contact_at=1.1, now=1.1)
+        self.tick(1, 1)
+        self.tick(1.1, 1.1)
         self.assertTrue(self.authority.is_confirmed)
-        self.authority.tick(contact_at=1.5, now=1.5)
+        self.tick(1.5, 1.5)
         self.assertFalse(self.authority.is_confirmed)
 
     def test_time_without_contact_is_a_doubt(self) -> None:
         """Guards against a partitioned process that keeps its authority."""
         for tick in range(10, 30):
-            self.authority.tick(contact_at=1, now=tick / 10)
+            self.tick(tick / 10, 1)
             self.assertTrue(self.authority.is_confirmed)
-        self.authority.tick(contact_at=1, now=3)
+        self.tick(3, 1)
         self.assertFalse(self.authority.is_confirmed)
 
     def test_confirmation_is_a_contact(self) -> None:
         """Guards against one read of the store for each tick in an outage."""
-        self.authority.tick(contact_at=-5, now=1)
-        self.authority.tick(contact_at=-5, now=1.2)
+        self.tick(1, -5)
+        self.tick(1.2, -5)
         self.assertTrue(self.authority.is_confirmed)
