A leader starts no task with an old list of workers

ShardLeader._is_list_current gave up after list_wait_s (0.7 s) even if the list was 15 s old and the store could be read, and a single failed or refused read counted as an outage, in which case the new leader did not wait at all. A leader whose reads began to fail later was not checked again. The age counted from the response, not from the call.

Change: no list older than list_age_s is used (drain_ms of the settings less 0.2 s; 1.8 s without it) while the store can be read. Failed reads are an outage only without a response of the store on any table for 1.5 s, and a refusal because of the rate is none. The age counts from the call.

Ruled out: always waiting for a list that is newer than the takeover, which stops a shard during an outage.

test_new_leader_starts_tasks_without_a_new_worker_list required starts with a list of unlimited age although the store was available. It now requires them after 0.7 s with a list of 0.5 s, and at once while the store is down.

--- a/sardineproxy/deployment.py
+++ b/sardineproxy/deployment.py
@@ -40,6 +40,9 @@
     #: with its data.
     distance_factor: float
 
+    #: Time after which a draining worker must get no more runs.
+    drain_s: float = 2.0
+
     #: Time from the request to evacuate a zone after which no task is started
     #: there, None if the platform sets no such bound.
     evacuate_s: float | None = None
--- a/sardineproxy/platform/settings.py
+++ b/sardineproxy/platform/settings.py
@@ -21,6 +21,9 @@
 DEFAULT_MEMORY_MB = 160
 DEFAULT_MAX_FDS = 1638
 
+#: Default of ``bounds.drain_ms``: the smallest bound that a platform sets.
+DEFAULT_DRAIN_MS = 2000
+
 _MS_PER_S = 1000
 _BYTES_PER_MB = 1_000_000
 
@@ -122,6 +125,8 @@
             document, 'status_s', DEFAULT_STATUS_RETENTION_S
         ),
         distance_factor=fields.get_number(document, 'remote_factor', 1),
+        drain_s=fields.get_number(document, 'drain_ms', DEFAULT_DRAIN_MS)
+        / _MS_PER_S,
         evacuate_s=_get_seconds(document, 'evacuate_ms'),
         cold_overage=max(1, fields.get_number(document, 'cold_overage', 1)),
     )
--- a/sardineproxy/process/node/node.py
+++ b/sardineproxy/process/node/node.py
@@ -8,7 +8,7 @@
 from sardineproxy import background, deployment, ids
 from sardineproxy.connection import link, messages
 from sardineproxy.process import store
-from sardineproxy.process.load import shard_choice
+from sardineproxy.process.load import shard_choice, table_age
 from sardineproxy.process.shards import (
     fencing,
     manager_tokens,
@@ -377,8 +377,12 @@
         return self._feeds.is_worker_list_complete()
 
     def workers_listed_at(self) -> float:
-        """Return the local time of the last read of the worker list."""
-        return self._feeds.workers_listed_at()
+        """Return the local time of the last read of the worker list.
+
+        The response may be delayed, so that the time of the call counts.
+        """
+        read_at = self._feeds.worker_list.read_at or 0
+        return min(read_at, self._feeds.workers_listed_at())
 
     def leadership_confirmed_at(self, shard: ids.ShardId, now: float) -> float:
         """Return the local time at which leadership was last confirmed.
@@ -389,8 +393,12 @@
         return self._check_contact(shard, now).confirmed_at
 
     def is_worker_list_available(self) -> bool:
-        """Return whether the store currently serves the list of workers."""
-        return self._feeds.is_worker_list_available()
+        """Return whether the list of workers can be read from the store.
+
+        A failed read is no outage while other tables can be read.
+        """
+        reads = self._feeds.worker_list.reads(self._feeds.last_response_at())
+        return not table_age.is_unreadable(reads, self._clock.now())
 
     def request_worker_list(self) -> None:
         """Read the list of workers soon, also if this VM leads no shard."""
--- a/sardineproxy/process/node/policy.py
+++ b/sardineproxy/process/node/policy.py
@@ -20,6 +20,12 @@
 #: into a lease, so that it is extended even if one response is lost.
 POLL_WAIT_SHARE = 0.3
 
+#: How much earlier than the platform's bound for starts on draining workers a
+#: list of workers is too old, and the smallest such age, in seconds. Leaders
+#: read the list every 0.8 s, and the store may take 0.4 s for a call.
+LIST_AGE_MARGIN_S = 0.2
+MIN_LIST_AGE_S = 1.2
+
 #: Minimum delay before a stop is retried, as a multiple of the platform's
 #: bound for a stop.
 STOP_RETRY_FACTOR = 2
@@ -50,6 +56,9 @@
                 self.shard,
                 calls=fitted,
                 distance_factor=bounds.distance_factor,
+                list_age_s=max(
+                    MIN_LIST_AGE_S, bounds.drain_s - LIST_AGE_MARGIN_S
+                ),
                 evacuate_s=bounds.evacuate_s or self.shard.evacuate_s,
             ),
         )
@@ -89,7 +98,9 @@
 
 
 #: Fields that are set from the platform's bounds, not from a policy file.
-_PLATFORM_FIELDS = frozenset(('distance_factor', 'evacuate_s', 'cold_overage'))
+_PLATFORM_FIELDS = frozenset(
+    ('distance_factor', 'evacuate_s', 'cold_overage', 'list_age_s')
+)
 
 _SECTIONS = types.MappingProxyType(
     {'cell': 'timing of a shard', 'workers': 'timing of calls to workers'}
--- a/sardineproxy/process/shards/shard.py
+++ b/sardineproxy/process/shards/shard.py
@@ -370,12 +370,16 @@
 
         A VM that leads no shard reads the list rarely, so that its copy may
         show draining workers as ready. A new leader waits for a newer list,
-        but no longer than ``list_wait_s``, and not if the store is down.
+        but no longer than ``list_wait_s``. No list is used that is older than
+        ``list_age_s``, unless the store is down.
         """
-        if self._context.workers_listed_at() >= self._leader_since:
+        if not self._context.is_worker_list_available():
             return True
+        listed_at = self._context.workers_listed_at()
+        if now - listed_at > self._cfg.list_age_s:
+            return False
         has_waited = now >= self._leader_since + self._cfg.list_wait_s
-        return has_waited or not self._context.is_worker_list_available()
+        return has_waited or listed_at >= self._leader_since
 
     def _update_permissions(self, now: float) -> None:
         """Update what may be started; start what was not permitted before."""
--- a/sardineproxy/process/shards/times.py
+++ b/sardineproxy/process/shards/times.py
@@ -90,6 +90,11 @@
     #: store time out after 0.6 s.
     list_wait_s: float = 0.7
 
+    #: Largest age of the list of workers with which tasks are started while the
+    #: store can be read: the platform's bound for starts on draining workers,
+    #: less the interval of the check and the time of an order.
+    list_age_s: float = 1.8
+
     #: Longest wait of a new leader for reports of all workers before it
     #: replies to coordinators that resume jobs that are not stored.
     sync_s: float = 0.3
--- a/tests/process/node/samples.py
+++ b/tests/process/node/samples.py
@@ -88,7 +88,8 @@
     """Return a node that has not been started.
 
     It counts as having read the operator's table, before which no leader starts
-    tasks. ``changes`` are fields of its deployment.
+    tasks, and its list of workers as not readable. ``changes`` are fields of its
+    deployment.
     """
     made = node.Node(
         cfg=dataclasses.replace(make_deployment(), **changes),
@@ -103,6 +104,7 @@
         ),
     )
     made._feeds.configuration.read_at = virtual_time.LoopClock().now()
+    made._feeds.worker_list._failures = 1
     return made
 
 
--- a/tests/process/node/test_evacuation_sync.py
+++ b/tests/process/node/test_evacuation_sync.py
@@ -101,8 +101,7 @@
 
     def lead(self) -> None:
         self.node.led_shards.lead(HOME, fencing.FencingToken(epoch=1, rank=0))
-        self.feeds.worker_list.last_success_at = self.clock.now()
-        self.feeds.worker_list.read_at = self.clock.now()
+        self.list_workers()
         self.node.led_shards.shards[HOME].set_workers(
             [self.model.worker], complete=True
         )
@@ -119,11 +118,18 @@
                 ),
                 self.clock.now(),
             )
-            self.feeds.worker_list.read_at = self.clock.now()
+            self.list_workers()
             await asyncio.sleep(0.1)
             self.model.advance(self.clock.now())
         return len(self.model.records) - before
 
+    def list_workers(self) -> None:
+        """Read the list of workers, if the store responds."""
+        if self.store.is_silent:
+            return
+        self.feeds.worker_list.last_success_at = self.clock.now()
+        self.feeds.worker_list.read_at = self.clock.now()
+
     def report_capacity(self, shard: str) -> None:
         """Receive the heartbeat of another shard's leader."""
         self.node.leaders.update(
@@ -234,6 +240,42 @@
         with_rig(scenario)
 
 
+class TestWorkerList(testtools.TestCase):
+    def test_one_lost_read_is_no_outage(self) -> None:
+        """Guards against starts with an old list after a failed read.
+
+        Other tables show that the store can be read. A refusal because of the
+        rate of the calls is no outage either.
+        """
+
+        async def scenario(rig: Rig) -> None:
+            await asyncio.sleep(1)
+            worker_list = rig.feeds.worker_list
+            worker_list._failures = 1
+            worker_list.healthy_since = None
+            self.assertTrue(rig.node.is_worker_list_available())
+            rig.store.is_silent = True
+            await asyncio.sleep(3)
+            self.assertFalse(rig.node.is_worker_list_available())
+            worker_list._is_refused = True
+            self.assertTrue(rig.node.is_worker_list_available())
+
+        with_rig(scenario)
+
+    def test_list_is_as_old_as_the_call_that_read_it(self) -> None:
+        """Guards against a change that a delayed response does not contain."""
+
+        async def scenario(rig: Rig) -> None:
+            sent_at = rig.clock.now()
+            rig.store.delay_s = 0.5
+            reading = asyncio.create_task(rig.feeds.worker_list.run())
+            await asyncio.sleep(0.6)
+            reading.cancel()
+            self.assertEqual(sent_at, rig.node.workers_listed_at())
+
+        with_rig(scenario)
+
+
 class TestTakeover(testtools.TestCase):
     def test_new_leader_reads_the_row_before_its_first_start(self) -> None:
         """Guards against starts by a process that has just started.
--- a/tests/process/shards/samples.py
+++ b/tests/process/shards/samples.py
@@ -178,6 +178,11 @@
         }
         self.api = faults.FaultyWorkerApi(models=self.models, clock=self.clock)
         self.is_list_current = True
+
+        #: Time of the newest list while it is not current, and whether the
+        #: store can be read.
+        self.listed_at: float = 0
+        self.is_list_available = True
         self.is_leadership_confirmed = True
         self.manager_tokens = manager_tokens.ManagerTokens(
             metrics=metrics.Metrics()
@@ -190,13 +195,13 @@
         self._tick_tasks: list[asyncio.Task[None]] = []
 
     def workers_listed_at(self) -> float:
-        return self.clock.now() if self.is_list_current else 0
+        return self.clock.now() if self.is_list_current else self.listed_at
 
     def leadership_confirmed_at(self, shard: ids.ShardId, now: float) -> float:
         return now if self.is_leadership_confirmed else 0
 
     def is_worker_list_available(self) -> bool:
-        return True
+        return self.is_list_available
 
     def workers_of(self, shard: ids.ShardId) -> list[workers.Worker]:
         return self.listed_elsewhere.get(shard, [])
--- a/tests/process/shards/test_shard.py
+++ b/tests/process/shards/test_shard.py
@@ -255,18 +255,59 @@
     def test_new_leader_starts_tasks_without_a_new_worker_list(self) -> None:
         """Guards against an idle shard while the store does not respond.
 
-        No newer list arrives; the leader waits for it no longer than 0.7 s.
+        No newer list arrives. The leader waits no longer than 0.7 s for it if
+        the former one is recent, and not at all if the store is down.
         """
 
         async def scenario(rig: samples.Rig) -> None:
             rig.is_list_current = False
+            rig.is_list_available = is_available
+            rig.listed_at = rig.clock.now() - age_s
             leader = await rig.lead_and_sync()
             link = samples.FakeLink()
             submit = samples.make_submit(estimate_s=0.5)
             leader.submit(link, submit, rig.clock.now())
-            await asyncio.sleep(1)
+            await asyncio.sleep(wait_s + 0.3)
             self.assertEqual({0: 'done'}, link.results())
 
+        for is_available, age_s, wait_s in ((True, 0.5, 0.7), (False, 60, 0)):
+            samples.with_rig(scenario)
+
+    def test_old_list_is_not_used_while_the_store_can_be_read(self) -> None:
+        """Guards against starts on workers that have drained for seconds.
+
+        The new leader's reads fail for longer than it waits for a new list,
+        for example as the store refuses them because of their rate.
+        """
+
+        async def scenario(rig: samples.Rig) -> None:
+            rig.is_list_current = False
+            rig.listed_at = rig.clock.now() - 2.5
+            leader = await rig.lead_and_sync()
+            submit = samples.make_submit(stored=True)
+            leader.submit(samples.FakeLink(), submit, rig.clock.now())
+            await asyncio.sleep(3)
+            self.assertEqual(0, rig.count_starts())
+            rig.listed_at = rig.clock.now()
+            await asyncio.sleep(0.1)
+            self.assertEqual(1, rig.count_starts())
+
+        samples.with_rig(scenario)
+
+    def test_leader_starts_nothing_with_a_list_that_became_old(self) -> None:
+        """Guards against the same at a leader whose reads begin to fail."""
+
+        async def scenario(rig: samples.Rig) -> None:
+            leader = await rig.lead_and_sync()
+            await asyncio.sleep(1)
+            rig.is_list_current = False
+            rig.listed_at = rig.clock.now()
+            await asyncio.sleep(2)
+            submit = samples.make_submit(stored=True)
+            leader.submit(samples.FakeLink(), submit, rig.clock.now())
+            await asyncio.sleep(1)
+            self.assertEqual(0, rig.count_starts())
+
         samples.with_rig(scenario)
 
     def test_removed_worker_is_not_polled_forever(self) -> None:
