A VM that the store turns away goes on serving

Cause: a refused read counted as a sign that the store can be read, so that a leader whose calls the store refuses for seconds stopped starting tasks once its list of workers or its set of evacuated zones was some seconds old. The store may refuse all calls of some VMs and serve the others.

A table whose reads fail while others succeed still stops the starts. ErrorKind.REFUSED is not needed.

--- a/sardineproxy/platform/store_http.py
+++ b/sardineproxy/platform/store_http.py
@@ -232,7 +232,7 @@
 
 _READ_ERROR_KINDS = {  # noqa: WPS407
     _GONE: _Kind.HISTORY_LOST,
-    _TOO_MANY_REQUESTS: _Kind.REFUSED,
+    _TOO_MANY_REQUESTS: _Kind.UNAVAILABLE,
     _UNAVAILABLE: _Kind.UNAVAILABLE,
 }
 
--- a/sardineproxy/process/load/table_age.py
+++ b/sardineproxy/process/load/table_age.py
@@ -24,16 +24,16 @@
     #: Failed reads since then.
     failures: int
 
-    #: True if the store refused the last one because of its rate.
-    is_refused: bool
-
     #: Local time of the store's last response on any table, in seconds.
     responded_at: float
 
 
 def is_unreadable(reads: Reads, now: float) -> bool:
-    """Return whether the store cannot be read at present."""
-    if not reads.failures or reads.is_refused:
+    """Return whether the store cannot be read at present.
+
+    Also if it refuses all calls of this VM, which it may do for seconds.
+    """
+    if not reads.failures:
         return False
     return now - reads.responded_at > STORE_SILENT_S
 
--- a/sardineproxy/process/membership/table_follower.py
+++ b/sardineproxy/process/membership/table_follower.py
@@ -67,7 +67,6 @@
         self._rows: dict[str, store.Row] = {}
         self._revision: int | None = None
         self._failures = 0
-        self._is_refused = False
         self._outage_since: float | None = None
 
         #: Time of the last successful call, None before the first.
@@ -104,7 +103,6 @@
         return table_age.Reads(
             read_at=self.read_at,
             failures=self._failures,
-            is_refused=self._is_refused,
             responded_at=responded_at,
         )
 
@@ -219,7 +217,6 @@
                 self._outage_since = None
             return
         self._failures += 1
-        self._is_refused = response.err_value.kind is store.ErrorKind.REFUSED
         self.healthy_since = None
         if self._outage_since is None:
             self._outage_since = now
--- a/sardineproxy/process/store.py
+++ b/sardineproxy/process/store.py
@@ -13,9 +13,6 @@
     #: The call had no effect and will have none.
     UNAVAILABLE = 'unavailable'
 
-    #: The store refused a read because of its rate; it can be reached.
-    REFUSED = 'refused'
-
     #: The write may have taken effect, or may still do so.
     UNKNOWN = 'unknown'
 
