Send heartbeats at their interval also on busy links

A VM that was queried often reported too few jobs as pending.

Ruled out: counts in other messages (each type would need them).

Change: a link's next heartbeat follows from its last one, not from its last message (Link.last_heartbeat_at in place of last_sent_at). The rows of free capacity go to leaders only, as only leaders move tasks; other VMs choose a shard by the former number when their own has no leader.

--- a/sardineproxy/connection/link.py
+++ b/sardineproxy/connection/link.py
@@ -46,7 +46,7 @@
         self.dialed = dialed
         self.opened_at = clock.now()
         self.last_received_at = self.opened_at
-        self.last_sent_at = self.last_received_at
+        self.last_heartbeat_at = self.opened_at
 
         #: Time of the last message other than a heartbeat, in either
         #: direction.
@@ -98,9 +98,10 @@
             self.abort()
             return False
         self._writer.write(encoded.ok_value)
-        self.last_sent_at = self._clock.now()
-        if not isinstance(message, messages.Heartbeat):
-            self.last_used_at = self.last_sent_at
+        if isinstance(message, messages.Heartbeat):
+            self.last_heartbeat_at = self._clock.now()
+        else:
+            self.last_used_at = self._clock.now()
         return True
 
     async def flush(self) -> None:
--- a/sardineproxy/process/membership/leaders.py
+++ b/sardineproxy/process/membership/leaders.py
@@ -60,8 +60,11 @@
             status[0]: fencing.FencingToken(epoch=status[1], rank=status[2])
             for status in heartbeat.shards
         }
-        for shard, classes in capacity_rows.decode(heartbeat).items():
-            self.capacities.update(shard, classes, now)
+        classes = capacity_rows.decode(heartbeat)
+        for shard, _, _, startable_tasks, _ in heartbeat.shards:
+            self.capacities.update(
+                shard, classes[shard], now, startable_tasks=startable_tasks
+            )
         self.loaded_shards.update(
             vm, (status[0] for status in heartbeat.shards if status[-1]), now
         )
--- a/sardineproxy/process/membership/links.py
+++ b/sardineproxy/process/membership/links.py
@@ -20,7 +20,8 @@
 class HeartbeatTiming:
     """Heartbeat interval and timeout of a link, in seconds."""
 
-    #: Time without sending after which a heartbeat is sent.
+    #: Time between two heartbeats. Only they carry the counts of waiting jobs
+    #: and the free capacity, also on links with other traffic.
     interval_s: float
 
     #: Time without receiving after which the link is closed: three missed
@@ -185,7 +186,7 @@
     def tick(
         self,
         now: float,
-        make_heartbeat: Callable[[], messages.Heartbeat],
+        make_heartbeat: Callable[[link.Link], messages.Heartbeat],
         *,
         is_late: bool = False,
     ) -> None:
@@ -194,7 +195,6 @@
         ``is_late`` means that this process was delayed, so that heartbeats may
         have arrived which it has not read yet. No link times out then.
         """
-        heartbeat = functools.cache(make_heartbeat)
         for open_link in self._all_links():
             entry = self._update_timing(open_link, now)
             times_out_at = entry.times_out_at(open_link.last_received_at)
@@ -203,8 +203,8 @@
             elif self._is_unneeded(open_link, now):
                 open_link.abort()
                 self._remove(open_link)
-            elif now - open_link.last_sent_at >= entry.timing.interval_s:
-                open_link.send(heartbeat())
+            elif now - open_link.last_heartbeat_at >= entry.timing.interval_s:
+                open_link.send(make_heartbeat(open_link))
         self._dial_missing(now)
 
     def broadcast(self, message: messages.Message) -> None:
--- a/sardineproxy/process/node/node.py
+++ b/sardineproxy/process/node/node.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import functools
 import secrets
 from typing import Iterable
 
@@ -251,7 +252,7 @@
             home=self.home_shard,
             led=led,
             evacuated=evacuated,
-            free_capacity=self.capacities.free_millicores(self._clock.now()),
+            free_capacity=self.capacities.startable_tasks(self._clock.now()),
             point=self._dependencies.rng.random(),
         )
 
@@ -459,7 +460,12 @@
         )
         self._link_timing.update()
         self._update_own_capacities(now)
-        self.links.tick(now, self._heartbeat, is_late=is_late)
+        heartbeat = functools.cache(self._heartbeat)
+        self.links.tick(
+            now,
+            lambda open_link: heartbeat(self._leads_shard(open_link)),
+            is_late=is_late,
+        )
         self.led_shards.tick(now, may_claim=not self.draining)
         self.job_service.tick(now, self._check_contact)
 
@@ -513,14 +519,18 @@
         self.job_service.doubt_authority()
         self.led_shards.mark_all_unconfirmed('process stalled')
 
-    def _heartbeat(self) -> messages.Heartbeat:
+    def _leads_shard(self, open_link: link.Link) -> bool:
+        """Return whether the peer leads a shard, and moves tasks therefore."""
+        return open_link.peer.vm in self.leaders.by_shard.values()
+
+    def _heartbeat(self, has_capacity: bool = True) -> messages.Heartbeat:
+        """Return the heartbeat; only leaders need the free capacity."""
+        classes = self.led_shards.free_capacities() if has_capacity else []
         return messages.Heartbeat(
             version=self.versions.number,
             shards=self.led_shards.shard_statuses(),
             pending=tuple(self.job_service.pending().items()),
-            free_capacity=capacity_rows.encode(
-                self.led_shards.free_capacities()
-            ),
+            free_capacity=capacity_rows.encode(classes),
         )
 
     def _update_own_capacities(self, now: float) -> None:
--- a/sardineproxy/process/shards/shard_capacities.py
+++ b/sardineproxy/process/shards/shard_capacities.py
@@ -43,6 +43,9 @@
     #: None if the shard accepts no tasks from other shards.
     classes: _Classes | None
 
+    #: Number of tasks of average size that could start.
+    startable_tasks: int
+
     #: Local time of the report, in seconds.
     reported_at: float
     reservations: list[_Reservation]
@@ -60,9 +63,18 @@
         self.evacuated: Collection[ids.ShardId] = frozenset()
 
     def update(
-        self, shard: ids.ShardId, classes: _Classes | None, now: float
+        self,
+        shard: ids.ShardId,
+        classes: _Classes | None,
+        now: float,
+        *,
+        startable_tasks: int = 0,
     ) -> None:
-        """Record a leader's report; None if the shard accepts no tasks."""
+        """Record a leader's report.
+
+        ``classes`` is None if the shard accepts no tasks, and at a VM that
+        leads no shard.
+        """
         former = self._capacities.get(shard)
         former_reservations = [] if former is None else former.reservations
         reservations = [
@@ -76,7 +88,10 @@
                     classes, reservation.task, reservation.count
                 )
         self._capacities[shard] = _ShardCapacity(
-            classes=classes, reported_at=now, reservations=reservations
+            classes=classes,
+            startable_tasks=startable_tasks,
+            reported_at=now,
+            reservations=reservations,
         )
 
     def reserve(
@@ -135,14 +150,15 @@
             if count
         }
 
-    def free_millicores(self, now: float) -> dict[ids.ShardId, int]:
-        """Return the free processors of the shards that accept tasks."""
+    def startable_tasks(self, now: float) -> dict[ids.ShardId, int]:
+        """Return by shard how many tasks of average size could start.
+
+        Also at VMs that lead no shard, which get no free capacity by class.
+        """
         return {
-            shard: sum(
-                worker_class.worker_count * worker_class.free.millicores
-                for worker_class in classes
-            )
-            for shard, classes in self.find_accepting(now).items()
+            shard: capacity.startable_tasks
+            for shard, capacity in self._capacities.items()
+            if now - capacity.reported_at <= MAX_REPORT_AGE_S
         }
 
     def state(self, now: float) -> dict[str, object]:
