--- a/sardineproxy/bench/replay_load.py
+++ b/sardineproxy/bench/replay_load.py
@@ -36,6 +36,11 @@
 LONG_SHARE = 0.03
 LONG_FACTOR = 7
 
+#: Longest wait of a client in seconds, and share of the clients that give up
+#: much earlier.
+PATIENCE_S = 30.0
+IMPATIENT_SHARE = 0.1
+
 #: Length of a shift of the traffic to one zone and of its period, in seconds.
 SHIFT_S = 5.5
 SHIFT_PERIOD_S = 12
@@ -233,7 +238,11 @@
         ),
         estimate_s=run_s if exact else run_s * error,
         work_s=work_s,
-        patience_s=rng.choice((1, 2, 4)) * (0.5 + 2 * kind.run_s),
+        patience_s=(
+            0.5 + 2 * kind.run_s
+            if rng.random() < IMPATIENT_SHARE
+            else PATIENCE_S
+        ),
     )
 
 
--- a/sardineproxy/bench/slopes.py
+++ b/sardineproxy/bench/slopes.py
@@ -30,6 +30,7 @@
         'contract': ('slopes_contract', 'measure'),
         'start': ('slopes_start', 'measure'),
         'loan': ('slopes_loan', 'measure'),
+        'shard': ('slopes_shard', 'measure'),
     }
 )
 
--- a/sardineproxy/process/load/forecast.py
+++ b/sardineproxy/process/load/forecast.py
@@ -4,6 +4,9 @@
 of a job that it must wait, and for about how long.
 """
 
+import itertools
+from typing import Iterator
+
 import sortedcontainers
 
 from sardineproxy.process.shards import runs
@@ -21,7 +24,7 @@
     def __init__(self) -> None:
         """Create a forecast without runs."""
         self._ends = sortedcontainers.SortedList()
-        self._by_run: dict[runs.Run, tuple[float, int]] = {}
+        self._by_run: dict[runs.Run, tuple[float, int, runs.Run]] = {}
         self._average_run_s = INITIAL_RUN_TIME_S
 
     def __len__(self) -> int:
@@ -33,7 +36,7 @@
         self._average_run_s += RUN_TIME_WEIGHT * (
             run_time_s - self._average_run_s
         )
-        end = (now + run_time_s, id(run))
+        end = (now + run_time_s, id(run), run)
         self._by_run[run] = end
         self._ends.add(end)
 
@@ -43,6 +46,10 @@
         if end is not None:
             self._ends.remove(end)
 
+    def next_to_end(self, count: int) -> Iterator[runs.Run]:
+        """Return the ``count`` runs with the earliest expected ends."""
+        return (run for _, _, run in itertools.islice(self._ends, count))
+
     def time_of_end(self, count: int, now: float) -> float | None:
         """Return when ``count`` active runs will have ended.
 
--- a/sardineproxy/process/load/order.py
+++ b/sardineproxy/process/load/order.py
@@ -17,8 +17,9 @@
 
 from sardineproxy.process.shards import runs
 
-#: Priority, latest start on time, and a number that makes entries distinct.
-_Urgency = tuple[int, float, int]
+#: Priority, whether the batch is late, latest start on time, and a number that
+#: makes entries distinct.
+_Urgency = tuple[int, bool, float, int]
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
@@ -78,6 +79,15 @@
         else:
             self._count(entry, batch.waiting_count)
 
+    def demote(self, batch: runs.Batch) -> None:
+        """Put a late batch after those of its priority that can be on time."""
+        entry = self._entries[batch.key]
+        priority, is_late, latest_start, number = entry.urgency
+        if not is_late:
+            self._order.pop(entry.urgency)
+            entry.urgency = (priority, True, latest_start, number)
+            self._order[entry.urgency] = batch
+
     def discard(self, batch: runs.Batch) -> None:
         """Remove a batch, if it is in the queue."""
         entry = self._entries.get(batch.key)
@@ -116,6 +126,7 @@
     def _add(self, batch: runs.Batch) -> None:
         urgency = (
             batch.priority,
+            False,
             batch.due_at - batch.expected_s,
             next(self._numbers),
         )
--- a/sardineproxy/process/load/placement.py
+++ b/sardineproxy/process/load/placement.py
@@ -8,7 +8,7 @@
 import itertools
 import math
 import sys
-from typing import Iterator, Protocol
+from typing import Callable, Iterator, Protocol
 
 import sortedcontainers
 
@@ -63,6 +63,11 @@
         self._classes: dict[int, sortedcontainers.SortedList] = {}
         self._largest_class = 0
 
+        #: Whether a task of a batch may use a worker's free capacity now.
+        self.allows: Callable[[runs.Batch, Candidate, float], bool] | None = (
+            None
+        )
+
         #: Speed of the fastest worker, 1 before any worker was available.
         self.fastest_speed = 1.0
 
@@ -190,7 +195,9 @@
         penalty = distance_penalty(batch, candidate, distance_factor)
         if candidate.health.speed < speed * penalty:
             return False
-        return is_suitable(batch, candidate, now)
+        if not is_suitable(batch, candidate, now):
+            return False
+        return self.allows is None or self.allows(batch, candidate, now)
 
 
 def distance_penalty(
--- a/sardineproxy/process/node/policy.py
+++ b/sardineproxy/process/node/policy.py
@@ -113,23 +113,27 @@
     """Return the data class of a section, or an error sentence."""
     if not isinstance(document, dict):
         return result.Err(f'{name}: expected an object, found {document!r:.60}')
-    setting_names = {
-        field.name
+    setting_types = {
+        field.name: field.type
         for field in dataclasses.fields(section_type)
-        if field.type in {float, 'float'} and field.name not in _PLATFORM_FIELDS
+        if field.type in {float, bool} and field.name not in _PLATFORM_FIELDS
     }
     for key, setting in document.items():
-        error = _validate(
-            f'{name}.{key}', setting, is_known=key in setting_names
-        )
+        error = _validate(f'{name}.{key}', setting, setting_types.get(key))
         if error is not None:
             return result.Err(error)
     return result.Ok(section_type(**_to_floats(document)))
 
 
-def _validate(key_path: str, setting: object, *, is_known: bool) -> str | None:
-    if not is_known:
+def _validate(
+    key_path: str, setting: object, setting_type: object
+) -> str | None:
+    if setting_type is None:
         return f'{key_path}: unknown setting'
+    if setting_type is bool:
+        if isinstance(setting, bool):
+            return None
+        return f'{key_path}: expected true or false, found {setting!r:.60}'
     is_number = isinstance(setting, (int, float)) and not isinstance(
         setting, bool
     )
@@ -142,4 +146,7 @@
 
 
 def _to_floats(document: Mapping[str, Any]) -> dict[str, float]:
-    return {key: float(setting) for key, setting in document.items()}
+    return {
+        key: setting if isinstance(setting, bool) else float(setting)
+        for key, setting in document.items()
+    }
--- a/sardineproxy/process/shards/scheduler.py
+++ b/sardineproxy/process/shards/scheduler.py
@@ -14,6 +14,7 @@
     free_workers,
     order,
     placement,
+    reservations,
     returns,
 )
 from sardineproxy.process.membership import evacuations
@@ -21,6 +22,7 @@
     agent,
     backlog,
     fencing,
+    lookahead,
     shard_capacities,
     runs,
     times,
@@ -105,6 +107,11 @@
         self._returns = returns.ReturnSchedule()
         self._report: tuple[free_capacity.WorkerClass, ...] = ()
         self._reported_at = -math.inf
+        self._lookahead = lookahead.Lookahead(
+            shard=shard, metrics=metrics, cfg=cfg
+        )
+        if cfg.lookahead:
+            self._pool.allows = self._lookahead.allows
 
         #: Fencing token of the leader, for the log.
         self.token = token
@@ -159,8 +166,10 @@
             self._place(batch, now)
         if not batch.waiting_count:
             self._queue.discard(batch)
+            self._lookahead.discard(batch)
             return
         self._queue.update(batch)
+        self._demote_late(batch, now)
         self._queue.check_at(batch, self._next_check_at(batch, now))
 
     def worker_changed(self, worker: ids.WorkerId, now: float) -> None:
@@ -169,7 +178,8 @@
         if worker_agent is None:
             self._pool.discard(worker)
             return
-        self._pool.refresh(worker_agent, now)
+        if not self._pool.refresh(worker_agent, now):
+            self._lookahead.worker_gone(worker)
         while worker in self._pool:
             batch = self._find_batch_for(worker_agent, now)
             if batch is None:
@@ -181,6 +191,12 @@
         speed = self._agents[run.worker].health.speed
         self._ends.add(run, run.expected_s / speed, now)
 
+    def run_succeeded(self, run: runs.Run, now: float) -> None:
+        """Learn the run time of a run that ends now."""
+        worker_agent = self._agents.get(run.worker)
+        if worker_agent is not None:
+            self._lookahead.run_succeeded(run, worker_agent, now)
+
     def run_ended(self, run: runs.Run) -> None:
         """Remove a run that no longer exists from the forecast."""
         self._ends.discard(run)
@@ -188,12 +204,16 @@
     def update_queue(self, batch: runs.Batch) -> None:
         """Apply tasks that were removed from a batch."""
         self._queue.update(batch)
+        if not batch.waiting_count:
+            self._lookahead.discard(batch)
 
     def check_queue(self, now: float) -> None:
         """Decline or drop the tasks that are late."""
         if self.permissions.is_list_current:
             for batch in self._queue.pop_due(now):
                 self._check_late(batch, now)
+            for worker in self._lookahead.pop_freed(now):
+                self.worker_changed(worker, now)
 
     def waiting_batches(self) -> list[runs.Batch]:
         """Return the batches with waiting tasks, the most urgent first."""
@@ -240,6 +260,7 @@
         """Remove a batch and stop its runs."""
         self._backlog.drop(batch, cause, self._stop)
         self._queue.discard(batch)
+        self._lookahead.discard(batch)
 
     def drop_tasks(self, batch: runs.Batch, indices: Iterable[int]) -> None:
         """Remove some tasks of a batch and stop their runs."""
@@ -318,7 +339,7 @@
             cause='no room in time',
             retry_after_s=retry_after_s,
         )
-        self._queue.update(batch)
+        self.update_queue(batch)
 
     def _refer_excess(self, batch: runs.Batch, now: float) -> None:
         """Refer waiting tasks to shards with free capacity.
@@ -344,7 +365,7 @@
                 suggested_shard=shard,
                 retry_after_s=returns.MIN_RETRY_S,
             )
-            self._queue.update(batch)
+            self.update_queue(batch)
 
     def _other_capacities(
         self, task: free_capacity.TaskClass, batch: runs.Batch, now: float
@@ -395,11 +416,33 @@
         free_millicores = worker_agent.ledger.free_capacity.millicores
         if free_millicores < self._queue.smallest_millicores:
             return None
+        blocked: runs.Batch | None = None
         for batch in self._queue.first(MAX_BATCHES_TRIED):
             if self._may_start_on(batch, worker_agent, now):
-                return batch
+                self._reserve(blocked, now)
+                if self._lookahead.allows(batch, worker_agent, now):
+                    return batch
+            elif blocked is None and self._may_start(batch):
+                blocked = batch
         return None
 
+    def _reserve(self, blocked: runs.Batch | None, now: float) -> None:
+        """Reserve a worker for a batch before a less urgent one starts."""
+        if blocked is None or not self._lookahead.is_enabled:
+            return
+        smallest = self._cfg.reserve_size * self._average_millicores
+        if blocked.resources.millicores < smallest:
+            return
+        if blocked.stored or now < self._latest_start(blocked):
+            active = self._ends.next_to_end(reservations.MAX_ENDS)
+            self._lookahead.reserve(blocked, active, self._agents, now)
+
+    def _demote_late(self, batch: runs.Batch, now: float) -> None:
+        """Let tasks that can no longer be on time yield to all others."""
+        is_late = now >= self._latest_start(batch)
+        if self._lookahead.is_enabled and is_late and not batch.stored:
+            self._queue.demote(batch)
+
     def _may_start_on(
         self, batch: runs.Batch, worker_agent: agent.Agent, now: float
     ) -> bool:
@@ -449,6 +492,7 @@
         )
         batch.assign(index, run)
         batch.started = True
+        self._lookahead.started(run)
         self._backlog.live_runs[run.task] = run
         self._metrics.count('runs_ordered_total')
         self._ends.add(run, run.expected_s / chosen.health.speed, now)
--- a/sardineproxy/process/shards/shard.py
+++ b/sardineproxy/process/shards/shard.py
@@ -324,6 +324,8 @@
                 },
             )
         now = self._clock.now()
+        if result is workers.RunResult.DONE:
+            self._scheduler.run_succeeded(run, now)
         self._apply_result(
             run, result, is_suspect=worker_agent.health.is_suspect, now=now
         )
--- a/sardineproxy/process/shards/times.py
+++ b/sardineproxy/process/shards/times.py
@@ -140,3 +140,21 @@
     #: Time after the request to evacuate a zone within which its runs may end
     #: even if they are late.
     evacuate_s: float = 5.0
+
+    #: Look-ahead placement: reservations for tasks that do not fit yet, and
+    #: late tasks after those that can be on time.
+    lookahead: bool = False
+
+    #: Largest share of the workers that are reserved at a time.
+    reserved_share: float = 0.1
+
+    #: Longest time until the expected start for which a worker is reserved.
+    reserve_ahead_s: float = 0.2
+
+    #: Smallest task that reserves a worker, in average tasks. Reservations
+    #: for tasks of every size cost more capacity than they are worth.
+    reserve_size: float = 1.2
+
+    #: A reservation is released when its task has not started this share of
+    #: its expected wait after the expected start.
+    reserve_tolerance: float = 0.5
--- a/tests/process/load/test_order.py
+++ b/tests/process/load/test_order.py
@@ -25,6 +25,24 @@
             ['short', 'long', 'other'], [batch.job for batch in queue.all()]
         )
 
+    def test_demoted_batch_comes_last_in_its_priority(self) -> None:
+        """Guards against late tasks that make other jobs late, too."""
+        queue = order.WaitingQueue()
+        late = samples.make_batch('late')
+        others = (
+            samples.make_batch('same', estimate_s=9.0),
+            samples.make_batch('lower', priority=2),
+        )
+        for batch in (late, *others):
+            queue.update(batch)
+        queue.demote(late)
+        queue.demote(late)
+        self.assertEqual(
+            ['same', 'late', 'lower'], [batch.job for batch in queue.all()]
+        )
+        queue.discard(late)
+        self.assertEqual(list(others), queue.all())
+
     def test_check_is_due_once_and_the_earliest_counts(self) -> None:
         """Guards against batches that are checked again and again."""
         queue = order.WaitingQueue()
@@ -79,6 +97,12 @@
             batch.requeue(started[0])
         self.queue.update(batch)
 
+    @stateful.rule(data=strategies.data())
+    def demote(self, data: Any) -> None:
+        waiting = self.queue.all()
+        if waiting:
+            self.queue.demote(data.draw(strategies.sampled_from(waiting)))
+
     @stateful.rule(data=strategies.data())
     def drop(self, data: Any) -> None:
         if self.batches:
--- a/tests/process/node/test_policy.py
+++ b/tests/process/node/test_policy.py
@@ -34,6 +34,7 @@
             ('{"workers": {"lease": 1}}', 'workers.lease'),
             ('{"cell": {"recall_s": 0}}', 'cell.recall_s'),
             ('{"cell": {"recall_s": true}}', 'cell.recall_s'),
+            ('{"cell": {"lookahead": 1}}', 'cell.lookahead'),
             ('{"cell": {"calls": 1}}', 'cell.calls'),
             ('{"cell": 3}', 'cell'),
             ('{"cell": {"distance_factor": 3}}', 'cell.distance_factor'),
@@ -41,6 +42,12 @@
             error = policy.parse(text).err_value
             self.assertThat(error, matchers.StartsWith(f'{key_path}: '))
 
+    def test_lookahead_is_switched_on(self) -> None:
+        """Guards against a switch without effect, or one that is on."""
+        self.assertFalse(policy.Policy().shard.lookahead)
+        node_policy = policy.parse('{"cell": {"lookahead": true}}').ok_value
+        self.assertIs(True, node_policy.shard.lookahead)
+
 
 class TestFit(testtools.TestCase):
     def test_poll_wait_fits_into_a_short_lease(self) -> None:
