Lint: fewer imports of node.py, fewer returns of Agent.accepts_work

Cause: after the merge of several parts flake8 reported WPS235 (15 modules of process/node imported by node.py) and WPS212 (9 returns in accepts_work).

Change: the exchange of evacuated zones moves to process/membership, where the set is; the hold of cold workers joins another condition. No other change.

--- a/sardineproxy/process/node/node.py
+++ b/sardineproxy/process/node/node.py
@@ -24,6 +24,7 @@
 from sardineproxy.process.membership import (
     capacity_rows,
     table_follower,
+    evacuation_sync,
     evacuations,
     loaded_shards,
     links,
@@ -34,7 +35,6 @@
 from sardineproxy.process.node import (
     claiming,
     dependencies,
-    evacuation_sync,
     feeds,
     leadership_contact,
     led_shards,
--- a/sardineproxy/process/shards/agent.py
+++ b/sardineproxy/process/shards/agent.py
@@ -181,9 +181,7 @@
 
     def accepts_work(self, now: float) -> bool:
         """Return whether runs may be started on the worker."""
-        if self.is_held:
-            return False
-        if not self.may_extend_lease:
+        if self.is_held or not self.may_extend_lease:
             # A start order extends the lease of all runs of the worker.
             return False
         if self._listing is not listing.Listing.LISTED:
