--- a/sardineproxy/connection/caller.py
+++ b/sardineproxy/connection/caller.py
@@ -8,7 +8,12 @@
 from aiohttp import web
 
 from sardineproxy import clock, ids, problems
-from sardineproxy.connection import caller_connection
+from sardineproxy.connection import (
+    caller_connection,
+    client_guard,
+    client_limits,
+)
+from sardineproxy.process import metrics
 from sardineproxy.request import admission, documents, keys, submissions, work
 
 TASK_KINDS = types.MappingProxyType(
@@ -17,9 +22,6 @@
 WAIT_VALUES = types.MappingProxyType({'true': True, 'false': False})
 BEARER_PREFIX = 'bearer '
 
-#: Largest number of connections that wait to be accepted.
-ACCEPT_BACKLOG = 1024
-
 ConnectionLimits = caller_connection.ConnectionLimits
 
 
@@ -156,26 +158,48 @@
 
 
 async def start(
-    *, app: web.Application, limits: ConnectionLimits, host: str, port: int
+    *,
+    app: web.Application,
+    limits: ConnectionLimits,
+    host: str,
+    port: int,
+    guard: client_guard.ClientGuard | None = None,
 ) -> Listener:
-    """Serve ``app``; for port 0 the kernel chooses a free port."""
+    """Serve ``app``; for port 0 the kernel chooses a free port.
+
+    Listeners of one process share ``guard``.
+    """
     runner = web.AppRunner(app, shutdown_timeout=limits.close_timeout_s)
     await runner.setup()
     web_server = runner.server
     assert web_server is not None
     loop = asyncio.get_running_loop()
-    load = caller_connection.ListenerLoad(limits=limits)
+    shared_guard = guard or make_guard(limits, metrics.Metrics())
     server = await loop.create_server(
         lambda: caller_connection.Connection(
-            web_server, limits=limits, load=load, loop=loop
+            web_server, limits=limits, guard=shared_guard, loop=loop
         ),
         host,
         port,
-        backlog=ACCEPT_BACKLOG,
+        backlog=limits.backlog,
     )
     return Listener(runner=runner, server=server)
 
 
+def make_guard(
+    limits: ConnectionLimits, registry: metrics.Metrics
+) -> client_guard.ClientGuard:
+    """Return the guard of a process with these limits."""
+    return client_guard.ClientGuard(
+        limits=client_limits.Limits(
+            held_bytes=limits.reading_bytes,
+            connections=limits.connections,
+            backlog=limits.backlog,
+        ),
+        metrics=registry,
+    )
+
+
 def _render_refusal(
     problem: problems.Problem, key_text: str | None
 ) -> web.Response:
--- a/sardineproxy/connection/caller_connection.py
+++ b/sardineproxy/connection/caller_connection.py
@@ -8,11 +8,13 @@
 import asyncio
 import dataclasses
 import enum
+import types
 
 import result
 from aiohttp import HttpVersion11, http_exceptions, web
 
 from sardineproxy import logs, problems, verdicts
+from sardineproxy.connection import client_guard
 from sardineproxy.request import admission, documents, keys
 
 KEY_HEADER = 'Idempotency-Key'
@@ -27,6 +29,14 @@
 #: Bytes of the separator and the line end in a header line.
 HEADER_LINE_OVERHEAD_BYTES = 4
 
+#: Memory of a piece of a chunked body in the parser, for each of the two line
+#: ends that enclose it.
+FRAMING_MEMORY_BYTES = 25
+
+#: Bytes of a body that are buffered before it is read, and at least one
+#: segment. The parser buffers up to a sixteenth as many pieces.
+READ_BUFFER_BYTES = 65_536
+
 HEAD_END = b'\r\n\r\n'
 
 #: Time for which a connection may stay open without a request, in seconds.
@@ -84,10 +94,20 @@
     header_bytes: int = 16_384
     body_bytes: int = documents.MAX_BODY_BYTES
 
-    #: Total size of the bodies being read on all connections, in bytes.
+    #: Total size of the requests on all connections, in bytes.
     reading_bytes: int = 268_435_456
     connections: int = 10_000
 
+    #: Connections that the kernel accepts before the process does.
+    backlog: int = 1024
+
+    #: At the largest number of connections, one that has been idle for this
+    #: time is closed for a new one, in seconds.
+    min_idle_s: float = 15
+
+    #: Name of the listener in metrics and log lines.
+    listener: str = 'callers'
+
     #: Timeout from the first byte of a request to its last, in seconds.
     read_timeout_s: float = 10
 
@@ -98,25 +118,6 @@
     close_timeout_s: float = 10
 
 
-class ListenerLoad:
-    """Total resource usage of all connections of one listener."""
-
-    def __init__(self, *, limits: ConnectionLimits) -> None:
-        """Start with no connections."""
-        self._limits = limits
-        self.connections = 0
-        self.reading_bytes = 0
-
-    def has_capacity(self, *, reading_bytes: int) -> bool:
-        """Return whether a body of ``reading_bytes`` may be read now."""
-        total_bytes = self.reading_bytes + reading_bytes
-        return total_bytes <= self._limits.reading_bytes
-
-    def has_too_many_connections(self) -> bool:
-        """Return whether the newest connection exceeds the limit."""
-        return self.connections > self._limits.connections
-
-
 class _Phase(enum.Enum):
     """How much of a request has been received."""
 
@@ -129,6 +130,17 @@
     REJECTED = 'refused'
 
 
+_GUARD_PHASES = types.MappingProxyType(
+    {
+        _Phase.IDLE: client_guard.Phase.IDLE,
+        _Phase.HEAD: client_guard.Phase.ARRIVING,
+        _Phase.BODY: client_guard.Phase.ARRIVING,
+        _Phase.COMPLETE: client_guard.Phase.ACCEPTED,
+        _Phase.REJECTED: client_guard.Phase.IDLE,
+    }
+)
+
+
 class Connection(web.RequestHandler):
     """One caller's connection."""
 
@@ -137,10 +149,10 @@
         server: web.Server,
         *,
         limits: ConnectionLimits,
-        load: ListenerLoad,
+        guard: client_guard.ClientGuard,
         loop: asyncio.AbstractEventLoop,
     ) -> None:
-        """Create a connection; all those of a listener share ``load``."""
+        """Create a connection; all those of a process share ``guard``."""
         super().__init__(
             server,
             loop=loop,
@@ -151,9 +163,10 @@
             max_field_size=limits.header_bytes,
             max_headers=MAX_HEADER_LINES,
             max_line_size=limits.header_bytes,
+            read_bufsize=READ_BUFFER_BYTES,
         )
         self._limits = limits
-        self._load = load
+        self._guard = guard
         self._phase = _Phase.IDLE
         self._timer: asyncio.TimerHandle | None = None
         self._head_bytes = 0
@@ -162,15 +175,37 @@
         #: Bytes received after the head.
         self._body_bytes = 0
 
+        #: Memory of the pieces of a chunked body beside their bytes.
+        self._framing_bytes = 0
+
+        #: True once a handler may have the request.
+        self._is_handled = False
+
         #: True once bytes of the next request may have been received already.
         self._pipelined = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Count the connection, and reject it if it exceeds the limit."""
+        """Count the connection, and refuse it if it exceeds the limit."""
         super().connection_made(transport)
-        self._load.connections += 1
-        if self._load.has_too_many_connections():
-            self._reject(admission.overloaded())
+        is_accepted = self._guard.add(
+            self,
+            listener=self._limits.listener,
+            max_connections=self._limits.connections,
+            min_idle_s=self._limits.min_idle_s,
+        )
+        if not is_accepted:
+            self._refuse(admission.overloaded())
+
+    def close_excess(self, cause: client_guard.Cause) -> None:
+        """Close at once; refuse a request that no handler has seen."""
+        self._guard.count(self._limits.listener, cause)
+        if not self._is_handled and cause is client_guard.Cause.MEMORY:
+            self._refuse(admission.overloaded())
+            return
+        self._stop_timer()
+        self._phase = _Phase.REJECTED
+        if self.transport is not None:
+            self.transport.abort()
 
     def data_received(self, data: bytes) -> None:
         """Apply the limits to the bytes and pass them to the parser."""
@@ -182,34 +217,32 @@
             self._scan_head(data)
         else:
             self._body_bytes += len(data)
+            self._framing_bytes += FRAMING_MEMORY_BYTES * data.count(b'\n')
             self._pipelined |= self._phase is _Phase.COMPLETE
         if self._head_bytes > self._limits.header_bytes:
+            self._guard.count(self._limits.listener, client_guard.Cause.HEAD)
             self._reject(_HEAD_TOO_LARGE)
             return
+        self._update_guard()
+        if self._phase is _Phase.REJECTED:
+            return
+        self._is_handled = self._phase is not _Phase.HEAD
         super().data_received(data)
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Stop the timer; requests in progress continue."""
-        self._load.connections -= 1
+        self._guard.remove(self)
         self._stop_timer()
         super().connection_lost(exc)
 
     async def read_body(self, req: web.BaseRequest) -> Body:
         """Read the rest of the request within the read timeout."""
-        size = req.content_length
-        if size is None:
-            size = self._limits.body_bytes if req.can_read_body else 0
-        if not self._load.has_capacity(reading_bytes=size):
-            return result.Err(admission.overloaded())
-        self._load.reading_bytes += size
-        try:
-            body = await self._read_with_timeout(req)
-        finally:
-            self._load.reading_bytes -= size
+        body = await self._read_with_timeout(req)
         if isinstance(body, result.Ok):
             self._phase = _Phase.COMPLETE
             if self._body_bytes != (req.content_length or 0):
                 self._pipelined = True
+            self._update_guard()
         return body
 
     async def finish_response(
@@ -239,6 +272,7 @@
             self._phase = _Phase.IDLE
             if self._pipelined:
                 self._start_request()
+            self._update_guard()
         return outcome
 
     def handle_error(
@@ -280,6 +314,8 @@
         self._phase = _Phase.HEAD
         self._head_bytes = 0
         self._body_bytes = 0
+        self._framing_bytes = 0
+        self._is_handled = False
         self._head_tail = b''
         self._timer = asyncio.get_running_loop().call_later(
             self._limits.read_timeout_s, self._handle_read_timeout
@@ -303,10 +339,40 @@
 
     def _handle_read_timeout(self) -> None:
         self._timer = None
+        self._guard.count(self._limits.listener, client_guard.Cause.SLOW)
         self._reject(_READ_TIMEOUT)
 
+    def _update_guard(self) -> None:
+        """Tell the guard what this connection does and holds."""
+        held_bytes = 0
+        if self._phase is not _Phase.IDLE:
+            held_bytes = (
+                self._head_bytes + self._body_bytes + self._framing_bytes
+            )
+        self._guard.update(self, _GUARD_PHASES[self._phase], held_bytes)
+
+    def _refuse(self, problem: problems.Problem) -> None:
+        """Respond and close; wait for the caller if few others do."""
+        if self._guard.may_linger(self):
+            self._reject(problem)
+            return
+        self._write_problem(problem)
+        if self.transport is not None:
+            self.transport.close()
+
     def _reject(self, problem: problems.Problem) -> None:
         """Respond to a request with an incomplete head, and close."""
+        self._write_problem(problem)
+        if self.transport is None:
+            return
+        # Closing at once would reset the connection while the caller still
+        # sends, and the caller could miss the response.
+        self.transport.write_eof()
+        self._timer = asyncio.get_running_loop().call_later(
+            LINGER_S, self.force_close
+        )
+
+    def _write_problem(self, problem: problems.Problem) -> None:
         reply = documents.render_problem(_for_unread_key(problem))
         lines = [
             f'HTTP/1.1 {reply.status} {problem.code}',
@@ -316,16 +382,9 @@
         ]
         self._stop_timer()
         self._phase = _Phase.REJECTED
-        if self.transport is None:
-            return
-        head = '\r\n'.join(lines).encode()
-        self.transport.write(head + HEAD_END + reply.body)
-        # Closing at once would reset the connection while the caller still
-        # sends, and the caller could miss the response.
-        self.transport.write_eof()
-        self._timer = asyncio.get_running_loop().call_later(
-            LINGER_S, self.force_close
-        )
+        if self.transport is not None:
+            head = '\r\n'.join(lines).encode()
+            self.transport.write(head + HEAD_END + reply.body)
 
 
 def check_head(
--- a/sardineproxy/connection/client_guard.py
+++ b/sardineproxy/connection/client_guard.py
@@ -67,6 +67,7 @@
         self._usage: client_limits.Usage[Connection] = client_limits.Usage(
             max_held_bytes=limits.held_bytes
         )
+        self._lingering: set[Connection] = set()
         self._log = _BoundedLog()
         metrics.set_gauge('client_held_bytes', lambda: self._usage.held_bytes)
 
@@ -97,6 +98,18 @@
     def remove(self, conn: Connection) -> None:
         """Remove a connection that was closed."""
         self._usage.remove(conn)
+        self._lingering.discard(conn)
+
+    def may_linger(self, conn: Connection) -> bool:
+        """Return whether a refused connection may wait for its client.
+
+        A client that still sends sees no reply if the connection is closed
+        at once. At most ``backlog`` connections wait, as they are not counted.
+        """
+        if len(self._lingering) >= self.limits.backlog:
+            return False
+        self._lingering.add(conn)
+        return True
 
     def update(self, conn: Connection, phase: Phase, held_bytes: int) -> None:
         """Set what a connection does and holds; close connections if needed.
--- a/sardineproxy/connection/http_connection.py
+++ b/sardineproxy/connection/http_connection.py
@@ -99,10 +99,12 @@
         self._guard.count(self._cfg.listener, cause)
         self._is_last_request_read = True
         self._reader.close()
+        # A refused request must not be handled.
+        self._waiting.clear()
+        self._waiting_bytes = 0
         is_refusable = self._handling is None and self._written is None
         if is_refusable and cause is _Cause.MEMORY:
-            self._transport.write(_REFUSAL)
-            self._transport.close()
+            self._refuse()
         else:
             self._transport.abort()
 
@@ -124,8 +126,7 @@
             self._start_timer(KEEPALIVE_S, self.close)
         else:
             self._is_last_request_read = True
-            self._transport.write(_REFUSAL)
-            self._transport.close()
+            self._refuse()
 
     def data_received(self, data: bytes) -> None:
         """Parse a part of a request."""
@@ -309,6 +310,15 @@
         self._transport.write_eof()
         self._start_timer(LINGER_S, self._transport.abort)
 
+    def _refuse(self) -> None:
+        """Refuse a request; wait for the client if few others do."""
+        self._transport.write(_REFUSAL)
+        if self._guard.may_linger(self):
+            self._transport.write_eof()
+            self._start_timer(LINGER_S, self._transport.abort)
+        else:
+            self._transport.close()
+
     def _start_timer(
         self, delay_s: float, callback: Callable[[], None]
     ) -> None:
--- a/sardineproxy/process/entry.py
+++ b/sardineproxy/process/entry.py
@@ -1,19 +1,21 @@
 """Lifecycle of an entry process: start, readiness, state dump, shutdown."""
 
 import asyncio
+import dataclasses
 import resource
 from typing import Mapping
 
 import aiohttp
 import result
-from aiohttp import web
 
 from sardineproxy import clock, exit_status, logs
-from sardineproxy.connection import admin, caller
+from sardineproxy.connection import admin, caller, client_limits
 from sardineproxy.process import metrics, components, settings
 
 _LOG = logs.get_logger('entry')
 
+BYTES_PER_MB = 1_000_000
+
 #: Ports of the open listeners by listener name.
 Ports = Mapping[str, int]
 
@@ -33,7 +35,7 @@
         self._session: aiohttp.ClientSession | None = None
         self._components: components.Components | None = None
         self._caller_listener: caller.Listener | None = None
-        self._admin_runner: web.AppRunner | None = None
+        self._admin_listener: caller.Listener | None = None
         self._tasks: list[asyncio.Task[None]] = []
         self._is_draining = False
 
@@ -144,7 +146,8 @@
         )
 
     async def _open_listeners(self, components: components.Components) -> Ports:
-        limits = caller.ConnectionLimits()
+        limits = _connection_limits(self._cfg.limits)
+        guard = caller.make_guard(limits, components.metrics)
         self._caller_listener = await caller.start(
             app=caller.build_app(
                 submissions=components.submissions,
@@ -152,24 +155,23 @@
                 clock=self._clock,
             ),
             limits=limits,
+            guard=guard,
             host=self._cfg.callers.host,
             port=self._cfg.callers.port,
         )
-        self._admin_runner = web.AppRunner(
-            admin.build_app(process=self, metrics=components.metrics),
-            access_log=None,
-        )
-        await self._admin_runner.setup()
-        admin_site = web.TCPSite(
-            self._admin_runner, self._cfg.admin.host, self._cfg.admin.port
+        self._admin_listener = await caller.start(
+            app=admin.build_app(process=self, metrics=components.metrics),
+            limits=admin.LIMITS,
+            guard=guard,
+            host=self._cfg.admin.host,
+            port=self._cfg.admin.port,
         )
-        await admin_site.start()
         await components.peers.start(
             host=self._cfg.peers.host, port=self._cfg.peers.port
         )
         return {
             'callers': self._caller_listener.port,
-            'admin': self._admin_runner.addresses[0][1],
+            'admin': self._admin_listener.port,
             'peers': components.peers.port,
         }
 
@@ -182,12 +184,34 @@
         await components.peers.close()
         components.dispatcher.close()
         await components.client.close()
-        if self._admin_runner is not None:
-            await self._admin_runner.cleanup()
+        if self._admin_listener is not None:
+            await self._admin_listener.close()
         if self._session is not None:
             await self._session.close()
 
 
+def _connection_limits(limits: settings.Limits) -> caller.ConnectionLimits:
+    """Return the limits for the machine, the defaults if it is unknown."""
+    connection_limits = caller.ConnectionLimits()
+    if limits.memory_mb is not None:
+        connection_limits = dataclasses.replace(
+            connection_limits,
+            reading_bytes=limits.memory_mb
+            * BYTES_PER_MB
+            // client_limits.HELD_DIVISOR,
+        )
+    if limits.max_fds is None:
+        return connection_limits
+    derived = client_limits.derive_limits(
+        memory_bytes=0, max_fds=limits.max_fds
+    )
+    return dataclasses.replace(
+        connection_limits,
+        connections=derived.connections,
+        backlog=derived.backlog,
+    )
+
+
 def _resource_usage() -> dict[str, object]:
     usage = resource.getrusage(resource.RUSAGE_SELF)
     return {
--- a/tests/connection/test_http_server.py
+++ b/tests/connection/test_http_server.py
@@ -7,7 +7,12 @@
 import uvloop
 
 from sardineproxy import deployment
-from sardineproxy.connection import http_server
+from sardineproxy.connection import (
+    client_guard,
+    client_limits,
+    http_server,
+)
+from sardineproxy.process import metrics
 from tests.soak import vm
 
 #: Larger than what the kernel holds of a reply that is not read.
@@ -19,9 +24,18 @@
 class Rig:
     """A server that echoes requests, and a raw connection to it."""
 
-    def __init__(self, port: int) -> None:
+    def __init__(self, port: int, held_bytes: int = 40_000_000) -> None:
         self.address = deployment.Address(host='127.0.0.1', port=port)
-        self.server = http_server.HttpServer(handler=self.handle, cfg=CFG)
+        self.server = http_server.HttpServer(
+            handler=self.handle,
+            cfg=CFG,
+            guard=client_guard.ClientGuard(
+                limits=client_limits.Limits(
+                    held_bytes=held_bytes, connections=10, backlog=10
+                ),
+                metrics=metrics.Metrics(),
+            ),
+        )
         self.requests: list[http_server.Request] = []
         self.cancelled = 0
 
@@ -73,11 +87,13 @@
     return b'\r\n'.join(lines) + b'\r\n\r\n' + body
 
 
-def run_scenario(scenario: Callable[[Rig], Coroutine[Any, Any, None]]) -> None:
+def run_scenario(
+    scenario: Callable[[Rig], Coroutine[Any, Any, None]], **limits: int
+) -> None:
     """Run a scenario on both event loops."""
 
     async def main() -> None:
-        rig = Rig(vm.free_ports('127.0.0.1')[0])
+        rig = Rig(vm.free_ports('127.0.0.1')[0], **limits)
         await rig.server.start(rig.address)
         try:
             await scenario(rig)
@@ -261,3 +277,14 @@
             writer.close()
 
         run_scenario(scenario)
+
+    def test_request_over_the_budget_is_refused_and_not_handled(self) -> None:
+        """Guards against a refusal of a request that runs all the same."""
+
+        async def scenario(rig: Rig) -> None:
+            received = await rig.send(request('/a', b'x' * 900))
+            self.assertTrue(received.startswith(b'HTTP/1.1 503'), received)
+            self.assertIn(b'Retry-After: 1', received)
+            self.assertEqual([], rig.requests)
+
+        run_scenario(scenario, held_bytes=500)
