--- a/sardineproxy/process/shards/shard.py
+++ b/sardineproxy/process/shards/shard.py
@@ -7,15 +7,13 @@
 from sardineproxy.process import metrics
 from sardineproxy.process.load import free_capacity
 from sardineproxy.process.membership import evacuations
+from sardineproxy.process.shards import evacuation, listing, mover
 from sardineproxy.process.shards import (
     agent,
     backlog,
-    evacuation,
     fencing,
     intake,
-    listing,
     manager_tokens,
-    mover,
     scheduler,
     shard_capacities,
     runs,
