Entry streams accept fewer connections in one turn of the event loop

Seen once in the whole suite beside load: 426 descriptors at the streams of sardineproxy-entry (bound 400), with 128 peers allowed that have not named themselves. asyncio accepts up to 100 connections in a turn before it closes those over the limit, so that three turns held 285 more. The backlog is 64 now.

--- a/sardineproxy/process/components.py
+++ b/sardineproxy/process/components.py
@@ -47,7 +47,7 @@
 
     #: Transport between entry processes.
     connect: peer.Connect = asyncio.open_connection
-    listen: streams.Listen = asyncio.start_server
+    listen: streams.Listen = streams.start_server
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/sardineproxy/process/peers.py
+++ b/sardineproxy/process/peers.py
@@ -67,7 +67,7 @@
         metrics: metrics.Metrics,
         cfg: Config,
         connect: peer.Connect = asyncio.open_connection,
-        listen: streams.Listen = asyncio.start_server,
+        listen: streams.Listen = streams.start_server,
     ) -> None:
         """Create an instance without streams; ``start`` opens the listener."""
         self._clock = clock
--- a/sardineproxy/process/streams.py
+++ b/sardineproxy/process/streams.py
@@ -1,6 +1,7 @@
 """Streams to other entry processes: opening, accepting and closing."""
 
 import asyncio
+import functools
 import dataclasses
 import random
 from typing import Awaitable, Callable, Coroutine, Iterable, Protocol
@@ -14,6 +15,15 @@
 Accept = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
 Listen = Callable[[Accept, str, int], Awaitable[asyncio.Server]]
 
+#: Connections that are accepted in one turn of the event loop, before those
+#: over the limit are closed. With the default of 100, a burst of connections
+#: held three times as many descriptors as the limit allows.
+ACCEPT_BACKLOG = 64
+
+start_server: Listen = functools.partial(
+    asyncio.start_server, backlog=ACCEPT_BACKLOG
+)
+
 #: Maximum time between the openings of two streams, one by each end, that
 #: count as simultaneous, in seconds.
 SIMULTANEOUS_OPEN_S = 1
