--- a/sardineproxy/process/load/placement.py
+++ b/sardineproxy/process/load/placement.py
@@ -78,7 +78,7 @@
     def refresh(self, candidate: Candidate, now: float) -> bool:
         """Index a worker by its present state; return whether it is usable."""
         worker_id = candidate.worker.worker
-        self.discard(worker_id)
+        self._remove_rank(worker_id)
         free_millicores = candidate.ledger.free_capacity.millicores
         if free_millicores <= 0 or not candidate.accepts_work(now):
             return False
@@ -96,11 +96,7 @@
 
     def discard(self, worker_id: ids.WorkerId) -> None:
         """Remove a worker, if it is in the pool."""
-        indexed = self._ranks.pop(worker_id, None)
-        if indexed is not None:
-            size_class, rank = indexed
-            self._classes[size_class].remove(rank)
-            self._candidates.pop(worker_id)
+        self._remove_rank(worker_id)
 
     def update_fastest_speed(self) -> None:
         """Find the fastest worker again."""
@@ -147,6 +143,13 @@
                     return limit
         return count
 
+    def _remove_rank(self, worker_id: ids.WorkerId) -> None:
+        indexed = self._ranks.pop(worker_id, None)
+        if indexed is not None:
+            size_class, rank = indexed
+            self._classes[size_class].remove(rank)
+            self._candidates.pop(worker_id)
+
     def _find_suitable(
         self,
         batch: runs.Batch,
