--- a/sardineproxy/process/node/dependencies.py
+++ b/sardineproxy/process/node/dependencies.py
@@ -57,7 +57,7 @@
     """Return the manager of stored jobs for a shard that this process leads.
 
     ``retention_s`` is the time for which the state of a finished job is
-    available, in seconds. The authority of the manager is in doubt after
+    available, in seconds. The authority of the manager is unconfirmed after
     ``unconfirmed_s`` without contact. ``on_lost`` is called once the manager can no longer
     write the shard's jobs.
     """
--- a/sardineproxy/process/node/node.py
+++ b/sardineproxy/process/node/node.py
@@ -266,7 +266,7 @@
     def opened(self, opened: link.Link) -> None:
         """Send a heartbeat and request the peer's registry rows."""
         self._claimer.record_silence(opened.peer.vm, None)
-        self.job_service.doubt_authority()
+        self.job_service.invalidate_authority()
         opened.send(self._heartbeat())
         self._evacuation_sync.opened(opened)
         opened.send(messages.RegistryRequest())
@@ -516,7 +516,7 @@
         """Give up what peers may have taken over during a stall."""
         self.active_jobs.notify_stalled()
         self.links.abort_all()
-        self.job_service.doubt_authority()
+        self.job_service.invalidate_authority()
         self.led_shards.mark_all_unconfirmed('process stalled')
 
     def _leads_shard(self, open_link: link.Link) -> bool:
@@ -582,7 +582,7 @@
                     shard, f'{vm} has a higher fencing token'
                 )
         if change.shards_with_new_leader:
-            self.job_service.doubt_authority()
+            self.job_service.invalidate_authority()
         for shard in change.shards_with_new_leader:
             self.active_jobs.notify_leader_found(shard)
             self.job_service.broadcast(open_tasks.LeaderFound(shard=shard))
--- a/sardineproxy/process/stored_jobs/authority.py
+++ b/sardineproxy/process/stored_jobs/authority.py
@@ -17,7 +17,7 @@
 class Mark:
     """State of an authority when a call to the store began."""
 
-    doubts: int
+    generation: int
 
     #: Local time, in seconds.
     began_at: float
@@ -36,44 +36,46 @@
 
 
 class Authority:
-    """Whether the authority was confirmed since it was last in doubt."""
+    """Whether the authority was confirmed since it was last invalidated."""
 
     def __init__(self, *, unconfirmed_s: float) -> None:
-        """Create an authority in doubt.
+        """Create an unconfirmed authority.
 
-        ``unconfirmed_s`` is the time without contact after which it is in
-        doubt again, in seconds.
+        ``unconfirmed_s`` is the time without contact after which it is
+        unconfirmed again, in seconds.
         """
         self._unconfirmed_s = unconfirmed_s
-        self._doubts = 1
-        self._settled_doubts = 0
+        self._generation = 1
+        self._confirmed_generation = 0
         self._contact_at: float | None = None
         self._ticked_at: float | None = None
 
-        #: Time of the first tick after the last doubt.
-        self._doubt_seen_at: float | None = None
+        #: Time of the first tick after the last invalidation.
+        self._unconfirmed_seen_at: float | None = None
 
     @property
     def is_confirmed(self) -> bool:
-        """Return whether a confirmation began after the last doubt."""
-        return self._settled_doubts == self._doubts
+        """Return whether a confirmation began after the last invalidation."""
+        return self._confirmed_generation == self._generation
 
-    def doubt(self) -> None:
-        """Record that another process may have taken over since the last call."""
-        self._doubts += 1
-        self._doubt_seen_at = None
+    def invalidate(self) -> None:
+        """Record that another process may have taken over the jobs."""
+        self._generation += 1
+        self._unconfirmed_seen_at = None
 
     def mark(self, now: float) -> Mark:
         """Return the present state; call it before a call to the store."""
-        return Mark(doubts=self._doubts, began_at=now)
+        return Mark(generation=self._generation, began_at=now)
 
     def confirm(self, mark: Mark) -> None:
         """Record a confirmation by a call that began at ``mark``."""
-        self._settled_doubts = max(self._settled_doubts, mark.doubts)
+        self._confirmed_generation = max(
+            self._confirmed_generation, mark.generation
+        )
         self._contact_at = max(self._contact_at or 0, mark.began_at)
 
     def tick(self, contact: Contact, now: float) -> None:
-        """Doubt the authority after a gap, or after a time without contact.
+        """Invalidate the authority after a gap, or after a time without contact.
 
         It is confirmed by messages from all processes that could have taken
         over: each is sent by a process that would have reported that.
@@ -85,10 +87,10 @@
         )
         self._ticked_at = now
         if has_gap or now - self._contact_at >= self._unconfirmed_s:
-            self.doubt()
-        if self._doubt_seen_at is None:
-            self._doubt_seen_at = now
+            self.invalidate()
+        if self._unconfirmed_seen_at is None:
+            self._unconfirmed_seen_at = now
         elif contact.heard_at is not None and (
-            contact.heard_at > self._doubt_seen_at
+            contact.heard_at > self._unconfirmed_seen_at
         ):
-            self._settled_doubts = self._doubts
+            self._confirmed_generation = self._generation
--- a/sardineproxy/process/stored_jobs/execution.py
+++ b/sardineproxy/process/stored_jobs/execution.py
@@ -432,7 +432,7 @@
         if not tasks:
             return
         new_shard = ids.ShardId(declined.suggested_shard)
-        # No leader is found while the authority of the job manager is in doubt.
+        # No leader is found while the authority of the job manager is unconfirmed.
         is_unlinked = (
             self._table.is_confirmed
             and self._router.leader_link(new_shard) is None
@@ -445,7 +445,7 @@
         """Take tasks back that stay without a leader in another shard.
 
         The leader of that shard may be alive, but it drops them before. While
-        the authority of the job manager is in doubt, tasks are unassigned
+        the authority of the job manager is unconfirmed, tasks are unassigned
         although their shard has a leader.
         """
         now = self._clock.now()
--- a/sardineproxy/process/stored_jobs/guarded_router.py
+++ b/sardineproxy/process/stored_jobs/guarded_router.py
@@ -9,7 +9,7 @@
 
 
 class GuardedRouter:
-    """Finds no leader while the authority of a job manager is in doubt.
+    """Finds no leader while the authority of a job manager is unconfirmed.
 
     Tasks then stay unassigned, as if their shard had no leader.
     """
@@ -19,12 +19,12 @@
         *,
         router: execution.Router,
         is_confirmed: Callable[[], bool],
-        on_doubt: Callable[[], None],
+        on_unconfirmed: Callable[[], None],
     ) -> None:
-        """Create a router that calls ``on_doubt`` for each denied lookup."""
+        """Create a router that calls ``on_unconfirmed`` for each denied lookup."""
         self._router = router
         self._is_confirmed = is_confirmed
-        self._on_doubt = on_doubt
+        self._on_unconfirmed = on_unconfirmed
 
     def default_shard(self) -> ids.ShardId | None:
         """Return the shard that this VM submits jobs to, None without one."""
@@ -34,7 +34,7 @@
         """Return the link to the leader of a shard, None without one."""
         if self._is_confirmed():
             return self._router.leader_link(shard)
-        self._on_doubt()
+        self._on_unconfirmed()
         return None
 
     def route(self, route: ids.RouteId) -> routes.Route | None:
--- a/sardineproxy/process/stored_jobs/job_manager.py
+++ b/sardineproxy/process/stored_jobs/job_manager.py
@@ -110,7 +110,7 @@
         self._router = guarded_router.GuardedRouter(
             router=router,
             is_confirmed=lambda: table.is_confirmed,
-            on_doubt=self._start_confirming,
+            on_unconfirmed=self._start_confirming,
         )
         self._idle_jobs: idle_jobs.IdleJobs[execution.Execution] = (
             idle_jobs.IdleJobs()
@@ -268,9 +268,9 @@
                 open_tasks.LeaderLost(shard=refusal.shard, former_leader=source)
             )
 
-    def doubt_authority(self) -> None:
+    def invalidate_authority(self) -> None:
         """Ask the store before any more work is sent."""
-        self._table.authority.doubt()
+        self._table.authority.invalidate()
 
     def tick(self, contact: authority.Contact, now: float) -> None:
         """Check the authority, and whether all jobs are continued."""
--- a/sardineproxy/process/stored_jobs/job_service.py
+++ b/sardineproxy/process/stored_jobs/job_service.py
@@ -184,10 +184,10 @@
         for manager in self.managers.values():
             manager.broadcast(event)
 
-    def doubt_authority(self) -> None:
+    def invalidate_authority(self) -> None:
         """Let all job managers ask the store before they send any more work."""
         for manager in self.managers.values():
-            manager.doubt_authority()
+            manager.invalidate_authority()
 
     def tick(
         self,
--- a/sardineproxy/process/stored_jobs/job_table.py
+++ b/sardineproxy/process/stored_jobs/job_table.py
@@ -87,7 +87,7 @@
     ) -> None:
         """Create the table; ``open`` must succeed before ``run``.
 
-        Its authority is in doubt after ``unconfirmed_s`` without contact.
+        Its authority is unconfirmed after ``unconfirmed_s`` without contact.
         """
         self.shard = shard
         self.authority = authority.Authority(unconfirmed_s=unconfirmed_s)
@@ -159,7 +159,7 @@
         meantime: the store is asked before anything else is written.
         """
         self._token = token
-        self.authority.doubt()
+        self.authority.invalidate()
         self._wake.set()
 
     async def open(self) -> tuple[store.Row, ...] | None:
--- a/tests/process/stored_jobs/test_rights.py
+++ b/tests/process/stored_jobs/test_rights.py
@@ -183,7 +183,7 @@
         manager = unlinked[number % len(unlinked)]
         if not manager.is_paused:
             manager.has_link = True
-            manager.authority.doubt()
+            manager.authority.invalidate()
 
     @stateful.precondition(
         lambda model: not all(m.reaches_store for m in model.managers)
@@ -273,7 +273,7 @@
         self.owner: Manager | None = None
         self.messages.clear()
         for manager in self.managers:
-            manager.authority.doubt()
+            manager.authority.invalidate()
 
     @stateful.invariant()
     def no_effect_of_the_cases(self) -> None:
