Emulator: real nodes under faults in virtual time

The emulator runs the nodes of a deployment on a virtual clock, with a network whose paths are cut and healed one by one, VMs that are cut off from the store, frozen processes (which handle what has arrived before their late timers), kills, slow stores and lost responses. `python -m sardineproxy emulate` plays random faults beside clients that store, query and cancel jobs, from a seed, and checks the recorded runs and that every accepted job ends.

The event loop of the tests and the worker calls with faults move into the product, as the emulator uses them. A node gets the functions that open and accept links as dependencies.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV ?= .venv
 PY := $(VENV)/bin/python
 
-.PHONY: all venv demo test lint format bench deep soak soak-cases clean
+.PHONY: all venv demo test lint format bench deep emulate soak soak-cases clean
 
 all: lint test
 
@@ -37,6 +37,10 @@
 soak: venv
 	$(PY) -m tests.soak --count $(SEEDS) $(if $(SEED),--seed $(SEED))
 
+# Random faults at real nodes in virtual time: SEEDS hunts from SEED on.
+emulate: venv
+	$(PY) -m sardineproxy emulate --count $(SEEDS) $(if $(SEED),--seed $(SEED))
+
 # The seeds that failed once.
 soak-cases: venv
 	$(PY) -m tests.soak --cases
--- a/sardineproxy/__main__.py
+++ b/sardineproxy/__main__.py
@@ -18,6 +18,7 @@
         'standin-relay': 'sardineproxy.standin.relay_core',
         'demo': 'sardineproxy.demo.core',
         'bench': 'sardineproxy.bench.core',
+        'emulate': 'sardineproxy.emulator.core',
     }
 )
 
--- /dev/null
+++ b/sardineproxy/emulator/__init__.py
@@ -0,0 +1,1 @@
+"""Emulator of a deployment: real nodes on virtual time, network and store."""
--- /dev/null
+++ b/sardineproxy/emulator/hunt.py
@@ -0,0 +1,151 @@
+"""Random faults and stored jobs from a seed, and the rules that they break."""
+
+import asyncio
+import dataclasses
+import random
+import types
+
+from sardineproxy import ids
+from sardineproxy.emulator import deployment, faults, rules, virtual_loop
+from sardineproxy.process.stored_jobs import job_manager
+
+#: Jobs of one hunt, and the longest time between two of them, in seconds.
+JOB_COUNT = 16
+MAX_JOB_INTERVAL_S = 0.6
+
+#: Most faults of one hunt, and the time in which they begin, in seconds.
+MAX_FAULTS = 4
+FAULTS_LENGTH_S = 6.0
+
+#: Share of the jobs that their clients cancel, and the longest time until then,
+#: in seconds.
+CANCEL_SHARE = 0.35
+MAX_CANCEL_S = 6.0
+
+#: Pause between two requests of a client, in seconds.
+RETRY_S = 0.5
+
+#: Times that a client hands a job in at most.
+MAX_SUBMISSIONS = 3
+
+#: Time after the end of all faults in which all jobs must end, and time for
+#: which late starts are looked for after that, in seconds.
+FINISH_S = 60.0
+LATE_S = 4.0
+
+#: Run times of the steps of a job, in seconds.
+RUN_TIMES_S = ((0.3,), (2.4,), (5.0,), (1.0, 0.2), (2.0, 0.5), (0.1, 0.1))
+
+LAYOUTS = (
+    deployment.SMALL,
+    deployment.Layout(vms=types.MappingProxyType({'z1': 2, 'z2': 2, 'z3': 1})),
+    deployment.Layout(
+        vms=types.MappingProxyType({'z1': 2, 'z2': 2, 'z3': 2}), workers=3
+    ),
+    deployment.Layout(
+        vms=types.MappingProxyType({'z1': 3, 'z2': 2, 'z3': 1}), workers=2
+    ),
+)
+
+_Reply = job_manager.JobReply
+FINAL_STATES = frozenset((_Reply.COMPLETED, _Reply.FAILED, _Reply.CANCELLED))
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Report:
+    """Results of a hunt."""
+
+    seed: int
+    violations: tuple[str, ...]
+
+    #: The faults that began, one sentence each.
+    faults: tuple[str, ...]
+    accepted: int
+
+
+def hunt(seed: int) -> Report:
+    """Play one hunt in virtual time."""
+    return virtual_loop.run(lambda: _Hunt(seed).play())
+
+
+class _Hunt:
+    """Clients and faults of one hunt."""
+
+    def __init__(self, seed: int) -> None:
+        self._seed = seed
+        self._rng = random.Random(seed)
+        self._emulated = deployment.Deployment(
+            layout=self._rng.choice(LAYOUTS), seed=seed
+        )
+        self._accepted: list[ids.JobId] = []
+
+    async def play(self) -> Report:
+        """Play the faults beside the clients; return what was broken."""
+        await self._emulated.start()
+        injector = faults.FaultInjector(emulated=self._emulated, rng=self._rng)
+        plan = faults.draw_plan(
+            self._rng, most=MAX_FAULTS, length_s=FAULTS_LENGTH_S
+        )
+        injecting = asyncio.ensure_future(injector.run(plan))
+        clients = []
+        for _ in range(JOB_COUNT):
+            clients.append(asyncio.ensure_future(self._run_client()))
+            await asyncio.sleep(self._rng.uniform(0, MAX_JOB_INTERVAL_S))
+        await asyncio.gather(injecting, *clients)
+        unended = await self._wait_for_ends()
+        await asyncio.sleep(LATE_S)
+        return Report(
+            seed=self._seed,
+            violations=(*unended, *rules.find_violations(self._emulated)),
+            faults=tuple(injector.log),
+            accepted=len(self._accepted),
+        )
+
+    async def _run_client(self) -> None:
+        """Hand a job in, and cancel it or wait for its end."""
+        job = self._emulated.make_job(
+            self._rng.choice(
+                (*self._emulated.zones[:1], *self._emulated.zones)
+            ),
+            *self._rng.choice(RUN_TIMES_S),
+            label=self._rng.choice(
+                (deployment.ANY_ZONE, deployment.OTHER_ZONES)
+            ),
+        )
+        for _ in range(MAX_SUBMISSIONS):
+            if await self._emulated.submit(self._choose_vm(), job):
+                self._accepted.append(job.job_id)
+                break
+            await asyncio.sleep(RETRY_S)
+        else:
+            return
+        cancels = self._rng.random() < CANCEL_SHARE
+        if cancels:
+            await asyncio.sleep(self._rng.uniform(0, MAX_CANCEL_S))
+        until = self._emulated.clock.now() + FINISH_S
+        await self._query(job.job_id, until, cancel=cancels)
+
+    async def _wait_for_ends(self) -> list[str]:
+        """Wait for the accepted jobs; return a sentence for each unended one."""
+        until = self._emulated.clock.now() + FINISH_S
+        unended = []
+        for job in self._accepted:
+            reply = await self._query(job, until)
+            if reply not in FINAL_STATES:
+                unended.append(f'{job}: accepted, but {reply} at the end')
+        return unended
+
+    async def _query(
+        self, job: ids.JobId, until: float, *, cancel: bool = False
+    ) -> _Reply | None:
+        """Query or cancel a job until it has ended; return the last reply."""
+        while True:
+            reply = await self._emulated.query(
+                self._choose_vm(), job, cancel=cancel
+            )
+            if reply in FINAL_STATES or self._emulated.clock.now() >= until:
+                return reply
+            await asyncio.sleep(RETRY_S)
+
+    def _choose_vm(self) -> deployment.Vm:
+        return self._rng.choice(list(self._emulated.vms.values()))
--- a/sardineproxy/process/node/dependencies.py
+++ b/sardineproxy/process/node/dependencies.py
@@ -1,10 +1,12 @@
 """External dependencies of a node, and the job managers built from them."""
 
+import asyncio
 import dataclasses
 import random
 from typing import Callable
 
 from sardineproxy import clock, ids
+from sardineproxy.connection import link
 from sardineproxy.process import metrics, store
 from sardineproxy.process.shards import workers
 from sardineproxy.process.stored_jobs import (
@@ -13,7 +15,7 @@
     job_manager,
     job_table,
 )
-from sardineproxy.process.membership import worker_list
+from sardineproxy.process.membership import links, worker_list
 from sardineproxy.version import active_config
 
 
@@ -43,6 +45,10 @@
     formats: RowFormats
     metrics: metrics.Metrics
 
+    #: Open and accept connections between VMs.
+    connect: link.Connect = asyncio.open_connection
+    listen: links.Listen = asyncio.start_server
+
 
 def new_job_manager(
     dependencies: Dependencies,
--- a/sardineproxy/process/node/node.py
+++ b/sardineproxy/process/node/node.py
@@ -109,6 +109,8 @@
             identity=self.identity,
             events=self,
             heartbeat_timing=self._link_timing.choose,
+            connect=dependencies.connect,
+            listen=dependencies.listen,
         )
         self._evacuation_sync = evacuation_sync.EvacuationSync(
             zone_of=dependencies.formats.evacuated_zone,
--- a/tests/process/shards/faults.py
+++ b/sardineproxy/standin/worker_calls.py
@@ -155,14 +155,17 @@
         model: worker_model.WorkerModel,
         call: Callable[[worker_model.WorkerModel, float], Any],
     ) -> None:
-        # A delayed order is lost if the worker restarts.
-        started_ms = model.worker.started_ms
-
-        async def later() -> None:
-            await asyncio.sleep(self.late_s)
-            if model.is_up and model.worker.started_ms == started_ms:
-                call(model, self.clock.now())
-
-        task = asyncio.create_task(later())
+        task = asyncio.create_task(self._call_late(model, call))
         self.background.add(task)
         task.add_done_callback(self.background.discard)
+
+    async def _call_late(
+        self,
+        model: worker_model.WorkerModel,
+        call: Callable[[worker_model.WorkerModel, float], Any],
+    ) -> None:
+        """Execute a delayed call, which is lost if the worker restarts."""
+        started_ms = model.worker.started_ms
+        await asyncio.sleep(self.late_s)
+        if model.is_up and model.worker.started_ms == started_ms:
+            call(model, self.clock.now())
--- a/tests/process/node/test_evacuation_sync.py
+++ b/tests/process/node/test_evacuation_sync.py
@@ -19,7 +19,7 @@
 from sardineproxy.standin import worker_model
 from tests import virtual_time
 from tests.process.node import samples
-from tests.process.shards import faults
+from sardineproxy.standin import worker_calls as faults
 from tests.process.shards import samples as shard_samples
 
 HOME = ids.ShardId('z1')
--- a/tests/process/node/test_link_timing.py
+++ b/tests/process/node/test_link_timing.py
@@ -13,7 +13,7 @@
 from sardineproxy.standin import worker_model
 from tests import virtual_time
 from tests.process.node import samples
-from tests.process.shards import faults
+from sardineproxy.standin import worker_calls as faults
 from tests.process.shards import samples as shard_samples
 
 #: A client sends a job again this long after a missing response, in seconds,
--- a/tests/process/shards/samples.py
+++ b/tests/process/shards/samples.py
@@ -19,7 +19,7 @@
 from sardineproxy.request import jobs
 from sardineproxy.standin import run_checks, worker_model
 from tests import virtual_time
-from tests.process.shards import faults
+from sardineproxy.standin import worker_calls as faults
 
 SHARD = ids.ShardId('zone-a')
 SERVICE = ids.ServiceId('print')
--- a/tests/process/shards/test_agent.py
+++ b/tests/process/shards/test_agent.py
@@ -9,7 +9,8 @@
 from sardineproxy.process.shards import workers
 from sardineproxy.request import jobs
 from sardineproxy.standin import worker_model
-from tests.process.shards import samples, faults
+from sardineproxy.standin import worker_calls as faults
+from tests.process.shards import samples
 
 
 def _with_faults(*call_faults: faults.CallFault, kind: str = 'start'):
--- a/tests/process/shards/test_model.py
+++ b/tests/process/shards/test_model.py
@@ -20,7 +20,8 @@
 from sardineproxy.standin import worker_model
 from sardineproxy.version import routes
 from tests import examples, virtual_time
-from tests.process.shards import samples, faults
+from sardineproxy.standin import worker_calls as faults
+from tests.process.shards import samples
 
 #: Time from a failure until a client submits its job again, in seconds.
 RETRY_DELAY_S = 1.3
--- a/tests/process/shards/test_shard.py
+++ b/tests/process/shards/test_shard.py
@@ -8,7 +8,8 @@
 from sardineproxy import ids
 from sardineproxy.process.shards import fencing, workers
 from sardineproxy.standin import worker_model
-from tests.process.shards import samples, faults
+from sardineproxy.standin import worker_calls as faults
+from tests.process.shards import samples
 
 
 def _work_of_1_s(task: workers.TaskName, run: int) -> worker_model.Work:
--- a/tests/process/stored_jobs/cluster.py
+++ b/tests/process/stored_jobs/cluster.py
@@ -23,7 +23,8 @@
 from sardineproxy.standin import row_store, run_checks, worker_model
 from sardineproxy.version import routes
 from tests import virtual_time
-from tests.process.shards import samples, faults
+from sardineproxy.standin import worker_calls as faults
+from tests.process.shards import samples
 
 MAX_ATTEMPTS = 3
 
