--- a/review/standin3/deployment.py
+++ b/review/standin3/deployment.py
@@ -44,10 +44,14 @@
         self.record.append((self.now(), text))
 
     async def start(self, *, zones, work_of, routes, cpu=32_000):
-        """Start everything; ``zones`` maps names to numbers of VMs and workers."""
+        """Start everything.
+
+        ``zones`` maps names to numbers of VMs and workers, and to the workers'
+        kind if that is not ``a``.
+        """
         address = await self.store.listen('127.0.0.1')
         self.configure(routes)
-        for zone, (_, worker_count) in zones.items():
+        for zone, (_, worker_count, *kind) in zones.items():
             for number in range(worker_count):
                 new = worker.Worker(
                     name=f'{zone}-worker-{number + 1}',
@@ -56,10 +60,11 @@
                     work_of=work_of,
                     now=self.now,
                     cpu=cpu,
+                    labels=kind or ('a',),
                 )
                 await new.listen('127.0.0.1', self.store)
                 self.workers.append(new)
-        for zone, (vm_count, _) in zones.items():
+        for zone, (vm_count, *_) in zones.items():
             for number in range(vm_count):
                 self.vms.append(
                     vm.Vm(
--- a/review/standin3/http11.py
+++ b/review/standin3/http11.py
@@ -14,13 +14,30 @@
         self.document = document
 
 
+class Server:
+    """A listener and its connections."""
+
+    def __init__(self, listener, writers):
+        self._listener = listener
+        self._writers = writers
+        self.port = listener.sockets[0].getsockname()[1]
+
+    def close(self):
+        """Close the listener and reset all connections."""
+        self._listener.close()
+        for writer in list(self._writers):
+            writer.transport.abort()
+
+
 async def serve(handle, host, port=0):
-    """Serve ``handle(method, path, query, headers, document)``; return the port.
+    """Serve ``handle(method, path, query, headers, document)``.
 
     The handler returns a document or raises ``Reply``.
     """
+    writers = set()
 
     async def run(reader, writer):
+        writers.add(writer)
         try:
             while True:
                 request = await _read_message(reader)
@@ -49,10 +66,11 @@
         except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
             pass
         finally:
+            writers.discard(writer)
             writer.close()
 
-    server = await asyncio.start_server(run, host, port, limit=2**22, backlog=512)
-    return server, server.sockets[0].getsockname()[1]
+    listener = await asyncio.start_server(run, host, port, limit=2**22, backlog=512)
+    return Server(listener, writers)
 
 
 async def call(address, method, path, *, headers=None, document=None, timeout_s=3.0):
--- a/review/standin3/store.py
+++ b/review/standin3/store.py
@@ -27,8 +27,8 @@
 
     async def listen(self, host):
         """Start to serve; return the address."""
-        _, port = await http11.serve(self._handle, host)
-        return f'{host}:{port}'
+        server = await http11.serve(self._handle, host)
+        return f'{host}:{server.port}'
 
     def put(self, table, key, document):
         """Write a row of the operator or of a worker; None removes it."""
--- a/review/standin3/worker.py
+++ b/review/standin3/worker.py
@@ -43,11 +43,16 @@
         self.runs = []
         self.specs = {}
         self.reaches_store = True
+        self._is_up = True
         self.heartbeat_at = time.monotonic()
         self.on_expired = lambda: None
         self.address = ''
         self._work_of = work_of
         self._now = now
+        self._start_anew()
+
+    def _start_anew(self):
+        """Forget everything, as a process that starts under the same id does."""
         self._born = int(time.time() * 1000)
         self._clock_zero = time.monotonic() - 100
         self._fence = 0
@@ -61,13 +66,32 @@
 
     async def listen(self, host, store):
         """Start to serve and to write heartbeats to the store."""
-        _, port = await http11.serve(self._handle, host)
-        self.address = f'{host}:{port}'
+        self._server = await http11.serve(self._handle, host)
+        self.address = f'{host}:{self._server.port}'
         self._tasks = [
             asyncio.create_task(self._tick()),
             asyncio.create_task(self._register(store)),
         ]
 
+    @property
+    def is_idle(self):
+        """Return whether nothing runs."""
+        return not self._running
+
+    async def crash(self, down_s):
+        """Crash, and start again under the same id and at the same address."""
+        self._server.close()
+        for run in self._running.values():
+            run.ended_at, run.how = self._now(), 'lost'
+        self._start_anew()
+        self._is_up = False
+        await asyncio.sleep(down_s)
+        self._start_anew()
+        host, _, port = self.address.rpartition(':')
+        self._server = await http11.serve(self._handle, host, int(port))
+        self._is_up = True
+        self.heartbeat_at = time.monotonic()
+
     async def _register(self, store):
         """Write the entry; the store removes it after three silent intervals."""
         seq, written_at, listed = 0, 0.0, False
@@ -76,7 +100,7 @@
             if now >= self.heartbeat_at:
                 # The first interval is shorter, so that the workers' phases differ.
                 self.heartbeat_at = now + (HEARTBEAT_S if seq else random.uniform(0.1, HEARTBEAT_S))
-                if self.reaches_store:
+                if self.reaches_store and self._is_up:
                     seq, written_at, listed = seq + 1, now, True
                     store.put('servers', self.name, self._entry(seq))
             if listed and now - written_at >= 3 * HEARTBEAT_S:
@@ -150,9 +174,7 @@
         if document.get('expires_ms') is not None:
             self._extend(document['expires_ms'])
         acked = document['acked_through']
-        self._ends = [end for end in self._ends if end[0] > acked]
-        for position in [key for key in self._unacked if key <= acked]:
-            self._unacked.pop(position).acked_at = self._now()
+        self._forget(acked)
         until = time.monotonic() + document.get('wait_ms', 0) / 1000
         while not self._ends and time.monotonic() < until:
             self._event.clear()
@@ -162,6 +184,9 @@
             except TimeoutError:
                 pass
         self._advance()
+        # The list has the ends beyond ``acked_through``, also of those that
+        # came during the wait.
+        self._forget(acked)
         return self._answer(
             running=[
                 [run.task, run.number, '', self._percent(run), 0]
@@ -170,6 +195,12 @@
             finished=self._ends[:500],
         )
 
+    def _forget(self, acked):
+        """Forget the ends up to a number; they are taken note of."""
+        self._ends = [end for end in self._ends if end[0] > acked]
+        for position in [key for key in self._unacked if key <= acked]:
+            self._unacked.pop(position).acked_at = self._now()
+
     def _percent(self, run):
         share = (self._now() - run.started_at) / run.work_s
         return min(99, int(100 * share))
@@ -222,10 +253,11 @@
             for second in task_runs[index + 1 :]:
                 end = float('inf') if first.ended_at is None else first.ended_at
                 if second.started_at < end:
-                    overlap_s = min(end, second.ended_at or end) - second.started_at
+                    until = min(end, second.ended_at or end)
                     broken.append(
                         f'TWICE: {task} runs on {first.worker} and from '
-                        f'{second.started_at:.3f} on {second.worker} too, for {overlap_s:.3f} s'
+                        f'{second.started_at:.3f} on {second.worker} too, '
+                        + ('to the end' if until == float('inf') else f'until {until:.3f}')
                     )
                 elif first.how == 'done' and first.acked_at and not first.lapsed_since:
                     broken.append(
