Emulator: workers that lose the store, odd and moved entries, ends of leaders

Entries now expire after three silent intervals, as in the platform's store; they can be malformed or name another zone while the worker runs on. Leaders also go by SIGTERM, with all VMs of their zone, or followed by their successor. Three of ten jobs are not stored; only overlapping runs count there.

--- a/sardineproxy/emulator/deployment.py
+++ b/sardineproxy/emulator/deployment.py
@@ -14,8 +14,9 @@
     table_store,
     virtual_loop,
     worker_access,
+    worker_entries,
 )
-from sardineproxy.process import metrics, store
+from sardineproxy.process import metrics
 from sardineproxy.process.node import dependencies, policy
 from sardineproxy.process.node import node as nodes
 from sardineproxy.process.shards import runs, workers
@@ -31,9 +32,6 @@
 #: Time for which a client waits for a response, in seconds.
 CLIENT_WAIT_S = 2.5
 
-#: Interval at which workers write their entries to the store, in seconds.
-WORKER_HEARTBEAT_S = 1.5
-
 #: Label of the workers outside the first zone, and of all workers.
 OTHER_ZONES = 'b'
 ANY_ZONE = 'a'
@@ -172,13 +170,16 @@
         self.network = network.Network(latency_s=LATENCY_S)
         self._run_times_s: dict[tuple[ids.JobId, int], float] = {}
         self.workers = self._make_workers(layout)
+        self.entries = worker_entries.WorkerEntries(
+            rows=self.rows, models=self.workers, rng=self.rng
+        )
         self.formats = dependencies.RowFormats(
             configuration_table='operator',
             configuration_row='operator/configuration',
-            worker_table='workers',
+            worker_table=worker_entries.TABLE,
             decode_configuration=_decode_configuration,
-            worker_id=lambda row: ids.WorkerId(row.key.partition('/')[2]),
-            decode_worker=self._decode_worker,
+            worker_id=self.entries.worker_id,
+            decode_worker=self.entries.decode,
             evacuated_zone=lambda _: None,
         )
         names = [
@@ -191,6 +192,8 @@
             for number, (name, zone) in enumerate(names, start=1)
         }
 
+        self.stored_jobs: set[ids.JobId] = set()
+
         #: Local times, in seconds, at which clients learned of an end.
         self.completed_at: dict[ids.JobId, float] = {}
         self.cancelled_at: dict[ids.JobId, float] = {}
@@ -199,7 +202,7 @@
     async def start(self) -> None:
         """Start all processes and wait until each shard has a leader."""
         self.rows.put('operator/configuration', b'1')
-        self._heartbeats = virtual_loop.spawn_outside(self._write_heartbeats())
+        self._heartbeats = virtual_loop.spawn_outside(self.entries.run())
         for vm in self.vms.values():
             vm.start()
         while not all(self.leader(zone) for zone in self.zones):
@@ -213,6 +216,13 @@
                 return vm
         return None
 
+    def any_leader(self, zone: str) -> Vm | None:
+        """Return a VM of any zone that leads the shard of a zone."""
+        for vm in self.vms.values():
+            if vm.leads(ids.ShardId(zone)):
+                return vm
+        return None
+
     # Faults.
 
     def set_paths(
@@ -238,8 +248,9 @@
         *run_times_s: float,
         label: str = OTHER_ZONES,
         count: int = 2,
+        stored: bool = True,
     ) -> jobs.Job:
-        """Return a stored job of a home shard, with a step for each run time.
+        """Return a job of a home shard, with a step for each run time.
 
         Its first step needs workers with ``label``.
         """
@@ -256,8 +267,10 @@
                     after=(step_index - 1,) if step_index else (),
                 )
             )
+        if stored:
+            self.stored_jobs.add(job_id)
         return jobs.Job(
-            job_id=job_id, payload='text', steps=tuple(steps), stored=True
+            job_id=job_id, payload='text', steps=tuple(steps), stored=stored
         )
 
     async def submit(self, vm: Vm, job: jobs.Job) -> bool:
@@ -270,6 +283,15 @@
             is job_manager.JobReply.ACCEPTED
         )
 
+    async def run(
+        self, vm: Vm, job: jobs.Job, wait_s: float
+    ) -> jobs.Outcome | None:
+        """Run a job that is not stored; None without a response in time."""
+        outcome: jobs.Outcome | None = await self._call(
+            vm, lambda: vm.node.job_intake.run(job, ROUTE, wait_s), wait_s
+        )
+        return outcome
+
     async def query(
         self, vm: Vm, job: ids.JobId, *, cancel: bool = False
     ) -> job_manager.JobReply | None:
@@ -317,20 +339,26 @@
             if managers.home_shard(job_id) == home:
                 return job_id
 
-    async def _call(self, vm: Vm, request: Callable[[], Any]) -> Any:
-        """Call a VM as a client; return None without a response in time."""
-        if vm.process.is_killed:
-            await asyncio.sleep(LATENCY_S)
-            return None
-        call = vm.process.spawn(request())
-        await asyncio.wait((call,), timeout=CLIENT_WAIT_S + 0.5)
-        return call.result() if call.done() else None
+    async def _call(
+        self,
+        vm: Vm,
+        request: Callable[[], Any],
+        wait_s: float = CLIENT_WAIT_S,
+    ) -> Any:
+        """Call a VM as a client; return None without a response in time.
 
-    async def _write_heartbeats(self) -> None:
-        while True:
-            for worker in self.workers:
-                self.rows.put(f'workers/{worker}', b'1')
-            await asyncio.sleep(WORKER_HEARTBEAT_S)
+        The call ends at once when the VM's process is killed.
+        """
+        process = vm.process
+        call = process.spawn(request())
+        until = self.clock.now() + wait_s + 0.5
+        while self.clock.now() < until:
+            await asyncio.wait((call,), timeout=0.05)
+            if call.done():
+                return call.result()
+            if process.is_killed:
+                return None
+        return None
 
     def _make_workers(
         self, layout: Layout
@@ -363,11 +391,6 @@
             resources=TASK, work_s=self._run_times_s[job, step]
         )
 
-    def _decode_worker(
-        self, row: store.Row
-    ) -> result.Result[workers.Worker, str]:
-        return result.Ok(self.workers[row.key.partition('/')[2]].worker)
-
 
 def _decode_configuration(
     body: bytes,
--- a/sardineproxy/emulator/hunt.py
+++ b/sardineproxy/emulator/hunt.py
@@ -6,8 +6,15 @@
 import types
 
 from sardineproxy import ids
-from sardineproxy.emulator import deployment, faults, rules, virtual_loop
+from sardineproxy.emulator import (
+    deployment,
+    fault_plans,
+    faults,
+    rules,
+    virtual_loop,
+)
 from sardineproxy.process.stored_jobs import job_manager
+from sardineproxy.request import jobs
 
 #: Jobs of one hunt, and the longest time between two of them, in seconds.
 JOB_COUNT = 16
@@ -22,6 +29,19 @@
 CANCEL_SHARE = 0.35
 MAX_CANCEL_S = 6.0
 
+#: Share of the hunts whose faults concern the entries of a zone's workers and
+#: the takeover of its shard, and longest time between two of their jobs, in
+#: seconds.
+TAKEOVER_SHARE = 0.5
+TAKEOVER_JOB_INTERVAL_S = 1.2
+
+#: Share of the jobs that are not stored, time for which their clients wait in
+#: addition to three times the run time, and pause before they are sent again, in
+#: seconds.
+UNSTORED_SHARE = 0.3
+UNSTORED_WAIT_S = 0.5
+RETRANSMIT_S = 1.3
+
 #: Pause between two requests of a client, in seconds.
 RETRY_S = 0.5
 
@@ -34,7 +54,15 @@
 LATE_S = 4.0
 
 #: Run times of the steps of a job, in seconds.
-RUN_TIMES_S = ((0.3,), (2.4,), (5.0,), (1.0, 0.2), (2.0, 0.5), (0.1, 0.1))
+RUN_TIMES_S = (
+    (0.3,),
+    (2.4,),
+    (5.0,),
+    (12.0,),
+    (1.0, 0.2),
+    (2.0, 0.5),
+    (0.1, 0.1),
+)
 
 LAYOUTS = (
     deployment.SMALL,
@@ -83,14 +111,21 @@
         """Play the faults beside the clients; return what was broken."""
         await self._emulated.start()
         injector = faults.FaultInjector(emulated=self._emulated, rng=self._rng)
-        plan = faults.draw_plan(
-            self._rng, most=MAX_FAULTS, length_s=FAULTS_LENGTH_S
-        )
+        if self._rng.random() < TAKEOVER_SHARE:
+            plan = fault_plans.draw_takeover_plan(
+                self._rng, self._emulated.zones
+            )
+            interval_s = TAKEOVER_JOB_INTERVAL_S
+        else:
+            plan = fault_plans.draw_plan(
+                self._rng, most=MAX_FAULTS, length_s=FAULTS_LENGTH_S
+            )
+            interval_s = MAX_JOB_INTERVAL_S
         injecting = asyncio.ensure_future(injector.run(plan))
         clients = []
         for _ in range(JOB_COUNT):
             clients.append(asyncio.ensure_future(self._run_client()))
-            await asyncio.sleep(self._rng.uniform(0, MAX_JOB_INTERVAL_S))
+            await asyncio.sleep(self._rng.uniform(0, interval_s))
         await asyncio.gather(injecting, *clients)
         unended = await self._wait_for_ends()
         await asyncio.sleep(LATE_S)
@@ -103,6 +138,7 @@
 
     async def _run_client(self) -> None:
         """Hand a job in, and cancel it or wait for its end."""
+        stored = self._rng.random() >= UNSTORED_SHARE
         job = self._emulated.make_job(
             self._rng.choice(
                 (*self._emulated.zones[:1], *self._emulated.zones)
@@ -111,7 +147,11 @@
             label=self._rng.choice(
                 (deployment.ANY_ZONE, deployment.OTHER_ZONES)
             ),
+            stored=stored,
         )
+        if not stored:
+            await self._run_unstored(job)
+            return
         for _ in range(MAX_SUBMISSIONS):
             if await self._emulated.submit(self._choose_vm(), job):
                 self._accepted.append(job.job_id)
@@ -125,6 +165,15 @@
         until = self._emulated.clock.now() + FINISH_S
         await self._query(job.job_id, until, cancel=cancels)
 
+    async def _run_unstored(self, job: jobs.Job) -> None:
+        """Run a job, and send it again if there is no response."""
+        wait_s = UNSTORED_WAIT_S + 3 * job.total_estimate_s
+        for _ in range(MAX_SUBMISSIONS):
+            outcome = await self._emulated.run(self._choose_vm(), job, wait_s)
+            if not isinstance(outcome, jobs.GivenUp | None):
+                return
+            await asyncio.sleep(RETRANSMIT_S)
+
     async def _wait_for_ends(self) -> list[str]:
         """Wait for the accepted jobs; return a sentence for each unended one."""
         until = self._emulated.clock.now() + FINISH_S
--- a/sardineproxy/emulator/rules.py
+++ b/sardineproxy/emulator/rules.py
@@ -21,6 +21,11 @@
 def find_violations(emulated: deployment.Deployment) -> list[str]:
     """Return a sentence for each violation up to now."""
     records = emulated.records()
+    stored_records = [
+        record
+        for record in records
+        if runs.job_of(record.task) in emulated.stored_jobs
+    ]
     return [
         *(
             violation
@@ -28,7 +33,7 @@
             for violation in model.violations
         ),
         *run_checks.find_overlapping_runs(records),
-        *run_checks.find_runs_after_success(records),
+        *run_checks.find_runs_after_success(stored_records),
         *find_late_starts(
             records, emulated.cancelled_at, CANCEL_S, 'was cancelled'
         ),
