Takeover: a new leader knows the workers that have no valid entry

Cause: 'all listed workers have reported' was taken for 'all runs are known'. The platform's list tells which workers may be used, not which the former leader used: an entry may have expired, be malformed, name another zone, or be newer than the copy of the list. A worker that had never reported to the new leader was forgotten as soon as its entry was gone.

Ruled out: fences (the worker accepts them, but nobody sends one), the lease (extended up to the kill, as it should be), a longer time for which removed workers stay listed (the case's second cut exceeds any).

Change: leaders report the workers that they use without an entry, and the revision of their list; VMs remember which workers have left the list. A new leader polls both, adopts their runs, and starts nothing that may run if a report is missing, until the leases have lapsed. The list counts only once it was read after the takeover.

--- a/sardineproxy/connection/messages.py
+++ b/sardineproxy/connection/messages.py
@@ -36,6 +36,15 @@
     int, ids.ServiceId, tuple[str, ...], int, int, int, int, int
 ]
 
+#: Position of the shard in ``Heartbeat.shards``, revision of the list of workers
+#: that its leader uses, and whether the leader knows all workers on which runs
+#: of the shard may exist.
+WorkerListStatus = tuple[int, int, bool]
+
+#: Position of the shard in ``Heartbeat.shards``, and a worker without a valid
+#: entry in the list: its id, host, port and start in Unix milliseconds.
+UnlistedWorker = tuple[int, ids.WorkerId, str, int, int]
+
 #: Route, and how many of its stored jobs have not started.
 PendingJobs = tuple[ids.RouteId, int]
 
@@ -72,6 +81,20 @@
         default=(),
     )
 
+    #: What a new leader of a shard must know of its workers. Older processes
+    #: send no rows.
+    worker_lists: tuple[WorkerListStatus, ...] = codec.checked_field(
+        codec.rows(codec.count, codec.count, codec.flag), default=()
+    )
+
+    #: Workers without a valid entry that a led shard uses.
+    unlisted: tuple[UnlistedWorker, ...] = codec.checked_field(
+        codec.rows(
+            codec.count, codec.text, codec.text, codec.count, codec.count
+        ),
+        default=(),
+    )
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Submit:
--- a/sardineproxy/platform/store_http.py
+++ b/sardineproxy/platform/store_http.py
@@ -75,7 +75,11 @@
             assert isinstance(response, http_calls.Response)
             if not response.document.get('has_more') or not page.ok_value.rows:
                 return result.Ok(
-                    store.Rows(rows=tuple(rows), revision=revision)
+                    store.Rows(
+                        rows=tuple(rows),
+                        revision=revision,
+                        last_revision=page.ok_value.revision,
+                    )
                 )
             # The smallest key after the last one of this page.
             query['from'] = f'{_strip_table(rows[-1].key)}\x00'
--- a/sardineproxy/process/membership/table_follower.py
+++ b/sardineproxy/process/membership/table_follower.py
@@ -159,13 +159,19 @@
         return response
 
     async def _fetch_all(self) -> result.Result[store.Rows, store.StoreError]:
-        """Read the whole table; report absent rows as removed."""
+        """Read the whole table; report absent rows as removed.
+
+        They get the highest revision at which they may have been removed.
+        """
         response = await self._store.read(self.table)
         if isinstance(response, result.Err):
             return response
         present = {row.key for row in response.ok_value.rows}
+        revision = max(
+            response.ok_value.revision, response.ok_value.last_revision
+        )
         removed = tuple(
-            store.Row(key=key, revision=response.ok_value.revision, body=None)
+            store.Row(key=key, revision=revision, body=None)
             for key in self._rows
             if key not in present
         )
--- a/sardineproxy/process/node/claiming.py
+++ b/sardineproxy/process/node/claiming.py
@@ -68,6 +68,8 @@
 #: claim, and delay before another inquiry after an answer, in seconds.
 INQUIRY_VALID_S = 1.0
 
+_Claims = dict[ids.ShardId, registry.Claim | None]
+
 _LOG = logs.get_logger('claim')
 
 
@@ -94,6 +96,9 @@
         self._seen_leaders: dict[ids.ShardId, ids.VmId] = {}
         self._seen_revisions: dict[ids.ShardId, tuple[int, int]] = {}
 
+        #: For each shard that this process has claimed, the claim before.
+        self.former_claims: _Claims = {}
+
         #: Times of the last messages of VMs whose links have timed out.
         self._silent_since: dict[ids.VmId, float] = {}
 
@@ -101,6 +106,11 @@
         self._answered_by: dict[ids.ShardId, float] = {}
         self._workers_reachable_since: dict[ids.ShardId, float] = {}
 
+    @property
+    def process_id(self) -> registry.ProcessId:
+        """Return the identity of this process."""
+        return self._member.vm, self._member.incarnation
+
     def should_claim(
         self,
         shard: ids.ShardId,
@@ -250,7 +260,7 @@
     ) -> bool:
         """Return whether another process has claimed a shard after ``token``."""
         claim = self._registry.claims.get(shard)
-        if claim is None or claim.owner == self._process_id():
+        if claim is None or claim.owner == self.process_id:
             return False
         return claim.epoch > token.epoch
 
@@ -266,7 +276,7 @@
         claim = registry.Claim(
             cell=shard,
             epoch=previous.epoch + 1 if previous else 1,
-            owner=self._process_id(),
+            owner=self.process_id,
             heirs=self.successors(shard),
             revision=previous.revision if previous else 0,
         )
@@ -288,6 +298,7 @@
                 )
             )
             self._log('Shard claimed.', shard, claim.epoch, 0, '')
+            self.former_claims[shard] = previous
             self._on_token(
                 shard, fencing.FencingToken(epoch=claim.epoch, rank=0)
             )
@@ -398,15 +409,12 @@
         self, claim: registry.Claim, token: fencing.FencingToken
     ) -> bool:
         """Return whether a claim equals what this process would write now."""
-        if claim.owner != self._process_id() or token.rank:
+        if claim.owner != self.process_id or token.rank:
             return False
         return claim.epoch == token.epoch and (
             set(claim.heirs) == set(self.successors(claim.cell))
         )
 
-    def _process_id(self) -> registry.ProcessId:
-        return self._member.vm, self._member.incarnation
-
     def _candidates(self, shard: ids.ShardId) -> tuple[registry.Member, ...]:
         """Return the VMs of the shard's zone, those with most cores first."""
         return self._registry.members_by_size(ids.ZoneId(shard))
@@ -443,9 +451,10 @@
         self, shard: ids.ShardId, previous: registry.Claim | None
     ) -> None:
         """Lead a shard with the rank that the previous claim assigns."""
-        if previous is None or self._process_id() not in previous.heirs:
+        if previous is None or self.process_id not in previous.heirs:
             return
-        rank = previous.heirs.index(self._process_id()) + 1
+        rank = previous.heirs.index(self.process_id) + 1
+        self.former_claims[shard] = previous
         self._log(
             'Shard taken over as successor.',
             shard,
--- a/sardineproxy/process/node/led_shards.py
+++ b/sardineproxy/process/node/led_shards.py
@@ -21,8 +21,9 @@
     capacity_rows,
     evacuations,
     links,
+    worker_list,
 )
-from sardineproxy.process.node import claiming, lost_zones
+from sardineproxy.process.node import claiming, lost_zones, shard_workers
 
 #: Age of the link to a VM of another zone after which the shard of that zone
 #: is returned to it, in seconds. Also the interval between two such returns.
@@ -44,7 +45,7 @@
 _LOG = logs.get_logger('node')
 
 
-class LedShardsContext(shards.ShardContext, Protocol):
+class LedShardsContext(shards.ShardContext, shard_workers.ListStatus, Protocol):
     """Process-wide state that led shards depend on, and change callbacks."""
 
     @property
@@ -71,9 +72,6 @@
     def workers_of(self, shard: ids.ShardId) -> list[workers.Worker]:
         """Return the listed workers of a shard."""
 
-    def is_worker_list_complete(self) -> bool:
-        """Return whether the list is certain to contain every worker."""
-
     def request_worker_list(self) -> None:
         """Read the list of workers soon, also on a VM that leads no shard."""
 
@@ -96,6 +94,7 @@
     rng: random.Random
     metrics: metrics.Metrics
     lost_zones: lost_zones.LostZones
+    listed_workers: worker_list.WorkerList
     cfg: times.ShardTiming
     new_job_manager: Callable[
         [ids.ShardId, fencing.FencingToken], job_manager.JobManager
@@ -129,6 +128,13 @@
         #: Shards that were claimed without a reachable worker.
         self._claimed_as_lost: set[ids.ShardId] = set()
         self.shards: dict[ids.ShardId, shards.ShardLeader] = {}
+        self.workers = shard_workers.ShardWorkers(
+            process=claimer.process_id,
+            listed=dependencies.listed_workers,
+            status=context,
+            clock=dependencies.clock,
+            metrics=dependencies.metrics,
+        )
 
     async def close(self) -> None:
         """Stop all calls to workers."""
@@ -273,8 +279,11 @@
             context=self._context,
             cfg=self._dependencies.cfg,
         )
-        if shard in self._claimed_as_lost:
-            leader.expect_unlisted_runs()
+        self.workers.take_over(
+            leader,
+            self._claimer.former_claims.get(shard),
+            is_zone_lost=shard in self._claimed_as_lost,
+        )
         self.shards[shard] = leader
         self._job_service.add_manager(
             self._dependencies.new_job_manager(shard, token)
@@ -290,6 +299,7 @@
         """Stop leading a shard immediately."""
         lost = self.shards.pop(shard)
         lost.step_down()
+        self.workers.leadership_lost(lost)
         _LOG.warning(
             'Shard leadership lost.',
             extra={
@@ -351,10 +361,7 @@
         return self._job_service.managers.get(manager.shard) is manager
 
     def _update_workers(self, leader: shards.ShardLeader) -> None:
-        leader.set_workers(
-            self._context.workers_of(leader.shard),
-            complete=self._context.is_worker_list_complete(),
-        )
+        self.workers.update(leader, self.shards.values())
 
     def _claim_and_return(self, now: float) -> None:
         self._refresh_claims(now)
--- a/sardineproxy/process/node/node.py
+++ b/sardineproxy/process/node/node.py
@@ -31,6 +31,7 @@
     leaders,
     registry,
     worker_list,
+    worker_reports,
 )
 from sardineproxy.process.node import (
     claiming,
@@ -148,6 +149,7 @@
                 lost_zones=lost_zones.LostZones(
                     store=dependencies.store, metrics=self.metrics
                 ),
+                listed_workers=self.workers,
                 cfg=node_policy.shard,
                 new_job_manager=self._new_job_manager,
             ),
@@ -379,6 +381,10 @@
         """Return whether the list is certain to contain every worker."""
         return self._feeds.is_worker_list_complete()
 
+    def worker_list_revision(self) -> int:
+        """Return the revision of the newest list of workers, 0 without one."""
+        return self._feeds.worker_list.revision or 0
+
     def workers_listed_at(self) -> float:
         """Return the local time of the last read of the worker list.
 
@@ -442,6 +448,7 @@
     def worker_rows_changed(self, rows: tuple[store.Row, ...]) -> None:
         """Apply changed entries of workers."""
         now = self._clock.now()
+        self.workers.record_read(self.worker_list_revision())
         self.workers.update(rows, now)
         self.workers.drop_removed(self._feeds.worker_list.healthy_since, now)
         self.led_shards.update_workers()
@@ -528,11 +535,16 @@
     def _heartbeat(self, has_capacity: bool = True) -> messages.Heartbeat:
         """Return the heartbeat; only leaders need the free capacity."""
         classes = self.led_shards.free_capacities() if has_capacity else []
+        worker_lists, unlisted = worker_reports.encode(
+            self.led_shards.workers.reports(self.led_shards.shards.values())
+        )
         return messages.Heartbeat(
             version=self.versions.number,
             shards=self.led_shards.shard_statuses(),
             pending=tuple(self.job_service.pending().items()),
             free_capacity=capacity_rows.encode(classes),
+            worker_lists=worker_lists,
+            unlisted=unlisted,
         )
 
     def _update_own_capacities(self, now: float) -> None:
@@ -555,6 +567,9 @@
             case messages.Heartbeat(version=version):
                 now = self._clock.now()
                 self.manager_tokens.observe_heartbeat(message)
+                self.led_shards.workers.heartbeat_received(
+                    (source.peer.vm, source.peer.incarnation), message
+                )
                 if self.leaders.update(source.peer.vm, message, now):
                     self._choose_leaders()
                 self._peer_sync.version_reported(
--- a/sardineproxy/process/shards/agent.py
+++ b/sardineproxy/process/shards/agent.py
@@ -60,6 +60,7 @@
         metrics: metrics.Metrics,
         events: Events,
         cfg: times.CallTiming,
+        listing: listing.Listing = listing.Listing.LISTED,
         fence_count: int = 0,
     ) -> None:
         """Create an agent; the runs on the worker are not known yet.
@@ -101,7 +102,7 @@
         #: False while another process may lead the shard. The leases of
         #: stored jobs' runs must expire then.
         self.is_leadership_confirmed = True
-        self._listing = listing.Listing.LISTED
+        self._listing = listing
 
         #: True while no run is started, because the worker is cold after an
         #: evacuation and others are used first.
@@ -142,6 +143,11 @@
         """Return whether a report for the current fence was received."""
         return not self._poller.is_unconfirmed
 
+    @property
+    def has_reported(self) -> bool:
+        """Return whether the worker has ever reported to this leader."""
+        return self._poller.started_ms > 0
+
     @property
     def is_unresponsive(self) -> bool:
         """Return whether the worker currently fails to respond to calls."""
--- a/sardineproxy/process/shards/evacuation.py
+++ b/sardineproxy/process/shards/evacuation.py
@@ -160,7 +160,7 @@
 
         A batch without a coordinator waits: nobody would place its tasks.
         """
-        indices = self._movable(batch)
+        indices = self._movable(batch, now)
         if not indices or batch.link is None:
             return
         is_refusable = not (batch.started or batch.stored)
@@ -193,11 +193,11 @@
                     )
                     self._decline(batch, moved, suggested_shard=shard)
 
-    def _movable(self, batch: runs.Batch) -> list[int]:
+    def _movable(self, batch: runs.Batch, now: float) -> list[int]:
         """Return the waiting tasks of which certainly no run exists."""
         if not batch.waiting_count or (
             self._takeover.accepts_resumes
-            and not self._takeover.are_all_runs_reported()
+            and not self._takeover.are_all_runs_reported(now)
         ):
             return []
         return [
--- a/sardineproxy/process/shards/poller.py
+++ b/sardineproxy/process/shards/poller.py
@@ -35,6 +35,10 @@
     def fence(self) -> int:
         """Return the current fence of calls to the worker."""
 
+    @property
+    def is_listed(self) -> bool:
+        """Return whether the newest list contains the worker."""
+
     @property
     def may_extend_lease(self) -> bool:
         """Return whether the lease of the worker's runs may be extended."""
@@ -226,10 +230,17 @@
                 self._mark_responsive(now)
                 self._acked_position = max(self._acked_position, poll.acked)
                 self._apply_report(poll, response, sent_at, now)
-            case workers.Refused(reason=workers.Refusal.FENCED):
+            case workers.Refused(reason=workers.Refusal.FENCED) if (
+                self._agent.is_listed
+            ):
                 if poll.fence >= self._agent.fence:
                     self._agent.handle_fenced()
                     await asyncio.sleep(self._cfg.silent_pause_s)
+            case workers.Refused(reason=workers.Refusal.FENCED):
+                # Its entry may have named another zone, whose leader has
+                # ordered it since.
+                self.mark_unresponsive('fenced while not listed', now)
+                await self._back_off()
             case workers.Refused():
                 self.mark_unresponsive(
                     f'{response.reason.value} {response.detail}', now
--- a/sardineproxy/process/shards/shard.py
+++ b/sardineproxy/process/shards/shard.py
@@ -1,15 +1,16 @@
 """Leads one shard: queues its tasks, dispatches them and handles results."""
 
-from typing import Iterable, Protocol
+from typing import Callable, Iterable, Protocol
 
 from sardineproxy import clock, ids, logs
 from sardineproxy.connection import link, messages
 from sardineproxy.process import metrics
 from sardineproxy.process.load import free_capacity
-from sardineproxy.process.membership import evacuations
-from sardineproxy.process.shards import evacuation, listing, mover
+from sardineproxy.process.membership import evacuations, worker_reports
+from sardineproxy.process.shards import evacuation, mover
 from sardineproxy.process.shards import (
     agent,
+    agent_set,
     backlog,
     fencing,
     intake,
@@ -76,18 +77,21 @@
         """
         self.shard = shard
         self.token = token
-        self._api = api
         self._clock = clock
         self._metrics = metrics
         self._events = events
         self._context = context
         self._cfg = cfg
         self._leader_since = clock.now()
-        self._agents: dict[ids.WorkerId, agent.Agent] = {}
-
-        #: Fence counts of removed workers. A worker that is listed again
-        #: refuses lower fences than it has already seen.
-        self._former_fence_counts: dict[ids.WorkerId, int] = {}
+        self._agent_set = agent_set.AgentSet(
+            token=token,
+            api=api,
+            clock=clock,
+            metrics=metrics,
+            events=self,
+            cfg=cfg.calls,
+        )
+        self._agents = self._agent_set.by_worker
         self._backlog = backlog.Backlog(
             shard=shard,
             clock=clock,
@@ -98,7 +102,6 @@
 
         #: Batches without a link to their coordinator.
         self._detached: dict[runs.BatchKey, runs.Batch] = {}
-        self._unlisted: set[ids.WorkerId] = set()
         self._takeover = takeover.Takeover(
             agents=self._agents,
             backlog=self._backlog,
@@ -153,12 +156,19 @@
         )
 
     def expect_unlisted_runs(self) -> None:
-        """Let stored jobs wait until the former leader's runs have ended.
+        """Start no resumed task until the former leader's runs have ended.
 
-        For the shard of a zone that seems to be lost. The entries of its
-        workers may have expired, although the workers still run tasks.
+        The entries of workers may have expired, although they still run tasks,
+        and it is not known which. Jobs that are not stored end at once.
         """
-        self._takeover.has_unlisted_runs = True
+        self._takeover.may_have_unlisted_runs = True
+
+    def add_former_workers(self, former: Iterable[workers.Worker]) -> None:
+        """Add workers without a valid entry which the former leader used.
+
+        Their runs are adopted like those of listed workers.
+        """
+        self._agent_set.add_unlisted(former)
 
     def step_down(self) -> None:
         """Start no more runs, because another process leads the shard."""
@@ -167,8 +177,7 @@
     async def close(self) -> None:
         """Stop all calls to workers; their runs continue."""
         self.step_down()
-        for worker_agent in self._agents.values():
-            await worker_agent.close()
+        await self._agent_set.close()
 
     def set_workers(
         self, listed: Iterable[workers.Worker], *, complete: bool
@@ -178,22 +187,10 @@
         ``complete`` means that the list is certain to contain every worker
         that the former leader may have used.
         """
-        if complete:
+        self._takeover.is_list_expected = complete
+        if complete and self._context.workers_listed_at() >= self._leader_since:
             self._takeover.is_worker_list_complete = True
-        by_id = {worker.worker: worker for worker in listed}
-        for worker_id, worker in by_id.items():
-            existing = self._agents.get(worker_id)
-            if existing is None:
-                self._add(worker)
-            elif existing.worker == worker:
-                existing.apply_listing(listing.Event.ENTRY_UNCHANGED)
-            else:
-                existing.update(worker)
-        self._unlisted.difference_update(by_id)
-        for worker_id, worker_agent in self._agents.items():
-            if worker_id not in by_id:
-                worker_agent.apply_listing(listing.Event.ENTRY_MISSING)
-                self._unlisted.add(worker_id)
+        self._agent_set.set_listed(listed)
         self._scheduler.refresh_all(self._clock.now())
 
     def set_evacuation(self, status: evacuations.Status, now: float) -> None:
@@ -254,14 +251,36 @@
         """Use a higher fencing token of this leader from now on."""
         self.token = token
         self._scheduler.token = token
-        self._former_fence_counts.clear()
-        for worker_agent in self._agents.values():
-            worker_agent.renew_token(token)
+        self._agent_set.renew_token(token)
 
     def mark_all_unconfirmed(self, cause: str) -> None:
         """Start no runs on any worker until it has sent a new report."""
-        for worker_agent in self._agents.values():
-            worker_agent.mark_unconfirmed(cause)
+        self._agent_set.mark_all_unconfirmed(cause)
+
+    def uses(self, worker: ids.WorkerId) -> bool:
+        """Return whether runs of this shard may exist on a worker."""
+        return worker in self._agents
+
+    def report_workers(
+        self,
+        list_revision: int,
+        is_listed: Callable[[ids.WorkerId], bool],
+        now: float,
+    ) -> worker_reports.WorkerReport:
+        """Return what a new leader must know of this shard's workers.
+
+        ``list_revision`` is the revision of the newest list of workers, and
+        ``is_listed`` tells whether it has a valid entry of a worker.
+        """
+        return worker_reports.WorkerReport(
+            list_revision=list_revision,
+            is_complete=self._takeover.are_all_workers_known(now),
+            unlisted=tuple(
+                worker_agent.worker
+                for worker_id, worker_agent in self._agents.items()
+                if not is_listed(worker_id)
+            ),
+        )
 
     def tick(self, now: float) -> None:
         """Run the periodic work: takeover, removals, expiry and dispatch.
@@ -424,33 +443,22 @@
                 'unconfirmed_s': round(unconfirmed_s, 3),
             },
         )
-        for worker_agent in self._agents.values():
-            worker_agent.is_leadership_confirmed = is_confirmed
+        self._agent_set.set_leadership_confirmed(is_confirmed)
 
     def _remove_unlisted(self, now: float) -> None:
-        """Remove unlisted workers on which nothing can run any more."""
-        for worker_id in list(self._unlisted):
-            worker_agent = self._agents[worker_id]
-            if worker_agent.is_removable(now):
-                self._unlisted.discard(worker_id)
-                self._agents.pop(worker_id)
-                self._former_fence_counts[worker_id] = worker_agent.fence_count
-                worker_agent.abandon()
-                self._scheduler.worker_changed(worker_id, now)
-
-    def _add(self, worker: workers.Worker) -> None:
-        worker_agent = agent.Agent(
-            worker=worker,
-            token=self.token,
-            api=self._api,
-            clock=self._clock,
-            metrics=self._metrics,
-            events=self,
-            cfg=self._cfg.calls,
-            fence_count=self._former_fence_counts.pop(worker.worker, -1) + 1,
+        """Remove unlisted workers on which nothing can run any more.
+
+        Runs of a former leader are known once the worker has reported.
+        """
+        may_have_former_runs = not self._takeover.have_all_ended(now)
+        removed = self._agent_set.remove_unused(
+            lambda worker_agent: (
+                may_have_former_runs and not worker_agent.has_reported
+            ),
+            now,
         )
-        self._agents[worker.worker] = worker_agent
-        worker_agent.open()
+        for worker_id in removed:
+            self._scheduler.worker_changed(worker_id, now)
 
     def _apply_result(
         self,
--- a/sardineproxy/process/shards/takeover.py
+++ b/sardineproxy/process/shards/takeover.py
@@ -48,12 +48,15 @@
         self._leader_since = leader_since
         self._deferred: list[DeferredSubmit] = []
 
-        #: True once all workers are listed that the former leader may have
-        #: used.
+        #: True once all workers are listed that were in the platform's list
+        #: when this process became leader.
         self.is_worker_list_complete = False
 
-        #: True if workers that are not listed may have runs.
-        self.has_unlisted_runs = False
+        #: True while the list is read from a healthy store.
+        self.is_list_expected = False
+
+        #: Whether workers that are not known may have runs of the former leader.
+        self.may_have_unlisted_runs = False
 
         #: True while runs of the former leader may be resumed.
         self.accepts_resumes = True
@@ -64,18 +67,27 @@
         A stored job waits until every run of the former leader is either
         reported or has certainly ended.
         """
-        if self.are_all_runs_reported() and not (
-            message.stored and self.has_unlisted_runs
-        ):
+        if self.are_all_runs_reported(now):
             return False
         if message.stored:
-            all_ended_at = self._leader_since + self._cfg.former_runs_s
-            return not self.is_worker_list_complete or now < all_ended_at
-        return now < self._leader_since + self._cfg.sync_s
+            return not (
+                self.is_worker_list_complete and self.have_all_ended(now)
+            )
+        return now < self._reports_due_at()
+
+    def have_all_ended(self, now: float) -> bool:
+        """Return whether no run exists on a worker that has not reported."""
+        return now >= self._leader_since + self._cfg.former_runs_s
 
-    def are_all_runs_reported(self) -> bool:
+    def are_all_workers_known(self, now: float) -> bool:
+        """Return whether runs exist on no other workers."""
+        if not self.is_worker_list_complete:
+            return False
+        return not self.may_have_unlisted_runs or self.have_all_ended(now)
+
+    def are_all_runs_reported(self, now: float) -> bool:
         """Return whether all workers have reported to this leader."""
-        return self.is_worker_list_complete and all(
+        return self.are_all_workers_known(now) and all(
             worker_agent.is_synced for worker_agent in self._agents.values()
         )
 
@@ -130,7 +142,7 @@
             for index, run_number in tasks.items()
             if not self._adopt(batch, index, now)
         }
-        may_start_missing = batch.stored or self.are_all_runs_reported()
+        may_start_missing = batch.stored or self.are_all_runs_reported(now)
         _LOG.info(
             'Job resumed.',
             extra={
@@ -161,6 +173,13 @@
             if not self._adopt_active(batch, index, now)
         }
 
+    def _reports_due_at(self) -> float:
+        """Return until when jobs that are not stored wait for reports."""
+        if self.is_list_expected and not self.is_worker_list_complete:
+            # The runs that they can adopt are stopped from then on.
+            return self._leader_since + self._cfg.adopt_s
+        return self._leader_since + self._cfg.sync_s
+
     def _adopt(self, batch: runs.Batch, index: int, now: float) -> bool:
         """Adopt a task's run or send its result; return whether one exists."""
         if self._adopt_active(batch, index, now):
--- a/sardineproxy/process/store.py
+++ b/sardineproxy/process/store.py
@@ -86,9 +86,12 @@
 
     rows: tuple[Row, ...]
 
-    #: Revision of the store at the time of the read.
+    #: Revision of the store at the start of the read.
     revision: int
 
+    #: Revision of the store at its end, if that is known to be higher.
+    last_revision: int = 0
+
 
 class Store(Protocol):
     """Tables of rows with transactions and a feed of changes."""
--- a/tests/process/membership/test_worker_list.py
+++ b/tests/process/membership/test_worker_list.py
@@ -10,6 +10,7 @@
 from sardineproxy.platform import worker_entries
 from sardineproxy.process import metrics, store
 from sardineproxy.process.membership import table_follower, worker_list
+from sardineproxy.process.shards import workers
 from tests import virtual_time
 from tests.platform import samples
 from tests.process.node import samples as node_samples
@@ -30,6 +31,10 @@
     return store.Row(key=f'servers/{key}', revision=1, body=body)
 
 
+def names(found: list[workers.Worker] | None) -> list[str]:
+    return sorted(worker.worker for worker in found or ())
+
+
 class TestWorkerList(testtools.TestCase):
     def test_removed_entry_stays_listed_for_the_removal_delay(self) -> None:
         """Guards against dropping workers whose heartbeat is late.
@@ -89,6 +94,64 @@
         self.assertEqual(2, len(tested.of_shard(SHARD)))
         self.assertEqual({}, tested.malformed_entries())
 
+    def test_workers_that_left_the_list_are_known_for_a_while(self) -> None:
+        """Guards against a new leader that misses a worker with runs.
+
+        Its entry has expired or is malformed, and it runs on (review/15).
+        """
+        tested = make_list()
+        tested.record_read(1)
+        tested.update((row(samples.worker_entry()),), 10)
+        tested.update((row(samples.worker_entry(), 'i-2'),), 10)
+        for key, revision, body in (('i-1', 8, None), ('i-2', 9, b'odd')):
+            tested.update(
+                (
+                    store.Row(
+                        key=f'servers/{key}', revision=revision, body=body
+                    ),
+                ),
+                20,
+            )
+        tested.drop_removed(healthy_since=0, now=30)
+        self.assertEqual(
+            ['i-1', 'i-2'], names(tested.find_former(SHARD, revision=7))
+        )
+        self.assertEqual(['i-2'], names(tested.find_former(SHARD, revision=8)))
+        self.assertFalse(tested.is_listed(ids.WorkerId('i-1')))
+        tested.drop_removed(
+            healthy_since=0, now=20 + worker_list.FORMER_RETENTION_S
+        )
+        self.assertIsNone(tested.find_former(SHARD, revision=7))
+        self.assertEqual(['i-2'], names(tested.find_former(SHARD, revision=8)))
+
+    def test_former_workers_are_unknown_before_the_first_read(self) -> None:
+        """Guards against a process that takes a gap for an empty list."""
+        tested = make_list()
+        self.assertIsNone(tested.find_former(SHARD, revision=3))
+        tested.record_read(5)
+        self.assertIsNone(tested.find_former(SHARD, revision=3))
+        self.assertEqual([], tested.find_former(SHARD, revision=5))
+        odd = store.Row(key='servers/i-7', revision=8, body=b'odd')
+        tested.update((odd,), 10)
+        self.assertIsNone(tested.find_former(SHARD, revision=7))
+        self.assertEqual([], tested.find_former(SHARD, revision=8))
+
+    def test_entry_that_names_another_zone_is_malformed(self) -> None:
+        """Guards against two leaders that use one worker.
+
+        A worker that has started again may be in another zone.
+        """
+        tested = make_list()
+        tested.update((row(samples.worker_entry()),), 10)
+        tested.update((row(samples.worker_entry(zone='z2')),), 11)
+        tested.drop_removed(healthy_since=0, now=20)
+        tested.update((row(samples.worker_entry(zone='z2')),), 20)
+        for shard in (SHARD, ids.ShardId('z2')):
+            self.assertEqual([], tested.of_shard(shard))
+        restarted = samples.worker_entry(zone='z2', born=1_700_000_000_001)
+        tested.update((row(restarted),), 21)
+        self.assertEqual(1, len(tested.of_shard(ids.ShardId('z2'))))
+
     def test_list_is_complete_once_the_store_has_been_healthy(self) -> None:
         """Guards against a new leader that misses a worker with runs.
 
