Takeover: former runs are not kept alive beyond their leader's loss

Callers saw: a job that is not stored ran on two workers at once for 0.05 to 0.5 s, after its VM was lost together with the leader of the zone and the client sent it again 1.3 s later (TWICE).

Cause: a new leader extended the leases of all runs that it found, and gave their coordinators `adopt_s` from the takeover to resume them. The client's pause counts from the loss of the VM, so that a VM that started again, or a second takeover, prolonged runs that nobody could resume.

Ruled out: late stops (they were sent in time), the former leader (gone), the order of messages (the coordinator no longer exists).

Change: leases of runs that are not resumed are extended up to 1 s (`cell.former_lease_s`) after the loss of the former leader, not at all if the new leader never knew it, and these runs are stopped then, at the earliest `sync_s` after the takeover.

--- a/sardineproxy/process/node/claiming.py
+++ b/sardineproxy/process/node/claiming.py
@@ -1,5 +1,6 @@
 """Decides which shards this process should lead, and claims them."""
 
+import math
 from typing import Callable
 
 import result
@@ -156,6 +157,16 @@
         """
         return now - self._leaderless_since.get(shard, now)
 
+    def leader_lost_at(self, shard: ids.ShardId, now: float) -> float:
+        """Return when the former leader of a shard was lost.
+
+        This is now if it still leads, and minus infinity if this process has
+        never known a leader.
+        """
+        if shard not in self._seen_leaders:
+            return -math.inf
+        return self._leaderless_since.get(shard, now)
+
     def postpone(self, shard: ids.ShardId, now: float) -> None:
         """Suppress claims of a shard for ``CLAIM_RETRY_S``."""
         self._retry_at[shard] = now + CLAIM_RETRY_S
--- a/sardineproxy/process/node/led_shards.py
+++ b/sardineproxy/process/node/led_shards.py
@@ -279,6 +279,12 @@
             context=self._context,
             cfg=self._dependencies.cfg,
         )
+        if shard in self._claimer.former_claims:
+            leader.limit_former_runs(
+                self._claimer.leader_lost_at(
+                    shard, self._dependencies.clock.now()
+                )
+            )
         self.workers.take_over(
             leader,
             self._claimer.former_claims.get(shard),
--- a/sardineproxy/process/shards/agent.py
+++ b/sardineproxy/process/shards/agent.py
@@ -5,6 +5,7 @@
 start.
 """
 
+import math
 from typing import Protocol
 
 from sardineproxy import background, clock, logs
@@ -99,6 +100,10 @@
         )
         self.fence_count = fence_count
 
+        #: Local time, in seconds, until which the leases of runs that a former
+        #: leader started may last before they are adopted.
+        self.former_runs_until = math.inf
+
         #: False while another process may lead the shard. The leases of
         #: stored jobs' runs must expire then.
         self.is_leadership_confirmed = True
@@ -290,7 +295,7 @@
         run.percent = active_run.percent
         run.is_sent = True
         self.ledger.add(run)
-        self._poller.wake()
+        self._poller.extend_adopted()
 
     def mark_unconfirmed(self, cause: str) -> None:
         """Start no runs until a report for a higher fence has arrived.
--- a/sardineproxy/process/shards/agent_set.py
+++ b/sardineproxy/process/shards/agent_set.py
@@ -1,5 +1,6 @@
 """Agents of the workers that a shard uses, listed or not."""
 
+import math
 from typing import Callable, Iterable
 
 from sardineproxy import clock, ids
@@ -36,6 +37,10 @@
         self._cfg = cfg
         self._unlisted: set[ids.WorkerId] = set()
 
+        #: Local time, in seconds, until which leases of a former leader's runs
+        #: may last before they are adopted.
+        self.former_runs_until = math.inf
+
         #: Fence counts of removed workers. A worker that is listed again
         #: refuses lower fences than it has already seen.
         self._former_fence_counts: dict[ids.WorkerId, int] = {}
@@ -119,5 +124,6 @@
             listing=state,
             fence_count=self._former_fence_counts.pop(worker.worker, -1) + 1,
         )
+        worker_agent.former_runs_until = self.former_runs_until
         self.by_worker[worker.worker] = worker_agent
         worker_agent.open()
--- a/sardineproxy/process/shards/lease.py
+++ b/sardineproxy/process/shards/lease.py
@@ -1,5 +1,7 @@
 """Lease of a worker's runs, on the worker's clock and on the local one."""
 
+import math
+
 from sardineproxy.process.shards import times
 
 _MS_PER_S = 1000
@@ -34,15 +36,21 @@
         """Discard the clock reading after a restart of the worker."""
         self._clock_ms = 0
 
-    def extend(self, now: float) -> int:
+    def extend(self, now: float, until: float = math.inf) -> int:
         """Extend the lease; return its end on the worker's clock, in ms.
 
-        The calculation assumes the slowest permitted worker clock, so that an
+        It is extended up to the local time ``until``, in seconds, at most. The
+        calculation assumes the slowest permitted worker clock, so that an
         order that is executed late finds its lease expired.
         """
-        self._expires_at = now + self._cfg.longest_lease_s
+        lease_s = min(self._cfg.lease_s, until - now)
+        self.assume_extended(now)
         elapsed_s = (now - self._clock_read_at) * (1 - self._cfg.clock_error)
-        return self._clock_ms + int((elapsed_s + self._cfg.lease_s) * _MS_PER_S)
+        return self._clock_ms + int((elapsed_s + lease_s) * _MS_PER_S)
+
+    def assume_extended(self, now: float) -> None:
+        """Let runs exist for as long as the longest lease from now on."""
+        self._expires_at = now + self._cfg.longest_lease_s
 
     def has_expired(self, now: float) -> bool:
         """Return whether the lease has certainly expired on the worker."""
--- a/sardineproxy/process/shards/poller.py
+++ b/sardineproxy/process/shards/poller.py
@@ -39,6 +39,10 @@
     def is_listed(self) -> bool:
         """Return whether the newest list contains the worker."""
 
+    @property
+    def former_runs_until(self) -> float:
+        """Return until when leases of unrequested runs may be extended."""
+
     @property
     def may_extend_lease(self) -> bool:
         """Return whether the lease of the worker's runs may be extended."""
@@ -92,6 +96,9 @@
         #: True until a report for the current fence has arrived.
         self.is_unconfirmed = True
 
+        #: Whether the current poll extends the lease of this leader's runs.
+        self._extends_own_runs = False
+
         #: Start of the worker process according to its newest report, in Unix
         #: milliseconds; 0 before the first report.
         self.started_ms = 0
@@ -122,6 +129,13 @@
             self._poll.cancel()
         self._wake.set()
 
+    def extend_adopted(self) -> None:
+        """Extend the lease for an adopted run at once."""
+        if self._poll is not None and not self._extends_own_runs:
+            self._results_released.set()
+            self._poll.cancel()
+        self._wake.set()
+
     def mark_unresponsive(self, cause: str, now: float) -> None:
         """Record that a call failed or a poll was refused."""
         if self.unresponsive_since is not None:
@@ -208,8 +222,12 @@
         is_responsive = self.unresponsive_since is None
         is_extendable = is_responsive and self._agent.may_extend_lease
         if is_extendable and self._lease.has_clock:
-            if has_unstopped_runs or self._ledger.unrequested:
+            former_until = self._agent.former_runs_until
+            if has_unstopped_runs:
                 expires_ms = self._lease.extend(now)
+            elif self._ledger.unrequested and now < former_until:
+                expires_ms = self._lease.extend(now, former_until)
+        self._extends_own_runs = has_unstopped_runs
         respond_at_once = self.is_unconfirmed or self._ledger.is_empty
         return workers.Poll(
             fence=self._agent.fence,
@@ -310,6 +328,9 @@
         unrequested = self._reconciler.apply(
             poll, report, sent_at=sent_at, now=now
         )
+        if unrequested:
+            # A former leader may have extended it just before this report.
+            self._lease.assume_extended(now)
         self._agent.handle_report(
             unrequested,
             is_newly_confirmed=was_unconfirmed and not self.is_unconfirmed,
--- a/sardineproxy/process/shards/shard.py
+++ b/sardineproxy/process/shards/shard.py
@@ -155,6 +155,16 @@
             cfg=cfg,
         )
 
+    def limit_former_runs(self, leader_lost_at: float) -> None:
+        """Let the former leader's runs end unless they are resumed soon.
+
+        ``leader_lost_at`` is the local time of its loss, in seconds, minus
+        infinity if it is not known. Clients send the jobs of a lost VM again.
+        """
+        until = leader_lost_at + self._cfg.former_lease_s
+        self._agent_set.former_runs_until = until
+        self._takeover.limit_adoption(until)
+
     def expect_unlisted_runs(self) -> None:
         """Start no resumed task until the former leader's runs have ended.
 
--- a/sardineproxy/process/shards/takeover.py
+++ b/sardineproxy/process/shards/takeover.py
@@ -61,6 +61,9 @@
         #: True while runs of the former leader may be resumed.
         self.accepts_resumes = True
 
+        #: Local time until which that is the case, in seconds.
+        self._adopt_until = leader_since + cfg.adopt_s
+
     def must_defer(self, message: messages.Submit, now: float) -> bool:
         """Return whether a submission must wait for reports of workers.
 
@@ -75,6 +78,17 @@
             )
         return now < self._reports_due_at()
 
+    def limit_adoption(self, until: float) -> None:
+        """Accept no resumes after a local time, in seconds.
+
+        Coordinators that know of the new leader have resumed their jobs after
+        ``sync_s``.
+        """
+        self._adopt_until = max(
+            min(self._adopt_until, until),
+            self._leader_since + self._cfg.sync_s,
+        )
+
     def have_all_ended(self, now: float) -> bool:
         """Return whether no run exists on a worker that has not reported."""
         return now >= self._leader_since + self._cfg.former_runs_s
@@ -120,10 +134,7 @@
 
     def stop_unresumed(self, now: float) -> None:
         """Stop the runs that no coordinator has resumed in time."""
-        if (
-            self.accepts_resumes
-            and now >= self._leader_since + self._cfg.adopt_s
-        ):
+        if self.accepts_resumes and now >= self._adopt_until:
             self.accepts_resumes = False
             for worker_agent in self._agents.values():
                 worker_agent.stop_unrequested()
@@ -177,7 +188,7 @@
         """Return until when jobs that are not stored wait for reports."""
         if self.is_list_expected and not self.is_worker_list_complete:
             # The runs that they can adopt are stopped from then on.
-            return self._leader_since + self._cfg.adopt_s
+            return self._adopt_until
         return self._leader_since + self._cfg.sync_s
 
     def _adopt(self, batch: runs.Batch, index: int, now: float) -> bool:
--- a/sardineproxy/process/shards/times.py
+++ b/sardineproxy/process/shards/times.py
@@ -103,6 +103,11 @@
     #: this time.
     adopt_s: float = 0.5
 
+    #: Runs of a former leader that are not resumed end this long after its loss,
+    #: as their leases are extended no further. A client sends a job again 1.3 s
+    #: after the VM that accepted it was lost, perhaps with the leader.
+    former_lease_s: float = 1.0
+
     #: After this time no run of a former leader exists on a worker that has
     #: not reported. An isolated leader stops extending leases after
     #: ``unconfirmed_s``, and they last for 1 s, or 1.02 s on a slow clock.
--- a/tests/emulator/test_takeover.py
+++ b/tests/emulator/test_takeover.py
@@ -6,7 +6,7 @@
 import asyncio
 import dataclasses
 import itertools
-from typing import Any, Awaitable, Callable
+from typing import Any, Awaitable, Callable, Coroutine
 
 import testtools
 
@@ -29,6 +29,9 @@
 END_DELAYS_S = (4.0, 5.5, 9.0)
 AFTER_EXPIRY_S = (9.0,)
 
+#: Time after which a client sends a job again, in seconds.
+RETRANSMIT_S = 1.3
+
 
 class Fixture:
     """Jobs of long tasks, and the workers of ``z1`` that run some of them."""
@@ -234,3 +237,45 @@
             return [*rules.find_violations(emulated), *map(str, repeated)]
 
         self.assertEqual([], virtual_loop.run(main))
+
+
+class TestResubmission(testtools.TestCase):
+    def test_job_sent_again_does_not_meet_its_former_runs(self) -> None:
+        """Guards against runs that a new leader keeps alive for nobody.
+
+        The only VM of a zone is lost with the job, and its client sends the
+        job again to another zone.
+        """
+        for restart_s in (0.2, 0.4, 0.6, 0.8, 5.0):
+            violations = virtual_loop.run(_make_resubmission(restart_s))
+            self.assertEqual([], violations, restart_s)
+
+
+def _make_resubmission(
+    restart_s: float,
+) -> Callable[[], Coroutine[Any, Any, list[str]]]:
+    """Return a scenario in which the lost VM starts again after some time."""
+
+    async def main() -> list[str]:
+        emulated = deployment.Deployment(layout=LAYOUT, seed=1)
+        await emulated.start()
+        lost = emulated.vms['z2-1']
+        job = emulated.make_job('z1', RUN_TIME_S, stored=False)
+        sending = asyncio.ensure_future(emulated.run(lost, job, RUN_TIME_S))
+        await asyncio.sleep(1)
+        lost.kill()
+        killed_at = emulated.clock.now()
+        await asyncio.sleep(min(restart_s, RETRANSMIT_S))
+        if restart_s < RETRANSMIT_S:
+            lost.start()
+        await asyncio.sleep(killed_at + RETRANSMIT_S - emulated.clock.now())
+        assert sending.done()
+        again = asyncio.ensure_future(
+            emulated.run(emulated.vms['z3-1'], job, RUN_TIME_S)
+        )
+        await asyncio.sleep(4)
+        assert not again.done()
+        assert len(emulated.records()) == 2 * job.steps[0].count
+        return rules.find_violations(emulated)
+
+    return main
--- a/tests/process/shards/test_takeover.py
+++ b/tests/process/shards/test_takeover.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 import testtools
+from testtools import matchers
 
 from sardineproxy import ids
 from sardineproxy.process.shards import fencing, workers
@@ -15,6 +16,10 @@
     return samples.typical_work(task, run, 1)
 
 
+def _work_of_9_s(task: Any, run: int) -> Any:
+    return samples.typical_work(task, run, 9)
+
+
 async def _start_former(rig: samples.Rig, **changes: Any) -> None:
     """Let a former leader start a task on ``w0``."""
     former = rig.lead()
@@ -194,3 +199,51 @@
             )
 
         samples.with_rig(scenario)
+
+
+class TestFormerRuns(testtools.TestCase):
+    """Runs of a former leader that was lost a while ago."""
+
+    def test_runs_that_nobody_resumes_end_with_their_lease(self) -> None:
+        """Guards against a run that meets the client's second attempt.
+
+        The new leader finds the run, and no coordinator asks for it.
+        """
+
+        async def scenario(rig: samples.Rig) -> None:
+            await _start_former(rig)
+            lost_at = rig.clock.now()
+            await asyncio.sleep(0.8)
+            new = rig.lead(epoch=2)
+            new.limit_former_runs(lost_at)
+            await asyncio.sleep(3)
+            ended_at = samples.only_item(rig.records()).ended_at
+            self.assertThat(
+                ended_at - lost_at,
+                matchers.LessThan(rig.cfg.calls.longest_lease_s + 0.05),
+            )
+
+        samples.with_rig(scenario, work_of=_work_of_9_s)
+
+    def test_resumed_run_gets_a_whole_lease_at_once(self) -> None:
+        """Guards against the loss of a run that was resumed in time."""
+
+        async def scenario(rig: samples.Rig) -> None:
+            await _start_former(rig)
+            lost_at = rig.clock.now()
+            await asyncio.sleep(0.6)
+            new = rig.lead(epoch=2)
+            new.limit_former_runs(lost_at)
+            await asyncio.sleep(0.02)
+            new.submit(
+                samples.FakeLink(),
+                samples.make_submit(
+                    resumed=True, estimate_s=9.0, timeout_s=9.0
+                ),
+                rig.clock.now(),
+            )
+            await asyncio.sleep(3)
+            record = samples.only_item(rig.records())
+            self.assertIsNone(record.ended_at)
+
+        samples.with_rig(scenario, work_of=_work_of_9_s)
