Clients that come back when closed keep no ordinary client out

Received bytes were parsed at once; 256 KiB in chunks of one byte take 10 ms, so that an iteration of the event loop took seconds. And at the largest number of connections only idle ones made room, so that the crowd took each place that became free.

Ruled out: memory (138 MB at most), descriptors (2,286 of 3,075), the parser's speed as such (a chunk of one byte has to be served in calm).

Change: what exceeds 4,096 bytes is parsed in turns of 16,384 bytes, for 5 ms in an iteration. At the limit of connections, the oldest one without a whole request for 0.1 s is closed for a new one, then a slow reader. The deadline of a request that this process has not parsed yet answers 503 rather than 400.

`test_longest_idle_connection_makes_room` expected that no connection without a request makes room before 15 s. It now checks the same of connections that have had one, and an arriving request beside them; the new `test_connections_without_a_whole_request_make_room` has the others.

--- a/sardineproxy/connection/client_guard.py
+++ b/sardineproxy/connection/client_guard.py
@@ -5,7 +5,7 @@
 from typing import Callable, Hashable, Protocol
 
 from sardineproxy import logs
-from sardineproxy.connection import client_limits
+from sardineproxy.connection import client_limits, parse_turns
 from sardineproxy.process import metrics
 
 #: Shortest time between two log lines of one listener and cause, in seconds.
@@ -43,6 +43,15 @@
 }
 
 
+#: Causes for which a connection is closed for a new one.
+_REPLACEMENT_CAUSES = {  # noqa: WPS407
+    Phase.NEW: Cause.IDLE,
+    Phase.IDLE: Cause.IDLE,
+    Phase.ARRIVING: Cause.SLOW,
+    Phase.UNREAD: Cause.UNREAD,
+}
+
+
 class Connection(Hashable, Protocol):
     """A connection that the guard may close."""
 
@@ -68,6 +77,9 @@
             max_held_bytes=limits.held_bytes
         )
         self._lingering: set[Connection] = set()
+
+        #: Turns of the connections to parse what they have received.
+        self.turns = parse_turns.Turns(now=now)
         self._log = _BoundedLog()
         metrics.set_gauge('client_held_bytes', lambda: self._usage.held_bytes)
 
@@ -82,16 +94,19 @@
         """Add a connection; return False if it must be refused.
 
         At the limit, a connection that has been idle for ``min_idle_s`` is
-        closed for the new one.
+        closed for the new one, or one without a whole request.
         """
         now = self._now()
         if self._usage.count(listener) >= max_connections:
-            idle = self._usage.choose_idle(listener, min_idle_s, now)
-            if idle is None:
+            replaceable = self._usage.choose_replaceable(
+                listener, min_idle_s, now
+            )
+            if replaceable is None:
                 self.count(listener, Cause.CONNECTIONS)
                 return False
-            self._usage.remove(idle)
-            idle.close_excess(Cause.IDLE)
+            replaced, phase = replaceable
+            self._usage.remove(replaced)
+            replaced.close_excess(_REPLACEMENT_CAUSES[phase])
         self._usage.add(conn, listener, now)
         return True
 
--- a/sardineproxy/connection/client_limits.py
+++ b/sardineproxy/connection/client_limits.py
@@ -29,6 +29,11 @@
 #: A request of the largest size arrives within milliseconds in a data center.
 SLOW_S = 1.0
 
+#: Time without a whole request after which a connection is closed for a new
+#: one, if all are in use, in seconds. Ordinary clients send a request as soon
+#: as they are connected.
+MIN_OPEN_S = 0.1
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Limits:
@@ -56,8 +61,12 @@
 
 
 class Phase(enum.Enum):
-    """What a connection does; it holds nothing while idle."""
+    """What a connection does; it holds nothing while new or idle."""
+
+    #: Nothing has been received yet.
+    NEW = 'new'
 
+    #: All requests have been answered.
     IDLE = 'idle'
 
     #: A request has begun and is not complete.
@@ -76,7 +85,7 @@
 @dataclasses.dataclass(kw_only=True, slots=True)
 class _Entry:
     listener: str
-    phase: Phase = Phase.IDLE
+    phase: Phase = Phase.NEW
     held_bytes: int = 0
 
 
@@ -104,7 +113,7 @@
         """Add a connection without a request."""
         self._entries[conn] = _Entry(listener=listener)
         self._counts[listener] = self.count(listener) + 1
-        self._ordered(listener, Phase.IDLE)[conn] = now
+        self._ordered(listener, Phase.NEW)[conn] = now
 
     def remove(self, conn: _Conn) -> None:
         """Remove a connection, if it is known."""
@@ -117,13 +126,17 @@
     def update(
         self, conn: _Conn, phase: Phase, held_bytes: int, now: float
     ) -> None:
-        """Set what a connection does and holds, if it is known."""
+        """Set what a connection does and holds, if it is known.
+
+        A connection without a request stays new.
+        """
         entry = self._entries.get(conn)
         if entry is None:
             return
         self.held_bytes += held_bytes - entry.held_bytes
         entry.held_bytes = held_bytes
-        if phase is not entry.phase:
+        is_still_new = entry.phase is Phase.NEW and phase is Phase.IDLE
+        if phase is not entry.phase and not is_still_new:
             self._ordered(entry.listener, entry.phase).pop(conn)
             self._ordered(entry.listener, phase)[conn] = now
             entry.phase = phase
@@ -147,18 +160,28 @@
                 return newest
         return None
 
-    def choose_idle(
+    def choose_replaceable(
         self, listener: str, min_idle_s: float, now: float
-    ) -> _Conn | None:
-        """Return the connection to close for a new one, None if none is idle.
+    ) -> tuple[_Conn, Phase] | None:
+        """Return the connection to close for a new one, and what it does.
 
-        The one that has been idle for longest, if for ``min_idle_s``.
+        The one that has been idle for longest, if for ``min_idle_s``, then
+        one without a whole request, then the slowest reader. A client that
+        connects again and again therefore keeps no other out. None if there
+        is none of them.
         """
-        ordered = self._ordered(listener, Phase.IDLE)
-        conn = next(iter(ordered), None)
-        if conn is None or now - ordered[conn] < min_idle_s:
-            return None
-        return conn
+        min_ages = (
+            (Phase.IDLE, min_idle_s),
+            (Phase.NEW, MIN_OPEN_S),
+            (Phase.ARRIVING, MIN_OPEN_S),
+            (Phase.UNREAD, SLOW_S),
+        )
+        for phase, min_age_s in min_ages:
+            ordered = self._ordered(listener, phase)
+            conn = next(iter(ordered), None)
+            if conn is not None and now - ordered[conn] >= min_age_s:
+                return conn, phase
+        return None
 
     def _ordered(self, listener: str, phase: Phase) -> dict[_Conn, float]:
         return self._order.setdefault((listener, phase), {})
--- a/sardineproxy/connection/http_connection.py
+++ b/sardineproxy/connection/http_connection.py
@@ -11,6 +11,7 @@
 from sardineproxy.connection import (
     client_guard,
     http_messages,
+    parse_turns,
     request_reader,
 )
 
@@ -47,6 +48,9 @@
 )
 
 _Cause = client_guard.Cause
+
+#: Causes of a close at which a request that has not been accepted is answered.
+_REFUSED_CAUSES = frozenset((_Cause.MEMORY, _Cause.SLOW))
 _Phase = client_guard.Phase
 _LOG = logs.get_logger('http')
 
@@ -71,6 +75,9 @@
         self._transport: asyncio.Transport
         self._reader = request_reader.RequestReader(cfg=cfg)
         self._is_last_request_read = False
+
+        #: Received bytes that wait for a turn of this connection.
+        self._unparsed = bytearray()
         self._waiting: collections.deque[http_messages.Request] = (
             collections.deque()
         )
@@ -97,13 +104,12 @@
         if self._transport.is_closing():
             return
         self._guard.count(self._cfg.listener, cause)
-        self._is_last_request_read = True
-        self._reader.close()
+        self._end_reading()
         # A refused request must not be handled.
         self._waiting.clear()
         self._waiting_bytes = 0
         is_refusable = self._handling is None and self._written is None
-        if is_refusable and cause is _Cause.MEMORY:
+        if is_refusable and cause in _REFUSED_CAUSES:
             self._refuse()
         else:
             self._transport.abort()
@@ -129,24 +135,28 @@
             self._refuse()
 
     def data_received(self, data: bytes) -> None:
-        """Parse a part of a request."""
+        """Parse a part of a request, or keep it for this connection's turn."""
         if self._is_last_request_read:
             return
-        cause = self._feed(data)
-        if self._reader.is_continue_expected:
-            self._reader.is_continue_expected = False
-            self._transport.write(_CONTINUE)
-        self._take_complete()
-        if cause is not None:
-            self._reject(cause)
-        elif len(self._waiting) > MAX_PIPELINED:
-            self._guard.count(self._cfg.listener, _Cause.PIPELINED)
-            self._transport.abort()
+        if not self._unparsed and len(data) <= parse_turns.AT_ONCE_BYTES:
+            self._parse(data)
+            return
+        self._unparsed += data
+        self._guard.turns.add(self)
+        self._transport.pause_reading()
         self._update_guard()
-        if self._waiting and not self._transport.is_closing():
-            self._start_handling()
         self._update_deadline()
 
+    def take_turn(self) -> None:
+        """Parse some of the bytes that wait."""
+        piece = bytes(self._unparsed[: parse_turns.TURN_BYTES])
+        del self._unparsed[: parse_turns.TURN_BYTES]
+        self._parse(piece)
+        if self._is_last_request_read:
+            self._unparsed.clear()
+        if not self._must_wait():
+            self._continue()
+
     def pause_writing(self) -> None:
         """Hold back the next reply until this one is read."""
         if self._written is None:
@@ -167,11 +177,37 @@
         self._guard.remove(self)
         self._stop_timer()
         self._stop_write_timer()
-        self._reader.close()
+        self._end_reading()
         self._waiting.clear()
         if self._handling is not None:
             self._handling.cancel()
 
+    def _end_reading(self) -> None:
+        """Release what has been received of further requests."""
+        self._is_last_request_read = True
+        self._reader.close()
+        self._unparsed = bytearray()
+        self._guard.turns.discard(self)
+        # What the client still sends is discarded.
+        self._resume_reading()
+
+    def _parse(self, received: bytes) -> None:
+        """Parse received bytes, and handle the requests that are complete."""
+        cause = self._feed(received)
+        if self._reader.is_continue_expected:
+            self._reader.is_continue_expected = False
+            self._transport.write(_CONTINUE)
+        self._take_complete()
+        if cause is not None:
+            self._reject(cause)
+        elif len(self._waiting) > MAX_PIPELINED:
+            self._guard.count(self._cfg.listener, _Cause.PIPELINED)
+            self._transport.abort()
+        self._update_guard()
+        if self._waiting and not self._transport.is_closing():
+            self._start_handling()
+        self._update_deadline()
+
     def _feed(self, received: bytes) -> client_guard.Cause | None:
         """Parse received bytes; return the cause of a rejection."""
         try:
@@ -195,8 +231,7 @@
         if self._handling is None:
             self._handling = self._loop.create_task(self._handle_waiting())
             self._handling.add_done_callback(self._handled)
-        behind_bytes = self._waiting_bytes + self._reader.held_bytes
-        if behind_bytes > MAX_WAITING_BYTES:
+        if self._must_wait():
             self._transport.pause_reading()
 
     async def _handle_waiting(self) -> None:
@@ -240,10 +275,28 @@
         if self._transport.is_closing():
             return
         self._update_guard()
+        self._continue()
         if not self._transport.is_closing():
-            self._transport.resume_reading()
             self._update_deadline()
 
+    def _continue(self) -> None:
+        """Parse what waits, or receive more."""
+        if self._unparsed:
+            self._guard.turns.add(self)
+        else:
+            self._resume_reading()
+
+    def _must_wait(self) -> bool:
+        """Return whether enough waits behind the request in progress."""
+        if self._handling is None:
+            return False
+        behind_bytes = self._waiting_bytes + self._reader.held_bytes
+        return behind_bytes > MAX_WAITING_BYTES
+
+    def _resume_reading(self) -> None:
+        if not self._transport.is_closing():
+            self._transport.resume_reading()
+
     def _update_guard(self) -> None:
         """Tell the guard what this connection does and holds."""
         unread_bytes = self._transport.get_write_buffer_size()
@@ -253,18 +306,24 @@
             phase = _Phase.UNREAD
         elif self._waiting:
             phase = _Phase.ACCEPTED
-        elif self._reader.is_arriving:
+        elif self._is_arriving:
             phase = _Phase.ARRIVING
         else:
             phase = _Phase.IDLE
         held_bytes = (
-            self._reader.held_bytes
+            len(self._unparsed)
+            + self._reader.held_bytes
             + self._waiting_bytes
             + self._handled_bytes
             + unread_bytes
         )
         self._guard.update(self, phase, held_bytes)
 
+    @property
+    def _is_arriving(self) -> bool:
+        """Return whether a part of the next request has arrived."""
+        return self._reader.is_arriving or bool(self._unparsed)
+
     def _update_deadline(self) -> None:
         """Keep the deadline from the first byte of a request to its last."""
         if self._handling is not None or self._transport.is_closing():
@@ -272,14 +331,19 @@
                 self._stop_timer()
         elif self._is_last_request_read:
             return
-        elif not self._reader.is_arriving:
+        elif not self._is_arriving:
             self._start_timer(KEEPALIVE_S, self.close)
         elif not self._has_deadline:
             self._start_timer(self._cfg.read_timeout_s, self._read_timed_out)
             self._has_deadline = True
 
     def _read_timed_out(self) -> None:
-        if self._reader.has_begun:
+        if self._unparsed:
+            # This process, not the client, may be slow.
+            self._guard.count(self._cfg.listener, _Cause.SLOW)
+            self._end_reading()
+            self._refuse()
+        elif self._reader.has_begun:
             self._reject(_Cause.SLOW)
         else:
             # After empty lines, a client could take a response for that to
@@ -296,11 +360,10 @@
 
         Requests before it are still answered.
         """
-        self._is_last_request_read = True
+        self._end_reading()
         if self._transport.is_closing():
             return
         self._guard.count(self._cfg.listener, cause)
-        self._reader.close()
         if self._handling is not None or self._waiting:
             return
         if self._written is not None or cause is _Cause.BODY:
--- a/tests/client_limits/crowd.py
+++ b/tests/client_limits/crowd.py
@@ -28,6 +28,9 @@
 #: closed by the server.
 RECONNECTS = 2
 
+#: Pause of a client that comes back before it connects again, in seconds.
+RETURN_DELAY_S = 0.01
+
 #: Bytes that a client sends at once.
 PIECE_BYTES = 65_536
 
@@ -142,6 +145,35 @@
         raise AssertionError('the process has ended')
 
 
+async def run_returning(
+    usage: Usage,
+    complete_request: Callable[[], Awaitable[None]],
+    *crowds: tuple[int, str, int, Script],
+) -> None:
+    """Complete an ordinary request beside crowds that always come back.
+
+    Each client runs its script, waits until the server closes its connection,
+    and begins again. Returns after all clients have disconnected.
+    """
+    usage.before_mb = usage.current_mb
+    watcher = asyncio.create_task(usage.watch_fds())
+    clients = [
+        asyncio.create_task(
+            _Client(host, port, script, asyncio.Event()).run_again()
+        )
+        for count, host, port, script in crowds
+        for _ in range(count)
+    ]
+    await asyncio.sleep(HOLD_S)
+    await complete_request()
+    for client in clients:
+        client.cancel()
+    await asyncio.gather(*clients, return_exceptions=True)
+    watcher.cancel()
+    if not usage.is_alive():
+        raise AssertionError('the process has ended')
+
+
 async def complete(
     url: str, document: dict[str, Any], headers: Mapping[str, str]
 ) -> None:
@@ -173,6 +205,9 @@
         self._script = script
         self._release = release
 
+        #: Error that ended the last connection, for a debugger.
+        self.last_error: OSError | None = None
+
     async def run(self) -> asyncio.Task[None]:
         """Send; return a task that ends once the connection is closed."""
         writer: asyncio.StreamWriter | None = None
@@ -186,6 +221,26 @@
                 writer.transport.abort()
         return asyncio.create_task(self._hold(writer))
 
+    async def run_again(self) -> None:
+        """Send on one connection after the other, until cancelled."""
+        while True:
+            writer: asyncio.StreamWriter | None = None
+            try:
+                reader, writer = await self._connect()
+                await self._script(reader, writer)
+                await self._read_until_closed(reader)
+            except OSError as exc:
+                self.last_error = exc
+            finally:
+                if writer is not None:
+                    writer.transport.abort()
+            await asyncio.sleep(RETURN_DELAY_S)
+
+    async def _read_until_closed(self, reader: asyncio.StreamReader) -> None:
+        received = b'none yet'
+        while received:
+            received = await reader.read(PIECE_BYTES)
+
     async def _connect(
         self,
     ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
--- a/tests/client_limits/test_node.py
+++ b/tests/client_limits/test_node.py
@@ -117,6 +117,32 @@
         with crowd.exclusive(), tempfile.TemporaryDirectory() as name:
             asyncio.run(main(pathlib.Path(name)))
 
+    def check_returning(self, *crowds: tuple[int, crowd.Script]) -> None:
+        """Check the process beside crowds that come back when closed."""
+
+        async def main(directory: pathlib.Path) -> None:
+            rig = Rig(directory, FEW_FDS)
+            try:
+                await rig.start()
+                await crowd.run_returning(
+                    rig.usage,
+                    lambda: rig.complete_job(3),
+                    *(
+                        (count, rig.vm.host, rig.vm.front_port, script)
+                        for count, script in crowds
+                    ),
+                )
+                await rig.complete_job(4)
+                self.check_usage(rig.usage, FEW_FDS)
+            finally:
+                await rig.fleet.stop()
+                asyncio.get_running_loop().set_exception_handler(
+                    lambda *_: None
+                )
+
+        with crowd.exclusive(), tempfile.TemporaryDirectory() as name:
+            asyncio.run(main(pathlib.Path(name)))
+
     def check_front(self, *crowds: tuple[int, crowd.Script]) -> None:
         self.check(
             lambda rig: [
@@ -178,6 +204,21 @@
             max_fds=FEW_FDS,
         )
 
+    def test_silent_clients_that_come_back(self) -> None:
+        self.check_returning((300, crowd.sending(b'')))
+
+    def test_unfinished_bodies_that_come_back(self) -> None:
+        start = crowd.head(TARGET, HOST, b'Content-Length: 100')
+        self.check_returning((300, crowd.sending(start, b'short')))
+
+    def test_chunks_of_one_byte_that_come_back(self) -> None:
+        body = crowd.chunks(TARGET, HOST, size=1, total=200_000)
+        self.check_returning((100, crowd.sending(body)))
+
+    def test_large_chunks_that_come_back(self) -> None:
+        body = crowd.chunks(TARGET, HOST, size=4000, total=260_000)
+        self.check_returning((300, crowd.sending(body)))
+
     def test_pipelined_bodies_behind_a_waiting_job(self) -> None:
         step = b'{"count": 1, "cpu": 14000, "mem_mb": 64, "estimate_ms": 5000}'
         job = b'{"spec": "text", "burstable": true, "steps": [%s]}' % step
--- a/tests/connection/test_client_limits.py
+++ b/tests/connection/test_client_limits.py
@@ -84,12 +84,37 @@
 
     def test_longest_idle_connection_makes_room(self) -> None:
         usage = make_usage()
-        usage.update('a', Phase.ARRIVING, 1, 1)
+        for conn in ('c', 'd'):
+            usage.update(conn, Phase.ACCEPTED, 1, 0)
+            usage.update(conn, Phase.IDLE, 0, 0)
         usage.update('b', Phase.ACCEPTED, 1, 1)
         usage.update('b', Phase.IDLE, 0, 2)
-        self.assertIsNone(usage.choose_idle('clients', 15, 14))
-        self.assertEqual('c', usage.choose_idle('clients', 15, 15))
-        self.assertIsNone(usage.choose_idle('readiness', 15, 99))
+        usage.remove('a')
+        self.assertIsNone(usage.choose_replaceable('clients', 15, 14))
+        usage.add('a', 'clients', 14)
+        usage.update('a', Phase.ARRIVING, 1, 14)
+        self.assertEqual(
+            ('c', Phase.IDLE), usage.choose_replaceable('clients', 15, 15)
+        )
+        self.assertIsNone(usage.choose_replaceable('readiness', 15, 99))
+
+    def test_connections_without_a_whole_request_make_room(self) -> None:
+        """Guards against a crowd that keeps ordinary clients out."""
+        usage = make_usage()
+        usage.update('a', Phase.UNREAD, 1, 0)
+        usage.update('b', Phase.ARRIVING, 1, 0)
+        usage.update('c', Phase.IDLE, 0, 0)
+        usage.update('d', Phase.ACCEPTED, 1, 0)
+        self.assertIsNone(usage.choose_replaceable('clients', 15, 0.09))
+        for replaced in (('c', Phase.NEW), ('b', Phase.ARRIVING)):
+            self.assertEqual(
+                replaced, usage.choose_replaceable('clients', 15, 0.1)
+            )
+            usage.remove(replaced[0])
+        self.assertIsNone(usage.choose_replaceable('clients', 15, 0.9))
+        self.assertEqual(
+            ('a', Phase.UNREAD), usage.choose_replaceable('clients', 15, 1)
+        )
 
     def test_removed_connections_hold_nothing(self) -> None:
         usage = make_usage()
