Turns: a connection that fails does not hold up the others

Callers would have seen: after an unexpected error while one connection is parsed, others with more than 4,096 received bytes wait until another large request arrives. Found by reading; not seen in a run.

Cause: the error left the loop that gives turns before the next iteration was scheduled. Change: it is scheduled in any case. `test_failed_turn_does_not_hold_up_others` fails before.

--- a/sardineproxy/connection/parse_turns.py
+++ b/sardineproxy/connection/parse_turns.py
@@ -54,8 +54,12 @@
     def _run(self) -> None:
         self._handle = None
         end_at = self._now() + ITERATION_S
-        while self._waiting and self._now() < end_at:
-            conn, _ = self._waiting.popitem(last=False)
-            conn.take_turn()
-        if self._waiting and self._handle is None:
-            self._handle = asyncio.get_running_loop().call_soon(self._run)
+        try:
+            while self._waiting and self._now() < end_at:
+                conn, _ = self._waiting.popitem(last=False)
+                conn.take_turn()
+        finally:
+            # Also if a connection fails, so that the others go on.
+            if self._waiting and self._handle is None:
+                loop = asyncio.get_running_loop()
+                self._handle = loop.call_soon(self._run)
--- a/tests/connection/test_parse_turns.py
+++ b/tests/connection/test_parse_turns.py
@@ -31,6 +31,11 @@
         self.turns = parse_turns.Turns(now=lambda: self.now)
 
 
+class FailingConnection(Connection):
+    def take_turn(self) -> None:
+        raise RuntimeError('failed on purpose')
+
+
 class TestTurns(testtools.TestCase):
     def test_connections_take_turns(self) -> None:
         """Guards against a large body that holds up all other connections."""
@@ -60,6 +65,24 @@
 
         asyncio.run(main())
 
+    def test_failed_turn_does_not_hold_up_others(self) -> None:
+        """Guards against one odd request that stops all connections."""
+
+        async def main() -> None:
+            errors: list[object] = []
+            asyncio.get_running_loop().set_exception_handler(
+                lambda _, context: errors.append(context['exception'])
+            )
+            process = Process()
+            process.turns.add(FailingConnection(process, 'a', 1))
+            process.turns.add(Connection(process, 'b', 1))
+            for _ in range(3):
+                await asyncio.sleep(0)
+            self.assertEqual(['b'], process.order)
+            self.assertEqual(1, len(errors))
+
+        asyncio.run(main())
+
     def test_closed_connections_take_no_turns(self) -> None:
         async def main() -> None:
             process = Process()
