Refusals: 503 only for jobs that have certainly not run

Cause: NotRun was derived from what the coordinator had not heard. The leader reports the start of a job that is not stored only with a result; a lost run has none, and Declined did not tell that there had been one.

Ruled out: the order of messages, leases, and a start after the refusal.

Change: Declined says whether a run may have started, and whether an earlier request may have run the job.

--- a/sardineproxy/connection/messages.py
+++ b/sardineproxy/connection/messages.py
@@ -199,7 +199,7 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Declined:
-    """Tasks that the leader did not start and will not start."""
+    """Tasks that have no run, and that the leader will not start."""
 
     shard: ids.ShardId = codec.checked_field(codec.text)
     job: ids.JobId = codec.checked_field(codec.text)
@@ -218,6 +218,13 @@
     #: True if it is for the manager of a stored job.
     stored: bool = codec.checked_field(codec.flag)
 
+    #: True if a run of the job may have started since it was submitted. Older
+    #: processes do not report it.
+    started: bool = codec.checked_field(codec.flag, default=True)
+
+    #: True if the job may have run for an earlier request of its client.
+    ran_before: bool = codec.checked_field(codec.flag, default=False)
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class ShardReleased:
--- a/sardineproxy/platform/submissions.py
+++ b/sardineproxy/platform/submissions.py
@@ -210,7 +210,8 @@
     match job_reply:
         case job_manager.JobReply.ACCEPTED:
             return Reply(status=200, body=b'{"state":"queued"}')
-        case job_manager.JobReply.UNKNOWN:
+        case job_manager.JobReply.UNKNOWN | job_manager.JobReply.UNAVAILABLE:
+            # An earlier request may have stored the job.
             return Reply(status=504)
         case _:
             return make_refusal(NO_MANAGER_RETRY_S)
--- a/sardineproxy/process/node/job_intake.py
+++ b/sardineproxy/process/node/job_intake.py
@@ -62,6 +62,7 @@
         outcome = self._refuse(job, route, now)
         if outcome is None:
             outcome = await self._run(job, route, now, wait_s)
+        outcome = self._active_jobs.verify(job.job_id, outcome)
         took_s = self._clock.now() - now
         kind = type(outcome).__name__
         self._metrics.count('jobs_answered_total', outcome=kind)
--- a/sardineproxy/process/node/node.py
+++ b/sardineproxy/process/node/node.py
@@ -89,7 +89,7 @@
         self.versions = active_config.ActiveConfig(
             decode=dependencies.formats.decode_configuration
         )
-        self.active_jobs = active_jobs.ActiveJobs()
+        self.active_jobs = active_jobs.ActiveJobs(clock=self._clock)
         self.registry = registry.Registry()
         self._peer_sync = peer_sync.PeerSync(
             versions=self.versions,
@@ -285,6 +285,11 @@
         self.job_service.link_closed(closed)
         if self.links.get(closed.peer.vm) is None:
             self.leaders.remove(closed.peer.vm)
+        if not any(
+            vm_links[0].peer.zone == closed.peer.zone
+            for vm_links in self.links.open_links.values()
+        ):
+            self.active_jobs.notify_zone_lost()
         self._choose_leaders()
         for shard in self.all_shards:
             self._notify_leader_lost(shard, closed)
--- a/sardineproxy/process/shards/backlog.py
+++ b/sardineproxy/process/shards/backlog.py
@@ -6,7 +6,7 @@
 from sardineproxy.connection import link, messages
 from sardineproxy.process import metrics
 from sardineproxy.process.shards import recent_results, runs, workers
-from sardineproxy.request import jobs
+from sardineproxy.request import jobs, recent_jobs
 
 _LOG = logs.get_logger('cell')
 
@@ -29,6 +29,12 @@
         self._recent_results = recent_results.RecentResults(
             retention_s=result_retention_s
         )
+
+        #: Jobs that are not stored and may have run here, or where tasks of
+        #: them were moved to.
+        self.recent_jobs = recent_jobs.RecentJobs(
+            retention_s=result_retention_s
+        )
         self._batches: dict[runs.BatchKey, runs.Batch] = {}
         self._steps: dict[ids.JobId, set[runs.BatchKey]] = {}
 
@@ -58,8 +64,9 @@
         return list(self._batches.values())
 
     def expire(self, now: float) -> None:
-        """Remove recent results that are older than the retention time."""
+        """Remove what is older than the retention time."""
         self._recent_results.expire(now)
+        self.recent_jobs.expire(now)
 
     # Runs.
 
@@ -198,6 +205,9 @@
         """
         for index in indices:
             batch.remove_task(index)
+        now = self._clock.now()
+        if not batch.stored and (batch.may_have_run or suggested_shard):
+            self.recent_jobs.add(batch.job, now, batch.link)
         self._remove_if_empty(batch)
         _LOG.info(
             'Tasks declined.',
@@ -206,10 +216,12 @@
                 'indices': indices,
                 'cause': cause,
                 'other': suggested_shard,
-                'age_s': round(self._clock.now() - batch.arrived_at, 4),
+                'age_s': round(now - batch.arrived_at, 4),
                 'batches': len(self._batches),
                 'retry_after_s': round(retry_after_s, 3),
                 'placed': batch.unlogged,
+                'started': batch.started,
+                'ran_before': batch.ran_before,
             },
         )
         self._metrics.count('tasks_declined_total', len(indices))
@@ -224,6 +236,8 @@
                     cause=cause,
                     retry_after_s=retry_after_s,
                     stored=batch.stored,
+                    started=batch.started,
+                    ran_before=batch.ran_before,
                 )
             )
 
@@ -243,6 +257,8 @@
             },
         )
         tasks = batch.clear()
+        if batch.may_have_run and not batch.stored:
+            self.recent_jobs.add(batch.job, self._clock.now(), batch.link)
         self._remove_if_empty(batch)
         for task in tasks:
             if task.run is not None:
--- a/sardineproxy/process/shards/intake.py
+++ b/sardineproxy/process/shards/intake.py
@@ -96,6 +96,8 @@
             if index not in batch.tasks
         }
         self._backlog.reattach(batch, source, message.authority)
+        if self._backlog.recent_jobs.has_run_unknown_to(source, batch.job, now):
+            batch.ran_before = True
         self._scheduler.report_start_again(batch)
         if not message.stored:
             new_tasks = self._backlog.recall(batch, new_tasks)
@@ -174,6 +176,10 @@
     def _make_batch(
         self, source: link.Link, message: messages.Submit, now: float
     ) -> runs.Batch:
-        return runs.make_batch(
+        batch = runs.make_batch(
             message, link=source, late_factor=self._cfg.late_factor, now=now
         )
+        batch.ran_before = self._backlog.recent_jobs.has_run_unknown_to(
+            source, message.job, now
+        )
+        return batch
--- a/sardineproxy/process/shards/runs.py
+++ b/sardineproxy/process/shards/runs.py
@@ -139,6 +139,9 @@
     #: True once a run of any task may have started.
     started: bool = False
 
+    #: True if the job was submitted before, and may have run then.
+    ran_before: bool = False
+
     #: True once the manager of a stored job was notified of its start.
     start_reported: bool = False
 
@@ -197,6 +200,11 @@
         """Return the key of the batch."""
         return self.job, self.step
 
+    @property
+    def may_have_run(self) -> bool:
+        """Return whether a run of the job may have started at any time."""
+        return self.started or self.ran_before
+
     @property
     def task_prefix(self) -> str:
         """Return the common prefix of the batch's task names."""
--- a/sardineproxy/process/shards/shard.py
+++ b/sardineproxy/process/shards/shard.py
@@ -162,6 +162,7 @@
         infinity if it is not known. Clients send the jobs of a lost VM again.
         """
         until = leader_lost_at + self._cfg.former_lease_s
+        self._backlog.recent_jobs.lose_history(self._clock.now())
         self._agent_set.former_runs_until = until
         self._takeover.limit_adoption(until)
 
@@ -389,6 +390,10 @@
         self, source: agent.Agent, unrequested: list[workers.ActiveRun]
     ) -> None:
         """Stop unrequested runs, unless they may still be adopted."""
+        for active_run in unrequested:
+            self._backlog.recent_jobs.add(
+                runs.job_of(active_run.task), self._clock.now()
+            )
         if not self._takeover.accepts_resumes:
             source.stop_unrequested()
 
--- a/sardineproxy/process/stored_jobs/job_manager.py
+++ b/sardineproxy/process/stored_jobs/job_manager.py
@@ -204,7 +204,7 @@
             return JobReply.ACCEPTED
         if job not in self._storing:
             if len(self._executions) >= MAX_OPEN_JOBS:
-                return JobReply.REFUSED
+                return self._refuse()
             self._storing[job] = self._store(stored_job)
         return await self._wait_stored(job, self._storing[job])
 
@@ -520,13 +520,19 @@
     ) -> JobReply:
         await asyncio.wait((commit_fut,), timeout=STORE_TIMEOUT_S)
         if commit_fut.cancelled():
-            return JobReply.REFUSED
+            return self._refuse()
         if commit_fut.done():
             # A superseded leader cannot determine whether the row was stored.
             return (
                 JobReply.ACCEPTED if commit_fut.result() else JobReply.UNKNOWN
             )
         if self._table.withdraw(f'{job_table.JOB_PREFIX}{job}'):
+            return self._refuse()
+        return JobReply.UNKNOWN
+
+    def _refuse(self) -> JobReply:
+        """Return REFUSED unless a new manager may have stored the job."""
+        if self._table.is_confirmed:
             return JobReply.REFUSED
         return JobReply.UNKNOWN
 
--- a/sardineproxy/request/active_jobs.py
+++ b/sardineproxy/request/active_jobs.py
@@ -3,9 +3,13 @@
 import asyncio
 import dataclasses
 
-from sardineproxy import ids, logs
+from sardineproxy import clock, ids, logs
 from sardineproxy.connection import link, messages
-from sardineproxy.request import coordinator, jobs, open_tasks
+from sardineproxy.request import coordinator, jobs, open_tasks, recent_jobs
+
+#: Time for which it is known that a job may have run here, in seconds. Delayed
+#: duplicates of a request arrive seconds later.
+RECENT_JOBS_S = 10.0
 
 _LOG = logs.get_logger('job')
 
@@ -22,9 +26,16 @@
 class ActiveJobs:
     """Runs one coordinator per job; repeated requests share it."""
 
-    def __init__(self) -> None:
+    def __init__(self, *, clock: clock.Clock) -> None:
         """Create an instance without jobs."""
+        self._clock = clock
         self._jobs: dict[ids.JobId, _ActiveJob] = {}
+        self._recent_jobs = recent_jobs.RecentJobs(retention_s=RECENT_JOBS_S)
+        self._recent_jobs.lose_history(clock.now())
+
+        #: Local time, in seconds, until which clients of a lost zone submit
+        #: jobs here again.
+        self._zone_lost_until: float = 0
 
     def __len__(self) -> int:
         """Return the number of jobs in progress."""
@@ -45,10 +56,12 @@
                 task=asyncio.create_task(new_coordinator.run()),
             )
             self._jobs[job_id] = active
-            active.task.add_done_callback(lambda _: self._jobs.pop(job_id))
+            active.task.add_done_callback(
+                lambda task: self._record_end(job_id, task)
+            )
         active.waiters += 1
         try:
-            return await asyncio.shield(active.task)
+            outcome = await asyncio.shield(active.task)
         finally:
             active.waiters -= 1
             if not active.waiters and not active.task.done():
@@ -56,6 +69,22 @@
                     'Client disconnected, job withdrawn.', extra={'job': job_id}
                 )
                 active.task.cancel()
+        return self.verify(job_id, outcome)
+
+    def verify(self, job: ids.JobId, outcome: jobs.Outcome) -> jobs.Outcome:
+        """Return the outcome of a job as its client may be told.
+
+        That it has not run holds for all requests for the job. Those through
+        other VMs of the zone are known to the leader of its shard, those
+        through other zones only here.
+        """
+        if not isinstance(outcome, jobs.NotRun) or (
+            self._is_history_known(outcome) and job not in self._recent_jobs
+        ):
+            return outcome
+        return jobs.GivenUp(
+            detail=f'{outcome.detail}; an earlier request may have run it'
+        )
 
     def deliver(
         self,
@@ -72,11 +101,19 @@
     def notify_leader_lost(
         self, shard: ids.ShardId, former_leader: link.Link
     ) -> None:
-        """Notify all coordinators that the leader of a shard is lost."""
+        """Notify all coordinators that the leader of a shard is lost.
+
+        The VM of the leader may have run jobs that are submitted here again.
+        """
+        self._recent_jobs.lose_history(self._clock.now())
         self._broadcast(
             open_tasks.LeaderLost(shard=shard, former_leader=former_leader)
         )
 
+    def notify_zone_lost(self) -> None:
+        """Record that clients of a zone without VMs may submit jobs here."""
+        self._zone_lost_until = self._clock.now() + recent_jobs.LONGEST_REPEAT_S
+
     def notify_leader_found(self, shard: ids.ShardId) -> None:
         """Notify all coordinators that a shard has a leader."""
         self._broadcast(open_tasks.LeaderFound(shard=shard))
@@ -108,6 +145,23 @@
             for job_id, active in self._jobs.items()
         }
 
+    def _is_history_known(self, refusal: jobs.NotRun) -> bool:
+        """Return whether earlier requests for a refused job are known."""
+        now = self._clock.now()
+        if self._recent_jobs.is_complete(now):
+            return True
+        return refusal.is_confirmed and now >= self._zone_lost_until
+
+    def _record_end(
+        self, job: ids.JobId, task: asyncio.Task[jobs.Outcome]
+    ) -> None:
+        self._jobs.pop(job)
+        now = self._clock.now()
+        self._recent_jobs.expire(now)
+        has_outcome = not task.cancelled() and task.exception() is None
+        if not (has_outcome and isinstance(task.result(), jobs.NotRun)):
+            self._recent_jobs.add(job, now)
+
     def _broadcast(self, event: coordinator.Event) -> None:
         for active in self._jobs.values():
             active.coordinator.post_event(event)
--- a/sardineproxy/request/coordinator.py
+++ b/sardineproxy/request/coordinator.py
@@ -18,9 +18,6 @@
 #: Time reserved for returning the response to the client, in seconds.
 RESPONSE_MARGIN_S = 0.05
 
-#: Retry delay reported to a client when no shard has a leader, in seconds.
-NO_LEADER_RETRY_S = 1.0
-
 _LOG = logs.get_logger('job')
 
 
@@ -79,6 +76,9 @@
         self._done_steps: set[int] = set()
         self._may_have_run = False
 
+        #: Whether an earlier request for the job may have run it.
+        self._ran_before = False
+
         #: Shards that have declined tasks which had been moved before.
         self._declined_by: set[ids.ShardId] = set()
 
@@ -86,7 +86,8 @@
     def may_have_run(self) -> bool:
         """Return whether a task may have started, as far as this VM knows.
 
-        A running task counts only once its leader reports a result or is lost.
+        A running task counts only once its leader reports a result, declines
+        tasks of a job that it has started, or is lost.
         """
         return self._may_have_run
 
@@ -109,9 +110,9 @@
         """
         default_shard = self._router.default_shard()
         if default_shard is None:
-            return jobs.NotRun(
-                detail='no shard has a leader', retry_after_s=NO_LEADER_RETRY_S
-            )
+            # Leaders that this VM cannot reach may have run the job for an
+            # earlier request.
+            return jobs.GivenUp(detail='no shard has a leader')
         try:
             return await self._run(default_shard)
         finally:
@@ -188,10 +189,11 @@
     def _handle_result(
         self, source: link.Link, ended: messages.RunEnded
     ) -> jobs.Outcome | None:
+        # Also if it is a result from a shard that the task has left.
+        self._may_have_run = True
         task = self._open_tasks.get((ended.step, ended.index))
         if task is None or task.shard != ended.shard:
             return None
-        self._may_have_run = True
         task.next_run = max(task.next_run, ended.run + 1)
         match jobs.TaskResult(ended.result):
             case jobs.TaskResult.DONE:
@@ -228,6 +230,10 @@
 
         They are moved to each shard at most once after the first move.
         """
+        if declined.started:
+            self._may_have_run = True
+        if declined.ran_before:
+            self._ran_before = True
         tasks = self._open_tasks.declined_by(source, declined)
         if not tasks:
             return None
@@ -269,9 +275,11 @@
         for task in tasks:
             task.leader = None
         all_declined = len(tasks) == len(self._open_tasks)
-        if all_declined and not self._job_started:
+        if all_declined and not (self._job_started or self._ran_before):
             return jobs.NotRun(
-                detail=declined.cause, retry_after_s=declined.retry_after_s
+                detail=declined.cause,
+                retry_after_s=declined.retry_after_s,
+                is_confirmed=True,
             )
         return jobs.GivenUp(detail=f'some tasks declined: {declined.cause}')
 
--- a/sardineproxy/request/jobs.py
+++ b/sardineproxy/request/jobs.py
@@ -132,6 +132,10 @@
     #: Seconds after which the client may try again.
     retry_after_s: float
 
+    #: Whether it comes from the leader of a shard, which knows of the requests
+    #: for the job through all VMs.
+    is_confirmed: bool = False
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class GivenUp:
--- a/tests/process/shards/test_moving.py
+++ b/tests/process/shards/test_moving.py
@@ -193,6 +193,30 @@
 
         samples.with_rig(scenario, work_of=_long_work)
 
+    def test_moved_task_is_declined_with_its_lost_run(self) -> None:
+        """Guards against review case 11: a lost run that nobody hears of.
+
+        The worker crashes, and the task waits as no other one can run it.
+        """
+
+        async def scenario(rig: samples.Rig) -> None:
+            rig.listed_elsewhere['zone-b'] = [samples.make_worker('b0')]
+            leader = await rig.lead_and_sync()
+            link = samples.FakeLink()
+            leader.submit(
+                link,
+                samples.make_submit(timeout_s=60.0, slack_s=30.0),
+                rig.clock.now(),
+            )
+            await asyncio.sleep(0.1)
+            rig.models['w0'].crash(rig.clock.now())
+            await _report_for(rig, 'zone-b', 0, 3)
+            declined = samples.only_item(link.declined())
+            self.assertEqual(('zone-b', (0,)), _summary(declined))
+            self.assertTrue(declined.started)
+
+        samples.with_rig(scenario, work_of=_long_work)
+
     def test_batches_that_cannot_move_do_not_hide_others(self) -> None:
         """Guards against a queue whose first kind of task blocks the rest."""
 
--- a/tests/process/shards/test_shard.py
+++ b/tests/process/shards/test_shard.py
@@ -215,6 +215,49 @@
 
         samples.with_rig(scenario)
 
+    def test_refused_repeat_of_a_job_is_declined_with_its_runs(self) -> None:
+        """Guards against "not run" for a job that another VM has run.
+
+        Its run was stopped when that VM was lost, and the client submits the
+        job again through a VM that knows of no run. Jobs that were only given
+        to another shard count, too, but not for the VM that moved them.
+        """
+
+        async def scenario(rig: samples.Rig) -> None:
+            leader = await rig.lead_and_sync()
+            former, new = samples.FakeLink(), samples.FakeLink('vm-2')
+            leader.submit(former, samples.make_submit('j1', 2), rig.clock.now())
+            rig.report_capacity('zone-b', 2)
+            leader.submit(former, samples.make_submit('j2', 2), rig.clock.now())
+            await asyncio.sleep(0.05)
+            leader.link_lost(former, rig.clock.now())
+            await asyncio.sleep(1.3)
+            leader.submit(
+                samples.FakeLink('vm-3'),
+                samples.make_submit('other', 2, timeout_s=9.0, slack_s=8.0),
+                rig.clock.now(),
+            )
+            for source, job, ran_before in (
+                (former, 'j2', False),
+                (new, 'j1', True),
+                (new, 'j2', True),
+                (new, 'j3', False),
+            ):
+                source.sent.clear()
+                leader.submit(
+                    source,
+                    samples.make_submit(job, estimate_s=0.05, slack_s=0.01),
+                    rig.clock.now(),
+                )
+                await asyncio.sleep(0.01)
+                declined = samples.only_item(source.declined())
+                self.assertIs(ran_before, declined.ran_before, job)
+
+        samples.with_rig(
+            scenario,
+            work_of=lambda task, run: samples.typical_work(task, run, 60),
+        )
+
     def test_recent_results_expire(self) -> None:
         """Guards against memory use that grows with each task."""
 
