Emulator: cuts between VMs alone, lost racks, restarted workers, refusals

VMs can lose each other while they reach the store and the workers; all workers of a zone can crash; workers can start again at once under their ids. Jobs beside cuts have more tasks than their home zone can run. A run of a job whose client was told that it does not run is a violation; clients that are not stored stay in their zone, as on the platform.

--- a/sardineproxy/emulator/deployment.py
+++ b/sardineproxy/emulator/deployment.py
@@ -194,6 +194,9 @@
 
         self.stored_jobs: set[ids.JobId] = set()
 
+        #: Times at which clients were told that a job does not run.
+        self.refused_at: dict[ids.JobId, float] = {}
+
         #: Local times, in seconds, at which clients learned of an end.
         self.completed_at: dict[ids.JobId, float] = {}
         self.cancelled_at: dict[ids.JobId, float] = {}
@@ -290,6 +293,8 @@
         outcome: jobs.Outcome | None = await self._call(
             vm, lambda: vm.node.job_intake.run(job, ROUTE, wait_s), wait_s
         )
+        if isinstance(outcome, jobs.NotRun):
+            self.refused_at.setdefault(job.job_id, self.clock.now())
         return outcome
 
     async def query(
--- a/sardineproxy/emulator/fault_plans.py
+++ b/sardineproxy/emulator/fault_plans.py
@@ -23,6 +23,19 @@
 MAX_ENTRY_FAULTS = 3
 MAX_LEADER_FAULTS = 2
 
+#: Plans of cuts between VMs: times and durations of the cuts and of the other
+#: faults, in seconds. Tasks in other zones are taken back after 9.5 s.
+CUTS_S = (0, 5)
+CUT_LENGTHS_S = (6, 12.5)
+OTHER_FAULTS_S = (0, 14)
+MAX_CUTS = 2
+MAX_OTHER_FAULTS = 2
+
+#: Plans of lost racks: their number, times and durations, in seconds.
+RACK_COUNTS = (3, 6)
+RACKS_S = (0, 10)
+RACK_LENGTHS_S = (0.3, 4.5)
+
 #: Share of the faults without a response, instead of a refusal.
 SILENT_SHARE = 0.5
 
@@ -35,6 +48,9 @@
 
     #: It loses some other VMs, and perhaps the store.
     PARTLY_CUT = 'partly_cut'
+
+    #: It and some other VMs lose the rest, but neither the store nor workers.
+    VMS_CUT = 'vms_cut'
     STORE_CUT = 'store_cut'
     FREEZE = 'freeze'
     KILL = 'kill'
@@ -51,6 +67,12 @@
     #: It loses some workers.
     WORKERS_CUT = 'workers_cut'
 
+    #: All workers of its zone crash, and start again.
+    RACK_LOST = 'rack_lost'
+
+    #: Some workers of its zone crash, and start again at once.
+    WORKERS_RESTART = 'workers_restart'
+
     #: Some workers of its zone lose the store.
     ENTRIES_SILENT = 'entries_silent'
 
@@ -97,6 +119,13 @@
     Kind.ZONE_KILL,
     Kind.SUCCESSOR_KILL,
 )
+_BESIDE_CUTS = (
+    Kind.KILL,
+    Kind.RACK_LOST,
+    Kind.WORKERS_RESTART,
+    Kind.WORKERS_CUT,
+    Kind.STORE_CUT,
+)
 
 
 def draw_takeover_plan(
@@ -127,6 +156,49 @@
     return _in_order([*entry_faults, *leader_faults])
 
 
+def draw_rack_plan(
+    rng: random.Random, zones: Sequence[ids.ZoneId]
+) -> tuple[Fault, ...]:
+    """Return losses of racks, each of which has all workers of a zone."""
+    return _in_order(
+        Fault(
+            start_s=rng.uniform(*RACKS_S),
+            kind=Kind.RACK_LOST,
+            duration_s=rng.uniform(*RACK_LENGTHS_S),
+            is_silent=True,
+            zone=rng.choice(zones),
+        )
+        for _ in range(rng.randint(*RACK_COUNTS))
+    )
+
+
+def draw_cut_plan(
+    rng: random.Random, zones: Sequence[ids.ZoneId]
+) -> tuple[Fault, ...]:
+    """Return cuts between VMs that reach the store, and faults beside them."""
+    cuts = [
+        Fault(
+            start_s=rng.uniform(*CUTS_S),
+            kind=Kind.VMS_CUT,
+            duration_s=rng.uniform(*CUT_LENGTHS_S),
+            is_silent=rng.random() < SILENT_SHARE,
+            zone=rng.choice((None, *zones)),
+        )
+        for _ in range(rng.randint(1, MAX_CUTS))
+    ]
+    others = [
+        Fault(
+            start_s=rng.uniform(*OTHER_FAULTS_S),
+            kind=rng.choice(_BESIDE_CUTS),
+            duration_s=rng.uniform(0.5, MAX_RESTART_S),
+            is_silent=rng.random() < SILENT_SHARE,
+            zone=rng.choice((None, *zones)),
+        )
+        for _ in range(rng.randint(0, MAX_OTHER_FAULTS))
+    ]
+    return _in_order([*cuts, *others])
+
+
 def draw_plan(
     rng: random.Random, *, most: int, length_s: float
 ) -> tuple[Fault, ...]:
--- a/sardineproxy/emulator/faults.py
+++ b/sardineproxy/emulator/faults.py
@@ -14,6 +14,7 @@
     network,
     process_faults,
     table_store,
+    worker_faults,
 )
 
 #: Longest delay of a path that comes back after others, in seconds.
@@ -22,9 +23,6 @@
 #: Bounds of the delay of a slow store, in seconds, one way.
 SLOW_STORE_S = (0.02, 0.25)
 
-#: Largest number of workers that a VM loses at a time.
-MAX_LOST_WORKERS = 3
-
 #: Share of the faults that strike the leader of a zone.
 LEADER_SHARE = 0.7
 
@@ -46,14 +44,15 @@
         self._actions: dict[fault_plans.Kind, fault_plans.Action] = {
             _Kind.CUT: self._cut,
             _Kind.PARTLY_CUT: self._cut_partly,
+            _Kind.VMS_CUT: self._cut_vms,
             _Kind.STORE_CUT: self._cut_store,
-            _Kind.WORKERS_CUT: self._cut_workers,
             _Kind.SLOW_STORE: self._slow_store,
             _Kind.LOST_RESPONSES: self._lose_responses,
             **process_faults.ProcessFaults(
                 emulated=emulated, rng=rng
             ).actions(),
             **entry_faults.EntryFaults(emulated=emulated, rng=rng).actions(),
+            **worker_faults.WorkerFaults(emulated=emulated, rng=rng).actions(),
         }
 
         #: Faults that have begun, one sentence each.
@@ -102,6 +101,20 @@
         with_store = self._rng.random() < STORE_SHARE
         await self._cut_from(vm, lost, fault, with_store=with_store)
 
+    async def _cut_vms(
+        self, vm: deployment.Vm, fault: fault_plans.Fault
+    ) -> None:
+        """Cut a VM and some others off from the rest; all reach the store."""
+        others = self._others(vm)
+        beside = self._rng.sample(others, self._rng.randint(0, len(others) - 1))
+        rest = [other for other in others if other not in beside]
+        await asyncio.gather(
+            *(
+                self._cut_from(cut, rest, fault, with_store=False)
+                for cut in (vm, *beside)
+            )
+        )
+
     async def _cut_from(
         self,
         vm: deployment.Vm,
@@ -157,18 +170,6 @@
         for vm in self._emulated.vms.values():
             vm.store.latency_s = deployment.STORE_LATENCY_S
 
-    async def _cut_workers(
-        self, vm: deployment.Vm, fault: fault_plans.Fault
-    ) -> None:
-        access = vm.workers
-        lost = self._rng.sample(
-            sorted(self._emulated.workers),
-            self._rng.randint(1, MAX_LOST_WORKERS),
-        )
-        access.unreachable.update(lost)
-        await asyncio.sleep(fault.duration_s)
-        access.unreachable.difference_update(lost)
-
 
 def _access(fault: fault_plans.Fault) -> table_store.Access:
     if fault.is_silent:
--- a/sardineproxy/emulator/hunt.py
+++ b/sardineproxy/emulator/hunt.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import enum
 import random
 import types
 
@@ -29,10 +30,7 @@
 CANCEL_SHARE = 0.35
 MAX_CANCEL_S = 6.0
 
-#: Share of the hunts whose faults concern the entries of a zone's workers and
-#: the takeover of its shard, and longest time between two of their jobs, in
-#: seconds.
-TAKEOVER_SHARE = 0.5
+#: Longest time between two jobs beside takeovers, in seconds.
 TAKEOVER_JOB_INTERVAL_S = 1.2
 
 #: Share of the jobs that are not stored, time for which their clients wait in
@@ -64,6 +62,49 @@
     (0.1, 0.1),
 )
 
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Workload:
+    """The jobs of a hunt."""
+
+    run_times_s: tuple[tuple[float, ...], ...] = RUN_TIMES_S
+
+    #: Numbers of tasks of each step.
+    task_counts: tuple[int, ...] = (2,)
+
+    #: Longest time between two jobs, in seconds.
+    interval_s: float = MAX_JOB_INTERVAL_S
+    unstored_share: float = UNSTORED_SHARE
+
+
+class _Theme(enum.Enum):
+    """What the faults of a hunt concern."""
+
+    ANY = 'any'
+
+    #: Cuts between VMs that reach the store.
+    CUTS = 'cuts'
+
+    #: Losses of all workers of a zone.
+    RACKS = 'racks'
+
+    #: Entries of a zone's workers, and takeovers of its shard.
+    TAKEOVERS = 'takeovers'
+
+
+#: Weights in the order of the members of ``_Theme``.
+_THEME_WEIGHTS = (0.2, 0.4, 0.15, 0.25)
+
+#: Some jobs have more tasks than their home zone has capacity for.
+_BESIDE_CUTS = Workload(
+    run_times_s=((2.4,), (5.0,), (8.0,), (12.0,)), task_counts=(1, 2, 6, 12)
+)
+_BESIDE_RACKS = Workload(
+    run_times_s=((0.3,), (0.9,), (2.4,)),
+    task_counts=(2, 4, 8),
+    unstored_share=0.8,
+)
+
 LAYOUTS = (
     deployment.SMALL,
     deployment.Layout(vms=types.MappingProxyType({'z1': 2, 'z2': 2, 'z3': 1})),
@@ -88,6 +129,8 @@
 
     #: The faults that began, one sentence each.
     faults: tuple[str, ...]
+
+    #: Number of jobs that were stored, or completed without that.
     accepted: int
 
 
@@ -106,26 +149,21 @@
             layout=self._rng.choice(LAYOUTS), seed=seed
         )
         self._accepted: list[ids.JobId] = []
+        self._workload = Workload()
+
+        #: Jobs that are not stored and completed.
+        self._completed_count = 0
 
     async def play(self) -> Report:
         """Play the faults beside the clients; return what was broken."""
         await self._emulated.start()
         injector = faults.FaultInjector(emulated=self._emulated, rng=self._rng)
-        if self._rng.random() < TAKEOVER_SHARE:
-            plan = fault_plans.draw_takeover_plan(
-                self._rng, self._emulated.zones
-            )
-            interval_s = TAKEOVER_JOB_INTERVAL_S
-        else:
-            plan = fault_plans.draw_plan(
-                self._rng, most=MAX_FAULTS, length_s=FAULTS_LENGTH_S
-            )
-            interval_s = MAX_JOB_INTERVAL_S
+        plan = self._draw_plan()
         injecting = asyncio.ensure_future(injector.run(plan))
         clients = []
         for _ in range(JOB_COUNT):
             clients.append(asyncio.ensure_future(self._run_client()))
-            await asyncio.sleep(self._rng.uniform(0, interval_s))
+            await asyncio.sleep(self._rng.uniform(0, self._workload.interval_s))
         await asyncio.gather(injecting, *clients)
         unended = await self._wait_for_ends()
         await asyncio.sleep(LATE_S)
@@ -133,20 +171,38 @@
             seed=self._seed,
             violations=(*unended, *rules.find_violations(self._emulated)),
             faults=tuple(injector.log),
-            accepted=len(self._accepted),
+            accepted=len(self._accepted) + self._completed_count,
+        )
+
+    def _draw_plan(self) -> tuple[fault_plans.Fault, ...]:
+        """Return the faults, and set the jobs that are played beside them."""
+        zones = self._emulated.zones
+        match self._rng.choices(list(_Theme), _THEME_WEIGHTS)[0]:
+            case _Theme.CUTS:
+                self._workload = _BESIDE_CUTS
+                return fault_plans.draw_cut_plan(self._rng, zones)
+            case _Theme.RACKS:
+                self._workload = _BESIDE_RACKS
+                return fault_plans.draw_rack_plan(self._rng, zones)
+            case _Theme.TAKEOVERS:
+                self._workload = Workload(interval_s=TAKEOVER_JOB_INTERVAL_S)
+                return fault_plans.draw_takeover_plan(self._rng, zones)
+        return fault_plans.draw_plan(
+            self._rng, most=MAX_FAULTS, length_s=FAULTS_LENGTH_S
         )
 
     async def _run_client(self) -> None:
         """Hand a job in, and cancel it or wait for its end."""
-        stored = self._rng.random() >= UNSTORED_SHARE
+        stored = self._rng.random() >= self._workload.unstored_share
         job = self._emulated.make_job(
             self._rng.choice(
                 (*self._emulated.zones[:1], *self._emulated.zones)
             ),
-            *self._rng.choice(RUN_TIMES_S),
+            *self._rng.choice(self._workload.run_times_s),
             label=self._rng.choice(
                 (deployment.ANY_ZONE, deployment.OTHER_ZONES)
             ),
+            count=self._rng.choice(self._workload.task_counts),
             stored=stored,
         )
         if not stored:
@@ -168,8 +224,12 @@
     async def _run_unstored(self, job: jobs.Job) -> None:
         """Run a job, and send it again if there is no response."""
         wait_s = UNSTORED_WAIT_S + 3 * job.total_estimate_s
+        zone = self._rng.choice(self._emulated.zones)
         for _ in range(MAX_SUBMISSIONS):
-            outcome = await self._emulated.run(self._choose_vm(), job, wait_s)
+            vm = self._choose_ready_vm(zone)
+            outcome = await self._emulated.run(vm, job, wait_s)
+            if isinstance(outcome, jobs.Completed):
+                self._completed_count += 1
             if not isinstance(outcome, jobs.GivenUp | None):
                 return
             await asyncio.sleep(RETRANSMIT_S)
@@ -196,5 +256,17 @@
                 return reply
             await asyncio.sleep(RETRY_S)
 
+    def _choose_ready_vm(self, zone: ids.ZoneId) -> deployment.Vm:
+        """Return a VM of a client's zone, or of others if it has none."""
+        ready = [
+            vm
+            for vm in self._emulated.vms.values()
+            if not vm.process.is_killed and vm.node.is_ready()
+        ]
+        of_zone = [vm for vm in ready if vm.zone == zone]
+        return self._rng.choice(
+            of_zone or ready or list(self._emulated.vms.values())
+        )
+
     def _choose_vm(self) -> deployment.Vm:
         return self._rng.choice(list(self._emulated.vms.values()))
--- a/sardineproxy/emulator/rules.py
+++ b/sardineproxy/emulator/rules.py
@@ -5,6 +5,7 @@
 from sardineproxy import ids
 from sardineproxy.emulator import deployment
 from sardineproxy.process.shards import runs
+from sardineproxy.request import recent_jobs
 from sardineproxy.standin import run_checks, worker_model
 
 #: Time after the acknowledgement of a cancellation from which no task of the
@@ -37,12 +38,32 @@
         *find_late_starts(
             records, emulated.cancelled_at, CANCEL_S, 'was cancelled'
         ),
+        *find_refused_runs(records, emulated.refused_at),
         *find_late_starts(
             records, emulated.completed_at, COMPLETED_S, 'was completed'
         ),
     ]
 
 
+def find_refused_runs(
+    records: list[worker_model.RunRecord],
+    refused_at: Mapping[ids.JobId, float],
+) -> list[str]:
+    """Return a sentence for each run of a job that was refused.
+
+    ``refused_at`` are the times at which clients were told that their jobs have
+    not run and will not. Earlier requests count for ``LONGEST_REPEAT_S``.
+    """
+    return [
+        f'{record.task}: run {record.run} on {record.worker} started '
+        f'{record.started_at - refused_at[job]:.2f} s after the job was refused'
+        for record in records
+        for job in (runs.job_of(record.task),)
+        if job in refused_at
+        and record.started_at > refused_at[job] - recent_jobs.LONGEST_REPEAT_S
+    ]
+
+
 def find_late_starts(
     records: list[worker_model.RunRecord],
     ended_at: Mapping[ids.JobId, float],
--- a/sardineproxy/emulator/worker_entries.py
+++ b/sardineproxy/emulator/worker_entries.py
@@ -68,11 +68,15 @@
             await asyncio.sleep(_CHECK_S)
             for worker, write_at in self._next_write_at.items():
                 if loop.time() >= write_at:
-                    self._next_write_at[worker] = write_at + HEARTBEAT_S
+                    self._next_write_at[worker] = loop.time() + HEARTBEAT_S
                     self._write(worker, loop.time())
                 elif loop.time() >= self._written_at[worker] + EXPIRY_S:
                     self._rows.put(_row_key(worker), None)
 
+    def write_soon(self, worker: str) -> None:
+        """Let a worker that has started again write its entry at once."""
+        self._next_write_at[worker] = 0
+
     def worker_id(self, row: store.Row) -> ids.WorkerId:
         """Return the worker of an entry."""
         return ids.WorkerId(row.key.partition('/')[2])
@@ -89,7 +93,7 @@
         )
 
     def _write(self, worker: str, now: float) -> None:
-        if worker in self.cut_off:
+        if worker in self.cut_off or not self._models[worker].is_up:
             return
         self._written_at[worker] = now
         zone = self.zones.get(worker, self._models[worker].worker.zone)
--- a/tests/emulator/test_hunt.py
+++ b/tests/emulator/test_hunt.py
@@ -28,15 +28,28 @@
     def test_start_after_the_end_of_a_job_is_found(self) -> None:
         """Guards against a check that cannot fail."""
         job = ids.JobId('a1')
-        record = worker_model.RunRecord(
-            task=workers.TaskName('a1.0.0.0'),
-            run=1,
-            worker='w0',
-            started_at=10,
-            resources=jobs.NO_RESOURCES,
-        )
+        record = make_record(started_at=10)
         for ended_at, expected in ((8.9, 1), (9.1, 0)):
             found = rules.find_late_starts(
                 [record], {job: ended_at}, 1, 'was completed'
             )
             self.assertEqual(expected, len(found))
+
+    def test_run_of_a_refused_job_is_found(self) -> None:
+        """Guards against a check that cannot fail."""
+        record = make_record(started_at=10)
+        for refused_at, expected in ((9, 1), (13.9, 1), (14.1, 0)):
+            found = rules.find_refused_runs(
+                [record], {ids.JobId('a1'): refused_at}
+            )
+            self.assertEqual(expected, len(found))
+
+
+def make_record(*, started_at: float) -> worker_model.RunRecord:
+    return worker_model.RunRecord(
+        task=workers.TaskName('a1.0.0.0'),
+        run=1,
+        worker='w0',
+        started_at=started_at,
+        resources=jobs.NO_RESOURCES,
+    )
