Workers: results are acknowledged only to the process that listed them

Cause: the poll beside the next start acknowledged positions of the former process. The new process's first results have the same positions, and a result that comes while the call waits is dropped without being listed. The leader then saw the new process, took the run for lost and started its task again.

Ruled out: the list of workers (it shows the new process 0.8 s later at best), and a shorter idle poll, which only narrows the time.

Change: a poll acknowledges only within 40 ms after a response of the process that listed the results, or if it does not wait and no run was started since. After an idle time the poll waits for the response to the start order, whose clock tells the process; otherwise the next poll acknowledges.

--- a/sardineproxy/process/shards/agent.py
+++ b/sardineproxy/process/shards/agent.py
@@ -265,7 +265,7 @@
             unit=self._unit,
             on_failure=lambda: self._handle_failed_start(run),
         )
-        self._poller.wake()
+        self._poller.order_sent(now)
 
     def stop(self, run: runs.Run) -> None:
         """Stop a run unless a stop is already in progress."""
@@ -400,8 +400,9 @@
         if self.ledger.runs.get(run.task) is not run:
             return
         match response:
-            case workers.Accepted():
+            case workers.Accepted(clock_ms=clock_ms):
                 run.mark_running(now)
+                self._poller.order_answered(clock_ms, now)
             case workers.Refused():
                 self._handle_refusal(run, response, now)
             case workers.Unanswered(unsent=True):
--- a/sardineproxy/process/shards/lease.py
+++ b/sardineproxy/process/shards/lease.py
@@ -6,6 +6,10 @@
 
 _MS_PER_S = 1000
 
+#: Difference between two readings of one clock that is due to their travel
+#: times, in seconds: the timeout of an order, and rounding.
+CLOCK_TOLERANCE_S = 0.1
+
 
 class Lease:
     """Newest reading of a worker's clock, and the expiry of the lease."""
@@ -32,6 +36,16 @@
         self._clock_ms = clock_ms
         self._clock_read_at = now
 
+    def agrees_with(self, clock_ms: int, now: float) -> bool:
+        """Return whether a reading is of the clock that was read before.
+
+        The clock of another process started at another time.
+        """
+        elapsed_s = now - self._clock_read_at
+        expected_ms = self._clock_ms + elapsed_s * _MS_PER_S
+        tolerance_s = CLOCK_TOLERANCE_S + elapsed_s * self._cfg.clock_error
+        return abs(clock_ms - expected_ms) <= tolerance_s * _MS_PER_S
+
     def reset_clock(self) -> None:
         """Discard the clock reading after a restart of the worker."""
         self._clock_ms = 0
--- a/sardineproxy/process/shards/poller.py
+++ b/sardineproxy/process/shards/poller.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import math
 from typing import Protocol
 
 from sardineproxy import clock, logs
@@ -23,6 +24,10 @@
 
 _State = runs.RunState
 
+#: Time in which no worker process ends and another one serves in its place, in
+#: seconds. Beyond it a poll may reach another process than the last report.
+MIN_RESTART_S = 0.04
+
 
 class PolledAgent(Protocol):
     """The agent of the polled worker."""
@@ -108,6 +113,16 @@
         self.unresponsive_since: float | None = None
         self._failed_polls = 0
         self._acked_position = 0
+
+        #: Local times, in seconds, at which the process that ``started_ms``
+        #: names last responded, and at which its last report was requested.
+        self._verified_at = -math.inf
+        self._report_sent_at = -math.inf
+
+        #: Local time of the last start order, in seconds, and whether all start
+        #: orders were answered.
+        self._order_sent_at = -math.inf
+        self._order_answered = asyncio.Event()
         self._wake = asyncio.Event()
         self._results_released = asyncio.Event()
         self._poll: asyncio.Task[object] | None = None
@@ -116,6 +131,22 @@
         """Check at once whether a poll is needed."""
         self._wake.set()
 
+    def order_sent(self, now: float) -> None:
+        """Record that a start order is being sent."""
+        self._order_sent_at = now
+        self._order_answered.clear()
+        self._wake.set()
+
+    def order_answered(self, clock_ms: int, now: float) -> None:
+        """Check by its clock which process has executed a start order."""
+        self._order_answered.set()
+        if not self._lease.has_clock:
+            return
+        if self._lease.agrees_with(clock_ms, now):
+            self._verified_at = now
+        else:
+            self._agent.mark_unconfirmed('order executed by another process')
+
     def acknowledge(self) -> None:
         """Send the acknowledgement of released results soon."""
         self._results_released.set()
@@ -152,6 +183,7 @@
         """Poll the worker until cancelled."""
         while True:
             await self._wait_until_needed()
+            await self._verify_by_order()
             now = self._clock.now()
             poll = self._build_poll(now)
             self._metrics.count('worker_looks_total')
@@ -191,6 +223,34 @@
             except TimeoutError:
                 return
 
+    async def _verify_by_order(self) -> None:
+        """Wait for the response to a start order after an idle time.
+
+        The poll after it can then acknowledge results.
+        """
+        is_pending = self._order_sent_at > self._report_sent_at
+        if not is_pending or self.is_unconfirmed or self._is_verified():
+            return
+        try:
+            async with asyncio.timeout(self._cfg.order_timeout_s):
+                await self._order_answered.wait()
+        except TimeoutError:
+            return
+
+    def _is_verified(self) -> bool:
+        """Return whether a call now reaches the process that reported last."""
+        return self._clock.now() - self._verified_at <= MIN_RESTART_S
+
+    def _may_acknowledge(self, wait_s: float) -> bool:
+        """Return whether a poll may acknowledge results.
+
+        Another process would drop its own results of the same positions. It has
+        none as long as no run was started on it.
+        """
+        if self._is_verified():
+            return True
+        return not wait_s and self._order_sent_at < self._report_sent_at
+
     async def _pause_while_unacked(self) -> None:
         """Pause before a poll to which the worker would respond at once.
 
@@ -229,11 +289,15 @@
                 expires_ms = self._lease.extend(now, former_until)
         self._extends_own_runs = has_unstopped_runs
         respond_at_once = self.is_unconfirmed or self._ledger.is_empty
+        wait_s = 0 if respond_at_once else self._cfg.look_wait_s
+        acked = 0
+        if self._may_acknowledge(wait_s):
+            acked = self._reconciler.unacked.acked_through
         return workers.Poll(
             fence=self._agent.fence,
-            acked=self._reconciler.unacked.acked_through,
+            acked=acked,
             expires_ms=expires_ms,
-            wait_s=0 if respond_at_once else self._cfg.look_wait_s,
+            wait_s=wait_s,
         )
 
     async def _handle_response(
@@ -318,6 +382,8 @@
                 # The poll acknowledged positions of the previous process, so
                 # that results of the new one may be missing from the report.
                 return
+        self._verified_at = max(self._verified_at, now)
+        self._report_sent_at = max(self._report_sent_at, sent_at)
         if report.clock_ms < self._lease.clock_ms:
             # A newer report has already arrived.
             return
@@ -350,6 +416,7 @@
             # Orders to the previous process may still be executed.
             self._agent.mark_unconfirmed('worker restarted')
         self.started_ms = report.started_ms
+        self._verified_at = -math.inf
         self._reconciler.unacked.reset()
         self._acked_position = 0
         self._lease.reset_clock()
--- a/tests/process/shards/test_agent.py
+++ b/tests/process/shards/test_agent.py
@@ -213,6 +213,37 @@
 
         samples.with_rig(scenario)
 
+    def test_result_of_a_restarted_idle_worker_is_not_lost(self) -> None:
+        """Guards against review case 14: an end that nobody has seen.
+
+        A worker starts again under its id while it is idle. The poll beside the
+        next start must not acknowledge the results of its former process: the
+        result of the new run would have such a position.
+        """
+
+        async def scenario(rig: samples.Rig) -> None:
+            link = samples.FakeLink()
+            leader = await rig.lead_and_sync()
+            for number in range(4):
+                leader.submit(
+                    link,
+                    samples.make_submit(f'a{number}', slack_s=5.0),
+                    rig.clock.now(),
+                )
+            await asyncio.sleep(2)
+            rig.models['w0'].crash(rig.clock.now())
+            await asyncio.sleep(0.1)
+            rig.models['w0'].restart(rig.clock.now())
+            leader.submit(
+                link, samples.make_submit('b0', slack_s=5.0), rig.clock.now()
+            )
+            await asyncio.sleep(2)
+            started = [record.task[:2] for record in rig.records()]
+            self.assertEqual(1, started.count('b0'), started)
+            self.assertEqual(5, len(link.sent), link.sent)
+
+        samples.with_rig(scenario)
+
     def test_restarted_worker_gets_no_orders_before_it_is_listed(self) -> None:
         """Guards against orders based on the capacity before a restart.
 
