Stored jobs: workers are asked before a task starts anew

Cause: a job manager that had not reached a shard's leader for 9.5 s took its silence for the absence of results.

Ruled out: the acknowledgements (the ends were acknowledged after the cut, as they should be), leases, and late orders.

Change: before it takes tasks back, a manager asks the workers of the shard by polls that extend no lease and acknowledge nothing. Results are recorded, and a task that still runs is left alone. Workers that do not respond are asked for 5 s more. The inquiry uses the lowest fence of the leader that the worker accepts; a leader whose fence is refused raises it twice before it takes itself for superseded. A leader detaches the batches of a VM that has not reported for 1 s that it manages their jobs, and a leader whose leadership is unconfirmed does not report that.

--- a/sardineproxy/process/node/dependencies.py
+++ b/sardineproxy/process/node/dependencies.py
@@ -58,6 +58,7 @@
     router: execution.Router,
     retention_s: float,
     unconfirmed_s: float,
+    inquiries: execution.Inquiries,
     on_lost: Callable[[job_manager.JobManager], None],
 ) -> job_manager.JobManager:
     """Return the manager of stored jobs for a shard that this process leads.
@@ -81,5 +82,6 @@
         clock=dependencies.clock,
         metrics=dependencies.metrics,
         retention_s=retention_s,
+        inquiries=inquiries,
         on_lost=on_lost,
     )
--- a/sardineproxy/process/node/led_shards.py
+++ b/sardineproxy/process/node/led_shards.py
@@ -163,7 +163,7 @@
                 leader.token.epoch,
                 leader.token.rank,
                 leader.count_startable_tasks(),
-                self._job_service.managers[leader.shard].is_loaded,
+                self._is_managing(leader),
             )
             for leader in self.shards.values()
         )
@@ -339,6 +339,11 @@
         for shard in self.shards:
             self._hand_over(shard)
 
+    def _is_managing(self, leader: shards.ShardLeader) -> bool:
+        """Return whether no other process can manage a shard's stored jobs."""
+        manager = self._job_service.managers[leader.shard]
+        return manager.is_loaded and leader.is_leadership_confirmed
+
     def _is_authorized(
         self, source: link.Link, message: manager_tokens.ManagerMessage
     ) -> bool:
--- a/sardineproxy/process/node/node.py
+++ b/sardineproxy/process/node/node.py
@@ -14,6 +14,7 @@
     fencing,
     manager_tokens,
     shard_capacities,
+    worker_inquiries,
     workers,
 )
 from sardineproxy.process.stored_jobs import (
@@ -134,6 +135,12 @@
         self.job_service = job_service.JobService(
             directory=self, clock=self._clock
         )
+        self._inquiries = worker_inquiries.WorkerInquiries(
+            api=dependencies.workers,
+            directory=self,
+            metrics=dependencies.metrics,
+            cfg=node_policy.shard.calls,
+        )
         self._claimer = claiming.ShardClaimer(
             store=dependencies.store,
             registry=self.registry,
@@ -215,6 +222,7 @@
         """Stop all background tasks and close all links."""
         await self._tasks.close()
         await self.job_service.close()
+        await self._inquiries.close()
         await self.led_shards.close()
         await self.links.close()
 
@@ -361,6 +369,13 @@
         home = self.job_service.home_shard(job)
         return self.leaders.loaded_shards.get(home, self.leader_of(home))
 
+    def manager_vm(self, home_shard: ids.ShardId) -> ids.VmId | None:
+        """Return the VM that reports to manage a shard's jobs, None if none."""
+        loaded = self.leaders.loaded_shards.get(
+            home_shard, self.leader_of(home_shard)
+        )
+        return None if loaded is None else loaded.vm
+
     def manager_link(self, job: ids.JobId) -> link.Link | None:
         """Return the link to the leader of a stored job's home shard."""
         return self.leader_link(self.job_service.home_shard(job))
@@ -378,6 +393,23 @@
             + self.leaders.pending_jobs(route)
         )
 
+    def shard_workers(
+        self, shard: ids.ShardId
+    ) -> worker_inquiries.ShardWorkers:
+        """Return the workers that the leader of a shard may have used."""
+        return self.led_shards.workers.possible_workers(
+            shard, self.registry.claims.get(shard)
+        )
+
+    def leader_token(self, shard: ids.ShardId) -> fencing.FencingToken | None:
+        """Return the newest known token of a shard's leader."""
+        claim = self.registry.claims.get(shard)
+        if claim is not None:
+            self.manager_tokens.observe(
+                shard, fencing.FencingToken(epoch=claim.epoch, rank=0)
+            )
+        return self.manager_tokens.highest.get(shard)
+
     def workers_of(self, shard: ids.ShardId) -> list[workers.Worker]:
         """Return the listed workers of a shard."""
         return self.workers.of_shard(shard)
@@ -629,6 +661,7 @@
             ),
             router=self,
             retention_s=self.cfg.bounds.status_retention_s,
+            inquiries=self._inquiries,
             on_lost=self.led_shards.replace_manager,
             unconfirmed_s=self._shard_timing.unconfirmed_s,
         )
--- a/sardineproxy/process/node/shard_workers.py
+++ b/sardineproxy/process/node/shard_workers.py
@@ -2,7 +2,7 @@
 
 from typing import Iterable, Protocol
 
-from sardineproxy import clock, logs
+from sardineproxy import clock, ids, logs
 from sardineproxy.connection import messages
 from sardineproxy.process import metrics
 from sardineproxy.process.membership import (
@@ -11,6 +11,7 @@
     worker_reports,
 )
 from sardineproxy.process.shards import shard as shards
+from sardineproxy.process.shards import worker_inquiries
 
 _LOG = logs.get_logger('node')
 
@@ -104,6 +105,23 @@
             },
         )
 
+    def possible_workers(
+        self, shard: ids.ShardId, claim: registry.Claim | None
+    ) -> worker_inquiries.ShardWorkers:
+        """Return the workers that the leader under a claim may have used."""
+        listed = self._listed.of_shard(shard)
+        if claim is None:
+            return worker_inquiries.ShardWorkers(
+                workers=tuple(listed), is_complete=False
+            )
+        former = self._reports.find_former(shard, claim, self._listed)
+        known = {
+            worker.worker: worker for worker in (*former.unlisted, *listed)
+        }
+        return worker_inquiries.ShardWorkers(
+            workers=tuple(known.values()), is_complete=former.doubt is None
+        )
+
     def leadership_lost(self, leader: shards.ShardLeader) -> None:
         """Keep the report on a shard that this process no longer leads."""
         self._reports.record(
--- a/sardineproxy/process/shards/agent.py
+++ b/sardineproxy/process/shards/agent.py
@@ -24,6 +24,10 @@
     workers,
 )
 
+#: Times that a leader raises its fence, after a worker has refused it, before it
+#: takes itself for superseded. An inquiry may have raised the fence.
+MAX_RAISES = 2
+
 #: A worker with more unstored results than this gets no more runs. It lists
 #: up to 500 results.
 MAX_UNSTORED_RESULTS = 300
@@ -99,6 +103,7 @@
             cfg=cfg,
         )
         self.fence_count = fence_count
+        self._raises = 0
 
         #: Local time, in seconds, until which the leases of runs that a former
         #: leader started may last before they are adopted.
@@ -322,6 +327,19 @@
         """Report that the worker has seen the fence of a newer leader."""
         self._events.superseded(self)
 
+    def raise_fence(self) -> bool:
+        """Raise the fence above that of an inquiry, if it may have been one.
+
+        Returns False if the worker has refused raised fences, too: no fence of
+        this leader exceeds that of a newer one.
+        """
+        if self._raises >= MAX_RAISES:
+            return False
+        self._raises += 1
+        self.fence_count += self.fence_count
+        self.mark_unconfirmed('fence refused')
+        return True
+
     def handle_report(
         self, unrequested: list[workers.ActiveRun], *, is_newly_confirmed: bool
     ) -> None:
@@ -333,6 +351,7 @@
         if unrequested:
             self._events.unrequested_runs(self, unrequested)
         if is_newly_confirmed:
+            self._raises = 0
             self._events.capacity_freed(self)
 
     def handle_lease_expired(self, run: runs.Run) -> None:
@@ -438,9 +457,8 @@
         )
         match refused.reason:
             case workers.Refusal.FENCED if run.fence >= self.fence:
-                self._events.superseded(self)
-                self._handle_not_started(run, 'fenced')
-                return
+                if not self.raise_fence():
+                    self.handle_fenced()
             case workers.Refusal.NOT_EXECUTED | workers.Refusal.NO_CAPACITY:
                 self.health.record_refusal(now)
             case workers.Refusal.OTHER_WORKER:
--- a/sardineproxy/process/shards/backlog.py
+++ b/sardineproxy/process/shards/backlog.py
@@ -117,13 +117,13 @@
     def reattach(
         self,
         batch: runs.Batch,
-        source: link.Link,
-        authority: messages.Authority,
+        source: link.Link | None,
+        authority: messages.Authority = messages.NO_AUTHORITY,
     ) -> None:
         """Assign an existing batch to the coordinator that submits it now.
 
         ``authority`` is that of a job manager; the former one compares it with
-        its own.
+        its own. Without ``source`` the batch waits for a coordinator.
         """
         if batch.link is not None and batch.link is not source:
             for index, task in batch.tasks.items():
@@ -140,6 +140,8 @@
                     )
                 )
         batch.link = source
+        if source is not None:
+            batch.managed_at = self._clock.now()
 
     def recall(
         self, batch: runs.Batch, tasks: dict[int, int]
--- a/sardineproxy/process/shards/fencing.py
+++ b/sardineproxy/process/shards/fencing.py
@@ -11,6 +11,10 @@
 _RANK_BITS = 4
 _COUNT_BITS = 18
 
+#: Largest count that an inquiry tries. The leader must be able to raise its own
+#: count beyond it.
+MAX_INQUIRY_COUNT = 2 ** (_COUNT_BITS - 3)
+
 #: Largest epoch. Its fences have at most 62 bits, so that every worker can
 #: read them as a signed integer of 64 bits.
 MAX_EPOCH = 2**40
--- a/sardineproxy/process/shards/poller.py
+++ b/sardineproxy/process/shards/poller.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-import math
 from typing import Protocol
 
 from sardineproxy import clock, logs
@@ -14,6 +13,7 @@
     health,
     lease,
     ledger,
+    process_check,
     reconciler,
     runs,
     times,
@@ -24,10 +24,6 @@
 
 _State = runs.RunState
 
-#: Time in which no worker process ends and another one serves in its place, in
-#: seconds. Beyond it a poll may reach another process than the last report.
-MIN_RESTART_S = 0.04
-
 
 class PolledAgent(Protocol):
     """The agent of the polled worker."""
@@ -58,6 +54,9 @@
     def handle_fenced(self) -> None:
         """Handle a worker that has seen the fence of a newer leader."""
 
+    def raise_fence(self) -> bool:
+        """Raise the fence above that of an inquiry, if it may have been one."""
+
     def handle_report(
         self, unrequested: list[workers.ActiveRun], *, is_newly_confirmed: bool
     ) -> None:
@@ -113,16 +112,7 @@
         self.unresponsive_since: float | None = None
         self._failed_polls = 0
         self._acked_position = 0
-
-        #: Local times, in seconds, at which the process that ``started_ms``
-        #: names last responded, and at which its last report was requested.
-        self._verified_at = -math.inf
-        self._report_sent_at = -math.inf
-
-        #: Local time of the last start order, in seconds, and whether all start
-        #: orders were answered.
-        self._order_sent_at = -math.inf
-        self._order_answered = asyncio.Event()
+        self._process_check = process_check.ProcessCheck()
         self._wake = asyncio.Event()
         self._results_released = asyncio.Event()
         self._poll: asyncio.Task[object] | None = None
@@ -132,19 +122,15 @@
         self._wake.set()
 
     def order_sent(self, now: float) -> None:
-        """Record that a start order is being sent."""
-        self._order_sent_at = now
-        self._order_answered.clear()
+        """Poll the worker for the run that a start order creates."""
+        self._process_check.order_sent(now)
         self._wake.set()
 
     def order_answered(self, clock_ms: int, now: float) -> None:
         """Check by its clock which process has executed a start order."""
-        self._order_answered.set()
-        if not self._lease.has_clock:
-            return
-        if self._lease.agrees_with(clock_ms, now):
-            self._verified_at = now
-        else:
+        is_same = self._lease.agrees_with(clock_ms, now)
+        self._process_check.order_answered(now, is_same=is_same)
+        if self._lease.has_clock and not is_same:
             self._agent.mark_unconfirmed('order executed by another process')
 
     def acknowledge(self) -> None:
@@ -183,7 +169,10 @@
         """Poll the worker until cancelled."""
         while True:
             await self._wait_until_needed()
-            await self._verify_by_order()
+            if not self.is_unconfirmed:
+                await self._process_check.wait_for_order(
+                    self._clock.now(), self._cfg.order_timeout_s
+                )
             now = self._clock.now()
             poll = self._build_poll(now)
             self._metrics.count('worker_looks_total')
@@ -223,34 +212,6 @@
             except TimeoutError:
                 return
 
-    async def _verify_by_order(self) -> None:
-        """Wait for the response to a start order after an idle time.
-
-        The poll after it can then acknowledge results.
-        """
-        is_pending = self._order_sent_at > self._report_sent_at
-        if not is_pending or self.is_unconfirmed or self._is_verified():
-            return
-        try:
-            async with asyncio.timeout(self._cfg.order_timeout_s):
-                await self._order_answered.wait()
-        except TimeoutError:
-            return
-
-    def _is_verified(self) -> bool:
-        """Return whether a call now reaches the process that reported last."""
-        return self._clock.now() - self._verified_at <= MIN_RESTART_S
-
-    def _may_acknowledge(self, wait_s: float) -> bool:
-        """Return whether a poll may acknowledge results.
-
-        Another process would drop its own results of the same positions. It has
-        none as long as no run was started on it.
-        """
-        if self._is_verified():
-            return True
-        return not wait_s and self._order_sent_at < self._report_sent_at
-
     async def _pause_while_unacked(self) -> None:
         """Pause before a poll to which the worker would respond at once.
 
@@ -291,7 +252,7 @@
         respond_at_once = self.is_unconfirmed or self._ledger.is_empty
         wait_s = 0 if respond_at_once else self._cfg.look_wait_s
         acked = 0
-        if self._may_acknowledge(wait_s):
+        if self._process_check.may_acknowledge(now, waits=wait_s > 0):
             acked = self._reconciler.unacked.acked_through
         return workers.Poll(
             fence=self._agent.fence,
@@ -312,17 +273,9 @@
                 self._mark_responsive(now)
                 self._acked_position = max(self._acked_position, poll.acked)
                 self._apply_report(poll, response, sent_at, now)
-            case workers.Refused(reason=workers.Refusal.FENCED) if (
-                self._agent.is_listed
-            ):
-                if poll.fence >= self._agent.fence:
-                    self._agent.handle_fenced()
-                    await asyncio.sleep(self._cfg.silent_pause_s)
             case workers.Refused(reason=workers.Refusal.FENCED):
-                # Its entry may have named another zone, whose leader has
-                # ordered it since.
-                self.mark_unresponsive('fenced while not listed', now)
-                await self._back_off()
+                if poll.fence >= self._agent.fence:
+                    await self._handle_fenced(now)
             case workers.Refused():
                 self.mark_unresponsive(
                     f'{response.reason.value} {response.detail}', now
@@ -337,6 +290,18 @@
                         f'poll not answered: {response.cause}'
                     )
 
+    async def _handle_fenced(self, now: float) -> None:
+        if self._agent.raise_fence():
+            return
+        if self._agent.is_listed:
+            self._agent.handle_fenced()
+            await asyncio.sleep(self._cfg.silent_pause_s)
+        else:
+            # Its entry may have named another zone, whose leader has ordered
+            # it since.
+            self.mark_unresponsive('fenced while not listed', now)
+            await self._back_off()
+
     async def _back_off(self) -> None:
         self._failed_polls += 1
         self._drop_expired(self._clock.now())
@@ -382,8 +347,7 @@
                 # The poll acknowledged positions of the previous process, so
                 # that results of the new one may be missing from the report.
                 return
-        self._verified_at = max(self._verified_at, now)
-        self._report_sent_at = max(self._report_sent_at, sent_at)
+        self._process_check.reported(requested_at=sent_at, now=now)
         if report.clock_ms < self._lease.clock_ms:
             # A newer report has already arrived.
             return
@@ -416,7 +380,7 @@
             # Orders to the previous process may still be executed.
             self._agent.mark_unconfirmed('worker restarted')
         self.started_ms = report.started_ms
-        self._verified_at = -math.inf
+        self._process_check.restarted()
         self._reconciler.unacked.reset()
         self._acked_position = 0
         self._lease.reset_clock()
--- a/sardineproxy/process/shards/runs.py
+++ b/sardineproxy/process/shards/runs.py
@@ -119,6 +119,11 @@
     #: Local time at which the link was lost, in seconds.
     detached_at: float = 0
 
+    #: Home shard of a stored job, and the local time, in seconds, at which the
+    #: VM at the link was last known to manage its jobs.
+    home_shard: ids.ShardId = ids.ShardId('')
+    managed_at: float = 0
+
     #: Expected run time on a worker of speed 1, in seconds.
     expected_s: float
 
@@ -282,4 +287,6 @@
         pinned=message.pinned,
         stored=message.stored,
         started=message.resumed or message.job_started,
+        home_shard=message.authority[0],
+        managed_at=now,
     )
--- a/sardineproxy/process/shards/shard.py
+++ b/sardineproxy/process/shards/shard.py
@@ -155,6 +155,11 @@
             cfg=cfg,
         )
 
+    @property
+    def is_leadership_confirmed(self) -> bool:
+        """Return whether no other process can lead the shard."""
+        return self._is_leadership_confirmed
+
     def limit_former_runs(self, leader_lost_at: float) -> None:
         """Let the former leader's runs end unless they are resumed soon.
 
@@ -233,8 +238,7 @@
         for batch in self._backlog.all():
             if batch.link is lost_link:
                 batch.link = None
-                batch.detached_at = now
-                self._detached[batch.key] = batch
+                self._detach(batch, now)
         self._stored_results.release_claims(lost_link)
         self._takeover.discard(lost_link)
 
@@ -302,6 +306,7 @@
         self._takeover.stop_unresumed(now)
         self._update_permissions(now)
         self._remove_unlisted(now)
+        self._detach_replaced(now)
         self._stored_results.send_unclaimed(now)
         self._drop_abandoned(now)
         self._scheduler.drop_expired(now)
@@ -434,6 +439,37 @@
                 self._detached.pop(key)
                 self._scheduler.drop(batch, 'coordinator lost')
 
+    def _detach_replaced(self, now: float) -> None:
+        """Detach the batches of VMs that no longer manage their jobs.
+
+        The link to such a VM may stay open, and the job's new manager may have
+        none to this leader.
+        """
+        for batch in self._backlog.all():
+            former = batch.link
+            if former is None or not batch.home_shard:
+                continue
+            if self._context.manager_vm(batch.home_shard) == former.peer.vm:
+                batch.managed_at = now
+            elif now - batch.managed_at >= times.MANAGER_REPORT_S:
+                _LOG.warning(
+                    'Job manager replaced, tasks detached from it.',
+                    extra={
+                        'job': batch.job,
+                        'home': batch.home_shard,
+                        'from': former.peer.vm,
+                        'tasks': len(batch.tasks),
+                    },
+                )
+                self._backlog.reattach(batch, None)
+                self._stored_results.release_claims(former)
+                self._detach(batch, batch.managed_at)
+
+    def _detach(self, batch: runs.Batch, detached_at: float) -> None:
+        """Let a batch without a link wait for a coordinator."""
+        batch.detached_at = detached_at
+        self._detached[batch.key] = batch
+
     def _update_confirmation(self, now: float) -> None:
         """Let leases of stored jobs' runs expire if leadership is unconfirmed.
 
--- a/sardineproxy/process/shards/stored_results.py
+++ b/sardineproxy/process/shards/stored_results.py
@@ -20,6 +20,9 @@
         yet.
         """
 
+    def manager_vm(self, home_shard: ids.ShardId) -> ids.VmId | None:
+        """Return the VM that reports to manage a shard's jobs, None if none."""
+
     def manager_link(self, job: ids.JobId) -> link.Link | None:
         """Return the link to the manager of a job."""
 
@@ -79,7 +82,7 @@
             for finished_run in sorted(
                 finished_runs, key=lambda finished_run: finished_run.run
             ):
-                source.send(_make_run_ended(self._shard, finished_run))
+                source.send(make_run_ended(self._shard, finished_run))
                 is_new = finished_run.run >= run_number
                 if is_new or finished_run.result is workers.RunResult.DONE:
                     remaining.pop(index, None)
@@ -108,7 +111,7 @@
                 )
                 if manager is not None:
                     worker_agent.unacked.claim(finished_run.task, manager, now)
-                    manager.send(_make_run_ended(self._shard, finished_run))
+                    manager.send(make_run_ended(self._shard, finished_run))
 
     def is_abandoned(self, batch: runs.Batch, now: float) -> bool:
         """Return whether a detached batch was not submitted again in time.
@@ -145,7 +148,8 @@
         return max(manager.since, now - self._cfg.result_claim_s)
 
 
-_TASK_RESULTS = types.MappingProxyType(
+#: Results that end a task or count as an attempt.
+TASK_RESULTS = types.MappingProxyType(
     {
         workers.RunResult.DONE: jobs.TaskResult.DONE,
         workers.RunResult.FAILED: jobs.TaskResult.FAILED,
@@ -153,9 +157,10 @@
 )
 
 
-def _make_run_ended(
+def make_run_ended(
     shard: ids.ShardId, finished_run: workers.FinishedRun
 ) -> messages.RunEnded:
+    """Return the message about a stored job's result that a worker lists."""
     job, step, index = runs.split_task(finished_run.task)
     return messages.RunEnded(
         shard=shard,
@@ -163,6 +168,6 @@
         step=step,
         index=index,
         run=finished_run.run,
-        result=_TASK_RESULTS[finished_run.result].value,
+        result=TASK_RESULTS[finished_run.result].value,
         stored=True,
     )
--- a/sardineproxy/process/shards/times.py
+++ b/sardineproxy/process/shards/times.py
@@ -11,6 +11,10 @@
 #: processes must agree on this time, so that it is no setting.
 DETACHED_S = 6.0
 
+#: Time in which a VM reports to manage the jobs whose tasks it submits, in
+#: seconds. It sends heartbeats every 0.2 s.
+MANAGER_REPORT_S = 1.0
+
 #: A job manager takes tasks back that have been without a leader for this long,
 #: in seconds. Beyond ``DETACHED_S`` it allows 1.7 s until the shard's leader
 #: closes its end of the link, 1.1 s for leases on unresponsive workers, and
--- a/sardineproxy/process/stored_jobs/execution.py
+++ b/sardineproxy/process/stored_jobs/execution.py
@@ -7,6 +7,12 @@
 
 from sardineproxy import clock, ids, logs
 from sardineproxy.connection import link, messages
+from sardineproxy.process.shards import (
+    runs,
+    stored_results,
+    worker_inquiries,
+    workers,
+)
 from sardineproxy.process.stored_jobs import (
     job_table,
     leaderless_tasks,
@@ -39,6 +45,15 @@
         """Return a route of the active version, None if it was removed."""
 
 
+class Inquiries(Protocol):
+    """Asks the workers of shards whose leaders cannot be reached."""
+
+    def ask(
+        self, shard: ids.ShardId
+    ) -> 'asyncio.Future[worker_inquiries.Findings]':
+        """Return what the workers of a shard list, asked from now on."""
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class CancelRequested:
     """A client's request to cancel the job."""
@@ -62,6 +77,15 @@
     """Tasks may have been without a leader for ``TAKE_BACK_S``."""
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class _WorkersAsked:
+    """The workers of a shard were asked for tasks without a leader."""
+
+    tasks: tuple[open_tasks.OpenTask, ...]
+    shard: ids.ShardId
+    findings: worker_inquiries.Findings
+
+
 Event = (
     open_tasks.FromLeader
     | open_tasks.LeaderLost
@@ -70,6 +94,7 @@
     | AuthorityConfirmed
     | _ShardChangeStored
     | _TakeBackDue
+    | _WorkersAsked
 )
 
 
@@ -95,6 +120,7 @@
         router: Router,
         table: job_table.JobTable,
         clock: clock.Clock,
+        inquiries: Inquiries,
         on_finished: Callable[[records.StoredJob], None],
         resumed: bool,
     ) -> None:
@@ -111,6 +137,7 @@
         self._router = router
         self._table = table
         self._clock = clock
+        self._inquiries = inquiries
         self._on_finished = on_finished
         self._events: asyncio.Queue[Event] = asyncio.Queue()
         now = clock.now()
@@ -184,6 +211,7 @@
                 router=self._router,
                 table=self._table,
                 clock=self._clock,
+                inquiries=self._inquiries,
                 on_finished=self._on_finished,
                 resumed=True,
             )
@@ -277,6 +305,8 @@
                     message=messages.RunEnded() as ended
                 ) if self._handle_result(event.source, ended):
                     return records.JobState.FAILED
+                case _WorkersAsked() if self._handle_findings(event):
+                    return records.JobState.FAILED
                 case CancelRequested():
                     return records.JobState.CANCELLED
                 case _:
@@ -375,11 +405,16 @@
             if task is not None and task.leader is source:
                 self._retry(key)
             return False
+        return self._record_result(ended)
+
+    def _record_result(self, ended: messages.RunEnded) -> bool:
+        """Record a success or failure; return whether it fails the job."""
+        key = (ended.step, ended.index)
         self._unacknowledged.append(_to_finished_run(ended))
         if self._progress.is_recorded(key, ended.run):
             # A repeated report: the acknowledgement did not reach the worker.
             return False
-        if task_result is jobs.TaskResult.DONE:
+        if ended.result == jobs.TaskResult.DONE.value:
             self._record_success(key, ended.shard)
             return False
         return self._record_failure(key, ended.run)
@@ -466,19 +501,82 @@
             )
 
     def _take_back(self) -> None:
+        """Ask the workers of tasks that have been without a leader."""
         self._leaderless.stop_timer()
-        tasks = self._leaderless.due(self._clock.now())
-        if tasks:
+        by_shard: dict[ids.ShardId, list[open_tasks.OpenTask]] = {}
+        for task in self._leaderless.pop_due(self._clock.now()):
+            by_shard.setdefault(task.shard, []).append(task)
+        for shard, tasks in by_shard.items():
+            self._inquiries.ask(shard).add_done_callback(
+                functools.partial(self._post_findings, tuple(tasks), shard)
+            )
+        self._await_leaders()
+
+    def _post_findings(
+        self,
+        tasks: tuple[open_tasks.OpenTask, ...],
+        shard: ids.ShardId,
+        findings_fut: 'asyncio.Future[worker_inquiries.Findings]',
+    ) -> None:
+        if not findings_fut.cancelled():
+            self.post_event(
+                _WorkersAsked(
+                    tasks=tasks, shard=shard, findings=findings_fut.result()
+                )
+            )
+
+    def _handle_findings(self, asked: _WorkersAsked) -> bool:
+        """Record results that workers list, and take the other tasks back.
+
+        A task that still runs is left to its worker. Returns whether a result
+        fails the job.
+        """
+        for unreached in asked.tasks:
+            for ended in self._find_results(unreached, asked):
+                if self._record_result(ended):
+                    return True
+        now = self._clock.now()
+        taken_back = [
+            task
+            for task in asked.tasks
+            if self._open_tasks.get(task.key) is task
+            and self._leaderless.is_leaderless(task)
+            and self._task_name(task) not in asked.findings.active
+            and (
+                asked.findings.is_complete
+                or self._leaderless.is_overdue(task, now)
+            )
+        ]
+        if taken_back:
             _LOG.warning(
                 'Tasks taken back from a shard without a leader.',
                 extra={
                     'job': self.stored_job.job.job_id,
-                    'cells': sorted({task.shard for task in tasks}),
-                    'tasks': [task.key for task in tasks],
+                    'cells': [asked.shard],
+                    'tasks': [task.key for task in taken_back],
+                    'all_asked': asked.findings.is_complete,
                 },
             )
-            self._move_once_stored(tasks, self._home_shard)
+            self._move_once_stored(taken_back, self._home_shard)
         self._await_leaders()
+        return False
+
+    def _find_results(
+        self, task: open_tasks.OpenTask, asked: _WorkersAsked
+    ) -> list[messages.RunEnded]:
+        """Return the results of an open task that workers list."""
+        if self._open_tasks.get(task.key) is not task:
+            return []
+        return [
+            stored_results.make_run_ended(asked.shard, finished_run)
+            for finished_run in asked.findings.finished.get(
+                self._task_name(task), ()
+            )
+            if finished_run.result in stored_results.TASK_RESULTS
+        ]
+
+    def _task_name(self, task: open_tasks.OpenTask) -> workers.TaskName:
+        return runs.task_name(self.stored_job.job.job_id, task.step, task.index)
 
     def _move_once_stored(
         self, tasks: list[open_tasks.OpenTask], new_shard: ids.ShardId
--- a/sardineproxy/process/stored_jobs/job_manager.py
+++ b/sardineproxy/process/stored_jobs/job_manager.py
@@ -97,6 +97,7 @@
         clock: clock.Clock,
         metrics: metrics.Metrics,
         retention_s: float,
+        inquiries: execution.Inquiries,
         on_lost: Callable[['JobManager'], None],
     ) -> None:
         """Create a manager without jobs; ``start`` loads the stored ones.
@@ -119,6 +120,7 @@
         self._clock = clock
         self._metrics = metrics
         self._retention_s = retention_s
+        self._inquiries = inquiries
         self._executions: dict[ids.JobId, execution.Execution] = {}
         self._ended_jobs: dict[ids.JobId, records.StoredJob] = {}
         self._storing: dict[ids.JobId, asyncio.Future[bool]] = {}
@@ -460,6 +462,7 @@
                 router=self._router,
                 table=self._table,
                 clock=self._clock,
+                inquiries=self._inquiries,
                 on_finished=self._record_finished,
                 resumed=resumed,
             )
--- a/sardineproxy/process/stored_jobs/leaderless_tasks.py
+++ b/sardineproxy/process/stored_jobs/leaderless_tasks.py
@@ -1,19 +1,35 @@
 """Tasks of a stored job in other shards that have no leader."""
 
+import dataclasses
 from typing import Iterable
 
 from sardineproxy.process.shards import times
 from sardineproxy.request import open_tasks
 
+#: Interval at which the workers of such tasks are asked, in seconds.
+ASK_INTERVAL_S = 1.0
+
+#: Time after which tasks are taken back although some workers have not
+#: responded, in seconds: they may be lost for good.
+ASK_FOR_S = 5.0
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class _Entry:
+    task: open_tasks.OpenTask
+
+    #: Local times since which the task has no leader, and at which its workers
+    #: are asked next, in seconds.
+    since: float
+    ask_at: float
+
 
 class LeaderlessTasks:
     """Since when tasks have no leader, and the timer for them."""
 
     def __init__(self) -> None:
         """Create an instance without tasks."""
-        self._since: dict[
-            open_tasks.TaskKey, tuple[open_tasks.OpenTask, float]
-        ] = {}
+        self._entries: dict[open_tasks.TaskKey, _Entry] = {}
         self._has_timer = False
 
     def update(self, moved: Iterable[open_tasks.OpenTask], now: float) -> None:
@@ -23,37 +39,50 @@
         the time of a task that had a leader in between begins anew.
         """
         leaderless = [task for task in moved if task.leader is None]
-        self._since = {
-            task.key: (task, self._since_of(task, now)) for task in leaderless
+        self._entries = {
+            task.key: self._find(task) or _new_entry(task, now)
+            for task in leaderless
         }
 
-    def due(self, now: float) -> list[open_tasks.OpenTask]:
-        """Return the tasks to take back."""
-        return [
-            task
-            for task, since in self._since.values()
-            if task.leader is None
-            and not task.is_moving
-            and now - since >= times.TAKE_BACK_S
-        ]
+    def pop_due(self, now: float) -> list[open_tasks.OpenTask]:
+        """Return the tasks whose workers must be asked now."""
+        due: list[open_tasks.OpenTask] = []
+        for entry in self._entries.values():
+            if entry.task.leader is None and entry.ask_at <= now:
+                entry.ask_at = now + ASK_INTERVAL_S
+                due.append(entry.task)
+        return due
+
+    def is_leaderless(self, task: open_tasks.OpenTask) -> bool:
+        """Return whether a task has had no leader since it was due."""
+        has_entry = self._find(task) is not None
+        return has_entry and task.leader is None and not task.is_moving
+
+    def is_overdue(self, task: open_tasks.OpenTask, now: float) -> bool:
+        """Return whether a task does not wait for more workers to respond."""
+        entry = self._find(task)
+        longest_s = times.TAKE_BACK_S + ASK_FOR_S
+        return entry is not None and now - entry.since >= longest_s
 
     def start_timer(self, now: float) -> float | None:
         """Return the delay of a timer that must be started, in seconds.
 
         None if there is one, or none is needed.
         """
-        if self._has_timer or not self._since:
+        if self._has_timer or not self._entries:
             return None
         self._has_timer = True
-        oldest = min(since for _, since in self._since.values())
-        return max(0, oldest + times.TAKE_BACK_S - now)
+        ask_at = min(entry.ask_at for entry in self._entries.values())
+        return max(0, ask_at - now)
 
     def stop_timer(self) -> None:
         """Record that the timer has ended."""
         self._has_timer = False
 
-    def _since_of(self, task: open_tasks.OpenTask, now: float) -> float:
-        known = self._since.get(task.key)
-        if known is None or known[0] is not task:
-            return now
-        return known[1]
+    def _find(self, task: open_tasks.OpenTask) -> _Entry | None:
+        entry = self._entries.get(task.key)
+        return entry if entry is not None and entry.task is task else None
+
+
+def _new_entry(task: open_tasks.OpenTask, now: float) -> _Entry:
+    return _Entry(task=task, since=now, ask_at=now + times.TAKE_BACK_S)
--- a/tests/process/node/test_led_shards.py
+++ b/tests/process/node/test_led_shards.py
@@ -20,6 +20,7 @@
 from tests import virtual_time
 from tests.process.node import samples
 from tests.process.shards import samples as shard_samples
+from tests.process.stored_jobs import cluster as clusters
 
 _Reply = job_manager.JobReply
 
@@ -81,6 +82,7 @@
             router=self.node,
             retention_s=120,
             unconfirmed_s=2,
+            inquiries=clusters.Inquiries(),
             on_lost=lambda _: None,
         )
         manager.start()
--- a/tests/process/shards/samples.py
+++ b/tests/process/shards/samples.py
@@ -194,6 +194,9 @@
         self.shards = self.unstored_manager.shards
         self._tick_tasks: list[asyncio.Task[None]] = []
 
+        #: VMs that report to manage the stored jobs of shards.
+        self.managers: dict[ids.ShardId, ids.VmId] = {}
+
     def workers_listed_at(self) -> float:
         return self.clock.now() if self.is_list_current else self.listed_at
 
@@ -209,6 +212,9 @@
     def find_manager(self, job: ids.JobId) -> loaded_shards.LoadedShard | None:
         return loaded_shards.LoadedShard(vm=ids.VmId('vm-1'), since=0)
 
+    def manager_vm(self, home_shard: ids.ShardId) -> ids.VmId | None:
+        return self.managers.get(home_shard)
+
     def manager_link(self, job: ids.JobId) -> Any:
         return self.unstored_manager
 
--- a/tests/process/shards/test_moving.py
+++ b/tests/process/shards/test_moving.py
@@ -266,6 +266,37 @@
 
         samples.with_rig(scenario, work_of=_work_of_2_or_60_s)
 
+    def test_tasks_of_a_replaced_manager_are_detached(self) -> None:
+        """Guards against review case 12: a manager's VM that stays linked.
+
+        The new manager may have no link to this leader. The former one learns
+        that it must submit the tasks again if it manages them after all.
+        """
+
+        async def scenario(rig: samples.Rig) -> None:
+            home, vm = ids.ShardId('zone-b'), ids.VmId('vm-1')
+            rig.managers[home] = vm
+            leader = await rig.lead_and_sync()
+            link = samples.FakeLink(vm)
+            leader.submit(
+                link,
+                samples.make_submit(
+                    stored=True, pinned=True, authority=(home, 1, 0)
+                ),
+                rig.clock.now(),
+            )
+            await asyncio.sleep(3)
+            self.assertEqual({}, link.results())
+            rig.managers.clear()
+            rig.find_manager = lambda job: None  # type: ignore[method-assign]
+            await asyncio.sleep(times.MANAGER_REPORT_S + 0.1)
+            self.assertEqual({0: 'replaced'}, link.results())
+            self.assertEqual([None], [run.ended_at for run in rig.records()])
+            await asyncio.sleep(times.DETACHED_S)
+            self.assertNotEqual([None], [run.ended_at for run in rig.records()])
+
+        samples.with_rig(scenario, work_of=_long_work)
+
     def test_withdrawn_tasks_do_not_start(self) -> None:
         """Guards against a start after the task's end was stored."""
 
--- a/tests/process/stored_jobs/cluster.py
+++ b/tests/process/stored_jobs/cluster.py
@@ -10,7 +10,13 @@
 from sardineproxy.connection import messages
 from sardineproxy.process import metrics, store
 from sardineproxy.process.shards import shard as shards
-from sardineproxy.process.shards import fencing, manager_tokens, times, workers
+from sardineproxy.process.shards import (
+    fencing,
+    manager_tokens,
+    times,
+    worker_inquiries,
+    workers,
+)
 from sardineproxy.process.stored_jobs import (
     fenced_rows,
     job_manager,
@@ -154,6 +160,24 @@
         return False
 
 
+class Inquiries:
+    """Answers for the workers of a shard whose leader cannot be reached."""
+
+    def __init__(self) -> None:
+        self.findings = worker_inquiries.Findings(
+            active=frozenset(), finished={}, is_complete=True
+        )
+        self.asked: list[ids.ShardId] = []
+
+    def ask(
+        self, shard: ids.ShardId
+    ) -> 'asyncio.Future[worker_inquiries.Findings]':
+        self.asked.append(shard)
+        findings_fut = asyncio.get_running_loop().create_future()
+        findings_fut.set_result(self.findings)
+        return findings_fut
+
+
 class Process:
     """A leader of the shard with its job manager."""
 
@@ -191,6 +215,7 @@
             clock=cluster.rig.clock,
             metrics=metrics.Metrics(),
             retention_s=120,
+            inquiries=Inquiries(),
             on_lost=lambda _: None,
         )
         self._loaded_shards = loaded_shards.LoadedShards()
@@ -203,6 +228,10 @@
         self._loaded_shards.update(vm, loaded, self.cluster.rig.clock.now())
         return self._loaded_shards.get(samples.SHARD, vm)
 
+    def manager_vm(self, home_shard: ids.ShardId) -> ids.VmId | None:
+        loaded = self.find_manager(ids.JobId(''))
+        return None if loaded is None else loaded.vm
+
     def manager_link(self, job: ids.JobId) -> Any:
         return self.link
 
--- a/tests/process/stored_jobs/test_lost_shard.py
+++ b/tests/process/stored_jobs/test_lost_shard.py
@@ -7,7 +7,12 @@
 
 from sardineproxy import ids
 from sardineproxy.connection import messages
-from sardineproxy.process.shards import times
+from sardineproxy.process.shards import (
+    runs,
+    times,
+    worker_inquiries,
+    workers,
+)
 from sardineproxy.process.stored_jobs import execution, records
 from sardineproxy.request import open_tasks
 from tests import virtual_time
@@ -27,6 +32,7 @@
             OTHER: samples.FakeLink('vm-b'),
         }
         self.stored = 0
+        self.inquiries = clusters.Inquiries()
         clock = virtual_time.LoopClock()
         self.execution = execution.Execution(
             stored_job=clusters.make_job(1, 1),
@@ -35,6 +41,7 @@
             router=self,  # type: ignore[arg-type]
             table=self,  # type: ignore[arg-type]
             clock=clock,
+            inquiries=self.inquiries,
             on_finished=lambda _: None,
             resumed=True,
         )
@@ -63,6 +70,27 @@
         commit_fut.set_result(True)
         return commit_fut
 
+    def find_runs(
+        self,
+        *,
+        active: bool = False,
+        finished: workers.RunResult | None = None,
+        complete: bool = True,
+    ) -> None:
+        """Let the workers of the other shard list a run of the task."""
+        task = runs.task_name(self.execution.stored_job.job.job_id, 0, 0)
+        results = {}
+        if finished is not None:
+            ended = workers.FinishedRun(
+                position=1, task=task, run=1, result=finished
+            )
+            results[task] = (ended,)
+        self.inquiries.findings = worker_inquiries.Findings(
+            active=frozenset((task,) if active else ()),
+            finished=results,
+            is_complete=complete,
+        )
+
     def lose(self, shard: ids.ShardId) -> Any:
         lost = self.links.pop(shard)
         self.execution.post_event(
@@ -131,6 +159,68 @@
 
         with_fixture(scenario)
 
+    def test_unreported_success_is_found_at_the_worker(self) -> None:
+        """Guards against review case 13: a completed task that starts anew.
+
+        The leader that has its result cannot be reached, but the worker can.
+        """
+
+        async def scenario(fixture: Fixture) -> None:
+            home = fixture.links[HOME]
+            fixture.find_runs(finished=workers.RunResult.DONE)
+            fixture.lose(OTHER)
+            await asyncio.sleep(times.TAKE_BACK_S + 0.1)
+            self.assertEqual([OTHER], fixture.inquiries.asked)
+            self.assertEqual([], submitted(home))
+            self.assertTrue(fixture.execution.finished.done())
+
+        with_fixture(scenario)
+
+    def test_unreported_failure_counts_as_an_attempt(self) -> None:
+        """Guards against more runs than the route allows."""
+
+        async def scenario(fixture: Fixture) -> None:
+            home = fixture.links[HOME]
+            fixture.find_runs(finished=workers.RunResult.FAILED)
+            fixture.lose(OTHER)
+            await asyncio.sleep(times.TAKE_BACK_S + 0.2)
+            self.assertEqual([HOME], submitted(home))
+            self.assertEqual(((0, 2),), home.sent[-1].tasks)
+
+        with_fixture(scenario)
+
+    def test_active_run_is_left_to_its_worker(self) -> None:
+        """Guards against review case 12: two runs of a task at once.
+
+        The leader of the other shard has not dropped the task.
+        """
+
+        async def scenario(fixture: Fixture) -> None:
+            home = fixture.links[HOME]
+            fixture.find_runs(active=True)
+            fixture.lose(OTHER)
+            await asyncio.sleep(times.TAKE_BACK_S + 20)
+            self.assertEqual([], submitted(home))
+            fixture.find_runs(finished=workers.RunResult.DONE)
+            await asyncio.sleep(1.1)
+            self.assertTrue(fixture.execution.finished.done())
+
+        with_fixture(scenario)
+
+    def test_tasks_do_not_wait_for_a_lost_worker_for_good(self) -> None:
+        """Guards against a job that never ends as a worker never responds."""
+
+        async def scenario(fixture: Fixture) -> None:
+            home = fixture.links[HOME]
+            fixture.find_runs(complete=False)
+            fixture.lose(OTHER)
+            await asyncio.sleep(times.TAKE_BACK_S + 3)
+            self.assertEqual([], submitted(home))
+            await asyncio.sleep(3.1)
+            self.assertEqual([HOME], submitted(home))
+
+        with_fixture(scenario)
+
     def test_task_is_withdrawn_before_a_late_result_is_stored(self) -> None:
         """Guards against a start after the end of the task was recorded.
 
