Refusals: history counts as lost for the longest wait of a client

A repeated request arrives at most the client's wait and 1.3 s after the first. Leaders and VMs learn the longest wait of their clients, 1.5 s on the platform, so that refusals after a takeover are sent as 504 for 2.8 s instead of 4 s. 504 does not tell when to come back, so that it should be rare.

The model test found no run of a refused job.

--- a/sardineproxy/process/shards/intake.py
+++ b/sardineproxy/process/shards/intake.py
@@ -45,6 +45,8 @@
         """
         if not self._manager_tokens.admits(source, message):
             return
+        if not message.stored:
+            self._backlog.recent_jobs.record_wait(message.timeout_s)
         known = self._backlog.get((message.job, message.step))
         if known:
             self._reattach(known, source, message, now)
--- a/sardineproxy/request/active_jobs.py
+++ b/sardineproxy/request/active_jobs.py
@@ -33,9 +33,9 @@
         self._recent_jobs = recent_jobs.RecentJobs(retention_s=RECENT_JOBS_S)
         self._recent_jobs.lose_history(clock.now())
 
-        #: Local time, in seconds, until which clients of a lost zone submit
-        #: jobs here again.
-        self._zone_lost_until: float = 0
+        #: The same for the jobs of zones that have lost all VMs: their clients
+        #: submit them here again.
+        self._jobs_of_zones = recent_jobs.RecentJobs(retention_s=RECENT_JOBS_S)
 
     def __len__(self) -> int:
         """Return the number of jobs in progress."""
@@ -48,6 +48,8 @@
 
         The job is withdrawn when its last waiting request is cancelled.
         """
+        for recent in (self._recent_jobs, self._jobs_of_zones):
+            recent.record_wait(new_coordinator.wait_s)
         job_id = new_coordinator.job.job_id
         active = self._jobs.get(job_id)
         if active is None:
@@ -112,7 +114,7 @@
 
     def notify_zone_lost(self) -> None:
         """Record that clients of a zone without VMs may submit jobs here."""
-        self._zone_lost_until = self._clock.now() + recent_jobs.LONGEST_REPEAT_S
+        self._jobs_of_zones.lose_history(self._clock.now())
 
     def notify_leader_found(self, shard: ids.ShardId) -> None:
         """Notify all coordinators that a shard has a leader."""
@@ -150,7 +152,7 @@
         now = self._clock.now()
         if self._recent_jobs.is_complete(now):
             return True
-        return refusal.is_confirmed and now >= self._zone_lost_until
+        return refusal.is_confirmed and self._jobs_of_zones.is_complete(now)
 
     def _record_end(
         self, job: ids.JobId, task: asyncio.Task[jobs.Outcome]
--- a/sardineproxy/request/coordinator.py
+++ b/sardineproxy/request/coordinator.py
@@ -59,6 +59,7 @@
         self.job = job
         self.route = route
         self.arrived_at = arrived_at
+        self.wait_s = deadline - arrived_at
         self._router = router
         self._clock = clock
         self._deadline = deadline - RESPONSE_MARGIN_S
--- a/sardineproxy/request/recent_jobs.py
+++ b/sardineproxy/request/recent_jobs.py
@@ -12,9 +12,17 @@
 from sardineproxy.connection import link
 
 
-#: Longest time from the first request for a job to its repetition, in seconds:
-#: a client waits for 2.5 s at most, and sends the job again 1.3 s later.
-LONGEST_REPEAT_S = 4.0
+#: Time from the end of a client's wait to its next request for the job, in
+#: seconds.
+RETRANSMIT_S = 1.3
+
+#: Waits of clients that are expected before any was seen, and that are covered
+#: at most, in seconds.
+USUAL_WAIT_S = 1.5
+MAX_WAIT_S = 2.7
+
+#: Longest time from the first request for a job to the next one, in seconds.
+LONGEST_REPEAT_S = MAX_WAIT_S + RETRANSMIT_S
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -33,7 +41,8 @@
     def __init__(self, *, retention_s: float) -> None:
         """Create an instance without jobs."""
         self._retention_s = retention_s
-        self._incomplete_until = -math.inf
+        self._history_lost_at = -math.inf
+        self._longest_wait_s = USUAL_WAIT_S
         self._records: dict[ids.JobId, _Record] = {}
         self._expiry_queue: collections.deque[tuple[float, ids.JobId]] = (
             collections.deque()
@@ -58,11 +67,18 @@
 
     def lose_history(self, now: float) -> None:
         """Record that others may have run jobs without a record here."""
-        self._incomplete_until = now + LONGEST_REPEAT_S
+        self._history_lost_at = now
+
+    def record_wait(self, wait_s: float) -> None:
+        """Record how long a client waits for its response, in seconds."""
+        self._longest_wait_s = max(
+            self._longest_wait_s, min(wait_s, MAX_WAIT_S)
+        )
 
     def is_complete(self, now: float) -> bool:
         """Return whether each job that is submitted again has a record."""
-        return now >= self._incomplete_until
+        repeat_s = self._longest_wait_s + RETRANSMIT_S
+        return now >= self._history_lost_at + repeat_s
 
     def has_run_unknown_to(
         self, coordinator: link.Link, job: ids.JobId, now: float
