Emulator: zones that are cut off with their workers

The VMs of a zone lose all other VMs and the other zones' workers, and perhaps the store; their workers lose it with them.

--- a/sardineproxy/emulator/deployment.py
+++ b/sardineproxy/emulator/deployment.py
@@ -226,6 +226,14 @@
                 return vm
         return None
 
+    def workers_of(self, zone: str) -> set[str]:
+        """Return the names of a zone's workers."""
+        return {
+            name
+            for name, model in self.workers.items()
+            if model.worker.zone == zone
+        }
+
     # Faults.
 
     def set_paths(
--- a/sardineproxy/emulator/fault_plans.py
+++ b/sardineproxy/emulator/fault_plans.py
@@ -51,6 +51,9 @@
 
     #: It and some other VMs lose the rest, but neither the store nor workers.
     VMS_CUT = 'vms_cut'
+
+    #: Its zone, with the workers, loses all others, and perhaps the store.
+    ZONE_CUT = 'zone_cut'
     STORE_CUT = 'store_cut'
     FREEZE = 'freeze'
     KILL = 'kill'
@@ -119,6 +122,7 @@
     Kind.ZONE_KILL,
     Kind.SUCCESSOR_KILL,
 )
+_CUTS = (Kind.VMS_CUT, Kind.VMS_CUT, Kind.ZONE_CUT)
 _BESIDE_CUTS = (
     Kind.KILL,
     Kind.RACK_LOST,
@@ -179,7 +183,7 @@
     cuts = [
         Fault(
             start_s=rng.uniform(*CUTS_S),
-            kind=Kind.VMS_CUT,
+            kind=rng.choice(_CUTS),
             duration_s=rng.uniform(*CUT_LENGTHS_S),
             is_silent=rng.random() < SILENT_SHARE,
             zone=rng.choice((None, *zones)),
--- a/sardineproxy/emulator/faults.py
+++ b/sardineproxy/emulator/faults.py
@@ -45,6 +45,7 @@
             _Kind.CUT: self._cut,
             _Kind.PARTLY_CUT: self._cut_partly,
             _Kind.VMS_CUT: self._cut_vms,
+            _Kind.ZONE_CUT: self._cut_zone,
             _Kind.STORE_CUT: self._cut_store,
             _Kind.SLOW_STORE: self._slow_store,
             _Kind.LOST_RESPONSES: self._lose_responses,
@@ -115,6 +116,37 @@
             )
         )
 
+    async def _cut_zone(
+        self, vm: deployment.Vm, fault: fault_plans.Fault
+    ) -> None:
+        """Cut a zone off; workers lose the store if its VMs do."""
+        zone = fault.zone or vm.zone
+        with_store = self._rng.random() < STORE_SHARE
+        inside = [
+            other for other in self._emulated.vms.values() if other.zone == zone
+        ]
+        outside = [
+            other for other in self._emulated.vms.values() if other.zone != zone
+        ]
+        workers_inside = self._emulated.workers_of(zone)
+        workers_outside = self._emulated.workers.keys() - workers_inside
+        for cut, lost in (
+            *((other, workers_outside) for other in inside),
+            *((other, workers_inside) for other in outside),
+        ):
+            cut.workers.unreachable.update(lost)
+        if with_store:
+            self._emulated.entries.cut_off.update(workers_inside)
+        await asyncio.gather(
+            *(
+                self._cut_from(other, outside, fault, with_store=with_store)
+                for other in inside
+            )
+        )
+        self._emulated.entries.cut_off.difference_update(workers_inside)
+        for healed in self._emulated.vms.values():
+            healed.workers.unreachable.clear()
+
     async def _cut_from(
         self,
         vm: deployment.Vm,
--- a/sardineproxy/emulator/worker_faults.py
+++ b/sardineproxy/emulator/worker_faults.py
@@ -71,12 +71,7 @@
         self, vm: deployment.Vm, fault: fault_plans.Fault
     ) -> list[str]:
         """Return the workers of a fault's zone, or of a VM's without one."""
-        zone = fault.zone or vm.zone
-        return [
-            name
-            for name, model in self._emulated.workers.items()
-            if model.worker.zone == zone
-        ]
+        return sorted(self._emulated.workers_of(fault.zone or vm.zone))
 
     def _choose(self, names: Iterable[str]) -> list[str]:
         candidates = sorted(names)
