Pending jobs of a lost leader count until another one has loaded them

Cause: the counts of a VM were dropped with its link, and its successor reports none until it has loaded the jobs of the shard.

Ruled out: late heartbeats (the other VMs have links throughout).

Change: the last counts of a leader that no longer reports to manage a shard hold until another VM reports that it has loaded the jobs of that shard.

Measured: test_jobs_of_a_lost_leader_count_until_they_are_loaded failed before.

--- a/sardineproxy/process/membership/leaders.py
+++ b/sardineproxy/process/membership/leaders.py
@@ -6,7 +6,11 @@
 from sardineproxy import ids, logs
 from sardineproxy.connection import messages
 from sardineproxy.process.shards import fencing, shard_capacities
-from sardineproxy.process.membership import capacity_rows, loaded_shards
+from sardineproxy.process.membership import (
+    capacity_rows,
+    loaded_shards,
+    pending_jobs,
+)
 
 _LOG = logs.get_logger('owners')
 
@@ -29,7 +33,6 @@
     def __init__(self, *, own_vm: ids.VmId) -> None:
         """Create an instance in which no shard has a leader."""
         self._own_vm = own_vm
-
         #: Latest fencing tokens that each VM has reported.
         self._tokens: dict[
             ids.VmId, dict[ids.ShardId, fencing.FencingToken]
@@ -44,10 +47,8 @@
         #: Leaders that have loaded the stored jobs of their shards.
         self.loaded_shards = loaded_shards.LoadedShards()
 
-        #: Counts of stored jobs that have not started, by reporting leader.
-        self._pending_jobs: dict[
-            ids.VmId, tuple[messages.PendingJobs, ...]
-        ] = {}
+        #: Counts of stored jobs that have not started.
+        self._pending_jobs = pending_jobs.PendingJobs()
 
     def update(
         self, vm: ids.VmId, heartbeat: messages.Heartbeat, now: float
@@ -68,7 +69,7 @@
         self.loaded_shards.update(
             vm, (status[0] for status in heartbeat.shards if status[-1]), now
         )
-        self._pending_jobs[vm] = heartbeat.pending
+        self._pending_jobs.update(vm, heartbeat)
         changed = self._tokens.get(vm) != tokens
         self._tokens[vm] = tokens
         return changed
@@ -77,19 +78,14 @@
         """Remove a VM as leader of one shard, or of all its shards if None."""
         if shard is None:
             self._tokens.pop(vm, None)
-            self._pending_jobs.pop(vm, None)
+            self._pending_jobs.remove(vm)
             self.loaded_shards.update(vm, (), 0)
         else:
             self._tokens.get(vm, {}).pop(shard, None)
 
     def pending_jobs(self, route: ids.RouteId) -> int:
         """Return how many stored jobs of a route are unstarted at other VMs."""
-        return sum(
-            count
-            for vm_counts in self._pending_jobs.values()
-            for pending_route, count in vm_counts
-            if pending_route == route
-        )
+        return self._pending_jobs.count(route, self.loaded_shards)
 
     def choose(
         self, own_tokens: Mapping[ids.ShardId, fencing.FencingToken]
--- a/sardineproxy/process/membership/loaded_shards.py
+++ b/sardineproxy/process/membership/loaded_shards.py
@@ -40,6 +40,10 @@
             if existing is None or existing.vm != vm:
                 self._by_shard[shard] = LoadedShard(vm=vm, since=now)
 
+    def is_loaded(self, shard: ids.ShardId) -> bool:
+        """Return whether a VM reports that it has loaded a shard's jobs."""
+        return shard in self._by_shard
+
     def get(
         self, shard: ids.ShardId, leader: ids.VmId | None
     ) -> LoadedShard | None:
--- a/tests/process/membership/test_leaders.py
+++ b/tests/process/membership/test_leaders.py
@@ -12,6 +12,7 @@
 OWN_VM = ids.VmId('me')
 FIRST = ids.VmId('first')
 SECOND = ids.VmId('second')
+ROUTE = ids.RouteId('r')
 
 
 def make_heartbeat(
@@ -28,6 +29,18 @@
     )
 
 
+def make_pending(
+    count: int, *loaded: ids.ShardId, loading: ids.ShardId | None = None
+) -> messages.Heartbeat:
+    """Return the heartbeat of a VM that manages the jobs of shards."""
+    shards = [(shard, 1, 0, 0, True) for shard in loaded]
+    if loading is not None:
+        shards.append((loading, 1, 0, 0, False))
+    return messages.Heartbeat(
+        version=1, shards=tuple(shards), pending=((ROUTE, count),)
+    )
+
+
 def make_leaders(**epochs: int) -> leaders.Leaders:
     """Return leaders to which every VM has reported its epoch of the shard."""
     tested = leaders.Leaders(own_vm=OWN_VM)
@@ -36,6 +49,38 @@
     return tested
 
 
+class TestPendingJobs(testtools.TestCase):
+    def test_jobs_of_a_lost_leader_count_until_they_are_loaded(self) -> None:
+        """Guards against queues that are said to be empty after a kill.
+
+        The review shows it in REPORT-3.md under "Shown, but left out".
+        """
+        tested = leaders.Leaders(own_vm=OWN_VM)
+        for vm, count in ((FIRST, 3), (SECOND, 4)):
+            tested.update(vm, make_pending(count, ids.ShardId(vm)), 0)
+        self.assertEqual(7, tested.pending_jobs(ROUTE))
+        tested.remove(FIRST)
+        self.assertEqual(7, tested.pending_jobs(ROUTE))
+        own = ids.ShardId(SECOND)
+        lost = ids.ShardId(FIRST)
+        tested.update(SECOND, make_pending(4, own, loading=lost), 1)
+        self.assertEqual(7, tested.pending_jobs(ROUTE))
+        tested.update(SECOND, make_pending(6, own, lost), 2)
+        self.assertEqual(6, tested.pending_jobs(ROUTE))
+
+    def test_jobs_of_a_returned_shard_are_not_counted_twice(self) -> None:
+        """Guards against counts of a former leader that never end."""
+        tested = leaders.Leaders(own_vm=OWN_VM)
+        tested.update(FIRST, make_pending(3, SHARD), 0)
+        tested.update(FIRST, make_pending(0), 1)
+        self.assertEqual(3, tested.pending_jobs(ROUTE))
+        tested.update(SECOND, make_pending(3, SHARD), 2)
+        self.assertEqual(3, tested.pending_jobs(ROUTE))
+        tested.update(SECOND, make_pending(0), 3)
+        tested.update(FIRST, make_pending(2, SHARD), 4)
+        self.assertEqual(2, tested.pending_jobs(ROUTE))
+
+
 class TestChoice(testtools.TestCase):
     def test_highest_token_wins(self) -> None:
         """Guards against tasks being sent to a former leader.
