Refusals: leaders that cannot know a job promise nothing

Cause: a leader's refusal counted as made with knowledge of all earlier requests of its zone.

Change: a VM without a link to its home leader, or that has had one again for less than the longest repeat, answers 504; a leader does so while a VM of its zone has no link to it, for 15 s at most.

--- a/sardineproxy/process/node/led_shards.py
+++ b/sardineproxy/process/node/led_shards.py
@@ -23,7 +23,12 @@
     links,
     worker_list,
 )
-from sardineproxy.process.node import claiming, lost_zones, shard_workers
+from sardineproxy.process.node import (
+    claiming,
+    lost_zones,
+    shard_workers,
+    zone_vms,
+)
 
 #: Age of the link to a VM of another zone after which the shard of that zone
 #: is returned to it, in seconds. Also the interval between two such returns.
@@ -124,6 +129,7 @@
         self._claims_in_progress: set[ids.ShardId] = set()
         self._answering: set[ids.ShardId] = set()
         self._next_return_at: float = 0
+        self._zone_vms = zone_vms.ZoneVms()
 
         #: Shards that were claimed without a reachable worker.
         self._claimed_as_lost: set[ids.ShardId] = set()
@@ -147,6 +153,11 @@
         if may_claim:
             self._claim_and_return(now)
         self.update_evacuations(now)
+        home_leader = self.shards.get(self._context.home_shard)
+        if home_leader is not None and not self._zone_vms.are_linked(
+            self._links.open_links, now
+        ):
+            home_leader.lose_history()
         for leader in list(self.shards.values()):
             leader.tick(now)
 
@@ -218,6 +229,8 @@
 
     def link_lost(self, lost: link.Link, now: float) -> None:
         """Notify all led shards that the link to a coordinator was lost."""
+        if lost.peer.zone == self._context.home_shard:
+            self._zone_vms.lost(lost.peer.vm, now)
         for leader in self.shards.values():
             leader.link_lost(lost, now)
 
--- a/sardineproxy/request/active_jobs.py
+++ b/sardineproxy/request/active_jobs.py
@@ -36,6 +36,7 @@
         #: The same for the jobs of zones that have lost all VMs: their clients
         #: submit them here again.
         self._jobs_of_zones = recent_jobs.RecentJobs(retention_s=RECENT_JOBS_S)
+        self._is_zone_reachable = True
 
     def __len__(self) -> int:
         """Return the number of jobs in progress."""
@@ -116,6 +117,15 @@
         """Record that clients of a zone without VMs may submit jobs here."""
         self._jobs_of_zones.lose_history(self._clock.now())
 
+    def set_zone_reachable(self, *, is_reachable: bool) -> None:
+        """Record whether the leader of this VM's home shard can be reached.
+
+        Leaders of other shards know nothing of the jobs of its zone.
+        """
+        if is_reachable and not self._is_zone_reachable:
+            self.notify_zone_lost()
+        self._is_zone_reachable = is_reachable
+
     def notify_leader_found(self, shard: ids.ShardId) -> None:
         """Notify all coordinators that a shard has a leader."""
         self._broadcast(open_tasks.LeaderFound(shard=shard))
@@ -149,6 +159,8 @@
 
     def _is_history_known(self, refusal: jobs.NotRun) -> bool:
         """Return whether earlier requests for a refused job are known."""
+        if not self._is_zone_reachable:
+            return False
         now = self._clock.now()
         if self._recent_jobs.is_complete(now):
             return True
--- a/tests/process/node/test_node.py
+++ b/tests/process/node/test_node.py
@@ -7,7 +7,7 @@
 
 from sardineproxy import ids
 from sardineproxy.connection import messages
-from sardineproxy.process.node import node
+from sardineproxy.process.node import node, zone_vms
 from sardineproxy.request import jobs
 from tests import virtual_time
 from tests.process.node import samples
@@ -64,8 +64,9 @@
         """Guards against "not run" for a job that a lost VM has started."""
 
         async def scenario(tested: node.Node) -> None:
-            await asyncio.sleep(HISTORY_S)
+            open_link(tested, 'home', tested.home_shard)
             lost = open_link(tested, 'lost', ids.ShardId('z2'))
+            await asyncio.sleep(HISTORY_S)
             drain(tested)
             self.assertIsInstance(await run_job(tested, 2), jobs.NotRun)
             close_link(tested, lost)
@@ -75,6 +76,29 @@
 
         with_node(scenario)
 
+    def test_refusal_without_the_home_leader_promises_nothing(self) -> None:
+        """Guards against "not run" by a leader that knows nothing of a zone."""
+
+        async def scenario(tested: node.Node) -> None:
+            open_link(tested, 'other', ids.ShardId('z2'))
+            home = open_link(tested, 'home', tested.home_shard)
+            close_link(tested, home)
+            await asyncio.sleep(HISTORY_S)
+            drain(tested)
+            self.assertIsInstance(await run_job(tested, 2), jobs.GivenUp)
+
+        with_node(scenario)
+
+    def test_vm_apart_from_its_zone_may_have_run_a_job(self) -> None:
+        """Guards against "not run" by a leader that such a VM cannot reach."""
+        apart = ids.VmId('apart')
+        vms = zone_vms.ZoneVms()
+        vms.lost(apart, 1)
+        self.assertFalse(vms.are_linked((), 15))
+        self.assertTrue(vms.are_linked((), 1 + zone_vms.MAX_APART_S))
+        vms.lost(apart, 20)
+        self.assertTrue(vms.are_linked((apart,), 20))
+
     def test_refused_job_may_have_run_before(self) -> None:
         """Guards against "not run" for a job whose client sends it again."""
 
