Results: a success after a start in doubt is acknowledged only after a lapse

A task could be started anew although a worker that did not respond had a result of it; the result was acknowledged later, so that the task had succeeded twice.

Cause: the waits before a start anew make sure that no run is active, not that none has ended: other runs keep the lease of a worker alive. And an isolated leader goes on with jobs that are not stored, for longer than any wait.

Ruled out: to wait longer (a worker can be apart for good), and to never acknowledge (results are acknowledged by position, so that all later ones would have to wait, too).

Change: starts in doubt are recorded, by the manager in the rows of the job, by a leader in memory. A result of such a task is acknowledged only after the lease of its worker has expired, which is not extended until then. Tasks of jobs that are not stored end as late where the former leader's workers are not known. While it is unknown whether a refused fence is that of an inquiry, a leader starts nothing: it had given orders beside a newer leader (6 orders became 8 in test_superseded_leader_gives_no_further_orders, which is now exact).

--- a/sardineproxy/connection/messages.py
+++ b/sardineproxy/connection/messages.py
@@ -299,6 +299,10 @@
         _is_authority, default=NO_AUTHORITY
     )
 
+    #: True if the tasks may have been started after these results. The lease
+    #: of the worker must expire before they are acknowledged.
+    after_lapse: bool = codec.checked_field(codec.flag, default=False)
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class StoreJob:
--- a/sardineproxy/process/node/node.py
+++ b/sardineproxy/process/node/node.py
@@ -624,9 +624,10 @@
 
     def _choose_leaders(self) -> None:
         change = self.leaders.choose(self.led_shards.tokens())
+        has_leader = self.home_shard in self.leaders.by_shard
+        self.active_jobs.set_zone_reachable(is_reachable=has_leader)
         self.job_intake.home_leader.update(
-            has_leader=self.home_shard in self.leaders.by_shard,
-            now=self._clock.now(),
+            has_leader=has_leader, now=self._clock.now()
         )
         for shard, vm in change.lost_shards.items():
             # ``step_down`` calls this method again; the nested call may have
--- a/sardineproxy/process/shards/agent.py
+++ b/sardineproxy/process/shards/agent.py
@@ -28,6 +28,9 @@
 #: takes itself for superseded. An inquiry may have raised the fence.
 MAX_RAISES = 2
 
+#: Longest time in which a raised fence is accepted or refused, in seconds.
+FENCE_DOUBT_S = 0.2
+
 #: A worker with more unstored results than this gets no more runs. It lists
 #: up to 500 results.
 MAX_UNSTORED_RESULTS = 300
@@ -46,6 +49,15 @@
     def superseded(self, agent: 'Agent') -> None:
         """Handle a worker that has seen the fence of a newer leader."""
 
+    def fence_refused(self, agent: 'Agent', *, until: float) -> None:
+        """Start no run while it is unknown whether there is a newer leader.
+
+        ``until`` is local time, in seconds.
+        """
+
+    def fence_accepted(self, agent: 'Agent') -> None:
+        """Handle a worker that has accepted a raised fence."""
+
     def unrequested_runs(
         self, agent: 'Agent', unrequested: list[workers.ActiveRun]
     ) -> None:
@@ -130,9 +142,20 @@
         """Stop all calls and wait for their end."""
         await self._tasks.close()
 
-    def acknowledge(self) -> None:
-        """Acknowledge released results to the worker."""
-        self._poller.acknowledge()
+    def release_result(
+        self, task: workers.TaskName, run: int, *, after_lapse: bool
+    ) -> None:
+        """Acknowledge a result to the worker.
+
+        With ``after_lapse`` the lease of its runs is not extended until then,
+        so that it expires before.
+        """
+        was_waiting = self.unacked.wait_for_lapse
+        if self.unacked.release(task, run, after_lapse=after_lapse):
+            self._poller.acknowledge()
+        elif self.unacked.wait_for_lapse and not was_waiting:
+            # A former leader may have extended the lease.
+            self._lease.assume_extended(self._clock.now())
 
     def abandon(self) -> None:
         """Stop all calls without waiting for their end."""
@@ -179,8 +202,16 @@
     @property
     def may_extend_lease(self) -> bool:
         """Return whether the lease of the worker's runs may be extended."""
+        if self.unacked.wait_for_lapse:
+            return False
         return self.is_leadership_confirmed or not self.ledger.has_stored_runs
 
+    def acknowledge_lapsed(self, now: float) -> None:
+        """Acknowledge the results that wait for the expiry of the lease."""
+        if self.unacked.wait_for_lapse and self._lease.has_expired(now):
+            self.unacked.lapsed()
+            self._poller.acknowledge()
+
     @property
     def is_cold(self) -> bool:
         """Return whether tasks take longer because of a recent start."""
@@ -336,6 +367,9 @@
         if self._raises >= MAX_RAISES:
             return False
         self._raises += 1
+        self._events.fence_refused(
+            self, until=self._clock.now() + FENCE_DOUBT_S
+        )
         self.fence_count += self.fence_count
         self.mark_unconfirmed('fence refused')
         return True
@@ -350,8 +384,10 @@
         """
         if unrequested:
             self._events.unrequested_runs(self, unrequested)
-        if is_newly_confirmed:
+        if is_newly_confirmed and self._raises:
             self._raises = 0
+            self._events.fence_accepted(self)
+        if is_newly_confirmed:
             self._events.capacity_freed(self)
 
     def handle_lease_expired(self, run: runs.Run) -> None:
--- a/sardineproxy/process/shards/scheduler.py
+++ b/sardineproxy/process/shards/scheduler.py
@@ -70,6 +70,9 @@
     #: are started only then.
     is_leadership_confirmed: bool = True
 
+    #: False while a worker's refusal may show that there is a newer leader.
+    is_fence_accepted: bool = True
+
     #: Whether the zone is evacuated, which allows no start.
     zone_status: evacuations.Status = evacuations.Status.OPEN
 
@@ -384,7 +387,11 @@
     def _may_start(self, batch: runs.Batch) -> bool:
         """Return whether tasks of a batch may be started at present."""
         permissions = self.permissions
-        if not (permissions.is_leader and permissions.is_list_current):
+        if not (
+            permissions.is_leader
+            and permissions.is_list_current
+            and permissions.is_fence_accepted
+        ):
             return False
         if permissions.zone_status is not evacuations.Status.OPEN:
             return False
--- a/sardineproxy/process/shards/shard.py
+++ b/sardineproxy/process/shards/shard.py
@@ -100,6 +100,10 @@
         )
         self._is_leadership_confirmed = True
 
+        #: Local time, in seconds, until which a worker may show that there is a
+        #: newer leader.
+        self._fence_refused_until: float = 0
+
         #: Batches without a link to their coordinator.
         self._detached: dict[runs.BatchKey, runs.Batch] = {}
         self._takeover = takeover.Takeover(
@@ -167,10 +171,14 @@
         infinity if it is not known. Clients send the jobs of a lost VM again.
         """
         until = leader_lost_at + self._cfg.former_lease_s
-        self._backlog.recent_jobs.lose_history(self._clock.now())
+        self.lose_history()
         self._agent_set.former_runs_until = until
         self._takeover.limit_adoption(until)
 
+    def lose_history(self) -> None:
+        """Record that jobs of the shard's clients may have run elsewhere."""
+        self._backlog.recent_jobs.lose_history(self._clock.now())
+
     def expect_unlisted_runs(self) -> None:
         """Start no resumed task until the former leader's runs have ended.
 
@@ -391,6 +399,17 @@
         self.step_down()
         self._events.superseded(self)
 
+    def fence_refused(self, source: agent.Agent, *, until: float) -> None:
+        """Start no run while it is unknown whether there is a newer leader."""
+        self._fence_refused_until = until
+        self._scheduler.permissions.is_fence_accepted = False
+
+    def fence_accepted(self, source: agent.Agent) -> None:
+        """Start runs again, as an inquiry had raised the fence of a worker."""
+        self._fence_refused_until = 0
+        self._scheduler.permissions.is_fence_accepted = True
+        self._scheduler.refresh_all(self._clock.now())
+
     def unrequested_runs(
         self, source: agent.Agent, unrequested: list[workers.ActiveRun]
     ) -> None:
@@ -425,6 +444,7 @@
         permissions = self._scheduler.permissions
         self._update_confirmation(now)
         permissions.is_leadership_confirmed = self._is_leadership_confirmed
+        permissions.is_fence_accepted = now >= self._fence_refused_until
         was_current = permissions.is_list_current
         permissions.is_list_current = self._is_list_current(now)
         if permissions.is_list_current and not was_current:
@@ -502,12 +522,19 @@
         Runs of a former leader are known once the worker has reported.
         """
         may_have_former_runs = not self._takeover.have_all_ended(now)
+        unreported = {
+            worker_id
+            for worker_id, worker_agent in self._agents.items()
+            if not worker_agent.has_reported
+        }
         removed = self._agent_set.remove_unused(
             lambda worker_agent: (
                 may_have_former_runs and not worker_agent.has_reported
             ),
             now,
         )
+        if unreported.intersection(removed):
+            self._takeover.may_have_unlisted_runs = True
         for worker_id in removed:
             self._scheduler.worker_changed(worker_id, now)
 
--- a/sardineproxy/process/shards/stored_results.py
+++ b/sardineproxy/process/shards/stored_results.py
@@ -89,12 +89,21 @@
         return remaining
 
     def acknowledge(self, message: messages.ResultsStored) -> None:
-        """Acknowledge stored results to their workers."""
+        """Acknowledge stored results to their workers.
+
+        If the task may have been started after such a result, the lease of the
+        worker must expire before: only results that nobody acknowledged in time
+        may be followed by a start.
+        """
         for index, run_number in message.runs:
             task = runs.task_name(message.job, message.step, index)
+            after_lapse = message.after_lapse or (
+                task in self._takeover.started_in_doubt
+            )
             for worker_agent in self._agents.values():
-                if worker_agent.unacked.release(task, run_number):
-                    worker_agent.acknowledge()
+                worker_agent.release_result(
+                    task, run_number, after_lapse=after_lapse
+                )
 
     def send_unclaimed(self, now: float) -> None:
         """Send unclaimed results to the responsible job managers.
@@ -103,6 +112,7 @@
         the job is not stored.
         """
         for worker_agent in self._agents.values():
+            worker_agent.acknowledge_lapsed(now)
             for finished_run in worker_agent.unacked.unclaimed(
                 self._claims_valid_from, now
             ):
--- a/sardineproxy/process/shards/takeover.py
+++ b/sardineproxy/process/shards/takeover.py
@@ -58,6 +58,10 @@
         #: Whether workers that are not known may have runs of the former leader.
         self.may_have_unlisted_runs = False
 
+        #: Tasks that were started although workers which have not reported may
+        #: have a result of them.
+        self.started_in_doubt: set[workers.TaskName] = set()
+
         #: True while runs of the former leader may be resumed.
         self.accepts_resumes = True
 
@@ -153,7 +157,10 @@
             for index, run_number in tasks.items()
             if not self._adopt(batch, index, now)
         }
-        may_start_missing = batch.stored or self.are_all_runs_reported(now)
+        # An isolated leader extends the leases of jobs that are not stored.
+        may_start_missing = batch.stored or (
+            self.are_all_runs_reported(now) and not self.may_have_unlisted_runs
+        )
         _LOG.info(
             'Job resumed.',
             extra={
@@ -164,6 +171,8 @@
             },
         )
         if may_start_missing:
+            if self._may_have_unknown_results():
+                self.started_in_doubt.update(map(batch.task_name, missing))
             return missing
         # The tasks may be running on a worker that has not reported.
         for index, run_number in missing.items():
@@ -184,6 +193,17 @@
             if not self._adopt_active(batch, index, now)
         }
 
+    def _may_have_unknown_results(self) -> bool:
+        """Return whether workers that have not reported may have results."""
+        return (
+            self.may_have_unlisted_runs
+            or not self.is_worker_list_complete
+            or any(
+                not worker_agent.has_reported
+                for worker_agent in self._agents.values()
+            )
+        )
+
     def _reports_due_at(self) -> float:
         """Return until when jobs that are not stored wait for reports."""
         if self.is_list_expected and not self.is_worker_list_complete:
--- a/sardineproxy/process/shards/unacked_results.py
+++ b/sardineproxy/process/shards/unacked_results.py
@@ -39,6 +39,9 @@
         self.last_position = 0
         self._entries: dict[workers.TaskName, dict[int, _Unacked]] = {}
 
+        #: Results that may be acknowledged once the worker's lease has expired.
+        self._waiting_for_lapse: set[tuple[workers.TaskName, int]] = set()
+
     @property
     def acked_through(self) -> int:
         """Return the position up to which results may be acknowledged."""
@@ -65,6 +68,7 @@
         """Discard all results after a restart of the worker."""
         self.last_position = 0
         self._entries.clear()
+        self._waiting_for_lapse.clear()
 
     def add(self, finished_run: workers.FinishedRun, now: float) -> None:
         """Add a result if it finishes its task."""
@@ -91,15 +95,36 @@
             entry.claimed_at = now
         return [entries[run].finished_run for run in sorted(entries)]
 
-    def release(self, task: workers.TaskName, run: int) -> bool:
-        """Allow a result to be acknowledged; return whether it was present."""
-        entries = self._entries.get(task)
-        if entries is None or entries.pop(run, None) is None:
+    def release(
+        self, task: workers.TaskName, run: int, *, after_lapse: bool = False
+    ) -> bool:
+        """Allow a result to be acknowledged; return whether it is at once.
+
+        With ``after_lapse`` the worker's lease must expire before.
+        """
+        entries = self._entries.get(task, {})
+        entry = entries.get(run)
+        if entry is None:
+            return False
+        if after_lapse:
+            self._waiting_for_lapse.add((task, run))
             return False
+        self._waiting_for_lapse.discard((task, run))
+        entries.pop(run)
         if not entries:
             self._entries.pop(task)
         return True
 
+    @property
+    def wait_for_lapse(self) -> bool:
+        """Return whether the worker's lease must expire."""
+        return bool(self._waiting_for_lapse)
+
+    def lapsed(self) -> None:
+        """Release the results that wait for the expiry of the lease."""
+        for task, run in list(self._waiting_for_lapse):
+            self.release(task, run)
+
     def release_claims(self, lost_link: link.Link) -> None:
         """Release the claims of a lost link, so that others may claim."""
         for entries in self._entries.values():
@@ -118,6 +143,10 @@
                 unclaimed_runs.extend(
                     entry.finished_run
                     for entry in entries.values()
-                    if entry.claimant is None or entry.claimed_at < valid_from
+                    if (task, entry.finished_run.run)
+                    not in self._waiting_for_lapse
+                    and (
+                        entry.claimant is None or entry.claimed_at < valid_from
+                    )
                 )
         return unclaimed_runs
--- a/sardineproxy/process/stored_jobs/execution.py
+++ b/sardineproxy/process/stored_jobs/execution.py
@@ -7,12 +7,7 @@
 
 from sardineproxy import clock, ids, logs
 from sardineproxy.connection import link, messages
-from sardineproxy.process.shards import (
-    runs,
-    stored_results,
-    worker_inquiries,
-    workers,
-)
+from sardineproxy.process.shards import worker_inquiries
 from sardineproxy.process.stored_jobs import (
     job_table,
     leaderless_tasks,
@@ -77,15 +72,6 @@
     """Tasks may have been without a leader for ``TAKE_BACK_S``."""
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class _WorkersAsked:
-    """The workers of a shard were asked for tasks without a leader."""
-
-    tasks: tuple[open_tasks.OpenTask, ...]
-    shard: ids.ShardId
-    findings: worker_inquiries.Findings
-
-
 Event = (
     open_tasks.FromLeader
     | open_tasks.LeaderLost
@@ -94,7 +80,7 @@
     | AuthorityConfirmed
     | _ShardChangeStored
     | _TakeBackDue
-    | _WorkersAsked
+    | leaderless_tasks.WorkersAsked
 )
 
 
@@ -259,7 +245,11 @@
         self.is_finishing = True
         if self._table.is_confirmed:
             self._open_tasks.withdraw()
-        ended_job = self.stored_job.finish(state, self._clock.wall())
+        ended_job = self.stored_job.finish(
+            state,
+            self._clock.wall(),
+            restarted_in_doubt=bool(self._progress.restarted_in_doubt),
+        )
         _LOG.info(
             'Job ended.',
             extra={
@@ -305,7 +295,9 @@
                     message=messages.RunEnded() as ended
                 ) if self._handle_result(event.source, ended):
                     return records.JobState.FAILED
-                case _WorkersAsked() if self._handle_findings(event):
+                case leaderless_tasks.WorkersAsked() if self._handle_findings(
+                    event
+                ):
                     return records.JobState.FAILED
                 case CancelRequested():
                     return records.JobState.CANCELLED
@@ -520,19 +512,23 @@
     ) -> None:
         if not findings_fut.cancelled():
             self.post_event(
-                _WorkersAsked(
-                    tasks=tasks, shard=shard, findings=findings_fut.result()
+                leaderless_tasks.WorkersAsked(
+                    job=self.stored_job.job.job_id,
+                    shard=shard,
+                    tasks=tasks,
+                    findings=findings_fut.result(),
                 )
             )
 
-    def _handle_findings(self, asked: _WorkersAsked) -> bool:
+    def _handle_findings(self, asked: leaderless_tasks.WorkersAsked) -> bool:
         """Record results that workers list, and take the other tasks back.
 
         A task that still runs is left to its worker. Returns whether a result
         fails the job.
         """
         for unreached in asked.tasks:
-            for ended in self._find_results(unreached, asked):
+            is_open = self._open_tasks.get(unreached.key) is unreached
+            for ended in asked.find_results(unreached) if is_open else ():
                 if self._record_result(ended):
                     return True
         now = self._clock.now()
@@ -541,7 +537,7 @@
             for task in asked.tasks
             if self._open_tasks.get(task.key) is task
             and self._leaderless.is_leaderless(task)
-            and self._task_name(task) not in asked.findings.active
+            and not asked.is_running(task)
             and (
                 asked.findings.is_complete
                 or self._leaderless.is_overdue(task, now)
@@ -557,27 +553,14 @@
                     'all_asked': asked.findings.is_complete,
                 },
             )
+            if not asked.findings.is_complete:
+                self._progress.restarted_in_doubt.update(
+                    task.key for task in taken_back
+                )
             self._move_once_stored(taken_back, self._home_shard)
         self._await_leaders()
         return False
 
-    def _find_results(
-        self, task: open_tasks.OpenTask, asked: _WorkersAsked
-    ) -> list[messages.RunEnded]:
-        """Return the results of an open task that workers list."""
-        if self._open_tasks.get(task.key) is not task:
-            return []
-        return [
-            stored_results.make_run_ended(asked.shard, finished_run)
-            for finished_run in asked.findings.finished.get(
-                self._task_name(task), ()
-            )
-            if finished_run.result in stored_results.TASK_RESULTS
-        ]
-
-    def _task_name(self, task: open_tasks.OpenTask) -> workers.TaskName:
-        return runs.task_name(self.stored_job.job.job_id, task.step, task.index)
-
     def _move_once_stored(
         self, tasks: list[open_tasks.OpenTask], new_shard: ids.ShardId
     ) -> None:
@@ -669,6 +652,8 @@
                         step=finished.step,
                         runs=((finished.index, finished.run),),
                         authority=self._table.message_authority(),
+                        after_lapse=(finished.step, finished.index)
+                        in self._progress.restarted_in_doubt,
                     )
                 )
 
--- a/sardineproxy/process/stored_jobs/job_manager.py
+++ b/sardineproxy/process/stored_jobs/job_manager.py
@@ -193,7 +193,7 @@
         """Return the number of jobs per route that have not started."""
         return collections.Counter(
             job_execution.stored_job.route.route
-            for job_execution in self._executions.values()
+            for job_execution in self.unfinished_executions().values()
             if not job_execution.has_started
         )
 
@@ -377,6 +377,7 @@
         if ended.job in self._executions:
             self.handle_message(source, ended)
             return
+        ended_job = self._ended_jobs.get(ended.job)
         source.send(
             messages.ResultsStored(
                 shard=ended.shard,
@@ -384,6 +385,8 @@
                 step=ended.step,
                 runs=((ended.index, ended.run),),
                 authority=self._table.message_authority(),
+                after_lapse=ended_job is not None
+                and ended_job.restarted_in_doubt,
             )
         )
 
--- a/sardineproxy/process/stored_jobs/leaderless_tasks.py
+++ b/sardineproxy/process/stored_jobs/leaderless_tasks.py
@@ -3,7 +3,14 @@
 import dataclasses
 from typing import Iterable
 
-from sardineproxy.process.shards import times
+from sardineproxy import ids
+from sardineproxy.connection import messages
+from sardineproxy.process.shards import (
+    runs,
+    stored_results,
+    times,
+    worker_inquiries,
+)
 from sardineproxy.request import open_tasks
 
 #: Interval at which the workers of such tasks are asked, in seconds.
@@ -24,6 +31,32 @@
     ask_at: float
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class WorkersAsked:
+    """The workers of a shard were asked for tasks without a leader."""
+
+    job: ids.JobId
+    shard: ids.ShardId
+    tasks: tuple[open_tasks.OpenTask, ...]
+    findings: worker_inquiries.Findings
+
+    def find_results(
+        self, task: open_tasks.OpenTask
+    ) -> list[messages.RunEnded]:
+        """Return the results of a task that workers list."""
+        name = runs.task_name(self.job, task.step, task.index)
+        return [
+            stored_results.make_run_ended(self.shard, finished_run)
+            for finished_run in self.findings.finished.get(name, ())
+            if finished_run.result in stored_results.TASK_RESULTS
+        ]
+
+    def is_running(self, task: open_tasks.OpenTask) -> bool:
+        """Return whether a worker lists an active run of a task."""
+        name = runs.task_name(self.job, task.step, task.index)
+        return name in self.findings.active
+
+
 class LeaderlessTasks:
     """Since when tasks have no leader, and the timer for them."""
 
--- a/sardineproxy/process/stored_jobs/records.py
+++ b/sardineproxy/process/stored_jobs/records.py
@@ -55,10 +55,17 @@
     ended_at: float = 0
     state: JobState = JobState.QUEUED
 
-    def finish(self, state: JobState, ended_at: float) -> 'StoredJob':
+    #: True if tasks were started although workers that did not respond may have
+    #: results of them.
+    restarted_in_doubt: bool = False
+
+    def finish(
+        self, state: JobState, ended_at: float, *, restarted_in_doubt: bool
+    ) -> 'StoredJob':
         """Return the ended job, without its payload and steps."""
         return dataclasses.replace(
             self,
+            restarted_in_doubt=restarted_in_doubt,
             job=dataclasses.replace(self.job, payload='', steps=()),
             state=state,
             ended_at=ended_at,
@@ -89,6 +96,12 @@
         default_factory=dict
     )
 
+    #: Tasks that were started although workers that did not respond may have
+    #: results of them.
+    restarted_in_doubt: set[open_tasks.TaskKey] = dataclasses.field(
+        default_factory=set
+    )
+
     def is_recorded(self, key: open_tasks.TaskKey, run: int) -> bool:
         """Return whether the result of a run is already recorded."""
         task_progress = self.failed.get(key)
@@ -132,6 +145,8 @@
             stored_job.accepted_at,
             stored_job.ended_at,
             stored_job.state.value,
+            # Older processes read rows without this item only.
+            *([True] if stored_job.restarted_in_doubt else []),
         ]
     )
     return packed
@@ -156,6 +171,8 @@
                 for key, task in progress.failed.items()
             ],
             [(*key, shard) for key, shard in progress.moved.items()],
+            # Older processes read rows without this item only.
+            *filter(None, [sorted(progress.restarted_in_doubt)]),
         ]
     )
     return packed
@@ -164,7 +181,8 @@
 def decode_progress(body: bytes) -> result.Result[JobProgress, str]:
     """Decode the row of a job's progress, or return why it is malformed."""
     try:
-        done, failed, moved = _unpack(body)
+        done, failed, moved, *added = _unpack(body)
+        restarted = added[0] if added else ()
         return result.Ok(
             JobProgress(
                 done={(int(step), int(index)) for step, index in done},
@@ -178,6 +196,9 @@
                     (int(step), int(index)): ids.ShardId(shard)
                     for step, index, shard in moved
                 },
+                restarted_in_doubt={
+                    (int(step), int(index)) for step, index in restarted
+                },
             )
         )
     except _DECODE_ERRORS as exc:
@@ -215,6 +236,7 @@
     accepted_at: float,
     ended_at: float,
     state: str,
+    restarted_in_doubt: bool = False,
 ) -> StoredJob:
     return StoredJob(
         job=jobs.Job(
@@ -227,6 +249,7 @@
         accepted_at=float(accepted_at),
         ended_at=float(ended_at),
         state=JobState(state),
+        restarted_in_doubt=bool(restarted_in_doubt),
     )
 
 
--- a/tests/process/shards/test_shard.py
+++ b/tests/process/shards/test_shard.py
@@ -6,7 +6,9 @@
 from testtools import matchers
 
 from sardineproxy import ids
+from sardineproxy.connection import messages
 from sardineproxy.process.shards import fencing, workers
+from sardineproxy.process.shards import shard as shards
 from sardineproxy.standin import worker_model
 from sardineproxy.standin import worker_calls as faults
 from tests.process.shards import samples
@@ -16,6 +18,80 @@
     return samples.typical_work(task, run, 1.0)
 
 
+def _long_work(task: workers.TaskName, run: int) -> worker_model.Work:
+    return samples.typical_work(task, run, 60 if 'long' in task else 0.2)
+
+
+def _crashed(rig: samples.Rig) -> worker_model.WorkerModel:
+    """Return a worker that does not respond."""
+    model = worker_model.WorkerModel(
+        worker=rig.models['w0'].worker, work_of=_long_work
+    )
+    model.is_up = False
+    return model
+
+
+async def _run_on(
+    rig: samples.Rig, model: worker_model.WorkerModel, task: str
+) -> worker_model.RunRecord:
+    """Run a task on a worker for a former leader."""
+    order = workers.Order(
+        task=workers.TaskName(task),
+        run=1,
+        payload='',
+        fence=fencing.FencingToken(epoch=1, rank=0).fence(0),
+        expires_ms=model.clock_ms(rig.clock.now()) + 1000,
+    )
+    model.start(order, rig.clock.now())
+    await asyncio.sleep(0.5)
+    return samples.only_item(rig.records())
+
+
+async def _extend_lease(
+    rig: samples.Rig, model: worker_model.WorkerModel, length_s: float
+) -> None:
+    """Extend the lease of a worker for a former leader."""
+    until = rig.clock.now() + length_s
+    while rig.clock.now() < until:
+        now = rig.clock.now()
+        model.poll(
+            workers.Poll(
+                fence=fencing.FencingToken(epoch=1, rank=0).fence(0),
+                acked=0,
+                expires_ms=model.clock_ms(now) + 1000,
+                wait_s=0,
+            ),
+            now,
+        )
+        await asyncio.sleep(0.1)
+
+
+def _fill(rig: samples.Rig, leader: shards.ShardLeader) -> None:
+    """Occupy all workers."""
+    leader.submit(
+        samples.FakeLink(),
+        samples.make_submit('long', 4, timeout_s=60.0, slack_s=60.0),
+        rig.clock.now(),
+    )
+
+
+async def _acknowledge(
+    leader: shards.ShardLeader, job: ids.JobId, *, after_lapse: bool = False
+) -> None:
+    """Let a job manager acknowledge the first run of a job's only task."""
+    await asyncio.sleep(0.5)
+    leader.acknowledge_results(
+        messages.ResultsStored(
+            shard=samples.SHARD,
+            job=job,
+            step=0,
+            runs=((0, 1),),
+            after_lapse=after_lapse,
+        )
+    )
+    await asyncio.sleep(0.4)
+
+
 class TestQueue(testtools.TestCase):
     def test_job_that_cannot_be_on_time_is_declined_unstarted(self) -> None:
         """Guards against running a job whose result comes too late to be used."""
@@ -628,9 +704,9 @@
                 )
             await asyncio.sleep(0.005)
             self.assertIn(old, rig.superseded_shards)
-            before = rig.count_starts()
+            self.assertEqual(6, rig.count_starts())
             await asyncio.sleep(3)
-            self.assertEqual(before, rig.count_starts())
+            self.assertEqual(6, rig.count_starts())
 
         samples.with_rig(scenario, count=4)
 
@@ -680,6 +756,56 @@
 
         samples.with_rig(scenario, work_of=_work_of_1_s)
 
+    def test_result_after_a_start_in_doubt_waits_for_the_lease(self) -> None:
+        """Guards against a success that counts although the task ran again.
+
+        A worker with a result does not respond to the new leader, while the
+        former one extends its lease. The new leader starts the task anew, and
+        learns of the result later, when the worker runs other tasks for it.
+        """
+
+        async def scenario(rig: samples.Rig) -> None:
+            w0 = rig.models['w0']
+            first = await _run_on(rig, w0, 't.0.0.0')
+            api = faults.FaultyWorkerApi(
+                models={**rig.models, 'w0': _crashed(rig)}, clock=rig.clock
+            )
+            new = await rig.lead_and_sync(epoch=2, api=api)
+            link = samples.FakeLink()
+            submit = samples.make_submit('t', stored=True, resumed=True)
+            new.submit(link, submit, rig.clock.now())
+            await _extend_lease(rig, w0, 5)
+            self.assertEqual({0: 'done'}, link.results())
+            rig.manager_link = lambda job: link  # type: ignore[method-assign]
+            api.models['w0'] = w0
+            await asyncio.sleep(1)
+            _fill(rig, new)
+            await _acknowledge(new, submit.job)
+            self.assertIsNone(first.acked_at)
+            await asyncio.sleep(3)
+            self.assertIsNotNone(first.acked_at)
+            self.assertTrue(first.is_lease_expired)
+
+        samples.with_rig(scenario, count=2, work_of=_long_work)
+
+    def test_result_waits_for_the_lease_if_its_manager_says_so(self) -> None:
+        """Guards against the same after a start in another shard."""
+
+        async def scenario(rig: samples.Rig) -> None:
+            leader = await rig.lead_and_sync()
+            submit = samples.make_submit('t', stored=True)
+            leader.submit(samples.FakeLink(), submit, rig.clock.now())
+            await asyncio.sleep(0.5)
+            _fill(rig, leader)
+            await _acknowledge(leader, submit.job, after_lapse=True)
+            first = rig.records()[0]
+            self.assertIsNone(first.acked_at)
+            await asyncio.sleep(3)
+            self.assertIsNotNone(first.acked_at)
+            self.assertTrue(first.is_lease_expired)
+
+        samples.with_rig(scenario, work_of=_long_work)
+
     def test_stored_tasks_of_a_lost_zone_wait_for_the_leases(self) -> None:
         """Guards against two runs of a task in a partitioned zone.
 
--- a/tests/process/stored_jobs/test_lost_shard.py
+++ b/tests/process/stored_jobs/test_lost_shard.py
@@ -32,6 +32,7 @@
             OTHER: samples.FakeLink('vm-b'),
         }
         self.stored = 0
+        self.rows: dict[str, bytes] = {}
         self.inquiries = clusters.Inquiries()
         clock = virtual_time.LoopClock()
         self.execution = execution.Execution(
@@ -64,6 +65,8 @@
         self, key: str, body: bytes | None, *, max_delay_s: float
     ) -> asyncio.Future[bool]:
         self.stored += 1
+        if body is not None:
+            self.rows[key.split('/')[-2]] = body
         commit_fut: asyncio.Future[bool] = (
             asyncio.get_running_loop().create_future()
         )
@@ -221,6 +224,41 @@
 
         with_fixture(scenario)
 
+    def test_result_beside_a_start_in_doubt_waits_for_the_lease(self) -> None:
+        """Guards against a success that counts although the task ran again.
+
+        A worker did not respond before the task was started anew. The next
+        manager and the ended job must still know of that.
+        """
+
+        async def scenario(fixture: Fixture) -> None:
+            fixture.find_runs(complete=False)
+            lost = fixture.lose(OTHER)
+            await asyncio.sleep(times.TAKE_BACK_S + 7)
+            progress = records.decode_progress(fixture.rows['progress'])
+            self.assertEqual({(0, 0)}, progress.ok_value.restarted_in_doubt)
+            fixture.find(OTHER, lost)
+            fixture.execution.post_event(
+                open_tasks.FromLeader(
+                    source=lost,
+                    message=messages.RunEnded(
+                        shard=OTHER,
+                        job=fixture.execution.stored_job.job.job_id,
+                        step=0,
+                        index=0,
+                        run=1,
+                        result='done',
+                        stored=True,
+                    ),
+                )
+            )
+            await asyncio.sleep(0.1)
+            self.assertTrue(lost.sent[-1].after_lapse)
+            ended_job = records.decode_job(fixture.rows['job']).ok_value
+            self.assertTrue(ended_job.restarted_in_doubt)
+
+        with_fixture(scenario)
+
     def test_task_is_withdrawn_before_a_late_result_is_stored(self) -> None:
         """Guards against a start after the end of the task was recorded.
 
