--- a/sardineproxy/process/stored_jobs/leaderless_tasks.py
+++ b/sardineproxy/process/stored_jobs/leaderless_tasks.py
@@ -18,7 +18,7 @@
 
 #: Time after which tasks are taken back although some workers have not
 #: responded, in seconds: they may be lost for good.
-ASK_FOR_S = 5.0
+ASK_FOR_S = 2.0
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
--- a/tests/process/stored_jobs/test_lost_shard.py
+++ b/tests/process/stored_jobs/test_lost_shard.py
@@ -217,9 +217,9 @@
             home = fixture.links[HOME]
             fixture.find_runs(complete=False)
             fixture.lose(OTHER)
-            await asyncio.sleep(times.TAKE_BACK_S + 3)
+            await asyncio.sleep(times.TAKE_BACK_S + 1.5)
             self.assertEqual([], submitted(home))
-            await asyncio.sleep(3.1)
+            await asyncio.sleep(1.1)
             self.assertEqual([HOME], submitted(home))
 
         with_fixture(scenario)
